One header type and one record type; refusals made once; idle walks four times a second

Cause: CallHeader/HttpHeader and ConfigurationRecord/LogRecord stood twice, a refusal's body was made twice, and each 1 ms tick walked all links and pooled connections although their limits are seconds. Ruled out: nothing else changes; behaviour of answers is the same.

--- a/packages/ctl/include/basilsill/ctl/http_server.h
+++ b/packages/ctl/include/basilsill/ctl/http_server.h
@@ -27,14 +27,14 @@
   std::string method;
   std::string path;   ///< Target up to the question mark.
   std::string query;  ///< Target after it.
-  std::vector<CallHeader> headers;
+  std::vector<HttpHeader> headers;
   std::string body;
 };
 
 struct ServerReply {
   unsigned status = 200;
   std::string body;
-  std::vector<CallHeader> headers;
+  std::vector<HttpHeader> headers;
 };
 
 /// Answers a request; nothing closes the connection without an answer.
--- a/packages/ctl/src/http_server.cc
+++ b/packages/ctl/src/http_server.cc
@@ -48,7 +48,7 @@
   message.version(11);
   message.result(reply.status);
   message.set(http::field::content_type, "application/json");
-  for (const CallHeader& header : reply.headers) {
+  for (const HttpHeader& header : reply.headers) {
     message.set(header.name, header.value);
   }
   message.keep_alive(keep_alive);
@@ -210,7 +210,7 @@
 
 std::string_view HeaderValue(const ServerRequest& request,
                              std::string_view name) {
-  for (const CallHeader& header : request.headers) {
+  for (const HttpHeader& header : request.headers) {
     if (beast::iequals(header.name, {name.data(), name.size()})) {
       return header.value;
     }
--- a/packages/ctl/src/resource_client.cc
+++ b/packages/ctl/src/resource_client.cc
@@ -169,8 +169,8 @@
     std::optional<uint64_t> base) {
   HttpCall call = MakeChange(HttpMethod::kPut, path);
   call.headers.push_back({"Content-Type", "application/json"});
-  call.headers.push_back(base ? CallHeader{"If-Match", EntityTag(*base)}
-                              : CallHeader{"If-None-Match", "*"});
+  call.headers.push_back(base ? HttpHeader{"If-Match", EntityTag(*base)}
+                              : HttpHeader{"If-None-Match", "*"});
   call.body = std::move(spec);
   co_return Read(co_await this->Call(std::move(call)), &ParseResource);
 }
--- a/packages/decision/include/basilsill/decision/follower.h
+++ b/packages/decision/include/basilsill/decision/follower.h
@@ -7,6 +7,7 @@
 #include <string>
 #include <vector>
 
+#include "basilsill/base/log_record.h"
 #include "basilsill/decision/checkpoint.h"
 #include "basilsill/decision/configuration.h"
 
@@ -15,18 +16,12 @@
 
 namespace basilsill {
 
-/// A record as the log gave it.
-struct ConfigurationRecord {
-  uint64_t offset = 0;
-  std::string body;
-};
-
 /// Answer to a read, as the platform's protocol has it.
 struct ConfigurationRead {
   uint64_t from = 0;   ///< Offset that was asked for.
   uint64_t first = 0;  ///< Oldest offset retained.
   uint64_t end = 0;    ///< One past the newest record.
-  std::vector<ConfigurationRecord> records;
+  std::vector<LogRecord> records;
 };
 
 /// How this VM's state stands to the log.
--- a/packages/decision/src/follower.cc
+++ b/packages/decision/src/follower.cc
@@ -87,7 +87,7 @@
   if (answer.records.empty() || !this->last_record_hash) {
     return;
   }
-  const ConfigurationRecord& record = answer.records.front();
+  const LogRecord& record = answer.records.front();
   if (record.offset + 1 == this->folded.next_offset() &&
       HashRecord(record.body) == *this->last_record_hash) {
     this->current = FollowerStanding::kFollowing;
@@ -142,7 +142,7 @@
 
 void ConfigurationFollower::SearchOn(const ConfigurationRead& answer,
                                      FollowResult& result) {
-  for (const ConfigurationRecord& record : answer.records) {
+  for (const LogRecord& record : answer.records) {
     if (record.offset != this->search_next) {
       continue;
     }
@@ -173,7 +173,7 @@
 void ConfigurationFollower::FoldOn(const ConfigurationRead& answer,
                                    FollowResult& result) {
   this->current = FollowerStanding::kFollowing;
-  for (const ConfigurationRecord& record : answer.records) {
+  for (const LogRecord& record : answer.records) {
     if (record.offset != this->folded.next_offset()) {
       continue;
     }
--- a/packages/node/src/caller_session.cc
+++ b/packages/node/src/caller_session.cc
@@ -1,7 +1,5 @@
 #include "caller_session.h"
 
-#include <sys/socket.h>
-
 #include <algorithm>
 #include <array>
 #include <charconv>
@@ -312,10 +310,12 @@
   if (!this->reader.has_message() || !this->reader.done()) {
     this->keep_alive = false;
   }
-  const AnswerHead head = MakeRefusalHead(request, outcome);
-  const std::string body = MakeRefusalBody(request, outcome);
-  const bool no_body = request.method == "HEAD";
-  co_await this->Start(head, no_body ? std::span<const char>() : body, true);
+  const RefusalAnswer answer = MakeRefusalAnswer(request, outcome);
+  std::span<const char> body(answer.body);
+  if (request.method == "HEAD") {
+    body = {};
+  }
+  co_await this->Start(answer.head, body, true);
 }
 
 Task<bool> CallerSession::Start(const AnswerHead& head,
--- a/packages/node/src/configuration_host.cc
+++ b/packages/node/src/configuration_host.cc
@@ -106,9 +106,7 @@
   this->NoteLogAvailable(known, answer ? Failure{} : Failure(answer.error()));
   if (answer) {
     ConfigurationRead read = ToRead(from, answer.value().bounds);
-    for (const LogRecord& record : answer.value().records) {
-      read.records.push_back({record.offset, record.body});
-    }
+    read.records = answer.value().records;
     this->OnFollowed(this->following.OnRead(read));
     if (this->following.is_at_end()) {
       this->changes.OnCaughtUp(MonotonicClock::now(), ticket, this->following);
--- a/packages/node/src/refusal_answer.cc
+++ b/packages/node/src/refusal_answer.cc
@@ -21,8 +21,6 @@
   return told > milliseconds(0) ? told : kDefaultRetryAfter;
 }
 
-}  // namespace
-
 std::string MakeRefusalBody(const RequestMessage& request,
                             const ServeOutcome& outcome) {
   const RefusalInfo& info = InfoOf(outcome.refusal);
@@ -36,10 +34,14 @@
   return boost::json::serialize(body) + "\n";
 }
 
-AnswerHead MakeRefusalHead(const RequestMessage& request,
-                           const ServeOutcome& outcome) {
+}  // namespace
+
+RefusalAnswer MakeRefusalAnswer(const RequestMessage& request,
+                                const ServeOutcome& outcome) {
   const RefusalInfo& info = InfoOf(outcome.refusal);
-  AnswerHead head;
+  RefusalAnswer answer;
+  answer.body = MakeRefusalBody(request, outcome);
+  AnswerHead& head = answer.head;
   head.status = info.status;
   head.headers.set("Content-Type", "application/json");
   head.headers.set("X-Request-Id", request.request_id);
@@ -49,8 +51,8 @@
     const auto whole = std::chrono::ceil<seconds>(RetryAfter(outcome));
     head.headers.set("Retry-After", std::to_string(whole.count()));
   }
-  head.framing = {BodyKind::kLength, MakeRefusalBody(request, outcome).size()};
-  return head;
+  head.framing = {BodyKind::kLength, answer.body.size()};
+  return answer;
 }
 
 }  // namespace basilsill
--- a/packages/node/src/refusal_answer.h
+++ b/packages/node/src/refusal_answer.h
@@ -10,13 +10,14 @@
 
 namespace basilsill {
 
-/// @returns the JSON body that tells the caller why.
-std::string MakeRefusalBody(const RequestMessage& request,
-                            const ServeOutcome& outcome);
-
-/// @returns the head, with promise, reason and when to come back.
-AnswerHead MakeRefusalHead(const RequestMessage& request,
-                           const ServeOutcome& outcome);
+struct RefusalAnswer {
+  AnswerHead head;   ///< Promise, reason and when to come back.
+  std::string body;  ///< JSON with the same.
+};
+
+/// @returns what the caller is told of `outcome`.
+RefusalAnswer MakeRefusalAnswer(const RequestMessage& request,
+                                const ServeOutcome& outcome);
 
 }  // namespace basilsill
 
--- a/packages/node/src/worker.cc
+++ b/packages/node/src/worker.cc
@@ -18,6 +18,8 @@
 constexpr milliseconds kSlowTick{50};
 // Sessions are looked at less often than requests: there can be thousands.
 constexpr milliseconds kSessionTick{5};
+// Idle links and upstream connections are looked for no more often than this.
+constexpr milliseconds kIdleTick{250};
 constexpr milliseconds kAcceptRetryDelay{20};
 // Bits of an attempt's sequence that count; the worker's number stands above.
 constexpr unsigned kOnceSequenceBits = 48;
@@ -267,10 +269,9 @@
 void Worker::Tick(TimePoint now) {
   this->dispatch_host.Tick(now);
   this->entry_host.Tick(now);
-  this->links.Tick(now);
-  this->pool.Tick(now);
   this->ReportCrashes(now);
   this->TickSessions(now);
+  this->TickIdle(now);
   this->counts->Tick(now);
 }
 
@@ -285,6 +286,17 @@
   }
 }
 
+// Closes what nothing has used for long. The limits are seconds, so walking
+// all links and connections at each tick would be work for nothing.
+void Worker::TickIdle(TimePoint now) {
+  if (now - this->idle_ticked < kIdleTick) {
+    return;
+  }
+  this->idle_ticked = now;
+  this->links.Tick(now);
+  this->pool.Tick(now);
+}
+
 // Retries are granted and denied at both places.
 void Worker::TakeCounters() {
   const auto& dispatched = this->dispatch_host.counters().retries;
--- a/packages/node/src/worker.h
+++ b/packages/node/src/worker.h
@@ -88,6 +88,7 @@
   Task<void> TickLoop();
   void Tick(TimePoint now);
   void TickSessions(TimePoint now);
+  void TickIdle(TimePoint now);
   void TakeCounters();
   void Adopt(const RoutingViewPtr& view);
   void StartSession(Socket socket);
@@ -137,6 +138,7 @@
   std::string via_text;
   Timer tick_timer;
   TimePoint sessions_ticked;
+  TimePoint idle_ticked;
   ClaimHost* claims = nullptr;
   uint64_t next_request = 1;
   uint64_t next_once = 1;
--- a/packages/platform/include/basilsill/platform/http_message.h
+++ b/packages/platform/include/basilsill/platform/http_message.h
@@ -7,6 +7,7 @@
 #include <string_view>
 #include <vector>
 
+#include "basilsill/base/http_header.h"
 #include "basilsill/base/limits.h"
 #include "basilsill/base/time.h"
 
@@ -20,16 +21,11 @@
 /// @returns the name of `method` as HTTP writes it.
 std::string_view NameOf(HttpMethod method);
 
-struct CallHeader {
-  std::string name;
-  std::string value;
-};
-
 /// One call, as a client sends it.
 struct HttpCall {
   HttpMethod method = HttpMethod::kGet;
   std::string target = "/";
-  std::vector<CallHeader> headers;
+  std::vector<HttpHeader> headers;
   std::string body;
   /// From the first byte sent to the last one received.
   std::chrono::milliseconds timeout = limits::kPlatformCallTimeout;
--- a/packages/platform/src/http_client.cc
+++ b/packages/platform/src/http_client.cc
@@ -69,7 +69,7 @@
   request.method_string(NameOf(call.method));
   request.target(call.target);
   request.set(http::field::host, ToString(endpoint));
-  for (const CallHeader& header : call.headers) {
+  for (const HttpHeader& header : call.headers) {
     request.set(header.name, header.value);
   }
   request.body() = std::move(call.body);
