--- a/cmake/Package.cmake
+++ b/cmake/Package.cmake
@@ -5,7 +5,8 @@
 # mismatch of new and delete.
 target_compile_options(basilsill_options INTERFACE
   -Wall -Wextra -Werror -Wno-mismatched-new-delete
-  $<$<CONFIG:RelWithDebInfo>:-O2 -g1 -UNDEBUG>)
+  $<$<CONFIG:RelWithDebInfo>:-O2 -g1 -UNDEBUG>
+  $<$<CONFIG:Release>:-O2>)
 target_compile_definitions(basilsill_options INTERFACE
   BOOST_ASIO_NO_DEPRECATED BOOST_ASIO_DISABLE_BOOST_COROUTINE)
 if(BASILSILL_SANITIZE)
--- a/packages/base/include/basilsill/base/event.h
+++ b/packages/base/include/basilsill/base/event.h
@@ -22,6 +22,7 @@
   kNodeStopped = 103,
   kNodeForcedStop = 104,
   kSettingsRejected = 110,
+  kSettingsReloaded = 111,
   kEventsSuppressed = 120,
   kAdminRequestFailed = 130,
   // 200: callers and requests
--- a/packages/base/include/basilsill/base/reason.h
+++ b/packages/base/include/basilsill/base/reason.h
@@ -66,6 +66,7 @@
   kUpstreamDied,
   kPeerLost,
   kHedge,
+  kUpstreamFailed,  ///< It answered that it failed.
   kDeniedBudget,
   kDeniedDeadline,
   kDeniedNotIdempotent,
--- a/packages/base/src/event.cc
+++ b/packages/base/src/event.cc
@@ -18,6 +18,7 @@
     EventInfo{Event::kNodeStopped, kInfo, "node-stopped"},
     EventInfo{Event::kNodeForcedStop, kWarning, "node-forced-stop"},
     EventInfo{Event::kSettingsRejected, kError, "settings-rejected"},
+    EventInfo{Event::kSettingsReloaded, kInfo, "settings-reloaded"},
     EventInfo{Event::kEventsSuppressed, kWarning, "events-suppressed"},
     EventInfo{Event::kAdminRequestFailed, kError, "admin-request-failed"},
     EventInfo{Event::kRequestRefused, kInfo, "request-refused"},
--- a/packages/base/src/reason.cc
+++ b/packages/base/src/reason.cc
@@ -58,6 +58,7 @@
         "upstream-died",
         "peer-lost",
         "hedge",
+        "upstream-failed",
         "denied-budget",
         "denied-deadline",
         "denied-not-idempotent",
--- /dev/null
+++ b/packages/decision/include/basilsill/decision/declared_configuration.h
@@ -0,0 +1,65 @@
+#ifndef BASILSILL_DECISION_DECLARED_CONFIGURATION_H_
+#define BASILSILL_DECISION_DECLARED_CONFIGURATION_H_
+
+#include <chrono>
+#include <cstdint>
+#include <string>
+#include <vector>
+
+#include "basilsill/base/error.h"
+#include "basilsill/decision/configuration.h"
+#include "basilsill/decision/upstream_registry.h"
+
+/// Configuration of installations whose platform holds it whole: one document
+/// with all routes, and a registry in which upstreams list themselves. Made
+/// into the same state that other installations fold from their log, so that
+/// one view builder and one decision code serve both.
+
+namespace basilsill {
+
+/// What may be done again with a request of a route.
+enum class RouteKind : uint8_t {
+  kSafe,      ///< May run more than once.
+  kUnsafe,    ///< Runs at most once.
+  kDownload,  ///< May run more than once; its answers are long.
+  kCount
+};
+
+struct DeclaredRoute {
+  std::string name;
+  std::string host;         ///< Lower case.
+  std::string path_prefix;  ///< Begins and ends with a slash.
+  RouteKind kind = RouteKind::kUnsafe;
+  std::vector<ServiceShare> services;  ///< One, or those of a split.
+  std::chrono::milliseconds timeout{0};
+  std::chrono::milliseconds target_latency{0};
+  uint8_t max_attempts = 1;
+  uint32_t priority = 0;  ///< 0 is the most urgent.
+};
+
+struct DeclaredService {
+  std::string name;
+  std::string health_path;
+};
+
+struct DeclaredConfiguration {
+  uint64_t version = 0;
+  std::vector<DeclaredRoute> routes;
+  std::vector<DeclaredService> services;
+  CallerLimits callers;
+};
+
+/// @returns what stands against serving by `configuration`: a reference to a
+/// service that it does not have, or a name that stands twice.
+std::vector<Failure> CheckDeclared(const DeclaredConfiguration& configuration);
+
+/// @returns the state to build views from.
+/// @param configuration Passed CheckDeclared.
+/// @param upstreams Entries of services that `configuration` does not have are
+/// left out.
+ConfigurationState MakeDeclaredState(const DeclaredConfiguration& configuration,
+                                     const UpstreamRegistry& upstreams);
+
+}  // namespace basilsill
+
+#endif  // BASILSILL_DECISION_DECLARED_CONFIGURATION_H_
--- a/packages/decision/include/basilsill/decision/dispatch.h
+++ b/packages/decision/include/basilsill/decision/dispatch.h
@@ -4,11 +4,14 @@
 #include <array>
 #include <cstdint>
 #include <memory>
+#include <optional>
 #include <vector>
 
 #include "basilsill/base/reason.h"
 #include "basilsill/base/time.h"
 #include "basilsill/decision/quarantine.h"
+#include "basilsill/decision/ratio_budget.h"
+#include "basilsill/decision/repeat_budget.h"
 #include "basilsill/decision/view.h"
 
 /// The dispatcher: for the shards that a worker owns, it holds the queue of
@@ -38,6 +41,10 @@
   /// The entry VM knows a better place than a queue longer than this: then
   /// the request is refused with kQueueFull at once. As `Target` gave it.
   Duration max_wait = Duration::max();
+  /// Upstreams that it may be sent to, all in all; 0: as the policy has it.
+  uint8_t max_attempts = 0;
+  /// An answer is worth most until then; kNever: not known.
+  TimePoint good_until = kNever;
   uint64_t cookie = 0;  ///< The shell's own name for the request.
 };
 
@@ -67,6 +74,7 @@
   kDied,           ///< The connection broke after bytes were sent.
   kTimedOut,       ///< No answer within the deadline.
   kMalformed,      ///< What came was no HTTP answer.
+  kMisdirected,    ///< Another upstream has the address; nothing ran.
   kCancelled,      ///< The caller went away, or another attempt won.
   kCount
 };
@@ -75,9 +83,21 @@
 /// kNone for kAnswered.
 Refusal RefusalOf(AttemptEnd end);
 
+/// What an upstream says of its load.
+struct UpstreamLoad {
+  bool known = false;
+  bool tells_slowness = false;
+  uint16_t running = 0;
+  uint16_t waiting = 0;
+  uint16_t slots = 0;
+  /// Time that work takes there now, over what it usually takes.
+  double slowness = 1;
+};
+
 struct AttemptReport {
   AttemptEnd end = AttemptEnd::kCount;
   uint16_t status = 0;
+  UpstreamLoad load;  ///< As the answer had it.
   bool drain_sign = false;      ///< The upstream said that it is leaving.
   bool answer_started = false;  ///< Part of an answer reached the caller.
 };
@@ -116,6 +136,11 @@
   size_t max_queue_per_shard = limits::kMaxQueuePerShard;
   uint64_t seed = 1;
   DispatcherFeatures features;
+  RatioBudgetOptions retry_budget = kRetryBudget;
+  RatioBudgetOptions hedge_budget = kHedgeBudget;
+  /// Bound on repeats of the whole fleet, if there is one; its slack is shared
+  /// by the dispatchers of a service.
+  std::optional<RepeatBudgetOptions> repeats;
   /// Shared with the EntryRouter of the same worker; null: no quarantine.
   std::shared_ptr<Quarantine> quarantine;
 };
@@ -176,6 +201,10 @@
                             AttemptHandle attempt,
                             const AttemptReport& report) = 0;
 
+  /// The connection of `attempt` broke before any answer, as an old one does.
+  /// @returns true if the request may be sent to the same upstream once more.
+  virtual bool MaySendAgain(TimePoint now, AttemptHandle attempt) = 0;
+
   /// The caller does not want the request any more. Running attempts are
   /// cancelled by actions.
   virtual void Cancel(TimePoint now, DispatchHandle request) = 0;
--- a/packages/decision/include/basilsill/decision/entry.h
+++ b/packages/decision/include/basilsill/decision/entry.h
@@ -4,6 +4,7 @@
 #include <array>
 #include <cstdint>
 #include <memory>
+#include <optional>
 
 #include "basilsill/base/reason.h"
 #include "basilsill/base/time.h"
@@ -26,6 +27,8 @@
   bool idempotent = false;
   bool replayable = false;  ///< The shell still holds the whole body.
   Fingerprint fingerprint = 0;
+  uint8_t max_attempts = 0;       ///< As in DispatchRequest.
+  TimePoint good_until = kNever;  ///< As in DispatchRequest.
 };
 
 /// Outcome of admission.
@@ -79,6 +82,10 @@
   /// What a request to another data centre costs there and back.
   Duration far_round_trip = std::chrono::milliseconds(3);
   EntryFeatures features;
+  RatioBudgetOptions retry_budget = kEntryRetryBudget;
+  /// Bound on repeats of the whole fleet, if there is one; its slack is shared
+  /// by all VMs.
+  std::optional<RepeatBudgetOptions> repeats;
   /// Shared with the Dispatcher of the same worker; null: no quarantine.
   std::shared_ptr<Quarantine> quarantine;
 };
--- a/packages/decision/src/ratio_budget.h
+++ b/packages/decision/include/basilsill/decision/ratio_budget.h
@@ -57,6 +57,10 @@
 inline constexpr RatioBudgetOptions kRetryBudget{0.06, 10, 3, 0.1};
 inline constexpr RatioBudgetOptions kHedgeBudget{0.02, 5, 1, 0.01};
 
+/// Retries of an entry VM that may put load on upstreams a second time. The
+/// dispatchers' own budgets and this one multiply to less than 1.1.
+inline constexpr RatioBudgetOptions kEntryRetryBudget{0.015, 20, 10, 0.1};
+
 }  // namespace basilsill
 
 #endif  // BASILSILL_DECISION_RATIO_BUDGET_H_
--- a/packages/decision/include/basilsill/decision/resource.h
+++ b/packages/decision/include/basilsill/decision/resource.h
@@ -46,6 +46,8 @@
 
 struct ServiceSpec {
   std::string team;
+  /// Where an upstream says whether it is well; empty: it is not asked.
+  std::string health_path{};
 
   friend bool operator==(const ServiceSpec&, const ServiceSpec&) = default;
 };
@@ -54,6 +56,11 @@
   Endpoint endpoint;
   uint16_t slots = limits::kDefaultSlotsPerUpstream;
   bool leaving = false;
+  /// Started a moment ago and is slow for that reason.
+  bool cold = false;
+  /// Names one incarnation of the instance, where the platform does so: with
+  /// another id at the same endpoint it is another upstream.
+  std::string id{};
 
   friend bool operator==(const InstanceSpec&, const InstanceSpec&) = default;
 };
@@ -70,6 +77,14 @@
                          const UpstreamSetSpec&) = default;
 };
 
+/// A service's part in the requests of one rule.
+struct ServiceShare {
+  std::string service;
+  uint32_t weight = 1;
+};
+
+/// The members after `deadline` are set where the installation's platform
+/// declares them; they have no JSON form.
 struct RuleSpec {
   std::string service;
   RuleMatch match;
@@ -78,6 +93,14 @@
   bool idempotent = false;
   bool hedge = false;
   std::chrono::milliseconds deadline = limits::kDefaultDeadline;
+  /// Services that share the requests by weight; empty: `service` has all.
+  std::vector<ServiceShare> split;
+  /// No caller is kept waiting for longer; 0: only its deadline counts.
+  std::chrono::milliseconds timeout{0};
+  /// Answers within this time are good ones; 0: not known.
+  std::chrono::milliseconds target_latency{0};
+  /// Upstreams that one request may be sent to; 0: as the policy has it.
+  uint8_t max_attempts = 0;
 };
 
 /// Overrides of the policy's ratios, for the team of the resource's name or,
@@ -87,6 +110,9 @@
   std::optional<double> retry_ratio;
   std::optional<double> hedge_ratio;
   std::optional<double> bulk_slot_share;
+  /// Of the whole installation; absent: as the node's settings have it. Has no
+  /// JSON form.
+  std::optional<CallerLimits> callers;
 
   friend bool operator==(const LimitsSpec&, const LimitsSpec&) = default;
 };
--- /dev/null
+++ b/packages/decision/include/basilsill/decision/topic_follower.h
@@ -0,0 +1,85 @@
+#ifndef BASILSILL_DECISION_TOPIC_FOLLOWER_H_
+#define BASILSILL_DECISION_TOPIC_FOLLOWER_H_
+
+#include <chrono>
+#include <cstdint>
+#include <string>
+
+#include "basilsill/base/time.h"
+
+/// How one topic of a platform's record store is kept up with: first the
+/// newest record of each key, then what is appended from there on, and the
+/// newest records again when what was to be read next is no longer there.
+/// Pure; the shell makes the calls.
+
+namespace basilsill {
+
+enum class TopicCallKind : uint8_t {
+  kListNewest,  ///< The newest record of each key after `after`.
+  kReadOn,      ///< Records from offset `from`.
+  kCount
+};
+
+/// The next call to make.
+struct TopicCall {
+  TopicCallKind kind = TopicCallKind::kListNewest;
+  std::string after;
+  uint64_t from = 0;
+  std::chrono::milliseconds wait{0};  ///< That the store holds the answer.
+};
+
+struct TopicFollowerOptions {
+  /// Between two reads when records come all the time. 0: read on at once.
+  Duration interval{0};
+  /// How long the store may hold a read without records.
+  std::chrono::milliseconds wait{0};
+  Duration retry_min = std::chrono::milliseconds(100);
+  Duration retry_max = std::chrono::milliseconds(400);
+};
+
+class TopicFollower {
+ public:
+  explicit TopicFollower(const TopicFollowerOptions& options);
+
+  TopicCall NextCall() const;
+
+  /// @returns when `NextCall` is due.
+  TimePoint due() const { return this->next_at; }
+
+  /// A page of newest records came.
+  /// @param end Offset after the last record when the page was made.
+  /// @param last_key Of the page; empty if it has none.
+  /// @returns true if the list is whole now.
+  bool OnPage(TimePoint now, uint64_t end, bool more, std::string last_key);
+
+  /// Records up to `next` came.
+  void OnRecords(TimePoint now, uint64_t next);
+
+  /// What was to be read next is gone: all is listed anew.
+  void OnTrimmed(TimePoint now);
+
+  /// The call failed or got no answer.
+  void OnFailed(TimePoint now);
+
+  /// @returns true once the newest records were listed whole.
+  bool is_whole() const { return this->whole; }
+
+  /// @returns true while the store answers.
+  bool available() const { return this->failures == 0; }
+
+  uint64_t offset() const { return this->from; }
+
+ private:
+  TopicFollowerOptions options;
+  bool whole = false;
+  bool listing = true;
+  std::string after;  ///< Last key of the page before; empty at the start.
+  bool first_page = true;
+  uint64_t from = 0;
+  uint32_t failures = 0;
+  TimePoint next_at{};
+};
+
+}  // namespace basilsill
+
+#endif  // BASILSILL_DECISION_TOPIC_FOLLOWER_H_
--- a/packages/decision/include/basilsill/decision/view.h
+++ b/packages/decision/include/basilsill/decision/view.h
@@ -3,6 +3,7 @@
 
 #include <cstdint>
 #include <memory>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -57,6 +58,17 @@
   friend bool operator==(const TeamLimits&, const TeamLimits&) = default;
 };
 
+/// What callers may send and how long they may take.
+struct CallerLimits {
+  uint64_t header_bytes = limits::kMaxHeaderBytes;
+  uint64_t body_bytes = limits::kMaxBodyBytes;
+  /// From the first byte of a request's head to its last.
+  std::chrono::milliseconds header_timeout = limits::kCallerIdleTimeout;
+  std::chrono::milliseconds idle_timeout = limits::kCallerIdleTimeout;
+
+  friend bool operator==(const CallerLimits&, const CallerLimits&) = default;
+};
+
 struct TeamRow {
   TeamHandle handle;
   std::string name;
@@ -69,6 +81,8 @@
   DataCentreHandle data_centre;
   uint16_t slots = limits::kDefaultSlotsPerUpstream;
   bool leaving = false;  ///< Gets no new work.
+  bool cold = false;     ///< Slow, because it started a moment ago.
+  std::string id;  ///< Of its incarnation; empty where there are no such ids.
 };
 
 /// A part of a service's upstreams in one data centre, dispatched by one VM.
@@ -87,6 +101,7 @@
   ServiceHandle handle;
   std::string name;
   TeamHandle team;
+  std::string health_path;  ///< Empty: upstreams are not asked.
   std::vector<UpstreamRow> upstreams;
   std::vector<ShardRow> shards;
 };
@@ -104,16 +119,26 @@
   std::vector<HeaderMatch> headers;
 };
 
+/// A service's part in the requests of one rule.
+struct ServicePart {
+  ServiceHandle service;
+  uint32_t weight = 1;
+};
+
 struct RuleRow {
   RuleHandle handle;
   std::string name;
   ServiceHandle service;
+  std::vector<ServicePart> split;  ///< Empty: `service` has all.
   RuleMatch match;
   TrafficClass traffic_class = TrafficClass::kOrdinary;
   bool once = false;        ///< Must not repeat: needs a claim to run.
   bool idempotent = false;  ///< As declared; safe methods always are.
   bool hedge = false;       ///< A slow attempt may be doubled.
   std::chrono::milliseconds deadline = limits::kDefaultDeadline;
+  std::chrono::milliseconds timeout{0};         ///< 0: none but the deadline.
+  std::chrono::milliseconds target_latency{0};  ///< 0: not known.
+  uint8_t max_attempts = 0;                     ///< 0: as the policy has it.
 };
 
 enum class VmState : uint8_t {
@@ -151,6 +176,8 @@
   std::vector<RuleHandle> rule_order;  ///< Most specific first.
   std::vector<VmRow> vms;
   std::vector<DataCentreRow> data_centres;
+  /// Absent: as the node's settings have it.
+  std::optional<CallerLimits> caller_limits;
 };
 using RoutingViewPtr = std::shared_ptr<const RoutingView>;
 
--- a/packages/decision/src/dispatch_tables.h
+++ b/packages/decision/src/dispatch_tables.h
@@ -8,7 +8,7 @@
 #include "basilsill/decision/dispatch.h"
 #include "indexed_heap.h"
 #include "latency_stats.h"
-#include "ratio_budget.h"
+#include "basilsill/decision/ratio_budget.h"
 #include "upstream_health.h"
 
 /// Rows of the dispatcher's tables. Requests, attempts and lanes live in
@@ -51,6 +51,7 @@
   RequestState state = RequestState::kWaiting;
   TrafficClass queue = TrafficClass::kOrdinary;  ///< Where it waits.
   uint8_t starts = 0;
+  uint8_t spent = 0;  ///< Attempts that ended and may have run.
   bool maybe_ran = false;  ///< Then no refusal may promise `not-run`.
   bool answer_started = false;
   Retry next_retry = Retry::kNone;  ///< Reason of the attempt to come.
@@ -152,6 +153,8 @@
   uint32_t queued = 0;
   uint32_t busy = 0;
   std::array<uint32_t, kClasses> running{};
+  uint32_t siblings = 1;    ///< Shards of the service, this one included.
+  RepeatBudget repeats;
   uint32_t open_slots = 0;  ///< Of upstreams that take work, as of the scan.
   uint32_t starts_since_trickle = 0;
   uint32_t first_pick = 0;      ///< Where the next search for a slot begins.
--- a/packages/decision/src/dispatcher.cc
+++ b/packages/decision/src/dispatcher.cc
@@ -95,6 +95,9 @@
   const DispatchHandle handle = this->requests.Create(row);
   this->queue.Enter(lane);
   shard.last_used = now;
+  if (this->options.repeats) {
+    shard.repeats.OnRequest(now, *this->options.repeats);
+  }
   this->Activate(shard_row);
   this->TrackLoad(now, shard);
   NoteMix(now, shard, row);
@@ -245,6 +248,17 @@
   this->noticed.push_back({kind, shard.key, upstream.handle, fingerprint});
 }
 
+// Each shard's dispatcher has a part of what the fleet may repeat at the
+// service.
+bool DispatcherCore::TakeRepeat(TimePoint now, ShardState& shard, double keep) {
+  if (!this->options.repeats) {
+    return true;
+  }
+  RepeatBudgetOptions part = *this->options.repeats;
+  part.slack /= std::max<uint32_t>(1, shard.siblings);
+  return shard.repeats.Take(now, part, keep);
+}
+
 void DispatcherCore::Activate(uint32_t row) {
   ShardState& shard = this->shards.at(row);
   if (shard.active_place == kNoRow) {
--- a/packages/decision/src/dispatcher_admit.cc
+++ b/packages/decision/src/dispatcher_admit.cc
@@ -43,8 +43,8 @@
   LaneRow& lane = this->queue.lane(row);
   if (!lane.budgets_open) {
     lane.budgets_open = true;
-    lane.retry_budget = RatioBudget::Create(kRetryBudget);
-    lane.hedge_budget = RatioBudget::Create(kHedgeBudget);
+    lane.retry_budget = RatioBudget::Create(this->options.retry_budget);
+    lane.hedge_budget = RatioBudget::Create(this->options.hedge_budget);
   }
   return row;
 }
--- a/packages/decision/src/dispatcher_core.h
+++ b/packages/decision/src/dispatcher_core.h
@@ -31,6 +31,7 @@
   bool OnAttemptEnd(TimePoint now,
                     AttemptHandle attempt,
                     const AttemptReport& report) override;
+  bool MaySendAgain(TimePoint now, AttemptHandle attempt) override;
   void Cancel(TimePoint now, DispatchHandle request) override;
   void OnDrainSign(TimePoint now, UpstreamHandle upstream) override;
   void Tick(TimePoint now) override;
@@ -87,6 +88,7 @@
             const UpstreamSlots& upstream,
             Fingerprint fingerprint = 0);
   void Activate(uint32_t shard);
+  bool TakeRepeat(TimePoint now, ShardState& shard, double keep = 0);
 
   // dispatcher_start.cc
   void Pump(TimePoint now, uint32_t shard);
@@ -116,6 +118,12 @@
               uint32_t request,
               const AttemptRow& attempt,
               const AttemptReport& report);
+  bool GoesOnAfterFailure(TimePoint now,
+                          uint32_t request,
+                          const AttemptRow& attempt,
+                          const AttemptReport& report);
+  void WaitAgain(uint32_t request, const AttemptRow& attempt, Retry reason);
+  uint8_t AttemptsLeft(const RequestRow& request) const;
   Verdict VerdictOf(TimePoint now, const RequestRow& request, AttemptEnd end);
   Retry JudgeRetry(TimePoint now,
                    const RequestRow& request,
--- a/packages/decision/src/dispatcher_end.cc
+++ b/packages/decision/src/dispatcher_end.cc
@@ -10,10 +10,19 @@
 constexpr uint8_t kMaxStarts = 3;
 constexpr int kSlotTimeWeight = 64;  // Requests in the moving mean.
 constexpr Duration kRetryAfter = std::chrono::milliseconds(100);
+constexpr uint16_t kServerError = 500;
+
+// An upstream that answers so has run the request and failed; another one may
+// do better.
+bool IsFailedAnswer(const AttemptReport& report) {
+  return report.end == AttemptEnd::kAnswered && report.status >= kServerError &&
+         !report.answer_started;
+}
 
 // True if an attempt that ended so may have run, in part or whole.
 bool MayHaveRun(AttemptEnd end) {
-  return end != AttemptEnd::kShed && end != AttemptEnd::kConnectFailed;
+  return end != AttemptEnd::kShed && end != AttemptEnd::kConnectFailed &&
+         end != AttemptEnd::kMisdirected;
 }
 
 }  // namespace
@@ -21,6 +30,7 @@
 Refusal RefusalOf(AttemptEnd end) {
   switch (end) {
     case AttemptEnd::kShed:
+    case AttemptEnd::kMisdirected:
       return Refusal::kUpstreamShed;
     case AttemptEnd::kConnectFailed:
       return Refusal::kUpstreamConnectFailed;
@@ -72,6 +82,12 @@
   this->Learn(now, attempt, report);
   this->Release(now, handle);
   RequestRow& request = this->Request(row);
+  request.spent += MayHaveRun(report.end) ? 1 : 0;
+  if (IsFailedAnswer(report) && !request.answer_started &&
+      this->GoesOnAfterFailure(now, row, attempt, report)) {
+    this->Pump(now, attempt.shard);
+    return true;
+  }
   // The head of a shed answer is a first byte too, but none for the caller.
   const bool shed = report.end == AttemptEnd::kShed;
   const bool started =
@@ -113,12 +129,58 @@
   }
   request.answer_started = false;
   request.maybe_ran |= MayHaveRun(report.end);
+  this->WaitAgain(row, attempt, reason);
+}
+
+// The shell keeps the failed answer, for when nothing better comes.
+bool DispatcherCore::GoesOnAfterFailure(TimePoint now,
+                                        uint32_t row,
+                                        const AttemptRow& attempt,
+                                        const AttemptReport& report) {
+  RequestRow& request = this->Request(row);
+  request.maybe_ran = true;
+  if (IsValid(request.running[0]) || IsValid(request.running[1])) {
+    return true;
+  }
+  const Retry reason = this->JudgeRetry(now, request, attempt, report);
+  if (reason != Retry::kNone) {
+    this->WaitAgain(row, attempt, reason);
+  }
+  return reason != Retry::kNone;
+}
+
+void DispatcherCore::WaitAgain(uint32_t row,
+                               const AttemptRow& attempt,
+                               Retry reason) {
+  RequestRow& request = this->Request(row);
   request.avoid = attempt.upstream;
   request.next_retry = reason;
   this->queue.Push(this->shards.at(request.shard), row, true);
   this->SetTimer(row);
 }
 
+bool DispatcherCore::MaySendAgain(TimePoint now, AttemptHandle handle) {
+  const AttemptRow* attempt = this->attempts.Find(handle);
+  if (attempt == nullptr) {
+    return false;
+  }
+  return this->TakeRepeat(now, this->shards.at(attempt->shard));
+}
+
+// @returns how many more upstreams may run the request.
+uint8_t DispatcherCore::AttemptsLeft(const RequestRow& request) const {
+  const uint8_t all = request.spec.max_attempts;
+  if (all == 0) {
+    return request.starts < kMaxStarts ? kMaxStarts - request.starts : 0;
+  }
+  uint8_t used = request.spent;
+  for (const AttemptHandle handle : request.running) {
+    used += IsValid(handle) ? 1 : 0;
+  }
+  const bool may_start = used < all && request.starts < all + kMaxStarts;
+  return may_start ? all - used : 0;
+}
+
 // With no upstream left the shard can't help a request that did not run, but
 // another may: that is what kNoUpstream tells the entry VM.
 DispatcherCore::Verdict DispatcherCore::VerdictOf(TimePoint now,
@@ -144,13 +206,15 @@
                                  const AttemptReport& report) {
   const AttemptEnd end = report.end;
   Retry reason = Retry::kNone;
-  if (end == AttemptEnd::kShed) {
+  if (end == AttemptEnd::kShed || end == AttemptEnd::kMisdirected) {
     reason = Retry::kShed;
   } else if (end == AttemptEnd::kConnectFailed) {
     reason = Retry::kConnectFailed;
-  } else if (end == AttemptEnd::kDied) {
+  } else if (end == AttemptEnd::kDied || end == AttemptEnd::kMalformed) {
     reason = request.spec.idempotent ? Retry::kUpstreamDied
                                      : Retry::kDeniedNotIdempotent;
+  } else if (IsFailedAnswer(report) && request.spec.idempotent) {
+    reason = Retry::kUpstreamFailed;
   }
   // Sent on, the rest of a body would look like a whole one.
   const bool body_gone =
@@ -158,7 +222,7 @@
   if (body_gone && reason != Retry::kNone && !IsDenied(reason)) {
     reason = Retry::kDeniedBodyGone;
   }
-  const ShardState& shard = this->shards.at(request.shard);
+  ShardState& shard = this->shards.at(request.shard);
   const bool usable = this->CheckUsable(now, shard).refusal == Refusal::kNone;
   // What was sent ahead of a free slot and refused is this side's own doing,
   // and an upstream that leaves refuses only until it is known to; neither
@@ -169,7 +233,9 @@
   const bool in_time =
       request.spec.deadline - now > shard.stats[traffic_class].median();
   const bool allowed = this->options.features.retry && !this->handing_back &&
-                       usable && (request.starts < kMaxStarts || free);
+                       usable &&
+                       (this->AttemptsLeft(request) > 0 ||
+                        (free && request.spec.max_attempts == 0));
   if (reason == Retry::kNone || !allowed) {
     return Retry::kNone;
   }
@@ -178,6 +244,8 @@
   } else if (!IsDenied(reason) && !free &&
              !this->queue.lane(request.lane).retry_budget.Take()) {
     reason = Retry::kDeniedBudget;
+  } else if (!IsDenied(reason) && !this->TakeRepeat(now, shard)) {
+    reason = Retry::kDeniedBudget;
   }
   ++this->counts.retries[static_cast<size_t>(reason)];
   return IsDenied(reason) ? Retry::kNone : reason;
--- a/packages/decision/src/dispatcher_learn.cc
+++ b/packages/decision/src/dispatcher_learn.cc
@@ -117,6 +117,9 @@
   if (report.end == AttemptEnd::kDied && !attempt.crash_told) {
     this->TellCrash(now, attempt.shard, upstream);
   }
+  if (report.end == AttemptEnd::kMisdirected) {
+    this->Drain(now, shard, upstream);
+  }
   if (IsError(report)) {
     this->LearnError(now, attempt, report.end);
   } else if (answered) {
--- a/packages/decision/src/dispatcher_start.cc
+++ b/packages/decision/src/dispatcher_start.cc
@@ -305,8 +305,8 @@
     // Budgets grow with first attempts, not with offers: most of those may
     // have been refused.
     LaneRow& lane = this->queue.lane(request.lane);
-    lane.retry_budget.OnRequest(now, kRetryBudget);
-    lane.hedge_budget.OnRequest(now, kHedgeBudget);
+    lane.retry_budget.OnRequest(now, this->options.retry_budget);
+    lane.hedge_budget.OnRequest(now, this->options.hedge_budget);
   }
   request.hedge_at = this->HedgeTime(now, shard, request);
   this->SetTimer(row);
--- a/packages/decision/src/dispatcher_tick.cc
+++ b/packages/decision/src/dispatcher_tick.cc
@@ -114,8 +114,9 @@
   const uint32_t other = slots_left && !this->IsSuspect(now, request)
                              ? PickUpstream(now, shard, choice)
                              : kNoRow;
-  if (other == kNoRow || other == place ||
-      !lane.hedge_budget.Take(rescue ? 0 : kKeptForRescue)) {
+  if (other == kNoRow || other == place || this->AttemptsLeft(request) == 0 ||
+      !lane.hedge_budget.Take(rescue ? 0 : kKeptForRescue) ||
+      !this->TakeRepeat(now, shard)) {
     this->SetTimer(row);
     return;
   }
--- a/packages/decision/src/entry_core.h
+++ b/packages/decision/src/entry_core.h
@@ -10,7 +10,7 @@
 #include "basilsill/decision/entry.h"
 #include "direct_path.h"
 #include "peer_silence.h"
-#include "ratio_budget.h"
+#include "basilsill/decision/ratio_budget.h"
 #include "shard_beliefs.h"
 #include "team_admission.h"
 
@@ -71,6 +71,12 @@
     TimePoint avoided_until{};  ///< It said that it shuts down.
   };
 
+  // What the retries of one service and team are paid from.
+  struct Budget {
+    RatioBudget own;
+    RepeatBudget fleet;
+  };
+
   // entry_router.cc
   Admission Reject(Refusal refusal, Duration retry_after);
   void EndAttempt(TimePoint now, EntryRow& entry, Refusal refusal);
@@ -80,7 +86,9 @@
                    Refusal refusal,
                    bool is_direct);
   LinkState& LinkOf(VmHandle vm);
-  RatioBudget& BudgetOf(const EntryRequest& request);
+  Budget& BudgetOf(const EntryRequest& request);
+  void CountRequest(TimePoint now, const EntryRequest& request);
+  bool TakeRetry(TimePoint now, const EntryRequest& request);
 
   // entry_choice.cc
   bool IsUsable(TimePoint now, VmHandle vm) const;
@@ -110,14 +118,15 @@
 
   EntryOptions options;
   RoutingViewPtr view;
-  uint32_t near_vms = 1;  ///< Live VMs in the own data centre.
+  uint32_t near_vms = 1;   ///< Live VMs in the own data centre.
+  uint32_t known_vms = 1;  ///< Live or not.
   HandleTable<EntryRow, EntryTag> entries;
   TeamAdmission teams;
   ShardBeliefs beliefs;
   DirectPath direct;
   PeerSilence silence;
   std::vector<LinkState> links;  ///< By index of the VM's handle.
-  boost::unordered_flat_map<uint64_t, RatioBudget> budgets;
+  boost::unordered_flat_map<uint64_t, Budget> budgets;
   pcg32 random;
   EntryCounters counts;
 };
--- a/packages/decision/src/entry_router.cc
+++ b/packages/decision/src/entry_router.cc
@@ -12,9 +12,6 @@
 // A VM that shuts down is passed over until the view says so.
 constexpr Duration kAvoidTime = std::chrono::seconds(1);
 
-// Retries that may put load on upstreams a second time. The dispatchers' own
-// budgets and this one multiply to less than 1.1.
-constexpr RatioBudgetOptions kBudget{0.015, 20, 10, 0.1};
 constexpr size_t kBudgetReserve = 2 * limits::kMaxServices;
 
 Retry ReasonOf(Refusal refusal) {
@@ -92,6 +89,9 @@
                vm.data_centre == new_view->own_data_centre;
       });
   this->near_vms = std::max<uint32_t>(1, static_cast<uint32_t>(near));
+  this->known_vms = static_cast<uint32_t>(std::count_if(
+      new_view->vms.begin(), new_view->vms.end(),
+      [](const VmRow& vm) { return IsValid(vm.handle); }));
   if (this->links.size() < new_view->vms.size()) {
     this->links.resize(new_view->vms.size());
   }
@@ -160,7 +160,7 @@
   EntryRow row;
   row.request = request;
   row.admitted = now;
-  this->BudgetOf(request).OnRequest(now, kBudget);
+  this->CountRequest(now, request);
   ++this->counts.admitted;
   return {this->entries.Create(row), Refusal::kNone, Duration(0)};
 }
@@ -170,13 +170,34 @@
   return {{}, refusal, retry_after};
 }
 
-RatioBudget& EntryCore::BudgetOf(const EntryRequest& request) {
+EntryCore::Budget& EntryCore::BudgetOf(const EntryRequest& request) {
   const uint64_t key =
       uint64_t{request.service.index} << 32 | request.team.index;
-  return this->budgets.try_emplace(key, RatioBudget::Create(kBudget))
+  const RatioBudgetOptions& options = this->options.retry_budget;
+  return this->budgets.try_emplace(key, Budget{RatioBudget::Create(options), {}})
       .first->second;
 }
 
+void EntryCore::CountRequest(TimePoint now, const EntryRequest& request) {
+  Budget& budget = this->BudgetOf(request);
+  budget.own.OnRequest(now, this->options.retry_budget);
+  if (this->options.repeats) {
+    budget.fleet.OnRequest(now, *this->options.repeats);
+  }
+}
+
+// Every VM that is known counts, also one that seems gone: VMs that do not see
+// each other must not spend the same part of the fleet's slack.
+bool EntryCore::TakeRetry(TimePoint now, const EntryRequest& request) {
+  Budget& budget = this->BudgetOf(request);
+  if (!this->options.repeats) {
+    return budget.own.Take();
+  }
+  RepeatBudgetOptions part = *this->options.repeats;
+  part.slack /= std::max<uint32_t>(1, this->known_vms);
+  return budget.fleet.Take(now, part);
+}
+
 // The attempt that `Choose` began is over.
 // @param refusal How it ended, kNone if it did not fail.
 void EntryCore::EndAttempt(TimePoint now, EntryRow& entry, Refusal refusal) {
@@ -276,7 +297,7 @@
     return Retry::kNone;
   }
   if (!IsFree(refusal, entry.choices) &&
-      !this->BudgetOf(entry.request).Take()) {
+      !this->TakeRetry(now, entry.request)) {
     return Retry::kDeniedBudget;
   }
   return ReasonOf(refusal);
--- a/packages/decision/src/service_rows.cc
+++ b/packages/decision/src/service_rows.cc
@@ -12,6 +12,12 @@
   return XXH3_64bits_withSeed(&value, sizeof(value), seed);
 }
 
+// An address that is used again by another incarnation is another upstream:
+// nothing that was learnt of the first one holds for it.
+std::string KeyOfInstance(const InstanceSpec& instance) {
+  return ToString(instance.endpoint) + ' ' + instance.id;
+}
+
 bool SameOwners(const ServiceRow& a, const ServiceRow& b) {
   return std::equal(a.shards.begin(), a.shards.end(), b.shards.begin(),
                     b.shards.end(), [](const ShardRow& x, const ShardRow& y) {
@@ -128,7 +134,7 @@
 void ServiceRows::MarkKept(const Plan& plan, const Memory& memory) {
   for (const PlacedSet& set : plan.sets) {
     for (const InstanceSpec& instance : set.spec->instances) {
-      const auto known = memory.upstreams.find(instance.endpoint);
+      const auto known = memory.upstreams.find(KeyOfInstance(instance));
       if (known != memory.upstreams.end()) {
         *this->upstreams.Find(known->second) = this->round;
       }
@@ -154,6 +160,7 @@
                                  [&spec](const TeamRow& candidate) {
                                    return candidate.name == spec.team;
                                  });
+  row->health_path = spec.health_path;
   row->team = team == view.teams.end() ? TeamHandle{} : team->handle;
   for (const PlacedSet& set : plan.sets) {
     this->AddSet(set, memory, *row);
@@ -169,12 +176,13 @@
     return;
   }
   for (const InstanceSpec& instance : set.spec->instances) {
-    UpstreamHandle& handle = memory.upstreams[instance.endpoint];
+    UpstreamHandle& handle = memory.upstreams[KeyOfInstance(instance)];
     if (!IsValid(handle)) {
       handle = this->upstreams.Create(this->round);
     }
     row.upstreams.push_back({handle, instance.endpoint, set.data_centre,
-                             instance.slots, instance.leaving});
+                             instance.slots, instance.leaving, instance.cold,
+                             instance.id});
   }
 }
 
--- a/packages/decision/src/service_rows.h
+++ b/packages/decision/src/service_rows.h
@@ -48,7 +48,7 @@
   struct Memory {
     uint64_t signature = 0;  // Of the versions that `row` was made from.
     std::shared_ptr<const ServiceRow> row;
-    std::map<Endpoint, UpstreamHandle, EndpointLess> upstreams;
+    std::map<std::string, UpstreamHandle> upstreams;  // By KeyOfInstance.
   };
 
   // One service at one build.
--- /dev/null
+++ b/packages/decision/src/upstream_registry.cc
@@ -0,0 +1,134 @@
+#include "basilsill/decision/upstream_registry.h"
+
+#include <utility>
+#include <vector>
+
+namespace basilsill {
+
+UpstreamRegistry::UpstreamRegistry(const RegistryOptions& options)
+    : options(options) {}
+
+void UpstreamRegistry::OnEntry(TimePoint now,
+                               uint64_t offset,
+                               RegisteredUpstream entry) {
+  if (this->listing) {
+    this->listed.insert(entry.id);
+  }
+  const auto [place, is_new] = this->entries.try_emplace(entry.id);
+  Row& row = place->second;
+  if (!is_new && offset < row.offset) {
+    return;
+  }
+  const TimePoint warm_at = now + entry.cold_for;
+  const bool cold = entry.cold_for > std::chrono::milliseconds(0);
+  // Renewals say the same again, but for how long it stays cold.
+  entry.cold_for = std::chrono::milliseconds(0);
+  const bool changed = is_new || cold != row.cold || !(entry == row.entry);
+  const bool moved = is_new || !(entry.endpoint == row.entry.endpoint);
+  row.entry = std::move(entry);
+  row.offset = offset;
+  row.cold = cold;
+  row.warm_at = warm_at;
+  row.lapsed = false;
+  if (changed) {
+    this->Touch(row);
+  }
+  if (moved) {
+    this->MarkShadowed();
+  }
+}
+
+void UpstreamRegistry::OnRemoved(TimePoint now,
+                                 uint64_t offset,
+                                 std::string_view id) {
+  const auto found = this->entries.find(id);
+  if (found == this->entries.end() || offset < found->second.offset) {
+    return;
+  }
+  found->second.offset = offset;
+  // One that said that it leaves has not merely lapsed.
+  if (this->Doubts(now) && !found->second.entry.leaving) {
+    found->second.lapsed = true;
+    return;
+  }
+  this->Erase(id);
+}
+
+void UpstreamRegistry::BeginListing() {
+  this->listing = true;
+  this->listed.clear();
+}
+
+void UpstreamRegistry::EndListing(TimePoint now) {
+  this->listing = false;
+  std::vector<std::string> missing;
+  for (const auto& [id, row] : this->entries) {
+    if (!this->listed.contains(id)) {
+      missing.push_back(id);
+    }
+  }
+  for (const std::string& id : missing) {
+    this->OnRemoved(now, this->entries.find(id)->second.offset, id);
+  }
+}
+
+void UpstreamRegistry::OnPlatformLost() {
+  this->platform_lost = true;
+}
+
+void UpstreamRegistry::OnPlatformBack(TimePoint now) {
+  if (this->platform_lost) {
+    this->platform_lost = false;
+    this->doubt_until = now + this->options.restore_time;
+  }
+}
+
+bool UpstreamRegistry::Doubts(TimePoint now) const {
+  return this->platform_lost || now < this->doubt_until;
+}
+
+void UpstreamRegistry::Tick(TimePoint now) {
+  std::vector<std::string> gone;
+  for (auto& [id, row] : this->entries) {
+    if (row.cold && row.warm_at <= now) {
+      row.cold = false;
+      this->Touch(row);
+    }
+    if (row.lapsed && !this->Doubts(now)) {
+      gone.push_back(id);
+    }
+  }
+  for (const std::string& id : gone) {
+    this->Erase(id);
+  }
+}
+
+void UpstreamRegistry::Erase(std::string_view id) {
+  this->entries.erase(this->entries.find(id));
+  ++this->changes;
+  this->MarkShadowed();
+}
+
+// The platform gives the address of an instance that has ended to another one,
+// whose entry can come before the old one's removal. A request sent there for
+// the old one would only be turned away.
+void UpstreamRegistry::MarkShadowed() {
+  std::map<std::string, uint64_t> newest;
+  for (const auto& [id, row] : this->entries) {
+    uint64_t& offset = newest[ToString(row.entry.endpoint)];
+    offset = std::max(offset, row.offset);
+  }
+  for (auto& [id, row] : this->entries) {
+    const bool shadowed = row.offset < newest[ToString(row.entry.endpoint)];
+    if (shadowed != row.shadowed) {
+      row.shadowed = shadowed;
+      this->Touch(row);
+    }
+  }
+}
+
+void UpstreamRegistry::Touch(Row& row) {
+  row.digest = ++this->changes;
+}
+
+}  // namespace basilsill
--- a/packages/decision/src/view_builder.cc
+++ b/packages/decision/src/view_builder.cc
@@ -83,6 +83,12 @@
   const bool vms_changed = this->UpdateStandings(membership.vms);
   this->services.Build(configuration, vms_changed, *view);
   this->BuildRules(configuration, *view);
+  const ResourceTable& limits = configuration.Table(ResourceKind::kLimits);
+  const auto installation = limits.find(kInstallationLimits);
+  if (installation != limits.end()) {
+    view->caller_limits =
+        ConfigurationState::SpecOf<LimitsSpec>(installation->second).callers;
+  }
   return view;
 }
 
@@ -138,6 +144,12 @@
     row.idempotent = spec.idempotent;
     row.hedge = spec.hedge;
     row.deadline = spec.deadline;
+    for (const ServiceShare& share : spec.split) {
+      row.split.push_back({this->services.Find(share.service), share.weight});
+    }
+    row.timeout = spec.timeout;
+    row.target_latency = spec.target_latency;
+    row.max_attempts = spec.max_attempts;
     this->rule_order.push_back(row.handle);
     RowAt(this->rules, row.handle) = std::move(row);
   }
--- /dev/null
+++ b/packages/node/include/basilsill/node/installation.h
@@ -0,0 +1,75 @@
+#ifndef BASILSILL_NODE_INSTALLATION_H_
+#define BASILSILL_NODE_INSTALLATION_H_
+
+#include <chrono>
+#include <cstddef>
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+
+#include <boost/asio/io_context.hpp>
+
+#include "basilsill/base/endpoint.h"
+#include "basilsill/node/state_source.h"
+
+/// What differs from one installation to another beyond settings: the names
+/// of headers that its callers and upstreams speak, where readiness is asked,
+/// what the fleet may spend on repeats, and where state comes from.
+
+namespace basilsill {
+
+/// Names of headers with a meaning. An empty one is not used.
+struct HeaderNames {
+  std::string request_id = "X-Request-Id";
+  std::string deadline = "Basilsill-Deadline-Ms";
+  std::string promise = "Basilsill-Promise";
+  std::string reason = "Basilsill-Reason";
+  /// Of an upstream: it refused the request before running it.
+  std::string not_run = "Basilsill-Refused";
+  /// Of an upstream: it is leaving.
+  std::string draining = "Basilsill-Draining";
+  std::string idempotency_key = "Idempotency-Key";
+  /// Of an upstream, on each good answer: a signature that goes to the caller.
+  std::string seal;
+  /// To an upstream: only the instance with this id may run the request.
+  std::string expected_instance;
+  /// Of an upstream: running, waiting, slots, and speed.
+  std::string load;
+  bool via = true;  ///< Whether `Via` is added to requests.
+  /// Whether `Retry-After` may have a fraction.
+  bool fractional_retry_after = false;
+};
+
+/// What the whole fleet may do beyond the first attempt of each request, for
+/// one service.
+struct RepeatAllowance {
+  double ratio = 0.1;  ///< Repeats a request.
+  double slack = 20;   ///< Repeats beyond that in each window.
+  std::chrono::milliseconds window{10000};
+};
+
+struct Installation {
+  HeaderNames headers;
+  /// Absent: each team has budgets of its own, as the policy has them.
+  std::optional<RepeatAllowance> repeats;
+  /// Readiness on an endpoint of its own; port 0: only on the admin port.
+  Endpoint ready_at{"", 0};
+  std::string ready_path = "/readyz";
+  /// Logs go there instead of to standard error.
+  bool log_to_standard_output = false;
+  /// Whether the admin port serves the resource API.
+  bool resource_api = true;
+  /// Requests in the process at once; memory is set aside for so many.
+  size_t max_requests = 16384;
+  /// Makes the source of state; empty: the log of basilsill's own platform.
+  std::function<std::unique_ptr<StateSource>(boost::asio::io_context& context,
+                                             uint64_t incarnation,
+                                             const Endpoint& control)>
+      make_source;
+};
+
+}  // namespace basilsill
+
+#endif  // BASILSILL_NODE_INSTALLATION_H_
--- a/packages/node/src/log.h
+++ b/packages/node/include/basilsill/node/log.h
@@ -56,8 +56,9 @@
 
 struct LogOptions {
   Severity level = Severity::kInfo;
-  std::string file;                 ///< Empty for standard error.
+  std::string file;                 ///< Empty for a standard stream.
   uint32_t events_per_second = 20;  ///< Of one event, with as large a burst.
+  bool to_standard_output = false;  ///< Instead of standard error.
 };
 
 /// The running log of the process; at most one exists at a time. Its
--- /dev/null
+++ b/packages/node/include/basilsill/node/state_source.h
@@ -0,0 +1,65 @@
+#ifndef BASILSILL_NODE_STATE_SOURCE_H_
+#define BASILSILL_NODE_STATE_SOURCE_H_
+
+#include <cstdint>
+#include <vector>
+
+#include "basilsill/decision/configuration.h"
+#include "basilsill/decision/membership.h"
+#include "basilsill/wire/message.h"
+
+/// Where a node's configuration, upstreams and list of VMs come from. One
+/// installation keeps them in the log of basilsill's own platform protocol
+/// (log_source.h), another in a platform of its own, through an adapter.
+/// Everything here runs on the control thread.
+
+namespace basilsill {
+
+/// What a source may ask of the control side.
+class StateSourceHost {
+ public:
+  virtual ~StateSourceHost() = default;
+
+  /// `StateSource::state` or `ready` gives something else than before.
+  virtual void OnStateChanged() = 0;
+
+  /// @param version Counts the lists of this process; a lower one is ignored.
+  virtual void OnVmList(uint64_t version,
+                        const std::vector<ListedVm>& vms) = 0;
+
+  /// Sends `message` to `vm` if there is a link to it.
+  /// @returns false if there is none, or it is clogged.
+  virtual bool SendToPeer(VmHandle vm, const wire::PeerMessage& message) = 0;
+
+  /// @returns the VMs that a link stands with.
+  virtual std::vector<VmHandle> LinkedPeers() const = 0;
+
+  virtual const Membership& membership() const = 0;
+};
+
+class StateSource {
+ public:
+  virtual ~StateSource() = default;
+
+  /// @param host Outlives the source's work.
+  virtual void Start(StateSourceHost& host) = 0;
+  virtual void Stop() = 0;
+  virtual void Tick(TimePoint now) = 0;
+
+  /// @returns true once `state` can be served by.
+  virtual bool ready() const = 0;
+  virtual const ConfigurationState& state() = 0;
+
+  /// A message that is neither a heartbeat nor part of a request came.
+  virtual void OnPeerMessage(VmHandle from, const wire::PeerMessage& message) {
+    static_cast<void>(from);
+    static_cast<void>(message);
+  }
+
+  /// A view with new VMs was published.
+  virtual void OnFleetChanged() {}
+};
+
+}  // namespace basilsill
+
+#endif  // BASILSILL_NODE_STATE_SOURCE_H_
--- a/packages/node/src/admin_responses.cc
+++ b/packages/node/src/admin_responses.cc
@@ -10,7 +10,7 @@
 #include <boost/json/serialize.hpp>
 #include <boost/json/value.hpp>
 
-#include "log.h"
+#include "basilsill/node/log.h"
 
 namespace basilsill {
 namespace {
--- a/packages/node/src/admin_routes.cc
+++ b/packages/node/src/admin_routes.cc
@@ -24,20 +24,29 @@
   return kPhaseNames[static_cast<size_t>(phase)];
 }
 
+void AddReadinessRoute(AdminRouter& router,
+                       std::string path,
+                       std::function<NodePhase()> phase) {
+  router.Add({"GET", std::move(path),
+              Immediately([phase = std::move(phase)](const AdminRequest&) {
+                return PhaseResponse(phase(), phase() == NodePhase::kReady);
+              })});
+}
+
 void AddNodeRoutes(AdminRouter& router, AdminSources sources) {
   router.Add({"GET", "/healthz",
               Immediately([phase = sources.phase](const AdminRequest&) {
                 return PhaseResponse(phase(), phase() != NodePhase::kDraining);
               })});
-  router.Add({"GET", "/readyz",
-              Immediately([phase = sources.phase](const AdminRequest&) {
-                return PhaseResponse(phase(), phase() == NodePhase::kReady);
-              })});
+  AddReadinessRoute(router, "/readyz", sources.phase);
   router.Add({"GET", "/metrics",
               Immediately([make = std::move(sources.metrics)](
                               const AdminRequest&) -> AdminResponse {
                 return {{kOk, kPrometheusText, {}}, make()};
               })});
+  if (!sources.debug_state) {
+    return;
+  }
   router.Add({"GET", "/debug/state",
               Immediately([make = std::move(sources.debug_state)](
                               const AdminRequest&) -> AdminResponse {
--- a/packages/node/src/admin_routes.h
+++ b/packages/node/src/admin_routes.h
@@ -33,6 +33,12 @@
 /// - `GET /healthz`: 200, or 503 from the start of a shutdown on;
 /// - `GET /readyz`: 200 only while callers are served;
 /// - `GET /metrics` and `GET /debug/state`.
+/// Adds GET `path`, which answers 200 while the phase is kReady and 503
+/// otherwise.
+void AddReadinessRoute(AdminRouter& router,
+                       std::string path,
+                       std::function<NodePhase()> phase);
+
 void AddNodeRoutes(AdminRouter& router, AdminSources sources);
 
 }  // namespace basilsill
--- /dev/null
+++ b/packages/node/src/caller_exchange.cc
@@ -0,0 +1,381 @@
+#include "caller_exchange.h"
+
+#include <algorithm>
+#include <array>
+#include <charconv>
+#include <utility>
+#include <vector>
+
+#include <xxhash.h>
+#include <boost/asio/buffer.hpp>
+#include <boost/beast/http/chunk_encode.hpp>
+
+#include "entry_host.h"
+#include "once_exchange.h"
+#include "refusal_answer.h"
+
+namespace basilsill {
+namespace {
+
+namespace http = boost::beast::http;
+using std::chrono::milliseconds;
+
+// A body up to this size is held whole: it can be sent again on a retry and
+// goes out with its head in one write.
+constexpr uint64_t kHeldBodyBytes = 16 * 1024;
+// A request that must not repeat is compared by body with its resends, so its
+// body is held whole up to this size and refused above it.
+constexpr uint64_t kOnceBodyBytes = 64 * 1024;
+// Whoever works on a request ends it at its deadline. One whose dispatcher is
+// frozen or cut off is ended here, this much later, so that the caller gets an
+// answer at all and the usual case keeps its better reason.
+constexpr milliseconds kDeadlineGrace{40};
+
+std::string HostOf(const HttpFields& headers) {
+  std::string_view host = HeaderValue(headers, "Host");
+  const size_t colon = host.rfind(':');
+  if (colon != std::string_view::npos && host.back() != ']') {
+    host = host.substr(0, colon);
+  }
+  std::string lower(host);
+  std::transform(lower.begin(), lower.end(), lower.begin(), [](char c) {
+    return c >= 'A' && c <= 'Z' ? static_cast<char>(c - 'A' + 'a') : c;
+  });
+  return lower;
+}
+
+// With no host or two, what a rule matches and what the upstream serves could
+// be different things.
+bool HasOneHost(const HttpFields& headers, bool http_1_0) {
+  const size_t count = headers.count(http::field::host);
+  return count == 1 || (http_1_0 && count == 0);
+}
+
+std::string_view FindHeader(const void* headers, std::string_view name) {
+  return HeaderValue(*static_cast<const HttpFields*>(headers), name);
+}
+
+// The deadline a caller asks for can shorten or lengthen that of the rule,
+// within the system's own limit.
+milliseconds DeadlineOf(std::string_view text, const RuleRow& rule) {
+  int64_t asked = 0;
+  const auto [end, error] =
+      std::from_chars(text.data(), text.data() + text.size(), asked);
+  if (text.empty() || error != std::errc() ||
+      end != text.data() + text.size() || asked < 0) {
+    return rule.deadline;
+  }
+  return std::min(milliseconds(asked), limits::kMaxDeadline);
+}
+
+Fingerprint FingerprintOf(const RequestMessage& request, const RuleRow& rule) {
+  uint64_t hash = XXH3_64bits(rule.name.data(), rule.name.size());
+  for (const std::string* part :
+       {&request.method, &request.target, &request.whole_body}) {
+    hash = XXH3_64bits_withSeed(part->data(), part->size(), hash);
+  }
+  return hash;
+}
+
+}  // namespace
+
+CallerExchange::CallerExchange(CallerHost& host, CallerWriter& writer)
+    : host(host),
+      writer(writer),
+      turn(host.executor()),
+      began(MonotonicClock::now()) {
+  this->request.request_id = host.NewRequestId();
+  host.OnRequestStarted();
+}
+
+void CallerExchange::TakeFault(Refusal refusal) {
+  this->fault = refusal;
+  this->must_close = true;
+}
+
+bool CallerExchange::TakeHead(RequestReader& reader) {
+  const auto& parser = reader.message();
+  const auto& message = parser.get();
+  this->http_1_0 = message.version() < 11;
+  this->must_close = !message.keep_alive();
+  this->request.method = message.method_string();
+  this->request.target = message.target();
+  this->request.framing = reader.framing();
+  const std::string_view id = HeaderValue(message, this->host.names().request_id);
+  if (!id.empty()) {
+    this->request.request_id = std::string(id);
+  }
+  if (!HasOneHost(message, this->http_1_0)) {
+    this->TakeFault(Refusal::kMalformedRequest);
+    return false;
+  }
+  const RoutingViewPtr view = this->host.view();
+  if (!view) {
+    this->fault = Refusal::kNoConfiguration;
+    return false;
+  }
+  const std::string host_name = HostOf(message);
+  RequestHead head;
+  head.method = this->request.method;
+  head.host = host_name;
+  head.path = this->request.target;
+  head.headers = static_cast<const HttpFields*>(&message);
+  head.find_header = &FindHeader;
+  const RuleRow* rule = MatchRule(*view, head);
+  if (rule == nullptr) {
+    this->fault = Refusal::kNoRoute;
+    return false;
+  }
+  this->FillRequest(parser, *rule);
+  const BodyFraming& framing = this->request.framing;
+  const bool known = framing.kind != BodyKind::kChunked;
+  const bool too_large_for_once =
+      rule->once && (!known || framing.length > kOnceBodyBytes);
+  if (too_large_for_once ||
+      framing.length > this->host.caller_limits().body_bytes) {
+    this->TakeFault(Refusal::kBodyTooLarge);
+    return false;
+  }
+  return true;
+}
+
+void CallerExchange::FillRequest(const RequestReader::Parser& parser,
+                                 const RuleRow& rule) {
+  const auto& message = parser.get();
+  const RoutingView& view = *this->host.view();
+  const HeaderNames& names = this->host.names();
+  HttpFields& headers = this->request.headers;
+  headers = message;
+  RemoveHopByHop(headers);
+  headers.erase(http::field::expect);
+  headers.erase(names.deadline);
+  headers.set(names.request_id, this->request.request_id);
+  if (names.via) {
+    headers.insert(http::field::via, this->host.via());
+  }
+  this->request.rule = rule.handle;
+  this->request.hedge = rule.hedge;
+  this->request.once = rule.once;
+  EntryRequest& entry = this->request.entry;
+  entry.service = this->host.ChooseService(rule);
+  const ServiceRow* service = FindService(view, entry.service);
+  entry.team = service != nullptr ? service->team : TeamHandle{};
+  entry.traffic_class = rule.traffic_class;
+  entry.max_attempts = rule.max_attempts;
+  if (rule.target_latency > milliseconds(0)) {
+    entry.good_until = this->began + rule.target_latency;
+  }
+  entry.idempotent =
+      !rule.once &&
+      (rule.idempotent || (rule.max_attempts == 0 &&
+                           IsIdempotentMethod(this->request.method)));
+  const bool known = this->request.framing.kind != BodyKind::kChunked;
+  entry.replayable = known && this->request.framing.length <= kHeldBodyBytes;
+  this->FillDeadline(message, rule);
+}
+
+void CallerExchange::FillDeadline(const HttpFields& headers,
+                                  const RuleRow& rule) {
+  milliseconds time =
+      DeadlineOf(HeaderValue(headers, this->host.names().deadline), rule);
+  time = std::min(time, this->host.request_total());
+  if (rule.timeout > milliseconds(0)) {
+    time = std::min(time, rule.timeout);
+  }
+  this->request.entry.deadline = this->began + time;
+}
+
+void CallerExchange::HoldBody(std::string body) {
+  this->request.framing = {BodyKind::kLength, body.size()};
+  this->request.whole_body = std::move(body);
+  this->request.entry.replayable = true;
+}
+
+bool CallerExchange::wants_whole_body() const {
+  return this->fault == Refusal::kNone &&
+         (this->request.entry.replayable || this->request.once);
+}
+
+Task<void> CallerExchange::Serve() {
+  const auto self = this->shared_from_this();
+  ServeOutcome outcome;
+  outcome.refusal = this->fault;
+  if (this->fault == Refusal::kNone && !this->abandoned) {
+    const RuleRow* rule = FindRule(*this->host.view(), this->request.rule);
+    if (rule != nullptr) {
+      this->request.entry.fingerprint = FingerprintOf(this->request, *rule);
+    }
+    outcome = co_await this->ServeByRule();
+    outcome = this->Judge(outcome);
+  }
+  this->Done(outcome.answered ? Refusal::kNone : outcome.refusal);
+  if (!outcome.answered && !this->abandoned && !this->has_started) {
+    co_await this->Refuse(outcome);
+  }
+}
+
+// What the caller is told of a request that was ended from here.
+ServeOutcome CallerExchange::Judge(ServeOutcome outcome) const {
+  const bool ended_here =
+      this->expired && outcome.refusal == Refusal::kCallerGone;
+  if (!outcome.answered && ended_here) {
+    outcome.refusal = Refusal::kUpstreamTimeout;
+  }
+  return outcome;
+}
+
+void CallerExchange::Done(Refusal refusal) {
+  this->request.caller_gone = this->abandoned;
+  this->host.OnRequestDone(
+      this->request,
+      {refusal, this->cut_off, MonotonicClock::now() - this->began});
+}
+
+Task<ServeOutcome> CallerExchange::ServeByRule() {
+  AnswerSink& sink = *this;
+  EntryHost& entry = this->host.entry();
+  if (!this->request.once) {
+    const ServeOutcome outcome = co_await entry.Serve(this->request, sink);
+    co_return outcome;
+  }
+  const TeamRow* team = FindTeam(*this->host.view(), this->request.entry.team);
+  const std::string team_name = team != nullptr ? team->name : "";
+  const uint64_t sequence = this->host.NextOnceSequence();
+  ServeFunction serve = [&entry](RequestMessage& message, AnswerSink& keeping) {
+    return entry.Serve(message, keeping);
+  };
+  OnceServices services = this->host.once_services();
+  const ServeOutcome outcome =
+      co_await ServeOnce(std::move(services), team_name, sequence,
+                         this->request, sink, std::move(serve));
+  co_return outcome;
+}
+
+Task<void> CallerExchange::Refuse(const ServeOutcome& outcome) {
+  const RefusalAnswer answer =
+      MakeRefusalAnswer(this->request, outcome, this->host.names());
+  std::span<const char> body(answer.body);
+  if (this->request.method == "HEAD") {
+    body = {};
+  }
+  co_await this->Start(answer.head, body, true);
+}
+
+Task<bool> CallerExchange::Start(const AnswerHead& head,
+                                 std::span<const char> piece,
+                                 bool last) {
+  if (!this->has_turn) {
+    co_await this->turn.Wait();
+    this->has_turn = true;
+  }
+  if (this->abandoned) {
+    co_return false;
+  }
+  this->has_started = true;
+  AnswerHead sent = head;
+  const bool open_ended = head.framing.kind == BodyKind::kChunked ||
+                          head.framing.kind == BodyKind::kUntilClose;
+  this->chunked_answer = open_ended && !this->http_1_0;
+  if (open_ended) {
+    sent.framing.kind =
+        this->chunked_answer ? BodyKind::kChunked : BodyKind::kUntilClose;
+  }
+  const bool ends_with_close = open_ended && !this->chunked_answer;
+  const bool close =
+      this->writer.DecideClose(this->must_close || ends_with_close);
+  this->out.clear();
+  AppendAnswerHead(this->out, sent, close);
+  co_return co_await this->Continue(piece, last, nullptr);
+}
+
+Task<bool> CallerExchange::Continue(std::span<const char> piece,
+                                    bool last,
+                                    const HttpFields* trailers) {
+  std::vector<boost::asio::const_buffer> buffers;
+  if (!this->out.empty()) {
+    buffers.push_back(boost::asio::buffer(this->out));
+  }
+  const boost::asio::const_buffer data(piece.data(), piece.size());
+  NetError error;
+  if (!this->chunked_answer || piece.empty()) {
+    if (!piece.empty()) {
+      buffers.push_back(data);
+    }
+    error = co_await this->writer.Write(buffers);
+  } else {
+    const auto chunk = http::make_chunk(data);
+    for (const boost::asio::const_buffer part : chunk) {
+      buffers.push_back(part);
+    }
+    error = co_await this->writer.Write(buffers);
+  }
+  if (this->chunked_answer && last && !error) {
+    error = co_await this->WriteLastChunk(trailers);
+  }
+  this->host.counters().caller_bytes_sent.Add(
+      error ? 0 : this->out.size() + piece.size());
+  this->out.clear();
+  this->written_at = MonotonicClock::now();
+  if (error) {
+    this->abandoned = true;
+    this->request.caller_gone = true;
+  }
+  co_return !error;
+}
+
+Task<NetError> CallerExchange::WriteLastChunk(const HttpFields* trailers) {
+  std::vector<boost::asio::const_buffer> buffers;
+  NetError error;
+  if (trailers == nullptr) {
+    const auto last = http::make_chunk_last();
+    buffers.assign(last.begin(), last.end());
+    error = co_await this->writer.Write(buffers);
+    co_return error;
+  }
+  const auto last = http::make_chunk_last(*trailers);
+  buffers.assign(last.begin(), last.end());
+  error = co_await this->writer.Write(buffers);
+  co_return error;
+}
+
+void CallerExchange::Break() {
+  this->cut_off = true;
+  this->abandoned = true;
+  this->writer.BreakOff();
+}
+
+void CallerExchange::Abandon() {
+  if (this->abandoned) {
+    return;
+  }
+  // A request that must not repeat goes on without its caller, so that the
+  // resend finds an answer.
+  this->abandoned = true;
+  this->turn.Set();
+  if (!this->request.once) {
+    this->EndWork();
+  }
+}
+
+void CallerExchange::Tick(TimePoint now) {
+  const bool late = now >= this->request.entry.deadline + kDeadlineGrace;
+  const bool due = late && this->request.entry.deadline != kNever;
+  if (due && !this->has_started && !this->expired && !this->abandoned &&
+      !this->request.once) {
+    this->expired = true;
+    this->EndWork();
+  }
+}
+
+// Closing the connection alone would leave whoever waits for a silent upstream
+// waiting.
+void CallerExchange::EndWork() {
+  this->request.caller_gone = true;
+  if (this->request.on_caller_gone) {
+    // The callee may replace the function while it runs.
+    const auto notify = this->request.on_caller_gone;
+    notify();
+  }
+}
+
+}  // namespace basilsill
--- a/packages/node/src/caller_session.cc
+++ b/packages/node/src/caller_session.cc
@@ -1,81 +1,32 @@
 #include "caller_session.h"
 
 #include <algorithm>
-#include <array>
-#include <charconv>
 #include <utility>
+#include <vector>
 
-#include <xxhash.h>
 #include <boost/asio/buffer.hpp>
+#include <boost/asio/co_spawn.hpp>
 #include <boost/asio/write.hpp>
-#include <boost/beast/core/buffers_cat.hpp>
-#include <boost/beast/core/string.hpp>
-#include <boost/beast/http/chunk_encode.hpp>
-#include <boost/beast/http/rfc7230.hpp>
-
-#include "entry_host.h"
-#include "once_exchange.h"
-#include "refusal_answer.h"
 
 namespace basilsill {
 namespace {
 
-namespace http = boost::beast::http;
 using std::chrono::milliseconds;
 
-// A body up to this size is held whole: it can be sent again on a retry and
-// goes out with its head in one write.
-constexpr uint64_t kHeldBodyBytes = 16 * 1024;
-// A request that must not repeat is compared by body with its resends, so its
-// body is held whole up to this size and refused above it.
-constexpr uint64_t kOnceBodyBytes = 64 * 1024;
-// A caller is watched for going away once its request has taken this long;
-// before that the watch would cost more than the work it saves.
-constexpr milliseconds kWatchAfter{5};
+// Requests of one connection that are in flight at once; later ones stay
+// unread. A caller that sends more than it takes is held up by its own window.
+constexpr size_t kMaxInFlight = 16;
+// A chunked body up to this size is held whole, like one with a length.
+constexpr size_t kHeldBodyBytes = 16 * 1024;
 // How long the rest of a refused request is read and dropped.
-constexpr milliseconds kLingerTime{500};
-// A request whose deadline is its total time is refused in time to be told so.
-constexpr milliseconds kAnswerGrace{100};
+constexpr milliseconds kLingerTime{150};
+// A caller may use a connection for as long as the limit says; it is closed
+// here a little later, so that none crosses the close.
+constexpr milliseconds kIdleGrace{1000};
 constexpr std::string_view kContinue = "HTTP/1.1 100 Continue\r\n\r\n";
 
-std::string HostOf(const HttpFields& headers) {
-  std::string_view host = HeaderValue(headers, "Host");
-  const size_t colon = host.rfind(':');
-  if (colon != std::string_view::npos && host.back() != ']') {
-    host = host.substr(0, colon);
-  }
-  std::string lower(host);
-  std::transform(lower.begin(), lower.end(), lower.begin(), [](char c) {
-    return c >= 'A' && c <= 'Z' ? static_cast<char>(c - 'A' + 'a') : c;
-  });
-  return lower;
-}
-
-std::string_view FindHeader(const void* headers, std::string_view name) {
-  return HeaderValue(*static_cast<const HttpFields*>(headers), name);
-}
-
-// The deadline a caller asks for can shorten or lengthen that of the rule,
-// within the system's own limit.
-milliseconds DeadlineOf(const HttpFields& headers, const RuleRow& rule) {
-  const std::string_view text = HeaderValue(headers, header::kDeadline);
-  int64_t asked = 0;
-  const auto [end, error] =
-      std::from_chars(text.data(), text.data() + text.size(), asked);
-  if (text.empty() || error != std::errc() ||
-      end != text.data() + text.size() || asked < 0) {
-    return rule.deadline;
-  }
-  return std::min(milliseconds(asked), limits::kMaxDeadline);
-}
-
-Fingerprint FingerprintOf(const RequestMessage& request, const RuleRow& rule) {
-  uint64_t hash = XXH3_64bits(rule.name.data(), rule.name.size());
-  for (const std::string* part :
-       {&request.method, &request.target, &request.whole_body}) {
-    hash = XXH3_64bits_withSeed(part->data(), part->size(), hash);
-  }
-  return hash;
+RequestReader::Limits ReaderLimits(const CallerLimits& limits) {
+  return {limits.header_bytes, limits.body_bytes};
 }
 
 }  // namespace
@@ -83,8 +34,9 @@
 CallerSession::CallerSession(CallerHost& host, Socket socket)
     : host(host),
       socket(std::move(socket)),
-      reader(host.caller_limits()),
-      state_since(MonotonicClock::now()) {}
+      reader(ReaderLimits(host.caller_limits())),
+      changed(host.executor()),
+      idle_since(MonotonicClock::now()) {}
 
 Task<void> CallerSession::Run() {
   const auto self = this->shared_from_this();
@@ -92,12 +44,10 @@
   this->socket.set_option(Tcp::no_delay(true), ignored);
   bool go_on = true;
   while (go_on) {
-    go_on = co_await this->ServeOne();
-    this->state = State::kIdle;
-    this->state_since = MonotonicClock::now();
-    if (this->host.draining() && !this->reader.has_more()) {
-      go_on = false;
-    }
+    go_on = co_await this->ReadOne();
+  }
+  while (!this->exchanges.empty()) {
+    co_await this->changed.Wait();
   }
   if (this->broken) {
     CloseWithReset(this->socket);
@@ -106,185 +56,159 @@
   }
 }
 
-// Closing while bytes of the caller are still unread sends a reset, which can
-// overtake the answer and destroy it before the caller has read it. So the
-// sending side is closed first, and what still comes is read and dropped, for
-// a short while.
-Task<void> CallerSession::CloseGently() {
-  NetError ignored;
-  this->socket.shutdown(Tcp::socket::shutdown_send, ignored);
-  const bool all_read = this->reader.has_message() && this->reader.done();
-  if (!all_read) {
-    const auto self = this->shared_from_this();
-    Timer limit(this->socket.get_executor(), kLingerTime);
-    limit.async_wait([self](const NetError& error) {
-      if (!error) {
-        NetError unused;
-        self->socket.close(unused);
-      }
-    });
-    std::vector<char> dropped(kHeldBodyBytes);
-    NetError error;
-    while (!error) {
-      error = std::get<0>(co_await this->socket.async_read_some(
-          boost::asio::buffer(dropped), kTask));
-    }
-    limit.cancel();
-  }
-  this->socket.close(ignored);
-}
-
-Task<bool> CallerSession::ServeOne() {
+// Reading goes on while requests are served: it is also what notices that the
+// caller has gone.
+Task<bool> CallerSession::ReadOne() {
+  this->reader.SetLimits(ReaderLimits(this->host.caller_limits()));
   const HeadStatus status = co_await this->reader.ReadHead(this->socket);
+  this->head_since = kNever;
   if (status == HeadStatus::kClosed || status == HeadStatus::kBroken) {
+    this->Abandon();
+    co_return false;
+  }
+  // Not served and not answered: the caller was told that the connection
+  // closes, and sends this again elsewhere.
+  if (this->closing) {
     co_return false;
   }
-  this->state = State::kServing;
-  this->state_since = MonotonicClock::now();
-  this->request_since = this->state_since;
-  this->answer_started = false;
-  this->awaits_continue = false;
-  RequestMessage request;
-  request.request_id = this->host.NewRequestId();
-  this->host.OnRequestStarted();
   if (status != HeadStatus::kOk) {
-    this->keep_alive = false;
-    const Refusal refusal = status == HeadStatus::kTooLarge
-                                ? Refusal::kHeaderTooLarge
-                                : Refusal::kMalformedRequest;
-    this->Done(request, refusal);
-    co_await this->Refuse(request, {false, refusal, Duration(0)});
+    this->RefuseFault(status);
     co_return false;
   }
+  const ExchangePtr exchange = this->Add();
+  const bool proper = exchange->TakeHead(this->reader);
   const auto& message = this->reader.message().get();
-  this->keep_alive = message.keep_alive();
-  this->http_1_0 = message.version() < 11;
   this->awaits_continue = !HeaderValue(message, "Expect").empty();
-  this->current = &request;
-  const bool ok = co_await this->ServeMessage(request);
-  this->current = nullptr;
-  co_return ok&& this->keep_alive&& this->reader.done();
-}
-
-Task<bool> CallerSession::ServeMessage(RequestMessage& request) {
-  const auto& message = this->reader.message().get();
-  request.method = message.method_string();
-  request.target = message.target();
-  request.framing = this->reader.framing();
-  const RoutingViewPtr view = this->host.view();
-  const std::string host_name = HostOf(message);
-  RequestHead head;
-  head.method = request.method;
-  head.host = host_name;
-  head.path = request.target;
-  head.headers = static_cast<const HttpFields*>(&message);
-  head.find_header = &FindHeader;
-  const RuleRow* rule = view ? MatchRule(*view, head) : nullptr;
-
-  ServeOutcome outcome;
-  outcome.refusal = view ? Refusal::kNoRoute : Refusal::kNoConfiguration;
-  if (rule != nullptr && !this->FillRequest(request, *rule)) {
-    outcome.refusal = Refusal::kBodyTooLarge;
-  } else if (rule != nullptr) {
-    co_await this->ReadWholeBody(request);
-    if (this->broken) {
-      request.caller_gone = true;
-      this->Done(request, Refusal::kCallerGone);
-      co_return false;
+  const bool keep = this->reader.message().keep_alive();
+  const bool whole = co_await this->ReadWholeBody(*exchange);
+  if (this->broken) {
+    this->Remove(exchange);
+    co_return false;
+  }
+  if (!whole) {
+    if (!proper) {
+      exchange->LeaveBodyUnread();
     }
-    request.entry.fingerprint = FingerprintOf(request, *rule);
-    outcome = co_await this->ServeByRule(request);
+    exchange->message().source = this;
+    co_await this->ServeHere(exchange);
+    co_return !this->broken&& this->reader.done() && !this->closing;
   }
-  this->Done(request, outcome.answered ? Refusal::kNone : outcome.refusal);
-  if (!outcome.answered && !this->broken) {
-    co_await this->Refuse(request, outcome);
+  this->ServeBeside(exchange);
+  while (this->exchanges.size() >= kMaxInFlight) {
+    co_await this->changed.Wait();
   }
-  co_return !this->broken;
+  co_return keep || !this->exchanges.empty();
 }
 
-void CallerSession::Done(const RequestMessage& request, Refusal refusal) {
-  this->host.counters().caller_bytes_received.Add(this->reader.TakeReceived());
-  this->host.OnRequestDone(
-      request,
-      {refusal, this->answer_cut, MonotonicClock::now() - this->request_since});
+void CallerSession::RefuseFault(HeadStatus status) {
+  const ExchangePtr exchange = this->Add();
+  exchange->TakeFault(status == HeadStatus::kTooLarge
+                          ? Refusal::kHeaderTooLarge
+                          : Refusal::kMalformedRequest);
+  this->ServeBeside(exchange);
 }
 
-Task<ServeOutcome> CallerSession::ServeByRule(RequestMessage& request) {
-  AnswerSink& sink = *this;
-  EntryHost& entry = this->host.entry();
-  if (!request.once) {
-    const ServeOutcome outcome = co_await entry.Serve(request, sink);
-    co_return outcome;
+CallerSession::ExchangePtr CallerSession::Add() {
+  CallerWriter& writer = *this;
+  auto exchange = std::make_shared<CallerExchange>(this->host, writer);
+  this->exchanges.push_back(exchange);
+  if (this->exchanges.size() == 1) {
+    exchange->SetTurn();
   }
-  const TeamRow* team = FindTeam(*this->host.view(), request.entry.team);
-  const std::string team_name = team != nullptr ? team->name : "";
-  const uint64_t sequence = this->host.NextOnceSequence();
-  ServeFunction serve = [&entry](RequestMessage& message, AnswerSink& keeping) {
-    return entry.Serve(message, keeping);
-  };
-  OnceServices services = this->host.once_services();
-  const ServeOutcome outcome =
-      co_await ServeOnce(std::move(services), team_name, sequence, request,
-                         sink, std::move(serve));
-  co_return outcome;
+  return exchange;
 }
 
-bool CallerSession::FillRequest(RequestMessage& request, const RuleRow& rule) {
-  const auto& message = this->reader.message().get();
-  const RoutingView& view = *this->host.view();
-  const ServiceRow* service = FindService(view, rule.service);
-  request.headers = message;
-  RemoveHopByHop(request.headers);
-  request.headers.erase(http::field::expect);
-  request.headers.erase({header::kDeadline.data(), header::kDeadline.size()});
-  const std::string_view id = HeaderValue(message, header::kRequestId);
-  if (!id.empty()) {
-    request.request_id = std::string(id);
+void CallerSession::Remove(const ExchangePtr& exchange) {
+  std::erase(this->exchanges, exchange);
+  this->host.counters().caller_bytes_received.Add(this->reader.TakeReceived());
+  this->idle_since = MonotonicClock::now();
+  if (!this->exchanges.empty()) {
+    this->exchanges.front()->SetTurn();
+  } else if (this->closing) {
+    // The read that is pending ends with it.
+    NetError ignored;
+    this->socket.shutdown(Tcp::socket::shutdown_send, ignored);
   }
-  request.headers.set("X-Request-Id", request.request_id);
-  request.headers.insert(http::field::via, this->host.via());
+  this->changed.Notify();
+}
 
-  request.rule = rule.handle;
-  request.hedge = rule.hedge;
-  request.once = rule.once;
-  EntryRequest& entry = request.entry;
-  entry.service = rule.service;
-  entry.team = service != nullptr ? service->team : TeamHandle{};
-  entry.traffic_class = rule.traffic_class;
-  entry.deadline = this->request_since + std::min(DeadlineOf(message, rule),
-                                                  this->host.request_total());
-  entry.idempotent =
-      !rule.once && (rule.idempotent || IsIdempotentMethod(request.method));
-  const bool known = request.framing.kind != BodyKind::kChunked;
-  entry.replayable = known && request.framing.length <= kHeldBodyBytes;
-  const bool too_large_for_once =
-      rule.once && (!known || request.framing.length > kOnceBodyBytes);
-  return !too_large_for_once &&
-         request.framing.length <= this->host.caller_limits().body_bytes;
+void CallerSession::ServeBeside(const ExchangePtr& exchange) {
+  const auto self = this->shared_from_this();
+  boost::asio::co_spawn(this->host.executor(), exchange->Serve(),
+                        [self, exchange](const std::exception_ptr& /*error*/) {
+                          self->Remove(exchange);
+                        });
 }
 
-Task<void> CallerSession::ReadWholeBody(RequestMessage& request) {
-  if (!request.entry.replayable && !request.once) {
-    request.source = this;
-    co_return;
+Task<void> CallerSession::ServeHere(ExchangePtr exchange) {
+  co_await exchange->Serve();
+  this->Remove(exchange);
+}
+
+// @returns true if the body is whole now, false if it has to be streamed.
+Task<bool> CallerSession::ReadWholeBody(CallerExchange& exchange) {
+  const BodyFraming framing = this->reader.framing();
+  std::string& body = exchange.message().whole_body;
+  const bool chunked = framing.kind == BodyKind::kChunked;
+  if (chunked) {
+    const bool whole = co_await this->ReadChunkedBody(exchange);
+    co_return whole;
+  }
+  if (!exchange.wants_whole_body() && framing.length > kHeldBodyBytes) {
+    co_return false;
   }
-  request.whole_body.resize(request.framing.length);
+  const bool read = co_await this->ReadKnownBody(body, framing.length);
+  this->broken = this->broken || !read;
+  co_return read;
+}
+
+Task<bool> CallerSession::ReadKnownBody(std::string& body, uint64_t length) {
+  body.resize(length);
   size_t have = 0;
-  while (have < request.whole_body.size()) {
+  while (have < body.size()) {
     const BodyPiece piece =
-        co_await this->Read(std::span(request.whole_body).subspan(have));
+        co_await this->Read(std::span(body).subspan(have));
     if (!piece.ok) {
-      this->broken = true;
-      co_return;
+      co_return false;
     }
     have += piece.size;
   }
+  co_return true;
+}
+
+// A chunked body that turns out to be short is passed on with its length, so
+// that it can be sent again; a longer one is streamed, beginning with what was
+// read of it.
+Task<bool> CallerSession::ReadChunkedBody(CallerExchange& exchange) {
+  std::string body;
+  BodyPiece piece;
+  std::vector<char> buffer(kHeldBodyBytes);
+  do {
+    piece = co_await this->Read(buffer);
+    if (!piece.ok) {
+      this->broken = true;
+      co_return false;
+    }
+    body.append(buffer.data(), piece.size);
+  } while (!piece.last && body.size() < kHeldBodyBytes);
+  if (!piece.last || this->reader.trailers() != nullptr) {
+    this->body_prefix = std::move(body);
+    co_return false;
+  }
+  exchange.HoldBody(std::move(body));
+  co_return true;
 }
 
 Task<BodyPiece> CallerSession::Read(std::span<char> buffer) {
-  const bool waits_for_go = this->awaits_continue && !this->reader.has_more() &&
-                            !this->answer_started;
-  if (waits_for_go) {
+  if (!this->body_prefix.empty()) {
+    const size_t size = std::min(buffer.size(), this->body_prefix.size());
+    std::copy_n(this->body_prefix.begin(), size, buffer.begin());
+    this->body_prefix.erase(0, size);
+    const bool last = this->body_prefix.empty() && this->reader.done();
+    co_return BodyPiece{true, last, size};
+  }
+  const bool waits_for_go = this->awaits_continue && !this->reader.has_more();
+  if (waits_for_go && this->exchanges.size() == 1) {
     this->awaits_continue = false;
     const auto [error, size] = co_await boost::asio::async_write(
         this->socket, boost::asio::buffer(kContinue), kTask);
@@ -293,9 +217,8 @@
     }
   }
   this->reading_since = MonotonicClock::now();
-  this->reading_body = true;
   const BodyPiece piece = co_await this->reader.ReadBody(this->socket, buffer);
-  this->reading_body = false;
+  this->reading_since = kNever;
   co_return piece;
 }
 
@@ -305,166 +228,125 @@
   this->socket.cancel(ignored);
 }
 
-Task<void> CallerSession::Refuse(const RequestMessage& request,
-                                 const ServeOutcome& outcome) {
-  if (!this->reader.has_message() || !this->reader.done()) {
-    this->keep_alive = false;
-  }
-  const RefusalAnswer answer = MakeRefusalAnswer(request, outcome);
-  std::span<const char> body(answer.body);
-  if (request.method == "HEAD") {
-    body = {};
-  }
-  co_await this->Start(answer.head, body, true);
-}
-
-Task<bool> CallerSession::Start(const AnswerHead& head,
-                                std::span<const char> piece,
-                                bool last) {
-  this->answer_started = true;
-  AnswerHead sent = head;
-  const bool open_ended = head.framing.kind == BodyKind::kChunked ||
-                          head.framing.kind == BodyKind::kUntilClose;
-  this->chunked_answer = open_ended && !this->http_1_0;
-  if (open_ended) {
-    sent.framing.kind =
-        this->chunked_answer ? BodyKind::kChunked : BodyKind::kUntilClose;
-    this->keep_alive = this->keep_alive && this->chunked_answer;
-  }
-  const bool close_after =
-      !this->keep_alive || this->host.draining() || !this->reader.done();
-  this->keep_alive = !close_after;
-  this->out.clear();
-  AppendAnswerHead(this->out, sent, close_after);
-  co_return co_await this->Continue(piece, last, nullptr);
+// With others behind it an answer does not close the connection: they may run
+// already, and would be lost.
+bool CallerSession::DecideClose(bool must_close) {
+  const bool is_last = this->exchanges.size() <= 1 && !this->reader.has_more();
+  const bool unread = this->reader.has_message() && !this->reader.done();
+  const bool close =
+      must_close || unread || (this->host.leaving() && is_last);
+  this->closing = this->closing || close;
+  return close;
 }
 
-Task<bool> CallerSession::Continue(std::span<const char> piece,
-                                   bool last,
-                                   const HttpFields* trailers) {
-  const boost::asio::const_buffer head = boost::asio::buffer(this->out);
-  const boost::asio::const_buffer data(piece.data(), piece.size());
-  NetError error;
-  if (!this->chunked_answer) {
-    const std::array<boost::asio::const_buffer, 2> buffers = {head, data};
-    error = std::get<0>(
-        co_await boost::asio::async_write(this->socket, buffers, kTask));
-  } else {
-    if (piece.empty()) {
-      error = std::get<0>(
-          co_await boost::asio::async_write(this->socket, head, kTask));
-    } else {
-      error = std::get<0>(co_await boost::asio::async_write(
-          this->socket, boost::beast::buffers_cat(head, http::make_chunk(data)),
-          kTask));
-    }
-    if (last && !error) {
-      error = co_await this->WriteLastChunk(trailers);
-    }
-  }
-  const size_t written = error ? 0 : this->out.size() + piece.size();
-  this->host.counters().caller_bytes_sent.Add(written);
-  this->out.clear();
-  this->state_since = MonotonicClock::now();
-  if (error && this->current != nullptr) {
-    this->current->caller_gone = true;
-  }
+Task<NetError> CallerSession::Write(
+    std::span<const boost::asio::const_buffer> buffers) {
+  const std::vector<boost::asio::const_buffer> all(buffers.begin(),
+                                                   buffers.end());
+  const auto [error, size] =
+      co_await boost::asio::async_write(this->socket, all, kTask);
   this->broken = this->broken || error;
-  co_return !this->broken;
-}
-
-Task<NetError> CallerSession::WriteLastChunk(const HttpFields* trailers) {
-  if (trailers != nullptr) {
-    co_return std::get<0>(co_await boost::asio::async_write(
-        this->socket, http::make_chunk_last(*trailers), kTask));
-  }
-  co_return std::get<0>(co_await boost::asio::async_write(
-      this->socket, http::make_chunk_last(), kTask));
+  co_return error;
 }
 
-void CallerSession::Break() {
+void CallerSession::BreakOff() {
   this->broken = true;
-  this->answer_cut = true;
   CloseWithReset(this->socket);
 }
 
-// Closing the connection alone would leave whoever waits for a silent upstream
-// waiting.
-void CallerSession::CutOff() {
-  this->Break();
-  this->EndUpstreamWork();
+void CallerSession::Abandon() {
+  // An answer that is on its way to a caller that only closed its sending
+  // side is not cut off by this.
+  const std::deque<ExchangePtr> open = this->exchanges;
+  for (const ExchangePtr& exchange : open) {
+    exchange->Abandon();
+  }
+}
+
+// Closing while bytes of the caller are still unread sends a reset, which can
+// overtake the answer and destroy it before the caller has read it. So the
+// sending side is closed first, and what still comes is read and dropped, for
+// a short while.
+Task<void> CallerSession::CloseGently() {
+  NetError ignored;
+  this->socket.shutdown(Tcp::socket::shutdown_send, ignored);
+  const auto self = this->shared_from_this();
+  Timer limit(this->socket.get_executor(), kLingerTime);
+  limit.async_wait([self](const NetError& error) {
+    if (!error) {
+      NetError unused;
+      self->socket.close(unused);
+    }
+  });
+  std::vector<char> dropped(kHeldBodyBytes);
+  NetError error;
+  while (!error) {
+    error = std::get<0>(co_await this->socket.async_read_some(
+        boost::asio::buffer(dropped), kTask));
+  }
+  limit.cancel();
+  this->socket.close(ignored);
 }
 
 void CallerSession::Drain() {
-  if (this->state == State::kIdle) {
+  if (this->exchanges.empty() && !this->reader.has_more()) {
     NetError ignored;
     this->socket.cancel(ignored);
   }
 }
 
-void CallerSession::Tick(TimePoint now, milliseconds idle_timeout) {
-  const Duration since = now - this->state_since;
-  if (this->state == State::kIdle) {
-    if (since > idle_timeout) {
-      CloseWithReset(this->socket);
-    }
+void CallerSession::CutOff() {
+  this->BreakOff();
+  this->Abandon();
+}
+
+void CallerSession::Tick(TimePoint now) {
+  if (this->broken) {
     return;
   }
-  const bool too_long =
-      now - this->request_since > this->host.request_total() + kAnswerGrace;
-  if (!this->broken && (too_long || this->Stalls(now, idle_timeout))) {
-    this->CutOff();
+  if (this->exchanges.empty()) {
+    this->CheckIdle(now);
     return;
   }
-  const bool waits = this->state == State::kServing && !this->answer_started &&
-                     since > kWatchAfter;
-  // A request that must not repeat goes on without its caller, so that the
-  // resend finds an answer.
-  const bool ends_with_caller =
-      this->current != nullptr && !this->current->once;
-  if (waits && ends_with_caller && !this->watching && this->reader.done() &&
-      !this->reader.has_more()) {
-    this->WatchCaller();
+  const std::deque<ExchangePtr> open = this->exchanges;
+  for (const ExchangePtr& exchange : open) {
+    exchange->Tick(now);
+  }
+  const CallerExchange& first = *open.front();
+  const bool too_long = now - first.began_at() >
+                        this->host.request_total() + milliseconds(100);
+  if (too_long || this->Stalls(now)) {
+    this->CutOff();
   }
 }
 
-bool CallerSession::Stalls(TimePoint now, milliseconds idle_timeout) const {
+// A caller that does not read its answer, or stops sending its body, would
+// hold memory for ever.
+bool CallerSession::Stalls(TimePoint now) const {
+  const milliseconds patience = this->host.caller_limits().idle_timeout;
+  const CallerExchange& first = *this->exchanges.front();
   const bool answer_stalls =
-      this->answer_started && now - this->state_since > idle_timeout;
+      first.answer_started() && now - first.last_written() > patience;
   const bool body_stalls =
-      this->reading_body && now - this->reading_since > idle_timeout;
-  return answer_stalls || (body_stalls && !this->answer_started);
+      this->reading_since != kNever && now - this->reading_since > patience;
+  return answer_stalls || (body_stalls && !first.answer_started());
 }
 
-void CallerSession::EndUpstreamWork() {
-  if (this->current == nullptr) {
+void CallerSession::CheckIdle(TimePoint now) {
+  const CallerLimits& limits = this->host.caller_limits();
+  if (!this->reader.has_more()) {
+    if (now - this->idle_since > limits.idle_timeout + kIdleGrace) {
+      NetError ignored;
+      this->socket.cancel(ignored);
+    }
     return;
   }
-  this->current->caller_gone = true;
-  if (this->current->on_caller_gone) {
-    // The callee may replace the function while it runs.
-    const auto notify = this->current->on_caller_gone;
-    notify();
-  }
-}
-
-void CallerSession::WatchCaller() {
-  this->watching = true;
-  this->socket.async_wait(Socket::wait_read, [self = this->shared_from_this()](
-                                                 const NetError& error) {
-    self->OnCallerReadable(error);
-  });
-}
-
-void CallerSession::OnCallerReadable(const NetError& error) {
-  this->watching = false;
-  const bool gone = !error && this->current != nullptr && this->reader.done() &&
-                    IsClosedByPeer(this->socket);
-  if (!gone) {
-    return;
+  this->head_since = std::min(this->head_since, now);
+  if (now - this->head_since > limits.header_timeout && !this->closing) {
+    this->closing = true;
+    NetError ignored;
+    this->socket.cancel(ignored);
   }
-  this->broken = true;
-  this->EndUpstreamWork();
 }
 
 }  // namespace basilsill
--- a/packages/node/src/claim_host.cc
+++ b/packages/node/src/claim_host.cc
@@ -9,7 +9,7 @@
 #include <boost/asio/post.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
-#include "log.h"
+#include "basilsill/node/log.h"
 
 namespace basilsill {
 namespace {
--- a/packages/node/src/command_line.cc
+++ b/packages/node/src/command_line.cc
@@ -16,7 +16,7 @@
 class TextOutput : public TCLAP::CmdLineOutput {
  public:
   void usage(TCLAP::CmdLineInterface& line) override {  // NOLINT: TCLAP's name
-    this->text = "usage: " + line.getProgramName() + " --settings FILE\n\n" +
+    this->text = "usage: " + line.getProgramName() + " --settings FILE | --adapter\n\n" +
                  line.getMessage() + "\n\n";
     std::list<TCLAP::Arg*> arguments = line.getArgList();
     arguments.reverse();  // TCLAP keeps the last one added first.
@@ -66,7 +66,11 @@
   line.setExceptionHandling(false);
   TCLAP::ValueArg<std::string> settings("", "settings",
                                         "Settings file (docs/SETTINGS.md).",
-                                        true, "", "FILE", line);
+                                        false, "", "FILE", line);
+  TCLAP::SwitchArg adapter("", "adapter",
+                           "Take the settings from the users' platform "
+                           "(platform/).",
+                           line);
   TCLAP::SwitchArg check("", "check",
                          "Only check the settings: report every fault.", line);
   TCLAP::SwitchArg print("", "print-settings",
@@ -77,14 +81,19 @@
   } catch (const TCLAP::ArgException& fault) {
     return Failure{FailureKind::kSyntax, "command line", Describe(fault)};
   } catch (const TCLAP::ExitException&) {
-    return CommandLine{Command::kPrintText, "", output.text};
+    return CommandLine{Command::kPrintText, "", false, output.text};
+  }
+  if (settings.isSet() == adapter.getValue()) {
+    return Failure{FailureKind::kSyntax, "command line",
+                   "either --settings or --adapter must be given"};
   }
   const Result<Command> command =
       ChooseCommand(check.getValue(), print.getValue());
   if (!command) {
     return command.error();
   }
-  return CommandLine{command.value(), settings.getValue(), ""};
+  return CommandLine{command.value(), settings.getValue(), adapter.getValue(),
+                     ""};
 }
 
 }  // namespace basilsill
--- a/packages/node/src/command_line.h
+++ b/packages/node/src/command_line.h
@@ -27,6 +27,8 @@
 struct CommandLine {
   Command command = Command::kRun;
   std::string settings_file;
+  /// Settings come from the platform's own file, through the adapter.
+  bool adapter = false;
   std::string text;
 };
 
--- a/packages/node/src/configuration_host.cc
+++ b/packages/node/src/configuration_host.cc
@@ -10,7 +10,7 @@
 #include <boost/asio/detached.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
-#include "log.h"
+#include "basilsill/node/log.h"
 
 namespace basilsill {
 namespace {
--- a/packages/node/src/control.cc
+++ b/packages/node/src/control.cc
@@ -8,19 +8,11 @@
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
-#include "log.h"
+#include "basilsill/node/log.h"
 
 namespace basilsill {
 namespace {
 
-constexpr std::chrono::milliseconds kVmListWait{20000};
-
-FailoverSettings PlatformClient(const Settings& settings) {
-  FailoverSettings client;
-  client.endpoints = settings.platform.endpoints;
-  return client;
-}
-
 VmHello SelfHello(const Settings& settings,
                   const ControlOptions& options,
                   const Endpoint& control) {
@@ -41,14 +33,6 @@
   return Membership::Create(MonotonicClock::now(), membership);
 }
 
-ClaimOptions ClaimSettings(const Settings& settings,
-                           const ControlOptions& options) {
-  ClaimOptions claims;
-  claims.vm = settings.vm.name;
-  claims.incarnation = options.incarnation;
-  return claims;
-}
-
 ControlLinkOptions LinkOptions(const Settings& settings,
                                const ControlOptions& options,
                                const Endpoint& control) {
@@ -65,30 +49,26 @@
 
 }  // namespace
 
-Result<std::unique_ptr<Control>> Control::Create(IoContext& context,
-                                                 const Settings& settings,
-                                                 const ControlOptions& options,
-                                                 ControlHandlers handlers,
-                                                 ControlMetrics& counts) {
-  Result<LogClient> log =
-      LogClient::Create(context.get_executor(), PlatformClient(settings));
-  if (!log) {
-    return log.error();
-  }
-  Result<VmListClient> vm_list =
-      VmListClient::Create(context.get_executor(), PlatformClient(settings));
-  if (!vm_list) {
-    return vm_list.error();
-  }
+Result<std::unique_ptr<Control>> Control::Create(
+    IoContext& context,
+    const Settings& settings,
+    const ControlOptions& options,
+    ControlHandlers handlers,
+    ControlMetrics& counts,
+    const MakeStateSource& make_source) {
   Result<Acceptor> acceptor =
       Listen(context, {settings.vm.address, settings.listen.control}, false);
   if (!acceptor) {
     return acceptor.error();
   }
-  return std::unique_ptr<Control>(
-      new Control(context, settings, options, std::move(handlers), counts,
-                  std::move(log).value(), std::move(vm_list).value(),
-                  std::move(acceptor).value()));
+  Result<std::unique_ptr<StateSource>> source =
+      make_source(FromTcpEndpoint(acceptor.value().local_endpoint()));
+  if (!source) {
+    return source.error();
+  }
+  return std::unique_ptr<Control>(new Control(
+      context, settings, options, std::move(handlers), counts,
+      std::move(source).value(), std::move(acceptor).value()));
 }
 
 Control::Control(IoContext& context,
@@ -96,26 +76,17 @@
                  const ControlOptions& options,
                  ControlHandlers handlers,
                  ControlMetrics& counts,
-                 LogClient log,
-                 VmListClient vm_list,
+                 std::unique_ptr<StateSource> source,
                  Acceptor acceptor)
     : context(context),
       settings(settings),
       incarnation(options.incarnation),
       handlers(std::move(handlers)),
       counts(counts),
-      log(std::move(log)),
-      vm_list(std::move(vm_list)),
+      source(std::move(source)),
       members(MakeMembership(settings,
                              options,
                              FromTcpEndpoint(acceptor.local_endpoint()))),
-      configuration(context,
-                    this->log,
-                    settings.vm.name,
-                    {[this] { this->configuration_changed = true; },
-                     [this] { return this->CheckpointRank(); }},
-                    counts),
-      claims(context, this->log, ClaimSettings(settings, options), counts),
       links(context,
             std::move(acceptor),
             LinkOptions(
@@ -124,13 +95,6 @@
                 this->members->rows().at(this->members->self().index).control),
             this->MakeLinkHandlers(),
             counts.links),
-      snapshots(this->configuration.follower(),
-                {[this](VmHandle vm, const wire::SnapshotRequest& request) {
-                   return this->links.Send(vm, request);
-                 },
-                 [this](const std::vector<std::string>& parts) {
-                   this->configuration.OnSnapshot(parts);
-                 }}),
       builder(ViewBuilder::Create()) {}
 
 ControlLinkHandlers Control::MakeLinkHandlers() {
@@ -155,32 +119,22 @@
     this->members->OnOpenFailed(MonotonicClock::now(), vm);
     this->PumpMembership();
   };
-  link.on_snapshot_request = [this](const wire::SnapshotRequest& request) {
-    return this->snapshots.Answer(request);
-  };
-  link.on_snapshot_chunk = [this](VmHandle vm,
-                                  const wire::SnapshotChunk& chunk) {
-    this->snapshots.OnChunk(vm, chunk);
+  link.on_message = [this](VmHandle vm, const wire::PeerMessage& message) {
+    this->source->OnPeerMessage(vm, message);
   };
   return link;
 }
 
 void Control::Start() {
   this->links.Start();
-  this->configuration.Start();
-  this->claims.Start();
-  boost::asio::co_spawn(this->context, this->FollowVmList(),
-                        boost::asio::detached);
+  this->source->Start(*this);
   boost::asio::co_spawn(this->context, this->TickLoop(), boost::asio::detached);
 }
 
 void Control::Stop() {
   this->stopped = true;
-  this->configuration.Stop();
-  this->claims.Stop();
+  this->source->Stop();
   this->links.Stop();
-  this->log.Close();
-  this->vm_list.Close();
 }
 
 void Control::Leave() {
@@ -191,23 +145,18 @@
   this->RebuildIfChanged();
 }
 
-boost::asio::awaitable<void> Control::FollowVmList() {
-  uint64_t version = 0;
-  while (!this->stopped) {
-    const Result<VmList> list =
-        co_await this->vm_list.Watch(version, kVmListWait);
-    if (!list) {
-      continue;
-    }
-    version = list.value().version;
-    std::vector<ListedVm> listed;
-    for (const VmListEntry& entry : list.value().vms) {
-      listed.push_back(
-          {entry.name, entry.data_centre, entry.control, entry.leaving});
-    }
-    this->members->OnVmList(MonotonicClock::now(), version, listed);
-    this->PumpMembership();
-  }
+void Control::OnStateChanged() {
+  // The next tick builds a view: changes often come in groups.
+  this->configuration_changed = true;
+}
+
+void Control::OnVmList(uint64_t version, const std::vector<ListedVm>& vms) {
+  this->members->OnVmList(MonotonicClock::now(), version, vms);
+  this->PumpMembership();
+}
+
+bool Control::SendToPeer(VmHandle vm, const wire::PeerMessage& message) {
+  return this->links.Send(vm, message);
 }
 
 boost::asio::awaitable<void> Control::TickLoop() {
@@ -224,8 +173,7 @@
   this->SetNeeds(now);
   this->members->Tick(now);
   this->PumpMembership();
-  this->configuration.Tick(now);
-  this->snapshots.Tick(now, this->links.Linked());
+  this->source->Tick(now);
   this->RebuildIfChanged();
 }
 
@@ -313,7 +261,7 @@
   if (!changed || !this->ready()) {
     return;
   }
-  const ConfigurationState& state = this->configuration.follower().state();
+  const ConfigurationState& state = this->source->state();
   for (const std::string& name : state.DataCentres()) {
     this->members->InternDataCentre(name);
   }
@@ -333,36 +281,11 @@
   Log(Event::kConfigurationApplied,
       {{"offset", this->current_view->applied_offset},
        {"view", this->current_view->version}});
-  this->claims.ApplyFleet(this->MakeClaimFleet());
+  this->source->OnFleetChanged();
   this->handlers.publish(this->current_view);
   if (is_news) {
     this->links.Broadcast(this->MakeHeartbeat(false));
   }
 }
 
-ClaimFleet Control::MakeClaimFleet() const {
-  ClaimFleet fleet;
-  for (const VmRow& row : this->members->rows()) {
-    if (IsValid(row.handle) && row.incarnation != 0 &&
-        row.state != VmState::kSuspected) {
-      fleet.live_origins.push_back(MakeClaimOrigin(row.name, row.incarnation));
-    }
-  }
-  fleet.appenders = std::max<size_t>(1, this->members->LiveCount());
-  // No partition is read ahead: entry workers ask the table of their own VM
-  // alone, which reads a stream when a key of it is asked for.
-  return fleet;
-}
-
-size_t Control::CheckpointRank() const {
-  size_t rank = 0;
-  const VmRow& self = this->members->rows().at(this->members->self().index);
-  for (const VmRow& row : this->members->rows()) {
-    const bool before = IsValid(row.handle) && row.state == VmState::kLive &&
-                        row.name < self.name;
-    rank += before ? 1 : 0;
-  }
-  return rank;
-}
-
 }  // namespace basilsill
--- a/packages/node/src/control.h
+++ b/packages/node/src/control.h
@@ -11,18 +11,13 @@
 #include "basilsill/decision/configuration_status.h"
 #include "basilsill/decision/membership.h"
 #include "basilsill/decision/view_builder.h"
-#include "basilsill/platform/log_client.h"
-#include "basilsill/platform/vm_list_client.h"
-#include "claim_host.h"
-#include "configuration_host.h"
+#include "basilsill/node/state_source.h"
 #include "control_links.h"
 #include "metrics.h"
-#include "settings.h"
-#include "snapshot_exchange.h"
+#include "basilsill/node/settings.h"
 
-/// The control side of a node: follows the platform, keeps links to peers,
-/// and publishes a routing view whenever configuration or membership changed.
-/// All on one thread.
+/// The control side of a node: keeps links to peers, and publishes a routing
+/// view whenever its source of state or membership changed. All on one thread.
 
 namespace basilsill {
 
@@ -38,14 +33,20 @@
   std::function<void(const std::vector<CrashReport>&)> on_crashes;
 };
 
-class Control {
+/// Makes the source of state, once the endpoint of control links is known.
+using MakeStateSource =
+    std::function<Result<std::unique_ptr<StateSource>>(const Endpoint&)>;
+
+class Control final : private StateSourceHost {
  public:
   /// @param settings Must outlive the control side, as must `counts`.
-  static Result<std::unique_ptr<Control>> Create(IoContext& context,
-                                                 const Settings& settings,
-                                                 const ControlOptions& options,
-                                                 ControlHandlers handlers,
-                                                 ControlMetrics& counts);
+  static Result<std::unique_ptr<Control>> Create(
+      IoContext& context,
+      const Settings& settings,
+      const ControlOptions& options,
+      ControlHandlers handlers,
+      ControlMetrics& counts,
+      const MakeStateSource& make_source);
 
   void Start();
   void Stop();
@@ -57,16 +58,10 @@
   void SendCrashes(std::vector<CrashReport> crashes);
 
   /// @returns true once there is a view that callers can be served by.
-  bool ready() const { return this->configuration.follower().is_ready(); }
+  bool ready() const { return this->source->ready(); }
   const RoutingViewPtr& view() const { return this->current_view; }
-  const Membership& membership() const { return *this->members; }
-  ConfigurationHost& configuration_host() { return this->configuration; }
-  const ConfigurationFollower& follower() const {
-    return this->configuration.follower();
-  }
-  const ChangeFeed& feed() const { return this->configuration.feed(); }
+  const Membership& membership() const override { return *this->members; }
   const std::string& vm_name() const { return this->settings.vm.name; }
-  ClaimHost& claim_host() { return this->claims; }
   const InForceTable& in_force() const { return this->force; }
   Endpoint endpoint() const { return this->links.endpoint(); }
 
@@ -76,12 +71,18 @@
           const ControlOptions& options,
           ControlHandlers handlers,
           ControlMetrics& counts,
-          LogClient log,
-          VmListClient vm_list,
+          std::unique_ptr<StateSource> source,
           Acceptor acceptor);
 
+  // StateSourceHost
+  void OnStateChanged() override;
+  void OnVmList(uint64_t version, const std::vector<ListedVm>& vms) override;
+  bool SendToPeer(VmHandle vm, const wire::PeerMessage& message) override;
+  std::vector<VmHandle> LinkedPeers() const override {
+    return this->links.Linked();
+  }
+
   ControlLinkHandlers MakeLinkHandlers();
-  boost::asio::awaitable<void> FollowVmList();
   boost::asio::awaitable<void> TickLoop();
   void Tick(TimePoint now);
   void PumpMembership();
@@ -90,21 +91,15 @@
   void RebuildIfChanged();
   void OnHeartbeat(VmHandle from, const wire::Heartbeat& heartbeat);
   wire::Heartbeat MakeHeartbeat(bool answer_wanted) const;
-  ClaimFleet MakeClaimFleet() const;
-  size_t CheckpointRank() const;
 
   IoContext& context;
   const Settings& settings;
   uint64_t incarnation;
   ControlHandlers handlers;
   ControlMetrics& counts;
-  LogClient log;
-  VmListClient vm_list;
+  std::unique_ptr<StateSource> source;
   std::unique_ptr<Membership> members;
-  ConfigurationHost configuration;
-  ClaimHost claims;
   ControlLinks links;
-  SnapshotExchange snapshots;
   InForceTable force;
   std::unique_ptr<ViewBuilder> builder;
   RoutingViewPtr current_view;
--- a/packages/node/src/control_links.cc
+++ b/packages/node/src/control_links.cc
@@ -5,7 +5,7 @@
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 
-#include "log.h"
+#include "basilsill/node/log.h"
 
 namespace basilsill {
 namespace {
@@ -130,13 +130,8 @@
   }
   if (const auto* heartbeat = std::get_if<wire::Heartbeat>(&message)) {
     this->handlers.on_heartbeat(peer.vm, *heartbeat);
-  } else if (const auto* request =
-                 std::get_if<wire::SnapshotRequest>(&message)) {
-    const wire::SnapshotChunk chunk =
-        this->handlers.on_snapshot_request(*request);
-    link->TrySend([&chunk](wire::LinkMux& mux) { return mux.Post(chunk); });
-  } else if (const auto* chunk = std::get_if<wire::SnapshotChunk>(&message)) {
-    this->handlers.on_snapshot_chunk(peer.vm, *chunk);
+  } else {
+    this->handlers.on_message(peer.vm, message);
   }
 }
 
--- a/packages/node/src/control_links.h
+++ b/packages/node/src/control_links.h
@@ -25,9 +25,8 @@
   std::function<void(VmHandle, const wire::Heartbeat&)> on_heartbeat;
   std::function<void(VmHandle, uint64_t incarnation)> on_lost;
   std::function<void(VmHandle)> on_open_failed;
-  std::function<wire::SnapshotChunk(const wire::SnapshotRequest&)>
-      on_snapshot_request;
-  std::function<void(VmHandle, const wire::SnapshotChunk&)> on_snapshot_chunk;
+  /// Any message but a heartbeat came.
+  std::function<void(VmHandle, const wire::PeerMessage&)> on_message;
 };
 
 struct ControlLinkOptions {
--- a/packages/node/src/debug_state.cc
+++ b/packages/node/src/debug_state.cc
@@ -49,8 +49,8 @@
 
 }  // namespace
 
-std::string MakeDebugState(const Control& control) {
-  json::object state{{"status", MakeStatusDocument(control)}};
+std::string MakeDebugState(const Control& control, const LogSource& log) {
+  json::object state{{"status", MakeStatusDocument(control, log)}};
   if (const RoutingViewPtr& view = control.view()) {
     state["services"] = ServiceArray(*view);
     state["teams"] = view->teams.size();
--- a/packages/node/src/dispatch_host.cc
+++ b/packages/node/src/dispatch_host.cc
@@ -9,7 +9,7 @@
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 
-#include "log.h"
+#include "basilsill/node/log.h"
 
 namespace basilsill {
 namespace {
@@ -57,6 +57,21 @@
   }
 }
 
+// Passes a held answer on, piece by piece.
+Task<bool> Deliver(const HeldAnswer& answer, AnswerSink& sink) {
+  std::span<const char> rest(answer.body);
+  std::span<const char> piece =
+      rest.first(std::min(rest.size(), limits::kBodyChunkBytes));
+  rest = rest.subspan(piece.size());
+  bool receiver_there = co_await sink.Start(answer.head, piece, rest.empty());
+  while (receiver_there && !rest.empty()) {
+    piece = rest.first(std::min(rest.size(), limits::kBodyChunkBytes));
+    rest = rest.subspan(piece.size());
+    receiver_there = co_await sink.Continue(piece, rest.empty(), nullptr);
+  }
+  co_return receiver_there;
+}
+
 }  // namespace
 
 struct DispatchHost::RunningAttempt {
@@ -75,6 +90,8 @@
   AsyncEvent done;
   std::vector<RunningAttempt> attempts;
   AttemptHandle winner;
+  /// An upstream's answer that it failed, for when no better one comes.
+  std::optional<HeldAnswer> failed_answer;
   TimePoint offered;
   bool was_started = false;
   bool settled = false;
@@ -133,6 +150,8 @@
   offer.hedge = request.hedge;
   offer.replayable = request.source == nullptr;
   offer.fingerprint = request.entry.fingerprint;
+  offer.max_attempts = request.entry.max_attempts;
+  offer.good_until = request.entry.good_until;
   offer.cookie = cookie;
   const TimePoint now = MonotonicClock::now();
   job->offered = now;
@@ -146,6 +165,12 @@
   co_await job->done.Wait();
   request.on_caller_gone = nullptr;
   this->jobs.erase(cookie);
+  if (job->failed_answer && !job->outcome.answered && !request.caller_gone) {
+    // What an upstream itself says of its failure is worth more to the caller
+    // than that nothing better was found.
+    co_await Deliver(*job->failed_answer, sink);
+    job->outcome = {true, Refusal::kNone, Duration(0)};
+  }
   co_return job->outcome;
 }
 
@@ -157,8 +182,8 @@
   if (row == nullptr) {
     co_return ServeOutcome{false, Refusal::kNoUpstream, Duration(0)};
   }
-  UpstreamAttempt attempt(this->pool, row->endpoint, request, sink,
-                          {[] { return true; }});
+  UpstreamAttempt attempt(this->pool, {row->endpoint, row->id}, request, sink,
+                          {[] { return true; }, [] { return false; }});
   const auto place = this->direct_attempts.insert(
       this->direct_attempts.end(), {request.entry.deadline, &attempt});
   request.on_caller_gone = [&attempt] { attempt.Cancel(); };
@@ -169,6 +194,9 @@
   metrics.attempts_in_flight.Add(-1);
   request.on_caller_gone = nullptr;
   this->direct_attempts.erase(place);
+  if (attempt.held()) {
+    co_await Deliver(*attempt.held(), sink);
+  }
   const bool answered =
       report.end == AttemptEnd::kAnswered || report.answer_started;
   co_return ServeOutcome{answered, RefusalOf(report.end), Duration(0)};
@@ -267,8 +295,12 @@
   hooks.on_answer = [this, job, attempt = action.attempt] {
     return this->OnAnswer(*job, attempt);
   };
+  hooks.may_send_again = [this, attempt = action.attempt] {
+    return this->dispatcher->MaySendAgain(MonotonicClock::now(), attempt);
+  };
   auto running = std::make_unique<UpstreamAttempt>(
-      this->pool, row->endpoint, job->request, job->sink, std::move(hooks));
+      this->pool, AttemptTarget{row->endpoint, row->id}, job->request,
+      job->sink, std::move(hooks));
   UpstreamAttempt* const raw = running.get();
   const TimePoint now = MonotonicClock::now();
   WorkerMetrics& metrics = this->pool.metrics();
@@ -298,10 +330,42 @@
     metrics.upstream_latency.Record(job->request.entry.traffic_class,
                                     MonotonicClock::now() - started);
   }
-  std::erase_if(job->attempts, [attempt](const RunningAttempt& r) {
+  if (!running->held()) {
+    this->OnAttemptDone(*job, attempt, report);
+    co_return;
+  }
+  // The attempt stays on the list until its answer is delivered: the request
+  // must not end before.
+  HeldAnswer answer = *std::move(running->held());
+  if (!this->OnHeldAnswer(*job, attempt, report)) {
+    job->failed_answer = std::move(answer);
+    this->Forget(*job, attempt);
+    co_return;
+  }
+  co_await Deliver(answer, job->sink);
+  job->Settle({true, Refusal::kNone, Duration(0)});
+  this->Forget(*job, attempt);
+}
+
+// @returns true if the answer is the one to deliver.
+bool DispatchHost::OnHeldAnswer(Job& job,
+                                AttemptHandle attempt,
+                                const AttemptReport& report) {
+  const bool late = IsValid(job.winner) || job.settled;
+  const bool goes_on =
+      this->dispatcher->OnAttemptEnd(MonotonicClock::now(), attempt, report);
+  if (!goes_on && !late) {
+    job.winner = attempt;
+  }
+  this->Pump();
+  return !goes_on && !late;
+}
+
+void DispatchHost::Forget(Job& job, AttemptHandle attempt) {
+  std::erase_if(job.attempts, [attempt](const RunningAttempt& r) {
     return r.handle == attempt;
   });
-  this->OnAttemptDone(*job, attempt, report);
+  job.WakeIfIdle();
 }
 
 bool DispatchHost::OnAnswer(Job& job, AttemptHandle attempt) {
@@ -317,6 +381,9 @@
 void DispatchHost::OnAttemptDone(Job& job,
                                  AttemptHandle attempt,
                                  const AttemptReport& report) {
+  std::erase_if(job.attempts, [attempt](const RunningAttempt& r) {
+    return r.handle == attempt;
+  });
   const bool goes_on =
       this->dispatcher->OnAttemptEnd(MonotonicClock::now(), attempt, report);
   // An attempt that was cancelled from here is not known to the dispatcher any
--- a/packages/node/src/dispatch_host.h
+++ b/packages/node/src/dispatch_host.h
@@ -74,6 +74,10 @@
                      AttemptHandle attempt,
                      const AttemptReport& report);
   bool OnAnswer(Job& job, AttemptHandle attempt);
+  bool OnHeldAnswer(Job& job,
+                    AttemptHandle attempt,
+                    const AttemptReport& report);
+  static void Forget(Job& job, AttemptHandle attempt);
   void ExpireDirectAttempts(TimePoint now);
 
   std::unique_ptr<Dispatcher> dispatcher;
--- a/packages/node/src/http_message.cc
+++ b/packages/node/src/http_message.cc
@@ -98,12 +98,16 @@
 
 void AppendRequestHead(std::string& out,
                        const RequestMessage& request,
-                       std::chrono::milliseconds remaining) {
+                       const UpstreamHead& upstream) {
   out += request.method;
   out += ' ';
   out += request.target;
   out += " HTTP/1.1\r\n";
-  AppendLine(out, header::kDeadline, std::to_string(remaining.count()));
+  AppendLine(out, upstream.deadline_name,
+             std::to_string(upstream.remaining.count()));
+  if (!upstream.expected_name.empty()) {
+    AppendLine(out, upstream.expected_name, upstream.expected_instance);
+  }
   AppendHeaders(out, request.headers, request.framing);
 }
 
--- a/packages/node/src/http_message.h
+++ b/packages/node/src/http_message.h
@@ -21,17 +21,6 @@
 
 using HttpFields = boost::beast::http::fields;
 
-/// Names of the headers that basilsill gives a meaning.
-namespace header {
-inline constexpr std::string_view kPromise = "Basilsill-Promise";
-inline constexpr std::string_view kReason = "Basilsill-Reason";
-inline constexpr std::string_view kDeadline = "Basilsill-Deadline-Ms";
-inline constexpr std::string_view kRefused = "Basilsill-Refused";
-inline constexpr std::string_view kDraining = "Basilsill-Draining";
-inline constexpr std::string_view kRequestId = "X-Request-Id";
-inline constexpr std::string_view kIdempotencyKey = "Idempotency-Key";
-}  // namespace header
-
 /// How a body is delimited.
 enum class BodyKind : uint8_t {
   kNone,     ///< There is none.
@@ -140,10 +129,18 @@
                       const AnswerHead& head,
                       bool close_after);
 
+/// What goes to an upstream besides the request's own headers.
+struct UpstreamHead {
+  std::string_view deadline_name;
+  std::chrono::milliseconds remaining{0};  ///< Until the deadline.
+  std::string_view expected_name;          ///< Empty: not sent.
+  std::string_view expected_instance;
+};
+
 /// Appends the start line and headers of `request`.
 void AppendRequestHead(std::string& out,
                        const RequestMessage& request,
-                       std::chrono::milliseconds remaining);
+                       const UpstreamHead& upstream);
 
 }  // namespace basilsill
 
--- a/packages/node/src/http_reader.h
+++ b/packages/node/src/http_reader.h
@@ -51,6 +51,9 @@
 
   explicit HttpReader(const Limits& limits) : limits(limits) {}
 
+  /// Replaces the limits, for messages that follow.
+  void SetLimits(const Limits& next) { this->limits = next; }
+
   /// Reads the next head.
   /// @param no_body The message has no body whatever its head says: it
   /// answers a HEAD request.
--- a/packages/node/src/link_server.cc
+++ b/packages/node/src/link_server.cc
@@ -36,8 +36,6 @@
   request.target = std::move(open.target);
   request.headers = FromHeaderList(open.headers);
   request.framing = FromWireFraming(open.framing);
-  request.request_id =
-      std::string(HeaderValue(request.headers, header::kRequestId));
   request.hedge = open.hedge;
   EntryRequest& entry = request.entry;
   if (const TeamRow* team = FindByName(view.teams, open.team)) {
@@ -51,6 +49,10 @@
   entry.deadline = MonotonicClock::now() + microseconds(open.deadline);
   entry.idempotent = open.idempotent;
   entry.fingerprint = open.fingerprint;
+  entry.max_attempts = open.attempts_left;
+  if (open.good_for > microseconds(0)) {
+    entry.good_until = MonotonicClock::now() + open.good_for;
+  }
 }
 
 void Refuse(PeerLink& link,
@@ -71,13 +73,16 @@
                            DispatchHost& dispatch,
                            PeerLinkPtr link,
                            LinkStreamPtr stream,
-                           wire::Open open) {
+                           wire::Open open,
+                           std::string request_id_header) {
   Target target;
   target.kind = TargetKind::kDispatcher;
   target.shard = open.shard;
   target.max_wait = open.max_wait;
   RequestMessage request;
   FillRequest(*view, open, request);
+  request.request_id =
+      std::string(HeaderValue(request.headers, request_id_header));
   LinkBodySource source(link, stream);
   if (open.end) {
     request.whole_body = std::move(open.body);
--- a/packages/node/src/link_table.cc
+++ b/packages/node/src/link_table.cc
@@ -7,7 +7,7 @@
 #include <boost/asio/detached.hpp>
 
 #include "link_exchange.h"
-#include "log.h"
+#include "basilsill/node/log.h"
 
 namespace basilsill {
 namespace {
@@ -163,7 +163,12 @@
   open.idempotent = request.entry.idempotent;
   open.hedge = request.hedge;
   open.fingerprint = request.entry.fingerprint;
-  open.attempts_left = 1;
+  open.attempts_left = request.entry.max_attempts;
+  if (request.entry.good_until != kNever) {
+    const auto left = std::chrono::duration_cast<microseconds>(
+        request.entry.good_until - MonotonicClock::now());
+    open.good_for = std::max(left, microseconds(1));
+  }
   open.max_wait = target.max_wait;
   open.method = request.method;
   open.target = request.target;
--- a/packages/node/src/log.cc
+++ b/packages/node/src/log.cc
@@ -1,4 +1,4 @@
-#include "log.h"
+#include "basilsill/node/log.h"
 
 #include <algorithm>
 #include <array>
@@ -63,13 +63,13 @@
   return kLevels[static_cast<size_t>(severity)];
 }
 
-log4cplus::SharedAppenderPtr MakeAppender(const std::string& file) {
+log4cplus::SharedAppenderPtr MakeAppender(const LogOptions& options) {
   log4cplus::SharedAppenderPtr appender;
-  if (file.empty()) {
-    appender = new log4cplus::ConsoleAppender(/*logToStdErr=*/true,
-                                              /*immediateFlush=*/true);
+  if (options.file.empty()) {
+    appender = new log4cplus::ConsoleAppender(
+        /*logToStdErr=*/!options.to_standard_output, /*immediateFlush=*/true);
   } else {
-    appender = new log4cplus::FileAppender(file, std::ios_base::app);
+    appender = new log4cplus::FileAppender(options.file, std::ios_base::app);
   }
   appender->setLayout(std::make_unique<log4cplus::PatternLayout>(kLinePattern));
   return appender;
@@ -92,7 +92,7 @@
 /// the traffic. Here such a line is left out and counted.
 struct Logging::State {
   explicit State(const LogOptions& options)
-      : level(options.level), appender(MakeAppender(options.file)) {
+      : level(options.level), appender(MakeAppender(options)) {
     for (size_t i = 0; i < AllEvents().size(); ++i) {
       this->limiters.push_back(
           std::make_unique<LogLimiter>(options.events_per_second));
--- a/packages/node/src/log_format.h
+++ b/packages/node/src/log_format.h
@@ -7,7 +7,7 @@
 #include <span>
 #include <string_view>
 
-#include "log.h"
+#include "basilsill/node/log.h"
 
 /// The text of a log line.
 
--- a/packages/node/src/main.cc
+++ b/packages/node/src/main.cc
@@ -1,14 +1,18 @@
 // Entry point of the node.
 
 #include <cstdio>
+#include <functional>
 #include <iostream>
+#include <utility>
+#include <vector>
 
 #include <boost/asio/io_context.hpp>
 
+#include "basilsill/adapter/adapter.h"
 #include "command_line.h"
-#include "log.h"
+#include "basilsill/node/log.h"
 #include "node.h"
-#include "settings.h"
+#include "basilsill/node/settings.h"
 #include "signals.h"
 
 namespace {
@@ -23,16 +27,41 @@
   return basilsill::kExitUsage;
 }
 
-int Run(const basilsill::Settings& settings) {
+using basilsill::adapter::Setup;
+using LoadSetup = std::function<basilsill::CheckedResult<Setup>()>;
+
+void LogRejected(const std::vector<basilsill::Failure>& faults) {
+  for (const basilsill::Failure& fault : faults) {
+    Log(Event::kSettingsRejected, {{"failure", fault.kind},
+                                   {"field", fault.path},
+                                   {"detail", fault.detail}});
+  }
+}
+
+// A file with any fault is refused whole, and the node goes on as it is.
+void Reload(basilsill::Node& node, const LoadSetup& load) {
+  const basilsill::CheckedResult<Setup> setup = load();
+  if (!setup) {
+    LogRejected(setup.error());
+    return;
+  }
+  node.Reload(setup.value().settings);
+  Log(Event::kSettingsReloaded, {{"vm", setup.value().settings.vm.name}});
+}
+
+int Run(const Setup& setup, const LoadSetup& load) {
+  const basilsill::Settings& settings = setup.settings;
   basilsill::LogOptions log_options{settings.log.level, settings.log.file,
                                     settings.log.events_per_second};
+  log_options.to_standard_output = setup.installation.log_to_standard_output;
   auto logging = basilsill::Logging::Start(log_options);
   if (!logging) {
     return ReportFaults({logging.error()});
   }
   basilsill::IgnoreBrokenPipes();
   boost::asio::io_context context(1);
-  auto created = basilsill::Node::Create(context, settings);
+  auto created =
+      basilsill::Node::Create(context, settings, setup.installation);
   if (!created) {
     return ReportFaults({created.error()});
   }
@@ -43,7 +72,8 @@
     context.stop();
   };
   const auto signals = basilsill::ShutdownSignals::Create(
-      context, {[&] { node.Drain(stop); }, [&] { stop(false); }});
+      context, {[&] { node.Drain(stop); }, [&] { stop(false); },
+                [&] { Reload(node, load); }});
   Log(Event::kNodeStarting, {{"vm", settings.vm.name},
                              {"callers", node.callers_endpoint().port},
                              {"control", node.control().endpoint().port},
@@ -55,19 +85,34 @@
   return status;
 }
 
+LoadSetup SourceOf(const basilsill::CommandLine& command_line) {
+  if (command_line.adapter) {
+    return [] { return basilsill::adapter::SetUpFromEnvironment(); };
+  }
+  return [path = command_line.settings_file]()
+             -> basilsill::CheckedResult<Setup> {
+    auto settings = basilsill::LoadSettings(path);
+    if (!settings) {
+      return settings.error();
+    }
+    return Setup{std::move(settings).value(), {}};
+  };
+}
+
 int RunCommand(const basilsill::CommandLine& command_line) {
-  const auto settings = basilsill::LoadSettings(command_line.settings_file);
-  if (!settings) {
-    return ReportFaults(settings.error());
+  const LoadSetup load = SourceOf(command_line);
+  const basilsill::CheckedResult<Setup> setup = load();
+  if (!setup) {
+    return ReportFaults(setup.error());
   }
   switch (command_line.command) {
     case basilsill::Command::kCheckSettings:
       return basilsill::kExitSuccess;
     case basilsill::Command::kPrintSettings:
-      std::cout << basilsill::PrintSettings(settings.value());
+      std::cout << basilsill::PrintSettings(setup.value().settings);
       return basilsill::kExitSuccess;
     default:
-      return Run(settings.value());
+      return Run(setup.value(), load);
   }
 }
 
--- a/packages/node/src/node.cc
+++ b/packages/node/src/node.cc
@@ -11,7 +11,7 @@
 #include <boost/asio/use_awaitable.hpp>
 
 #include "debug_state.h"
-#include "log.h"
+#include "basilsill/node/log.h"
 #include "resource_api.h"
 
 namespace basilsill {
@@ -48,8 +48,10 @@
 }  // namespace
 
 Result<std::unique_ptr<Node>> Node::Create(IoContext& context,
-                                           Settings settings) {
-  std::unique_ptr<Node> node(new Node(context, std::move(settings)));
+                                           Settings settings,
+                                           Installation installation) {
+  std::unique_ptr<Node> node(
+      new Node(context, std::move(settings), std::move(installation)));
   if (Result<void> created = node->CreateWorkers(); !created) {
     return created.error();
   }
@@ -59,12 +61,16 @@
   if (Result<void> created = node->CreateAdmin(); !created) {
     return created.error();
   }
+  if (Result<void> created = node->CreateReadiness(); !created) {
+    return created.error();
+  }
   return node;
 }
 
-Node::Node(IoContext& context, Settings settings)
+Node::Node(IoContext& context, Settings settings, Installation installation)
     : context(context),
       settings(std::move(settings)),
+      installation(std::move(installation)),
       incarnation(NewIncarnation()),
       metrics(IdentityOf(this->settings)) {}
 
@@ -86,7 +92,8 @@
     const uint16_t base = this->settings.listen.links;
     const Endpoint links{this->settings.vm.address,
                          static_cast<uint16_t>(base == 0 ? 0 : base + i)};
-    auto worker = Worker::Create(this->settings, options, callers, links);
+    auto worker = Worker::Create(this->settings, this->installation, options,
+                                 callers, links);
     if (!worker) {
       return worker.error();
     }
@@ -115,25 +122,50 @@
   for (const auto& worker : this->traffic) {
     options.workers.push_back(worker->links_endpoint());
   }
-  auto created = Control::Create(this->context, this->settings, options,
-                                 std::move(handlers), this->metrics.control);
+  auto created = Control::Create(
+      this->context, this->settings, options, std::move(handlers),
+      this->metrics.control,
+      [this](const Endpoint& control) { return this->MakeSource(control); });
   if (!created) {
     return created.error();
   }
   this->control_side = std::move(created).value();
   for (const auto& worker : this->traffic) {
-    worker->SetClaims(this->control_side->claim_host());
+    if (this->log_source != nullptr) {
+      worker->SetClaims(this->log_source->claim_host());
+    }
   }
   return boost::outcome_v2::success();
 }
 
+Result<std::unique_ptr<StateSource>> Node::MakeSource(const Endpoint& control) {
+  if (this->installation.make_source) {
+    return this->installation.make_source(this->context, this->incarnation,
+                                          control);
+  }
+  auto created = LogSource::Create(this->context, this->settings,
+                                   this->incarnation, this->metrics.control);
+  if (!created) {
+    return created.error();
+  }
+  this->log_source = created.value().get();
+  return std::unique_ptr<StateSource>(std::move(created).value());
+}
+
 Result<void> Node::CreateAdmin() {
   AdminSources sources;
   sources.phase = [this] { return this->phase(); };
   sources.metrics = [this] { return this->metrics.Render(); };
-  sources.debug_state = [this] { return MakeDebugState(*this->control_side); };
+  const bool has_log = this->log_source != nullptr;
+  if (has_log) {
+    sources.debug_state = [this] {
+      return MakeDebugState(*this->control_side, *this->log_source);
+    };
+  }
   AddNodeRoutes(this->router, std::move(sources));
-  AddResourceRoutes(this->router, *this->control_side);
+  if (has_log && this->installation.resource_api) {
+    AddResourceRoutes(this->router, *this->control_side, *this->log_source);
+  }
   AdminOptions options;
   options.listen = {this->settings.vm.address, this->settings.listen.admin};
   auto created = AdminServer::Create(this->context, options, this->router);
@@ -144,6 +176,28 @@
   return boost::outcome_v2::success();
 }
 
+Result<void> Node::CreateReadiness() {
+  if (this->installation.ready_at.port == 0) {
+    return boost::outcome_v2::success();
+  }
+  AddReadinessRoute(this->readiness_router, this->installation.ready_path,
+                    [this] { return this->phase(); });
+  AdminOptions options;
+  options.listen = this->installation.ready_at;
+  auto created =
+      AdminServer::Create(this->context, options, this->readiness_router);
+  if (!created) {
+    return created.error();
+  }
+  this->readiness = std::move(created).value();
+  return boost::outcome_v2::success();
+}
+
+bool Node::claims_idle() const {
+  return this->log_source == nullptr ||
+         this->log_source->claim_host().IsIdle();
+}
+
 NodePhase Node::phase() const {
   if (this->draining) {
     return NodePhase::kDraining;
@@ -182,6 +236,10 @@
                         boost::asio::detached);
 }
 
+void Node::Reload(const Settings& changed) {
+  this->settings.shutdown = changed.shutdown;
+}
+
 bool Node::ready() const {
   return !this->draining && this->control_side->ready();
 }
@@ -210,6 +268,10 @@
 boost::asio::awaitable<void> Node::RunDrain(
     std::function<void(bool whole)> on_stopped) {
   LogDraining(this->settings.vm.name);
+  // From here on each answer asks its caller to come on another connection.
+  for (const auto& worker : this->traffic) {
+    worker->Announce();
+  }
   // Peers stop sending work here at once; callers come until the platform's
   // balancer has seen readiness fail.
   this->control_side->Leave();
@@ -225,7 +287,7 @@
   const auto limit = started + this->settings.shutdown.limit;
   // Ends of requests that must not repeat go into the log before the process
   // goes, or their resends would be told `unknown`.
-  while ((this->busy() > 0 || !this->control_side->claim_host().IsIdle()) &&
+  while ((this->busy() > 0 || !this->claims_idle()) &&
          MonotonicClock::now() < limit) {
     timer.expires_after(kDrainPoll);
     co_await timer.async_wait(boost::asio::use_awaitable);
@@ -241,6 +303,9 @@
   if (this->admin) {
     this->admin->Stop();
   }
+  if (this->readiness) {
+    this->readiness->Stop();
+  }
   if (this->control_side) {
     this->control_side->Stop();
   }
--- a/packages/node/src/node.h
+++ b/packages/node/src/node.h
@@ -7,12 +7,14 @@
 
 #include <boost/asio/io_context.hpp>
 
+#include "basilsill/node/installation.h"
 #include "admin_router.h"
 #include "admin_routes.h"
 #include "admin_server.h"
 #include "control.h"
+#include "log_source.h"
 #include "metrics_page.h"
-#include "settings.h"
+#include "basilsill/node/settings.h"
 #include "worker.h"
 
 /// One node: the control side on the thread that runs the io_context, and
@@ -25,7 +27,8 @@
   /// Opens all sockets.
   /// @param context Run by the control thread; must outlive the node.
   static Result<std::unique_ptr<Node>> Create(IoContext& context,
-                                              Settings settings);
+                                              Settings settings,
+                                              Installation installation = {});
   ~Node();
 
   void Start();
@@ -38,6 +41,9 @@
   /// Ends all threads now, whatever is in flight.
   void Stop();
 
+  /// Takes over what can change while the node runs: the times of a shutdown.
+  void Reload(const Settings& changed);
+
   bool ready() const;
   const Control& control() const { return *this->control_side; }
   Endpoint callers_endpoint() const;
@@ -47,11 +53,14 @@
   }
 
  private:
-  Node(IoContext& context, Settings settings);
+  Node(IoContext& context, Settings settings, Installation installation);
 
   Result<void> CreateWorkers();
   Result<void> CreateControl();
+  Result<std::unique_ptr<StateSource>> MakeSource(const Endpoint& control);
   Result<void> CreateAdmin();
+  Result<void> CreateReadiness();
+  bool claims_idle() const;
   NodePhase phase() const;
   boost::asio::awaitable<void> MetricsLoop();
   boost::asio::awaitable<void> RunDrain(
@@ -61,12 +70,16 @@
 
   IoContext& context;
   Settings settings;
+  Installation installation;
   uint64_t incarnation;
   MetricsPage metrics;
   std::vector<std::unique_ptr<Worker>> traffic;
   std::unique_ptr<Control> control_side;
+  LogSource* log_source = nullptr;  ///< Null where state comes from elsewhere.
   AdminRouter router;
+  AdminRouter readiness_router;
   std::unique_ptr<AdminServer> admin;
+  std::unique_ptr<AdminServer> readiness;
   bool draining = false;
 };
 
--- a/packages/node/src/once_exchange.cc
+++ b/packages/node/src/once_exchange.cc
@@ -146,7 +146,7 @@
                              ServeFunction serve) {
   ServeOutcome outcome;
   const ParsedClaimKey parsed = ParseClaimKey(
-      MakeTeamKey(team), HeaderValue(request.headers, header::kIdempotencyKey));
+      MakeTeamKey(team), HeaderValue(request.headers, services.key_header));
   if (parsed.refusal != Refusal::kNone) {
     outcome.refusal = parsed.refusal;
     co_return outcome;
--- a/packages/node/src/peer_link.cc
+++ b/packages/node/src/peer_link.cc
@@ -7,7 +7,7 @@
 #include <boost/asio/detached.hpp>
 #include <boost/asio/write.hpp>
 
-#include "log.h"
+#include "basilsill/node/log.h"
 
 namespace basilsill {
 namespace {
--- a/packages/node/src/refusal_answer.cc
+++ b/packages/node/src/refusal_answer.cc
@@ -21,6 +21,17 @@
   return told > milliseconds(0) ? told : kDefaultRetryAfter;
 }
 
+std::string RetryAfterText(const ServeOutcome& outcome,
+                           const HeaderNames& names) {
+  const milliseconds after = RetryAfter(outcome);
+  if (!names.fractional_retry_after) {
+    return std::to_string(std::chrono::ceil<seconds>(after).count());
+  }
+  std::string thousandths = std::to_string(after.count() % 1000);
+  thousandths.insert(0, 3 - thousandths.size(), '0');
+  return std::to_string(after.count() / 1000) + "." + thousandths;
+}
+
 std::string MakeRefusalBody(const RequestMessage& request,
                             const ServeOutcome& outcome) {
   const RefusalInfo& info = InfoOf(outcome.refusal);
@@ -37,19 +48,19 @@
 }  // namespace
 
 RefusalAnswer MakeRefusalAnswer(const RequestMessage& request,
-                                const ServeOutcome& outcome) {
+                                const ServeOutcome& outcome,
+                                const HeaderNames& names) {
   const RefusalInfo& info = InfoOf(outcome.refusal);
   RefusalAnswer answer;
   answer.body = MakeRefusalBody(request, outcome);
   AnswerHead& head = answer.head;
   head.status = info.status;
   head.headers.set("Content-Type", "application/json");
-  head.headers.set("X-Request-Id", request.request_id);
-  head.headers.set("Basilsill-Promise", NameOf(info.promise));
-  head.headers.set("Basilsill-Reason", info.name);
+  head.headers.set(names.request_id, request.request_id);
+  head.headers.set(names.promise, NameOf(info.promise));
+  head.headers.set(names.reason, info.name);
   if (info.retry_after) {
-    const auto whole = std::chrono::ceil<seconds>(RetryAfter(outcome));
-    head.headers.set("Retry-After", std::to_string(whole.count()));
+    head.headers.set("Retry-After", RetryAfterText(outcome, names));
   }
   head.framing = {BodyKind::kLength, answer.body.size()};
   return answer;
--- a/packages/node/src/refusal_answer.h
+++ b/packages/node/src/refusal_answer.h
@@ -3,6 +3,7 @@
 
 #include <string>
 
+#include "basilsill/node/installation.h"
 #include "http_message.h"
 
 /// The answers that the system makes itself: status, promise and reason come
@@ -17,7 +18,8 @@
 
 /// @returns what the caller is told of `outcome`.
 RefusalAnswer MakeRefusalAnswer(const RequestMessage& request,
-                                const ServeOutcome& outcome);
+                                const ServeOutcome& outcome,
+                                const HeaderNames& names);
 
 }  // namespace basilsill
 
--- a/packages/node/src/resource_api.cc
+++ b/packages/node/src/resource_api.cc
@@ -130,7 +130,8 @@
 // Handlers of the API. Lives as long as the router that calls it.
 class ResourceApi {
  public:
-  explicit ResourceApi(Control& control) : control(control) {}
+  ResourceApi(Control& control, LogSource& log)
+      : control(control), log(log) {}
 
   awaitable<AdminResponse> Get(const AdminRequest& request) const {
     const ResourcePath path = ParsePath(request);
@@ -187,7 +188,7 @@
   }
 
   awaitable<AdminResponse> Status(const AdminRequest& /*request*/) const {
-    co_return JsonResponse(200, MakeStatusDocument(this->control));
+    co_return JsonResponse(200, MakeStatusDocument(this->control, this->log));
   }
 
   awaitable<void> Watch(const AdminRequest& request,
@@ -199,7 +200,7 @@
     std::vector<WatchEvent> waiting;
     TimePoint spoken = MonotonicClock::now();
     for (;;) {
-      const WatchPage page = this->control.feed().Read(next, kEventsPerPage);
+      const WatchPage page = this->log.feed().Read(next, kEventsPerPage);
       next = page.next;
       std::string lines = this->EventLines(page);
       waiting.insert(waiting.end(), page.events.begin(), page.events.end());
@@ -218,7 +219,7 @@
         co_return;
       }
       const milliseconds patience = waiting.empty() ? kWatchIdle : kInForcePoll;
-      co_await this->control.configuration_host().AwaitBeyond(next, patience);
+      co_await this->log.configuration_host().AwaitBeyond(next, patience);
     }
   }
 
@@ -232,7 +233,7 @@
 
   // @param id The client's name for the change; empty: it gave none.
   awaitable<ChangeOutcome> Propose(Change change, const std::string& id) const {
-    ConfigurationHost& host = this->control.configuration_host();
+    ConfigurationHost& host = this->log.configuration_host();
     const bool may_be_resend = !id.empty();
     change.id = may_be_resend ? id : host.NewChangeId();
     change.made_at = std::chrono::time_point_cast<milliseconds>(
@@ -241,7 +242,7 @@
   }
 
   const ResourceEntry& Find(const ResourceId& id) const {
-    const ResourceEntry* entry = this->control.follower().state().Find(id);
+    const ResourceEntry* entry = this->log.follower().state().Find(id);
     if (entry == nullptr) {
       throw FailureError(
           {FailureKind::kNotFound, "/" + id.name, "no such resource"});
@@ -259,7 +260,7 @@
   }
 
   AdminResponse List(ResourceKind kind) const {
-    const ConfigurationState& state = this->control.follower().state();
+    const ConfigurationState& state = this->log.follower().state();
     json::array resources;
     for (const auto& [name, entry] : state.Table(kind)) {
       resources.emplace_back(
@@ -273,7 +274,7 @@
     std::string lines;
     for (const WatchEvent& event : page.events) {
       const ResourceEntry* entry =
-          this->control.follower().state().Find(event.id);
+          this->log.follower().state().Find(event.id);
       json::object object{{"next", event.offset + 1}};
       if (event.body == nullptr) {
         object["event"] = "delete";
@@ -314,12 +315,15 @@
   }
 
   Control& control;
+  LogSource& log;
 };
 
 }  // namespace
 
-void AddResourceRoutes(AdminRouter& router, Control& control) {
-  const auto api = std::make_shared<ResourceApi>(control);
+void AddResourceRoutes(AdminRouter& router,
+                       Control& control,
+                       LogSource& log) {
+  const auto api = std::make_shared<ResourceApi>(control, log);
   const std::string prefix(kPrefix);
   router.Add({"GET", prefix, AdminHandler([api](const AdminRequest& request) {
                 return api->Get(request);
--- a/packages/node/src/resource_api.h
+++ b/packages/node/src/resource_api.h
@@ -3,14 +3,15 @@
 
 #include "admin_router.h"
 #include "control.h"
+#include "log_source.h"
 
 /// The resource API of a node, docs/RESOURCE-API.md. Control thread.
 
 namespace basilsill {
 
 /// Adds all routes below /api/v1/.
-/// @param control Must outlive the router.
-void AddResourceRoutes(AdminRouter& router, Control& control);
+/// @param control Must outlive the router, as must `log`.
+void AddResourceRoutes(AdminRouter& router, Control& control, LogSource& log);
 
 }  // namespace basilsill
 
--- a/packages/node/src/resource_document.cc
+++ b/packages/node/src/resource_document.cc
@@ -72,8 +72,9 @@
           {"status", MakeResourceStatus(control, entry)}};
 }
 
-json::object MakeStatusDocument(const Control& control) {
-  const ConfigurationFollower& follower = control.follower();
+json::object MakeStatusDocument(const Control& control,
+                                const LogSource& source) {
+  const ConfigurationFollower& follower = source.follower();
   const RoutingViewPtr& view = control.view();
   json::array vms;
   for (const VmRow& row : control.membership().rows()) {
--- a/packages/node/src/resource_document.h
+++ b/packages/node/src/resource_document.h
@@ -8,6 +8,7 @@
 #include <boost/json/object.hpp>
 
 #include "control.h"
+#include "log_source.h"
 
 /// Resources as the API's answers show them.
 
@@ -25,7 +26,8 @@
                                          const ResourceEntry& entry);
 
 /// @returns what `GET /api/v1/status` answers.
-boost::json::object MakeStatusDocument(const Control& control);
+boost::json::object MakeStatusDocument(const Control& control,
+                                       const LogSource& log);
 
 }  // namespace basilsill
 
--- a/packages/node/src/settings.cc
+++ b/packages/node/src/settings.cc
@@ -1,4 +1,4 @@
-#include "settings.h"
+#include "basilsill/node/settings.h"
 
 #include <array>
 #include <fstream>
--- a/packages/node/src/settings_check.h
+++ b/packages/node/src/settings_check.h
@@ -4,7 +4,7 @@
 #include <vector>
 
 #include "basilsill/base/error.h"
-#include "settings.h"
+#include "basilsill/node/settings.h"
 
 /// Checks of settings that hold only together.
 
--- a/packages/node/src/settings_parse.cc
+++ b/packages/node/src/settings_parse.cc
@@ -9,7 +9,7 @@
 #include <boost/json/value.hpp>
 
 #include "json_duplicates.h"
-#include "settings.h"
+#include "basilsill/node/settings.h"
 #include "settings_check.h"
 #include "settings_schema.h"
 #include "settings_value.h"
--- a/packages/node/src/settings_schema.h
+++ b/packages/node/src/settings_schema.h
@@ -11,7 +11,7 @@
 #include <vector>
 
 #include "basilsill/base/event.h"
-#include "settings.h"
+#include "basilsill/node/settings.h"
 
 /// The table of all settings. Parsing, checking, printing and the page
 /// docs/SETTINGS.md are made from it.
--- a/packages/node/src/signals.cc
+++ b/packages/node/src/signals.cc
@@ -10,18 +10,26 @@
 /// Shared with the pending wait, which may outlive the face.
 struct ShutdownSignals::State : std::enable_shared_from_this<State> {
   State(boost::asio::io_context& context, ShutdownHandlers handlers)
-      : signals(context, SIGTERM, SIGINT), handlers(std::move(handlers)) {}
+      : signals(context, SIGTERM, SIGINT, SIGHUP), handlers(std::move(handlers)) {}
 
   void Wait() {
     this->signals.async_wait([self = this->shared_from_this()](
-                                 boost::system::error_code error, int) {
+                                 boost::system::error_code error,
+                                 int number) {
       if (!error && !self->cancelled) {
-        self->OnSignal();
+        self->OnSignal(number);
       }
     });
   }
 
-  void OnSignal() {
+  void OnSignal(int number) {
+    if (number == SIGHUP) {
+      this->Wait();
+      if (this->handlers.reload) {
+        this->handlers.reload();
+      }
+      return;
+    }
     const bool first = !std::exchange(this->seen, true);
     this->Wait();
     (first ? this->handlers.graceful : this->handlers.forced)();
--- a/packages/node/src/signals.h
+++ b/packages/node/src/signals.h
@@ -14,6 +14,7 @@
 struct ShutdownHandlers {
   std::function<void()> graceful;  ///< First SIGTERM or SIGINT.
   std::function<void()> forced;    ///< Each further one.
+  std::function<void()> reload{};  ///< SIGHUP; empty: it is ignored.
 };
 
 /// Waits for signals while it lives.
--- a/packages/node/src/upstream_attempt.cc
+++ b/packages/node/src/upstream_attempt.cc
@@ -1,6 +1,7 @@
 #include "upstream_attempt.h"
 
 #include <array>
+#include <charconv>
 #include <memory>
 #include <string>
 #include <utility>
@@ -24,19 +25,61 @@
                   milliseconds(0));
 }
 
+// Answers up to this size are held until they are whole: nearly all but the
+// longest downloads (their mean is 90 KB where sizes are known).
+constexpr size_t kHeldAnswerBytes = 192 * 1024;
+
+// Answers to earlier requests that may come before the one that is waited for.
+constexpr int kMaxForeignAnswers = 2;
+
 bool IsInterim(unsigned status) {
   return status / 100 == 1;
 }
 
+bool IsGood(unsigned status) {
+  return status / 100 == 2;
+}
+
+template <typename Number>
+bool TakeNumber(std::string_view& text, Number& number) {
+  const auto [end, error] =
+      std::from_chars(text.data(), text.data() + text.size(), number);
+  if (error != std::errc()) {
+    return false;
+  }
+  text.remove_prefix(static_cast<size_t>(end - text.data()));
+  if (!text.empty() && text.front() == ',') {
+    text.remove_prefix(1);
+  }
+  return true;
+}
+
 }  // namespace
 
+UpstreamLoad ParseLoad(std::string_view text) {
+  UpstreamLoad load;
+  uint32_t percent = 0;
+  const bool counts = TakeNumber(text, load.running) &&
+                      TakeNumber(text, load.waiting) &&
+                      TakeNumber(text, load.slots);
+  if (!counts) {
+    return {};
+  }
+  load.known = true;
+  if (TakeNumber(text, percent) && percent > 0) {
+    load.slowness = percent / 100.0;
+    load.tells_slowness = true;
+  }
+  return load;
+}
+
 UpstreamAttempt::UpstreamAttempt(UpstreamPool& pool,
-                                 const Endpoint& endpoint,
+                                 AttemptTarget target,
                                  const RequestMessage& request,
                                  AnswerSink& sink,
                                  AttemptHooks hooks)
     : pool(pool),
-      endpoint(endpoint),
+      target(std::move(target)),
       request(request),
       sink(sink),
       hooks(std::move(hooks)),
@@ -58,6 +101,14 @@
   AttemptReport report;
   report.end = this->aborted != AttemptEnd::kCount ? this->aborted : end;
   report.answer_started = this->has_started;
+  report.drain_sign = this->drain_sign;
+  report.load = this->load;
+  return report;
+}
+
+AttemptReport UpstreamAttempt::Answered(unsigned status) const {
+  AttemptReport report = this->Failed(AttemptEnd::kAnswered);
+  report.status = static_cast<uint16_t>(status);
   return report;
 }
 
@@ -75,16 +126,17 @@
   const bool maybe_stale =
       report.end == AttemptEnd::kDied && reused && !this->has_started &&
       this->request.entry.idempotent && this->request.source == nullptr;
-  if (maybe_stale) {
+  if (maybe_stale && this->hooks.may_send_again()) {
     const bool connected_again = co_await this->Connect(true);
     if (connected_again) {
       this->pool.metrics().CountRetry(Retry::kStaleConnection);
       report = co_await this->Exchange();
     }
   }
-  if (this->reusable && !this->sending_body) {
+  if (this->reusable && !this->sending_body && this->connection) {
     this->pool.Release(MonotonicClock::now(), std::move(this->connection));
   }
+  this->connection = nullptr;
   co_return report;
 }
 
@@ -92,9 +144,9 @@
   if (this->aborted != AttemptEnd::kCount) {
     co_return false;
   }
-  this->connection = fresh ? nullptr : this->pool.TakeIdle(this->endpoint);
+  this->connection = fresh ? nullptr : this->pool.TakeIdle(this->target.endpoint);
   if (!this->connection) {
-    this->connection = co_await this->pool.Open(this->endpoint);
+    this->connection = co_await this->pool.Open(this->target.endpoint);
   }
   co_return this->connection != nullptr&& this->aborted == AttemptEnd::kCount;
 }
@@ -114,24 +166,80 @@
 }
 
 Task<AttemptReport> UpstreamAttempt::ReadAnswer() {
-  const HeadStatus status = co_await this->ReadAnswerHead();
+  const HeadStatus status = co_await this->ReadOwnHead();
   if (status == HeadStatus::kMalformed || status == HeadStatus::kTooLarge) {
     co_return this->Failed(AttemptEnd::kMalformed);
   }
   if (status != HeadStatus::kOk) {
     co_return this->Failed(AttemptEnd::kDied);
   }
-  if (this->IsShed()) {
-    AttemptReport report = this->Failed(AttemptEnd::kShed);
-    report.drain_sign = this->IsDraining();
-    co_return report;
+  this->load = this->ReadLoad();
+  this->drain_sign =
+      !this->AnswerHeader(this->pool.names().draining).empty();
+  const AttemptEnd end = this->Classify();
+  if (end == AttemptEnd::kShed || end == AttemptEnd::kMisdirected) {
+    // The connection is good for another request.
+    const bool keep = this->connection->reader.message().keep_alive();
+    const bool dropped = co_await this->DropAnswer();
+    this->reusable = keep && dropped && !this->drain_sign &&
+                     end == AttemptEnd::kShed;
   }
-  co_return co_await this->PassOn();
+  if (end != AttemptEnd::kAnswered) {
+    co_return this->Failed(end);
+  }
+  const AttemptReport report = co_await this->TakeAnswer();
+  co_return report;
+}
+
+// An answer that an upstream sends a second time can come late, where the
+// answer to the next request on the connection is due. The id that it echoes
+// tells it apart.
+Task<HeadStatus> UpstreamAttempt::ReadOwnHead() {
+  HeadStatus status = co_await this->ReadAnswerHead();
+  for (int i = 0; i < kMaxForeignAnswers && status == HeadStatus::kOk; ++i) {
+    const std::string_view id =
+        this->AnswerHeader(this->pool.names().request_id);
+    if (id.empty() || id == this->request.request_id) {
+      co_return status;
+    }
+    const bool dropped = co_await this->DropAnswer();
+    if (!dropped) {
+      co_return HeadStatus::kBroken;
+    }
+    status = co_await this->ReadAnswerHead();
+  }
+  if (status == HeadStatus::kOk) {
+    const std::string_view id =
+        this->AnswerHeader(this->pool.names().request_id);
+    const bool own = id.empty() || id == this->request.request_id;
+    co_return own ? status : HeadStatus::kMalformed;
+  }
+  co_return status;
+}
+
+Task<bool> UpstreamAttempt::DropAnswer() {
+  auto& reader = this->connection->reader;
+  std::vector<char> buffer(limits::kBodyChunkBytes);
+  BodyPiece piece;
+  size_t dropped = 0;
+  do {
+    piece = co_await reader.ReadBody(this->connection->socket, buffer);
+    dropped += piece.size;
+  } while (piece.ok && !piece.last && dropped < kHeldAnswerBytes);
+  co_return piece.ok&& piece.last;
 }
 
 Task<bool> UpstreamAttempt::SendHead() {
   std::string head;
-  AppendRequestHead(head, this->request, RemainingTime(this->request));
+  const HeaderNames& names = this->pool.names();
+  UpstreamHead upstream;
+  upstream.deadline_name = names.deadline;
+  upstream.remaining = RemainingTime(this->request);
+  if (!this->target.id.empty()) {
+    upstream.expected_name = names.expected_instance;
+    upstream.expected_instance = this->target.id;
+  }
+  AppendRequestHead(head, this->request, upstream);
   const std::array<boost::asio::const_buffer, 2> buffers = {
       boost::asio::buffer(head), boost::asio::buffer(this->request.whole_body)};
   const auto [error, size] = co_await boost::asio::async_write(
@@ -222,55 +330,104 @@
   co_return status;
 }
 
-bool UpstreamAttempt::IsShed() const {
-  const auto& answer = this->connection->reader.message().get();
-  return answer.result() == http::status::service_unavailable &&
-         !HeaderValue(answer, header::kRefused).empty();
+std::string_view UpstreamAttempt::AnswerHeader(const std::string& name) const {
+  return name.empty()
+             ? std::string_view()
+             : HeaderValue(this->connection->reader.message().get(), name);
 }
 
-bool UpstreamAttempt::IsDraining() const {
-  const auto& answer = this->connection->reader.message().get();
-  return !HeaderValue(answer, header::kDraining).empty();
+UpstreamLoad UpstreamAttempt::ReadLoad() const {
+  return ParseLoad(this->AnswerHeader(this->pool.names().load));
 }
 
-Task<AttemptReport> UpstreamAttempt::PassOn() {
-  if (!this->hooks.on_answer()) {
-    this->Cancel();
-    co_return this->Failed(AttemptEnd::kCancelled);
+// What the head of an answer says of the attempt. A good answer without the
+// upstream's signature, or encoded in a way that nobody asked for, is not what
+// the upstream meant to send.
+AttemptEnd UpstreamAttempt::Classify() const {
+  const HeaderNames& names = this->pool.names();
+  const auto& answer = this->connection->reader.message().get();
+  const unsigned status = answer.result_int();
+  if (status == static_cast<unsigned>(http::status::misdirected_request) &&
+      !this->target.id.empty()) {
+    return AttemptEnd::kMisdirected;
+  }
+  if (!IsGood(status) && !this->AnswerHeader(names.not_run).empty()) {
+    return AttemptEnd::kShed;
   }
+  const bool sealed =
+      names.seal.empty() || !this->AnswerHeader(names.seal).empty();
+  const bool encoded =
+      !names.seal.empty() && answer.count(http::field::content_encoding) > 0;
+  if (IsGood(status) && (!sealed || encoded)) {
+    return AttemptEnd::kMalformed;
+  }
+  return AttemptEnd::kAnswered;
+}
+
+AnswerHead UpstreamAttempt::MakeHead() {
   auto& reader = this->connection->reader;
+  const auto& answer = reader.message().get();
   AnswerHead head;
-  head.status = reader.message().get().result_int();
-  head.reason = reader.message().get().reason();
+  head.status = answer.result_int();
+  head.reason = answer.reason();
   head.framing = reader.framing();
-  const bool draining = this->IsDraining();
-  const bool keep = reader.message().keep_alive();
-  head.headers = reader.message().get();
+  head.headers = answer;
   RemoveHopByHop(head.headers);
-  if (head.framing.kind == BodyKind::kNone) {
+  if (head.framing.kind == BodyKind::kNone &&
+      answer.count(http::field::content_length) > 0) {
     // The answer to HEAD tells the length of a body that does not follow.
-    const auto& answer = reader.message().get();
-    if (answer.count(http::field::content_length) > 0) {
-      head.headers.set(http::field::content_length,
-                       answer[http::field::content_length]);
-    }
+    head.headers.set(http::field::content_length,
+                     answer[http::field::content_length]);
   }
+  return head;
+}
 
+// Reads the answer until it is whole, or too long to hold.
+Task<AttemptReport> UpstreamAttempt::TakeAnswer() {
+  auto& reader = this->connection->reader;
+  AnswerHead head = this->MakeHead();
+  const bool keep = reader.message().keep_alive();
+  std::string body;
   std::vector<char> buffer(limits::kBodyChunkBytes);
-  BodyPiece piece = co_await reader.ReadBody(this->connection->socket, buffer);
-  this->has_started = piece.ok;
-  bool receiver_there = false;
-  if (piece.ok) {
-    // The head goes out without knowing of trailers, so an end that has some
-    // follows on its own.
-    const bool ends = piece.last && reader.trailers() == nullptr;
-    receiver_there = co_await this->sink.Start(
-        head, std::span(buffer.data(), piece.size), ends);
-    if (receiver_there && piece.last && !ends) {
-      receiver_there =
-          co_await this->sink.Continue({}, true, reader.trailers());
+  BodyPiece piece;
+  do {
+    piece = co_await reader.ReadBody(this->connection->socket, buffer);
+    if (!piece.ok) {
+      co_return this->Failed(AttemptEnd::kDied);
     }
+    body.append(buffer.data(), piece.size);
+  } while (!piece.last && body.size() < kHeldAnswerBytes);
+  const bool may_keep = keep && !this->drain_sign;
+  if (!piece.last || reader.trailers() != nullptr) {
+    const AttemptReport report =
+        co_await this->PassOn(std::move(head), std::move(body));
+    this->reusable = report.end == AttemptEnd::kAnswered && may_keep &&
+                     reader.done() && !reader.has_more();
+    co_return report;
+  }
+  if (head.framing.kind != BodyKind::kNone) {
+    head.framing = {BodyKind::kLength, body.size()};
+  }
+  const unsigned status = head.status;
+  this->held_answer = HeldAnswer{std::move(head), std::move(body)};
+  this->reusable = may_keep && reader.done() && !reader.has_more();
+  co_return this->Answered(status);
+}
+
+Task<AttemptReport> UpstreamAttempt::PassOn(AnswerHead head,
+                                            std::string begun) {
+  if (!this->hooks.on_answer()) {
+    this->Cancel();
+    co_return this->Failed(AttemptEnd::kCancelled);
   }
+  auto& reader = this->connection->reader;
+  this->has_started = true;
+  // The head goes out without knowing of trailers, so an end that has some
+  // follows on its own.
+  bool receiver_there = co_await this->sink.Start(head, begun, false);
+  std::vector<char> buffer(limits::kBodyChunkBytes);
+  BodyPiece piece;
+  piece.last = false;
   while (piece.ok && !piece.last && receiver_there) {
     piece = co_await reader.ReadBody(this->connection->socket, buffer);
     if (piece.ok) {
@@ -279,20 +436,14 @@
     }
   }
   if (!piece.ok) {
-    if (this->has_started) {
-      this->sink.Break();
-    }
+    this->sink.Break();
     co_return this->Failed(AttemptEnd::kDied);
   }
   if (!receiver_there) {
     this->Cancel();
     co_return this->Failed(AttemptEnd::kCancelled);
   }
-  AttemptReport report = this->Failed(AttemptEnd::kAnswered);
-  report.status = static_cast<uint16_t>(head.status);
-  report.drain_sign = draining;
-  this->reusable = keep && !draining && reader.done() && !reader.has_more();
-  co_return report;
+  co_return this->Answered(head.status);
 }
 
 }  // namespace basilsill
--- a/packages/node/src/upstream_attempt.h
+++ b/packages/node/src/upstream_attempt.h
@@ -2,28 +2,50 @@
 #define BASILSILL_NODE_UPSTREAM_ATTEMPT_H_
 
 #include <functional>
+#include <optional>
+#include <span>
+#include <string>
+#include <string_view>
 
 #include "async_event.h"
 #include "basilsill/decision/dispatch.h"
 #include "http_message.h"
 #include "upstream_pool.h"
 
-/// One attempt of a request at one upstream: sends it, and passes the answer
-/// on to the sink if this attempt is the one that may answer.
+/// One attempt of a request at one upstream: sends it and takes its answer. An
+/// answer of usual size is held until it is whole, so that one that breaks can
+/// be replaced by another attempt's; a longer one goes on to the sink while it
+/// comes.
 
 namespace basilsill {
 
+/// Where an attempt goes.
+struct AttemptTarget {
+  Endpoint endpoint;
+  std::string id;  ///< Of the incarnation; empty where there are no such ids.
+};
+
 /// What the host of an attempt decides while it runs.
 struct AttemptHooks {
-  /// The head of an answer arrived.
+  /// An answer begins that is too long to hold.
   /// @returns false if another attempt answers already; this one ends.
   std::function<bool()> on_answer;
+  /// The connection was an old one and broke before any answer, as one does
+  /// that the upstream was just closing.
+  /// @returns true if the request may be sent there once more.
+  std::function<bool()> may_send_again;
+};
+
+/// A whole answer that was not passed on yet.
+struct HeldAnswer {
+  AnswerHead head;
+  std::string body;
 };
 
 class UpstreamAttempt {
  public:
   UpstreamAttempt(UpstreamPool& pool,
-                  const Endpoint& endpoint,
+                  AttemptTarget target,
                   const RequestMessage& request,
                   AnswerSink& sink,
                   AttemptHooks hooks);
@@ -41,6 +63,9 @@
   /// @returns true once part of an answer was passed on.
   bool answer_started() const { return this->has_started; }
 
+  /// After `Run`: the answer, if it was held.
+  std::optional<HeldAnswer>& held() { return this->held_answer; }
+
  private:
   Task<bool> Connect(bool fresh);
   Task<bool> SendHead();
@@ -50,20 +75,29 @@
   void StartStreamedBody();
   Task<void> StopStreamedBody();
   Task<HeadStatus> ReadAnswerHead();
+  Task<HeadStatus> ReadOwnHead();
+  Task<bool> DropAnswer();
   Task<AttemptReport> Exchange();
   Task<AttemptReport> ReadAnswer();
-  Task<AttemptReport> PassOn();
+  Task<AttemptReport> TakeAnswer();
+  Task<AttemptReport> PassOn(AnswerHead head, std::string begun);
+  AnswerHead MakeHead();
   AttemptReport Failed(AttemptEnd end) const;
-  bool IsShed() const;
-  bool IsDraining() const;
+  AttemptReport Answered(unsigned status) const;
+  AttemptEnd Classify() const;
+  std::string_view AnswerHeader(const std::string& name) const;
+  UpstreamLoad ReadLoad() const;
 
   UpstreamPool& pool;
-  Endpoint endpoint;
+  AttemptTarget target;
   const RequestMessage& request;
   AnswerSink& sink;
   AttemptHooks hooks;
   UpstreamConnectionPtr connection;
+  std::optional<HeldAnswer> held_answer;
+  UpstreamLoad load;
   AttemptEnd aborted = AttemptEnd::kCount;
+  bool drain_sign = false;
   bool has_started = false;
   bool body_started = false;  ///< `body_sent` will be set.
   bool sending_body = false;
@@ -71,6 +105,10 @@
   AsyncEvent body_sent;
 };
 
+/// @returns what the header text of an upstream says of its load; not known if
+/// it is not of the form "running,waiting,slots[,slowness in percent]".
+UpstreamLoad ParseLoad(std::string_view text);
+
 }  // namespace basilsill
 
 #endif  // BASILSILL_NODE_UPSTREAM_ATTEMPT_H_
--- a/packages/node/src/upstream_pool.h
+++ b/packages/node/src/upstream_pool.h
@@ -9,6 +9,7 @@
 
 #include "basilsill/base/limits.h"
 #include "basilsill/decision/view.h"
+#include "basilsill/node/installation.h"
 #include "http_reader.h"
 #include "metrics.h"
 #include "net.h"
@@ -35,6 +36,8 @@
   std::shared_ptr<WorkerMetrics> metrics;
   Endpoint endpoint;
   TimePoint idle_since;
+  /// After this it may be closed by the upstream, as that said itself.
+  Duration keeps{Duration::max()};
   bool reused = false;  ///< Carried an earlier request.
 };
 using UpstreamConnectionPtr = std::unique_ptr<UpstreamConnection>;
@@ -43,6 +46,7 @@
   std::chrono::milliseconds connect_timeout = limits::kUpstreamConnectTimeout;
   std::chrono::milliseconds idle_timeout = limits::kUpstreamIdleTimeout;
   AnswerReader::Limits reader;
+  HeaderNames names;
 };
 
 class UpstreamPool {
@@ -66,6 +70,7 @@
   /// Closes connections that were idle for too long.
   void Tick(TimePoint now);
 
+  const HeaderNames& names() const { return this->options.names; }
   size_t idle_count() const { return this->idle_connections; }
   WorkerMetrics& metrics() { return *this->counts; }
   const Executor& executor() const { return this->run_on; }
--- a/packages/node/src/worker.cc
+++ b/packages/node/src/worker.cc
@@ -7,7 +7,7 @@
 #include <boost/asio/post.hpp>
 
 #include "link_server.h"
-#include "log.h"
+#include "basilsill/node/log.h"
 
 namespace basilsill {
 namespace {
@@ -17,15 +17,17 @@
 // Period of the tick while nothing is in flight.
 constexpr milliseconds kSlowTick{50};
 // Sessions are looked at less often than requests: there can be thousands.
-constexpr milliseconds kSessionTick{5};
+constexpr milliseconds kSessionTick{20};
 // Idle links and upstream connections are looked for no more often than this.
 constexpr milliseconds kIdleTick{250};
 constexpr milliseconds kAcceptRetryDelay{20};
 // Bits of an attempt's sequence that count; the worker's number stands above.
 constexpr unsigned kOnceSequenceBits = 48;
 
-UpstreamPoolOptions PoolOptions(const Settings& settings) {
+UpstreamPoolOptions PoolOptions(const Settings& settings,
+                                const Installation& installation) {
   UpstreamPoolOptions options;
+  options.names = installation.headers;
   options.connect_timeout = settings.limits.upstream_connect;
   options.idle_timeout = settings.limits.upstream_idle;
   options.reader.header_bytes = settings.limits.header_bytes;
@@ -50,30 +52,76 @@
   return Quarantine::Create(quarantine);
 }
 
+// Where the fleet as a whole has a bound on repeats, a half of its slack is
+// the dispatchers' and a quarter the entry VMs'. The rest covers a change of
+// dispatchers within one window, when the old and the new one both repeat.
+constexpr double kDispatcherPart = 0.5;
+constexpr double kEntryPart = 0.25;
+// Of the ratio, what is left to requests that are counted in two places.
+constexpr double kRatioPart = 0.9;
+// With that bound in force, the budgets of single teams are left open.
+constexpr RatioBudgetOptions kOpenBudget{1, 1000, 1000, 1000};
+
+RepeatBudgetOptions PartOf(const RepeatAllowance& allowance, double part) {
+  RepeatBudgetOptions options;
+  options.ratio = kRatioPart * part * allowance.ratio;
+  options.slack = part * allowance.slack;
+  options.window = allowance.window;
+  return options;
+}
+
 std::unique_ptr<Dispatcher> MakeDispatcher(
+    const Installation& installation,
     const WorkerOptions& options,
     const std::shared_ptr<Quarantine>& quarantine) {
   DispatcherOptions dispatcher;
+  dispatcher.max_requests = installation.max_requests;
+  if (installation.repeats) {
+    dispatcher.repeats = PartOf(*installation.repeats, kDispatcherPart);
+    dispatcher.repeats->ratio = kRatioPart * installation.repeats->ratio;
+    dispatcher.retry_budget = kOpenBudget;
+    dispatcher.hedge_budget = kOpenBudget;
+    dispatcher.features.class_caps = false;
+    dispatcher.features.reserve = false;
+    dispatcher.features.send_ahead = false;
+  }
   dispatcher.seed = options.seed;
   dispatcher.quarantine = quarantine;
   return Dispatcher::Create(dispatcher);
 }
 
 std::unique_ptr<EntryRouter> MakeRouter(
+    const Installation& installation,
     const WorkerOptions& options,
     const std::shared_ptr<Quarantine>& quarantine) {
   EntryOptions entry;
+  entry.max_requests = installation.max_requests;
+  if (installation.repeats) {
+    entry.repeats = PartOf(*installation.repeats, kEntryPart);
+    entry.repeats->ratio = 0;
+  }
   entry.seed = options.seed + 1;
   entry.quarantine = quarantine;
   return EntryRouter::Create(entry);
 }
 
+CallerLimits LimitsOf(const Settings& settings) {
+  CallerLimits limits;
+  limits.header_bytes = settings.limits.header_bytes;
+  limits.body_bytes = settings.limits.body_bytes;
+  limits.header_timeout = settings.limits.caller_idle;
+  limits.idle_timeout = settings.limits.caller_idle;
+  return limits;
+}
+
 }  // namespace
 
-Result<std::unique_ptr<Worker>> Worker::Create(const Settings& settings,
-                                               const WorkerOptions& options,
-                                               const Endpoint& callers,
-                                               const Endpoint& links) {
+Result<std::unique_ptr<Worker>> Worker::Create(
+    const Settings& settings,
+    const Installation& installation,
+    const WorkerOptions& options,
+    const Endpoint& callers,
+    const Endpoint& links) {
   auto context = std::make_unique<IoContext>(1);
   Result<Acceptor> acceptor = Listen(*context, callers, true);
   if (!acceptor) {
@@ -84,33 +132,38 @@
     return link_acceptor.error();
   }
   return std::unique_ptr<Worker>(
-      new Worker(settings, options, std::move(acceptor).value(),
+      new Worker(settings, installation, options, std::move(acceptor).value(),
                  std::move(link_acceptor).value(), std::move(context)));
 }
 
 Worker::Worker(const Settings& settings,
+               const Installation& installation,
                const WorkerOptions& options,
                Acceptor acceptor,
                Acceptor link_acceptor,
                std::unique_ptr<IoContext> context)
     : settings(settings),
+      installation(installation),
       options(options),
       context(std::move(context)),
+      run_on(this->context->get_executor()),
       acceptor(std::move(acceptor)),
       link_acceptor(std::move(link_acceptor)),
       callers_at(FromTcpEndpoint(this->acceptor.local_endpoint())),
       links_at(FromTcpEndpoint(this->link_acceptor.local_endpoint())),
-      pool(this->context->get_executor(), PoolOptions(settings), this->counts),
+      pool(this->context->get_executor(), PoolOptions(settings, installation),
+           this->counts),
       quarantine(MakeQuarantine(options)),
-      dispatch_host(MakeDispatcher(options, this->quarantine), this->pool),
-      entry_host(MakeRouter(options, this->quarantine),
+      dispatch_host(MakeDispatcher(installation, options, this->quarantine), this->pool),
+      entry_host(MakeRouter(installation, options, this->quarantine),
                  this->dispatch_host,
                  *this),
       links(this->context->get_executor(),
             LinkOptions(settings, options),
             this->MakeLinkHandlers(),
             this->counts->links),
-      reader_limits{settings.limits.header_bytes, settings.limits.body_bytes},
+      current_caller_limits(LimitsOf(settings)),
+      splits(options.seed),
       via_text("1.1 " + settings.vm.name),
       tick_timer(this->context->get_executor()) {}
 
@@ -149,12 +202,23 @@
 void Worker::Adopt(const RoutingViewPtr& view) {
   const TimePoint now = MonotonicClock::now();
   this->current_view = view;
+  this->current_caller_limits =
+      view->caller_limits.value_or(LimitsOf(this->settings));
   this->dispatch_host.ApplyView(now, view);
   this->entry_host.ApplyView(now, view);
   this->links.ApplyView(view);
 }
 
+void Worker::Announce() {
+  boost::asio::post(*this->context, [this] { this->is_leaving = true; });
+}
+
+ServiceHandle Worker::ChooseService(const RuleRow& rule) {
+  return rule.split.empty() ? rule.service : this->splits.Choose(rule);
+}
+
 void Worker::BeginDrain() {
+  this->is_leaving = true;
   this->is_draining = true;
   NetError ignored;
   this->acceptor.close(ignored);
@@ -213,7 +277,8 @@
   boost::asio::co_spawn(
       this->context->get_executor(),
       ServeLinkStream(this->current_view, this->dispatch_host, link,
-                      std::move(stream), std::move(open)),
+                      std::move(stream), std::move(open),
+                      this->installation.headers.request_id),
       boost::asio::detached);
 }
 
@@ -282,7 +347,7 @@
   this->sessions_ticked = now;
   this->TakeCounters();
   for (const auto& session : this->sessions) {
-    session->Tick(now, this->settings.limits.caller_idle);
+    session->Tick(now);
   }
 }
 
@@ -324,7 +389,8 @@
 }
 
 OnceServices Worker::once_services() {
-  OnceServices services{this->claims, this->context->get_executor()};
+  OnceServices services{this->claims, this->run_on};
+  services.key_header = this->installation.headers.idempotency_key;
   services.origin =
       MakeClaimOrigin(this->settings.vm.name, this->options.incarnation);
   services.kept_answer_bytes = this->settings.once.kept_answer_bytes;
--- a/packages/node/src/worker.h
+++ b/packages/node/src/worker.h
@@ -9,6 +9,7 @@
 #include <unordered_set>
 #include <vector>
 
+#include "basilsill/node/installation.h"
 #include "caller_session.h"
 #include "dispatch_host.h"
 #include "entry_host.h"
@@ -16,7 +17,8 @@
 #include "metrics.h"
 #include "net.h"
 #include "once_exchange.h"
-#include "settings.h"
+#include "basilsill/decision/split_chooser.h"
+#include "basilsill/node/settings.h"
 #include "upstream_pool.h"
 
 /// One traffic thread with all that belongs to it: callers, dispatchers,
@@ -36,12 +38,14 @@
 class Worker final : private CallerHost, private RemoteDispatch {
  public:
   /// Opens the worker's sockets; the thread starts with `Start`.
-  /// @param settings Must outlive the worker.
+  /// @param settings Must outlive the worker, as must `installation`.
   /// @param callers Where to listen for callers; shared by all workers.
-  static Result<std::unique_ptr<Worker>> Create(const Settings& settings,
-                                                const WorkerOptions& options,
-                                                const Endpoint& callers,
-                                                const Endpoint& links);
+  static Result<std::unique_ptr<Worker>> Create(
+      const Settings& settings,
+      const Installation& installation,
+      const WorkerOptions& options,
+      const Endpoint& callers,
+      const Endpoint& links);
   ~Worker() override;
 
   /// Gives the way to claims; before `Start`.
@@ -57,6 +61,9 @@
   /// Takes in deaths of upstreams that other workers saw.
   void ImportCrashes(std::vector<CrashReport> crashes);
 
+  /// From here on answers ask callers to use another connection next time.
+  void Announce();
+
   /// Takes no new callers; what is in flight ends.
   void Drain();
 
@@ -74,6 +81,7 @@
 
  private:
   Worker(const Settings& settings,
+         const Installation& installation,
          const WorkerOptions& options,
          Acceptor acceptor,
          Acceptor link_acceptor,
@@ -97,11 +105,17 @@
   // CallerHost
   const RoutingViewPtr& view() const override { return this->current_view; }
   EntryHost& entry() override { return this->entry_host; }
+  const HeaderNames& names() const override {
+    return this->installation.headers;
+  }
+  const Executor& executor() const override { return this->run_on; }
+  bool leaving() const override { return this->is_leaving; }
   bool draining() const override { return this->is_draining; }
+  ServiceHandle ChooseService(const RuleRow& rule) override;
   std::string NewRequestId() override;
   const std::string& via() const override { return this->via_text; }
-  const RequestReader::Limits& caller_limits() const override {
-    return this->reader_limits;
+  const CallerLimits& caller_limits() const override {
+    return this->current_caller_limits;
   }
   WorkerMetrics& counters() override { return *this->counts; }
   std::chrono::milliseconds request_total() const override {
@@ -120,8 +134,10 @@
                            AnswerSink& sink) override;
 
   const Settings& settings;
+  const Installation& installation;
   WorkerOptions options;
   std::unique_ptr<IoContext> context;
+  Executor run_on;
   Acceptor acceptor;
   Acceptor link_acceptor;
   Endpoint callers_at;
@@ -134,7 +150,8 @@
   LinkTable links;
   RoutingViewPtr current_view;
   std::unordered_set<std::shared_ptr<CallerSession>> sessions;
-  RequestReader::Limits reader_limits;
+  CallerLimits current_caller_limits;
+  SplitChooser splits;
   std::string via_text;
   Timer tick_timer;
   TimePoint sessions_ticked;
@@ -143,6 +160,7 @@
   uint64_t next_request = 1;
   uint64_t next_once = 1;
   size_t requests_in_flight = 0;
+  bool is_leaving = false;
   bool is_draining = false;
   bool ticking_slowly = false;
   std::atomic<size_t> busy_count{0};
--- a/packages/node/test/log_test.cc
+++ b/packages/node/test/log_test.cc
@@ -1,7 +1,7 @@
 // Tests of the log: rate limit in virtual time, line format, and the whole
 // way into a file.
 
-#include "log.h"
+#include "basilsill/node/log.h"
 
 #include <fcntl.h>
 #include <poll.h>
--- a/packages/node/test/settings_test.cc
+++ b/packages/node/test/settings_test.cc
@@ -1,7 +1,7 @@
 // Tests of settings. Faulty files are made from the schema itself, so that a
 // new setting is covered as soon as it has a row.
 
-#include "settings.h"
+#include "basilsill/node/settings.h"
 
 #include <algorithm>
 #include <fstream>
--- a/packages/wire/include/basilsill/wire/message.h
+++ b/packages/wire/include/basilsill/wire/message.h
@@ -24,7 +24,7 @@
 namespace basilsill::wire {
 
 /// Spoken version of the protocol; peers of another version are turned away.
-inline constexpr uint32_t kProtocolVersion = 1;
+inline constexpr uint32_t kProtocolVersion = 2;
 
 /// Octets of a body. Moved, never copied, on their way to the socket.
 using Bytes = std::string;
@@ -133,6 +133,8 @@
   /// Above this wait the dispatcher hands the request back; Target::max_wait.
   /// The longest time of a message stands for any wait.
   Duration max_wait = limits::kMaxPeerDuration;
+  /// Left of the time in which an answer is worth most; 0: not known.
+  std::chrono::microseconds good_for{0};
   std::string method;
   std::string target;  ///< In origin form.
   HeaderList headers;
