Upstreams are asked how slow they are just before a choice; slow ones are waited out

Cause: a quarter to a third of the time an upstream is five times slower, in spells of some 150 ms. Ruled out: health checks at a fixed rate (older on average, and paid for also while nothing is asked); second copies (the work already runs at its pace). Also mended: a node crashed when a peer handed it a request before it had a view, and cut an answer off that waited for its first write.

--- a/packages/base/include/basilsill/base/event.h
+++ b/packages/base/include/basilsill/base/event.h
@@ -31,6 +31,8 @@
   kRequestMalformed = 202,
   kAnswerBroken = 203,
   kCallerGone = 204,
+  kAttemptAnswered = 210,
+  kAttemptFailed = 211,
   // 300: upstreams
   kUpstreamConnectFailed = 300,
   kUpstreamDied = 301,
--- a/packages/base/src/event.cc
+++ b/packages/base/src/event.cc
@@ -26,6 +26,8 @@
     EventInfo{Event::kRequestMalformed, kInfo, "request-malformed"},
     EventInfo{Event::kAnswerBroken, kWarning, "answer-broken"},
     EventInfo{Event::kCallerGone, kInfo, "caller-gone"},
+    EventInfo{Event::kAttemptAnswered, kInfo, "attempt-answered"},
+    EventInfo{Event::kAttemptFailed, kWarning, "attempt-failed"},
     EventInfo{Event::kUpstreamConnectFailed, kWarning,
               "upstream-connect-failed"},
     EventInfo{Event::kUpstreamDied, kWarning, "upstream-died"},
--- a/packages/decision/include/basilsill/decision/dispatch.h
+++ b/packages/decision/include/basilsill/decision/dispatch.h
@@ -5,6 +5,7 @@
 #include <cstdint>
 #include <memory>
 #include <optional>
+#include <string_view>
 #include <vector>
 
 #include "basilsill/base/reason.h"
@@ -52,6 +53,7 @@
   kStart,   ///< Send the request to `upstream` as `attempt`.
   kRefuse,  ///< Answer with `refusal`; the request is gone.
   kCancel,  ///< Abort `attempt` at its upstream; its slot is already freed.
+  kAsk,     ///< Ask `upstream` for its load and tell `OnAsked`.
   kCount
 };
 
@@ -61,9 +63,14 @@
   uint64_t cookie = 0;
   AttemptHandle attempt;
   UpstreamHandle upstream;
+  ShardKey shard = 0;  ///< For kAsk.
   Refusal refusal = Refusal::kNone;
   Duration retry_after{0};
   Retry retry = Retry::kNone;  ///< Why this is not the first attempt.
+  /// For kStart: how slow the upstream was thought to be, and how old that
+  /// knowledge was; negative if nothing was known.
+  double slowness = 1;
+  Duration slowness_age{-1};
 };
 
 /// How an attempt at an upstream ended.
@@ -79,6 +86,9 @@
   kCount
 };
 
+/// @returns the name of `end` as logs carry it.
+std::string_view NameOf(AttemptEnd end);
+
 /// @returns what the caller is told if `end` is the outcome of a request, or
 /// kNone for kAnswered.
 Refusal RefusalOf(AttemptEnd end);
@@ -94,6 +104,13 @@
   double slowness = 1;
 };
 
+/// What came of asking an upstream for its load.
+struct AskReport {
+  bool connected = false;  ///< There was a connection to it.
+  bool foreign = false;    ///< Another upstream answers at its address.
+  UpstreamLoad load;       ///< Not known if it gave no answer.
+};
+
 struct AttemptReport {
   AttemptEnd end = AttemptEnd::kCount;
   uint16_t status = 0;
@@ -128,6 +145,7 @@
   bool shed_backoff = true;   ///< Pause after a shed answer.
   bool retry = true;          ///< Retries inside the shard.
   bool hedge = true;          ///< A slow attempt may be doubled.
+  bool speed = true;          ///< Slow moments of upstreams are waited out.
   bool isolation = true;      ///< Suspects of an upstream's death run alone.
 };
 
@@ -205,6 +223,11 @@
   /// @returns true if the request may be sent to the same upstream once more.
   virtual bool MaySendAgain(TimePoint now, AttemptHandle attempt) = 0;
 
+  /// The answer to a kAsk action.
+  virtual void OnAsked(TimePoint now,
+                       UpstreamHandle upstream,
+                       const AskReport& report) = 0;
+
   /// The caller does not want the request any more. Running attempts are
   /// cancelled by actions.
   virtual void Cancel(TimePoint now, DispatchHandle request) = 0;
--- a/packages/decision/src/dispatch_tables.h
+++ b/packages/decision/src/dispatch_tables.h
@@ -10,6 +10,7 @@
 #include "latency_stats.h"
 #include "basilsill/decision/ratio_budget.h"
 #include "upstream_health.h"
+#include "upstream_speed.h"
 
 /// Rows of the dispatcher's tables. Requests, attempts and lanes live in
 /// tables of fixed capacity and are chained by index; shards and their
@@ -57,6 +58,7 @@
   Retry next_retry = Retry::kNone;  ///< Reason of the attempt to come.
   TimePoint offered;
   TimePoint hedge_at = kNever;
+  TimePoint held_since = kNever;  ///< Slots were free, but none fast.
   std::array<AttemptHandle, kMaxRunning> running;
 };
 
@@ -83,6 +85,7 @@
   uint16_t bulk = 0;          ///< Of those, with bulk requests.
   bool present = false;       ///< In the view.
   bool leaving = false;       ///< As the view says.
+  bool cold = false;          ///< As the view says.
   bool isolated = false;      ///< Runs, or is emptied for, a suspect request.
   bool recovering = false;    ///< Marked, but its last answer was good.
   uint8_t failures = 0;       ///< In a row, for the length of the next pause.
@@ -94,6 +97,7 @@
   TimePoint next_trickle{};
   Duration trickle_pause{0};
   double error_share = 0;  ///< Recent share of errors.
+  SpeedBelief speed;
   UpstreamHealth health;
 };
 
@@ -153,6 +157,7 @@
   uint32_t queued = 0;
   uint32_t busy = 0;
   std::array<uint32_t, kClasses> running{};
+  bool tells_speed = false;  ///< Its upstreams say how slow they are.
   uint32_t siblings = 1;    ///< Shards of the service, this one included.
   RepeatBudget repeats;
   uint32_t open_slots = 0;  ///< Of upstreams that take work, as of the scan.
--- a/packages/decision/src/dispatcher_core.h
+++ b/packages/decision/src/dispatcher_core.h
@@ -9,6 +9,7 @@
 #include "dispatch_tables.h"
 #include "fair_queue.h"
 #include "shard_table.h"
+#include "upstream_choice.h"
 
 /// The dispatcher itself. Its parts stand in one file each: dispatcher.cc
 /// takes requests in and lets them go, dispatcher_admit.cc decides which are
@@ -32,6 +33,9 @@
                     AttemptHandle attempt,
                     const AttemptReport& report) override;
   bool MaySendAgain(TimePoint now, AttemptHandle attempt) override;
+  void OnAsked(TimePoint now,
+               UpstreamHandle upstream,
+               const AskReport& report) override;
   void Cancel(TimePoint now, DispatchHandle request) override;
   void OnDrainSign(TimePoint now, UpstreamHandle upstream) override;
   void Tick(TimePoint now) override;
@@ -98,6 +102,20 @@
                     const ShardState& shard,
                     RingKind ring) const;
   bool MayStart(const ShardState& shard, RingKind ring) const;
+
+  // dispatcher_speed.cc
+  SpeedRule SpeedRuleOf(TimePoint now,
+                        const ShardState& shard,
+                        const RequestRow& request) const;
+  void Hold(TimePoint now,
+            ShardState& shard,
+            RequestRow& request,
+            const ChoiceOptions& choice);
+  void Ask(TimePoint now, const ShardState& shard, UpstreamSlots& upstream);
+  void LearnLoad(TimePoint now,
+                 ShardState& shard,
+                 UpstreamSlots& upstream,
+                 const UpstreamLoad& load);
   uint32_t CapOf(const ShardState& shard, RingKind ring) const;
   bool RefuseIfHopeless(TimePoint now, ShardState& shard, uint32_t request);
   bool CheckFront(TimePoint now, ShardState& shard, uint32_t request);
--- a/packages/decision/src/dispatcher_end.cc
+++ b/packages/decision/src/dispatcher_end.cc
@@ -27,6 +27,13 @@
 
 }  // namespace
 
+std::string_view NameOf(AttemptEnd end) {
+  constexpr std::array<std::string_view, static_cast<size_t>(AttemptEnd::kCount)>
+      kNames = {"answered",  "shed",      "connect-failed", "died",
+                "timed-out", "malformed", "misdirected",    "cancelled"};
+  return kNames.at(static_cast<size_t>(end));
+}
+
 Refusal RefusalOf(AttemptEnd end) {
   switch (end) {
     case AttemptEnd::kShed:
--- /dev/null
+++ b/packages/decision/src/dispatcher_speed.cc
@@ -0,0 +1,105 @@
+#include <algorithm>
+
+#include "dispatcher_core.h"
+
+namespace basilsill {
+namespace {
+
+// Upstreams that are asked at once for one request. With a quarter of them
+// slow at any moment, all of so many are in 2 of 100 cases.
+constexpr uint32_t kAskAtOnce = 3;
+
+// While a request is held, upstreams are asked again this often.
+constexpr Duration kHoldScan = std::chrono::milliseconds(10);
+
+// Typical time of a request of which nothing is known.
+constexpr Duration kTypicalTime = std::chrono::milliseconds(100);
+
+}  // namespace
+
+SpeedRule DispatcherCore::SpeedRuleOf(TimePoint now,
+                                      const ShardState& shard,
+                                      const RequestRow& request) const {
+  if (!this->options.features.speed || !shard.tells_speed) {
+    return SpeedRule::kIgnore;
+  }
+  const LatencyStats& stats =
+      shard.stats[static_cast<size_t>(request.spec.traffic_class)];
+  const Duration typical = stats.known() ? stats.median() : kTypicalTime;
+  const bool held_out = request.held_since != kNever &&
+                        now - request.held_since >= MaxHold(typical);
+  const bool is_late = request.spec.deadline - now < 2 * typical;
+  return held_out || is_late ? SpeedRule::kPrefer : SpeedRule::kFastOnly;
+}
+
+// No upstream that was fast a moment ago has a free slot. Those that may be
+// fast are asked; the request goes on when one of them says so.
+void DispatcherCore::Hold(TimePoint now,
+                          ShardState& shard,
+                          RequestRow& request,
+                          const ChoiceOptions& choice) {
+  uint32_t asked = 0;
+  bool any = false;
+  const auto count = static_cast<uint32_t>(shard.upstreams.size());
+  uint32_t place = shard.first_pick < count ? shard.first_pick : 0;
+  for (uint32_t i = 0; i < count && asked < kAskAtOnce; ++i) {
+    UpstreamSlots& upstream = shard.upstreams[place];
+    if (IsCandidate(now, shard, place, choice)) {
+      any = true;
+      if (upstream.speed.IsWorthAsking(now)) {
+        this->Ask(now, shard, upstream);
+        ++asked;
+      }
+    }
+    place = place + 1 < count ? place + 1 : 0;
+  }
+  if (any) {
+    request.held_since = std::min(request.held_since, now);
+    shard.next_scan = std::min(shard.next_scan, now + kHoldScan);
+  }
+}
+
+void DispatcherCore::Ask(TimePoint now,
+                         const ShardState& shard,
+                         UpstreamSlots& upstream) {
+  upstream.speed.OnAsk(now);
+  DispatchAction action;
+  action.kind = DispatchActionKind::kAsk;
+  action.upstream = upstream.handle;
+  action.shard = shard.key;
+  this->pending.push_back(action);
+}
+
+void DispatcherCore::LearnLoad(TimePoint now,
+                               ShardState& shard,
+                               UpstreamSlots& upstream,
+                               const UpstreamLoad& load) {
+  shard.tells_speed = shard.tells_speed || load.tells_slowness;
+  upstream.speed.OnLoad(now, load);
+}
+
+void DispatcherCore::OnAsked(TimePoint now,
+                             UpstreamHandle handle,
+                             const AskReport& report) {
+  for (const uint32_t row : this->active) {
+    ShardState& shard = this->shards.at(row);
+    const auto found = std::find_if(
+        shard.upstreams.begin(), shard.upstreams.end(),
+        [handle](const UpstreamSlots& up) { return up.handle == handle; });
+    if (found == shard.upstreams.end()) {
+      continue;
+    }
+    if (report.foreign) {
+      this->Drain(now, shard, *found);
+    }
+    if (report.load.known) {
+      this->LearnLoad(now, shard, *found, report.load);
+    } else {
+      found->speed.OnNoAnswer();
+    }
+    this->Pump(now, row);
+    return;
+  }
+}
+
+}  // namespace basilsill
--- a/packages/decision/src/dispatcher_start.cc
+++ b/packages/decision/src/dispatcher_start.cc
@@ -73,8 +73,12 @@
   choice.avoid = this->Request(request).avoid;
   choice.limit_bulk = this->options.features.class_caps;
   choice.ahead = this->MaySendAhead(now, shard, ring);
+  choice.speed = this->SpeedRuleOf(now, shard, this->Request(request));
   const uint32_t upstream = PickUpstream(now, shard, choice);
   if (upstream == kNoRow) {
+    if (choice.speed == SpeedRule::kFastOnly) {
+      this->Hold(now, shard, this->Request(request), choice);
+    }
     return false;
   }
   this->queue.Pop(shard, ring);
@@ -301,6 +305,7 @@
   place_of_attempt = handle;
   request.state = RequestState::kRunning;
   request.next_retry = Retry::kNone;
+  request.held_since = kNever;
   if (request.starts++ == 0) {
     // Budgets grow with first attempts, not with offers: most of those may
     // have been refused.
@@ -315,6 +320,8 @@
   action.attempt = handle;
   action.upstream = upstream.handle;
   action.retry = reason;
+  action.slowness = upstream.speed.slowness();
+  action.slowness_age = upstream.speed.AgeAt(now);
   return handle;
 }
 
--- a/packages/decision/src/shard_table.cc
+++ b/packages/decision/src/shard_table.cc
@@ -140,6 +140,7 @@
   }
   place->present = true;
   place->leaving = row.leaving;
+  place->cold = row.cold;
   place->slots = row.slots;
 }
 
--- a/packages/decision/src/upstream_choice.cc
+++ b/packages/decision/src/upstream_choice.cc
@@ -19,9 +19,11 @@
 constexpr uint32_t kAllBusy = 256;
 constexpr uint32_t kDoubtful = 512;
 constexpr uint32_t kRamping = 1024;
-constexpr uint32_t kAvoided = 2048;
-constexpr uint32_t kSlow = 4096;
-constexpr uint32_t kAhead = 8192;
+constexpr uint32_t kCold = 1536;
+constexpr uint32_t kSlowNow = 3072;
+constexpr uint32_t kAvoided = 6144;
+constexpr uint32_t kSlow = 12288;
+constexpr uint32_t kAhead = 24576;
 constexpr uint32_t kNotFree = UINT32_MAX;
 
 bool TrickleDue(TimePoint now,
@@ -51,11 +53,33 @@
          upstream.slots < 2 || upstream.bulk + 1 < upstream.slots;
 }
 
+// Another dispatcher may send there too for a while, when VMs disagree about
+// which of them works for the shard; the upstream's own count shows that.
+uint16_t BusySlots(TimePoint now, const UpstreamSlots& upstream) {
+  const uint16_t told = std::min(upstream.speed.BusyAt(now), upstream.slots);
+  return std::max(upstream.busy, told);
+}
+
+// @returns what the momentary speed adds to the cost.
+uint32_t CostOfSpeed(TimePoint now,
+                     const UpstreamSlots& upstream,
+                     SpeedRule rule) {
+  if (rule == SpeedRule::kIgnore) {
+    return 0;
+  }
+  const SpeedGrade grade = upstream.speed.GradeAt(now);
+  if (grade == SpeedGrade::kFast) {
+    return 0;
+  }
+  return rule == SpeedRule::kFastOnly ? kNotFree : kSlowNow;
+}
+
 // @returns the cost of `upstream`, which has a free slot.
 uint32_t CostOfFree(TimePoint now,
                     const ShardState& shard,
                     const UpstreamSlots& upstream) {
-  uint32_t cost = kAllBusy * upstream.busy / upstream.slots;
+  uint32_t cost = kAllBusy * BusySlots(now, upstream) / upstream.slots;
+  cost += upstream.cold ? kCold : 0;
   cost += upstream.health.doubtful() ? kDoubtful : 0;
   cost += upstream.ramp_left > 0 ? kRamping : 0;
   switch (upstream.health.grade()) {
@@ -75,9 +99,11 @@
   const UpstreamSlots& upstream = shard.upstreams[place];
   const uint32_t avoided = place == options.avoid ? kAvoided : 0;
   const uint16_t open = OpenSlots(now, upstream);
-  if (upstream.busy < open && FitsBulk(upstream, options)) {
+  if (BusySlots(now, upstream) < open && FitsBulk(upstream, options)) {
     const uint32_t cost = CostOfFree(now, shard, upstream);
-    return cost == kNotFree ? kNotFree : cost + avoided;
+    const uint32_t speed = CostOfSpeed(now, upstream, options.speed);
+    const bool free = cost != kNotFree && speed != kNotFree;
+    return free ? cost + speed + avoided : kNotFree;
   }
   return options.ahead && open > 0 && MaySendAhead(now, upstream)
              ? kAhead + avoided
@@ -140,6 +166,16 @@
   return best;
 }
 
+bool IsCandidate(TimePoint now,
+                 const ShardState& shard,
+                 uint32_t place,
+                 const ChoiceOptions& options) {
+  ChoiceOptions any = options;
+  any.speed = SpeedRule::kPrefer;
+  any.ahead = false;
+  return CostOf(now, shard, place, any) != kNotFree;
+}
+
 uint32_t PickForIsolation(TimePoint now, const ShardState& shard) {
   uint32_t best = kNoRow;
   for (uint32_t i = 0; i < shard.upstreams.size(); ++i) {
--- a/packages/decision/src/upstream_choice.h
+++ b/packages/decision/src/upstream_choice.h
@@ -26,11 +26,20 @@
 /// An upstream is back after it was leaving or gone: it starts slowly.
 void Return(TimePoint now, UpstreamSlots& upstream, bool ramp);
 
+/// What the momentary speed of upstreams means for the choice.
+enum class SpeedRule : uint8_t {
+  kIgnore,    ///< It is not told.
+  kFastOnly,  ///< Only those that were fast a moment ago.
+  kPrefer,    ///< Slow ones too, after all others.
+  kCount
+};
+
 /// What the choice has to look at.
 struct ChoiceOptions {
   TrafficClass traffic_class = TrafficClass::kOrdinary;
   uint32_t avoid = kNoRow;  ///< Only taken if there is no other.
   bool limit_bulk = true;   ///< Bulk may not fill an upstream.
+  SpeedRule speed = SpeedRule::kIgnore;
   bool ahead = false;       ///< One more than its slots may be sent.
 };
 
@@ -41,6 +50,12 @@
                       ShardState& shard,
                       const ChoiceOptions& options);
 
+/// @returns true if the choice could fall on the upstream but for its speed.
+bool IsCandidate(TimePoint now,
+                 const ShardState& shard,
+                 uint32_t place,
+                 const ChoiceOptions& options);
+
 /// @returns the upstream that will soonest run nothing, for a request that
 /// has to run alone; kNoRow if none takes work.
 uint32_t PickForIsolation(TimePoint now, const ShardState& shard);
--- /dev/null
+++ b/packages/decision/src/upstream_speed.cc
@@ -0,0 +1,68 @@
+#include "upstream_speed.h"
+
+#include <algorithm>
+
+namespace basilsill {
+namespace {
+
+// Spells of slowness last for about 150 ms where their length is known, so
+// what was told this long ago is wrong in at most a sixth of all cases.
+constexpr Duration kFresh = std::chrono::milliseconds(25);
+
+// Upstreams answer at once, from another data centre within some 3 ms. One
+// that has not answered by now is busy, cut off or gone.
+constexpr Duration kAskPatience = std::chrono::milliseconds(20);
+
+// Where slowness is told, it is about 1 or about 5.
+constexpr double kSlowFrom = 1.8;
+
+// A slow spell ends within some hundred milliseconds and costs a request that
+// begins in it four times its typical time, so half of that may be waited.
+constexpr int kHoldFactor = 2;
+constexpr Duration kMinHold = std::chrono::milliseconds(60);
+
+}  // namespace
+
+void SpeedBelief::OnLoad(TimePoint now, const UpstreamLoad& told) {
+  if (!told.known) {
+    return;
+  }
+  this->load = told;
+  this->told_at = now;
+  this->asking = false;
+}
+
+void SpeedBelief::OnAsk(TimePoint now) {
+  this->asking = true;
+  this->asked_at = now;
+}
+
+Duration SpeedBelief::AgeAt(TimePoint now) const {
+  return this->load.known ? now - this->told_at : Duration(-1);
+}
+
+SpeedGrade SpeedBelief::GradeAt(TimePoint now) const {
+  if (!this->load.known || now - this->told_at > kFresh) {
+    return SpeedGrade::kUnknown;
+  }
+  return this->load.slowness < kSlowFrom ? SpeedGrade::kFast
+                                         : SpeedGrade::kSlow;
+}
+
+bool SpeedBelief::IsWorthAsking(TimePoint now) const {
+  if (this->asking && now - this->asked_at < kAskPatience) {
+    return false;
+  }
+  return this->GradeAt(now) == SpeedGrade::kUnknown &&
+         now - this->asked_at >= kAskPatience;
+}
+
+uint16_t SpeedBelief::BusyAt(TimePoint now) const {
+  return this->GradeAt(now) == SpeedGrade::kUnknown ? 0 : this->load.running;
+}
+
+Duration MaxHold(Duration typical) {
+  return std::max(kMinHold, typical * kHoldFactor);
+}
+
+}  // namespace basilsill
--- a/packages/node/include/basilsill/node/installation.h
+++ b/packages/node/include/basilsill/node/installation.h
@@ -35,6 +35,8 @@
   std::string seal;
   /// To an upstream: only the instance with this id may run the request.
   std::string expected_instance;
+  /// Of an upstream, on health checks: its id.
+  std::string served_by;
   /// Of an upstream: running, waiting, slots, and speed.
   std::string load;
   bool via = true;  ///< Whether `Via` is added to requests.
--- a/packages/node/src/caller_exchange.cc
+++ b/packages/node/src/caller_exchange.cc
@@ -272,6 +272,7 @@
     co_return false;
   }
   this->has_started = true;
+  this->written_at = MonotonicClock::now();
   AnswerHead sent = head;
   const bool open_ended = head.framing.kind == BodyKind::kChunked ||
                           head.framing.kind == BodyKind::kUntilClose;
--- a/packages/node/src/dispatch_host.cc
+++ b/packages/node/src/dispatch_host.cc
@@ -10,10 +10,13 @@
 #include <boost/asio/detached.hpp>
 
 #include "basilsill/node/log.h"
+#include "upstream_question.h"
 
 namespace basilsill {
 namespace {
 
+constexpr uint16_t kServerError = 500;
+
 const UpstreamRow* FindUpstream(const RoutingView& view,
                                 ServiceHandle service,
                                 UpstreamHandle upstream) {
@@ -79,6 +82,37 @@
   std::unique_ptr<UpstreamAttempt> attempt;
 };
 
+namespace {
+
+int64_t Millis(Duration duration) {
+  return std::chrono::duration_cast<std::chrono::milliseconds>(duration)
+      .count();
+}
+
+// One line an attempt; failures have an event of their own, so that a flood of
+// successes does not crowd them out.
+void LogAttempt(const RequestMessage& request,
+                const DispatchAction& action,
+                const std::string& upstream,
+                const AttemptReport& report,
+                Duration took) {
+  const bool good =
+      report.end == AttemptEnd::kAnswered && report.status < kServerError;
+  Log(good ? Event::kAttemptAnswered : Event::kAttemptFailed,
+      {{"request", request.request_id},
+       {"upstream", upstream},
+       {"reason", action.retry},
+       {"end", NameOf(report.end)},
+       {"status", report.status},
+       {"took_ms", Millis(took)},
+       {"slowness", action.slowness},
+       {"slowness_age_ms", Millis(action.slowness_age)},
+       {"slowness_after", report.load.slowness},
+       {"running_after", report.load.running}});
+}
+
+}  // namespace
+
 // A request at this dispatcher. Kept alive by `Serve` and by each attempt.
 struct DispatchHost::Job {
   Job(RequestMessage& request, AnswerSink& sink, const Executor& executor)
@@ -261,6 +295,10 @@
 }
 
 void DispatchHost::Perform(const DispatchAction& action) {
+  if (action.kind == DispatchActionKind::kAsk) {
+    this->StartAsking(action);
+    return;
+  }
   const auto found = this->jobs.find(action.cookie);
   if (found == this->jobs.end()) {
     return;
@@ -276,11 +314,38 @@
     case DispatchActionKind::kCancel:
       this->CancelAttempt(*job, action.attempt);
       break;
+    case DispatchActionKind::kAsk:
     case DispatchActionKind::kCount:
       break;
   }
 }
 
+void DispatchHost::StartAsking(const DispatchAction& action) {
+  for (const auto& service : this->view->services) {
+    const UpstreamRow* row =
+        service ? FindUpstream(*this->view, service->handle, action.upstream)
+                : nullptr;
+    if (row != nullptr && !service->health_path.empty()) {
+      boost::asio::co_spawn(
+          this->pool.executor(),
+          this->AskUpstream(action.upstream, {row->endpoint, row->id},
+                            service->health_path),
+          boost::asio::detached);
+      return;
+    }
+  }
+  this->dispatcher->OnAsked(MonotonicClock::now(), action.upstream, {});
+}
+
+Task<void> DispatchHost::AskUpstream(UpstreamHandle upstream,
+                                     AttemptTarget target,
+                                     std::string health_path) {
+  const AskReport report =
+      co_await AskForLoad(this->pool, std::move(target), health_path);
+  this->dispatcher->OnAsked(MonotonicClock::now(), upstream, report);
+  this->Pump();
+}
+
 void DispatchHost::StartAttempt(const JobPtr& job,
                                 const DispatchAction& action) {
   const UpstreamRow* row =
@@ -315,15 +380,19 @@
   // in between must not end while the attempt still refers to it.
   job->attempts.push_back({action.attempt, std::move(running)});
   boost::asio::co_spawn(this->pool.executor(),
-                        this->RunAttempt(job, action.attempt, raw),
+                        this->RunAttempt(job, action, row->id, raw),
                         boost::asio::detached);
 }
 
 Task<void> DispatchHost::RunAttempt(JobPtr job,
-                                    AttemptHandle attempt,
+                                    DispatchAction action,
+                                    std::string upstream,
                                     UpstreamAttempt* running) {
+  const AttemptHandle attempt = action.attempt;
   const TimePoint started = MonotonicClock::now();
   const AttemptReport report = co_await running->Run();
+  LogAttempt(job->request, action, upstream, report,
+             MonotonicClock::now() - started);
   WorkerMetrics& metrics = this->pool.metrics();
   metrics.attempts_in_flight.Add(-1);
   if (report.end == AttemptEnd::kAnswered) {
--- a/packages/node/src/dispatch_host.h
+++ b/packages/node/src/dispatch_host.h
@@ -4,6 +4,7 @@
 #include <cstdint>
 #include <list>
 #include <memory>
+#include <string>
 #include <unordered_map>
 
 #include "async_event.h"
@@ -66,9 +67,14 @@
   void Perform(const DispatchAction& action);
   void Report(const UpstreamEvent& event) const;
   void StartAttempt(const JobPtr& job, const DispatchAction& action);
+  void StartAsking(const DispatchAction& action);
+  Task<void> AskUpstream(UpstreamHandle upstream,
+                         AttemptTarget target,
+                         std::string health_path);
   void CancelAttempt(Job& job, AttemptHandle attempt);
   Task<void> RunAttempt(JobPtr job,
-                        AttemptHandle attempt,
+                        DispatchAction action,
+                        std::string upstream,
                         UpstreamAttempt* running);
   void OnAttemptDone(Job& job,
                      AttemptHandle attempt,
--- a/packages/node/src/link_server.cc
+++ b/packages/node/src/link_server.cc
@@ -69,6 +69,13 @@
 
 }  // namespace
 
+void RefuseLinkStream(PeerLink& link, LinkStream& stream, Refusal refusal) {
+  ServeOutcome outcome;
+  outcome.refusal = refusal;
+  Refuse(link, stream, outcome);
+  link.Forget(stream);
+}
+
 Task<void> ServeLinkStream(RoutingViewPtr view,
                            DispatchHost& dispatch,
                            PeerLinkPtr link,
--- a/packages/node/src/link_server.h
+++ b/packages/node/src/link_server.h
@@ -20,6 +20,9 @@
                            wire::Open open,
                            std::string request_id_header);
 
+/// Turns away a stream that a peer opened. Nothing of it may have run.
+void RefuseLinkStream(PeerLink& link, LinkStream& stream, Refusal refusal);
+
 }  // namespace basilsill
 
 #endif  // BASILSILL_NODE_LINK_SERVER_H_
--- a/packages/node/src/link_table.cc
+++ b/packages/node/src/link_table.cc
@@ -82,6 +82,9 @@
 }
 
 VmHandle LinkTable::VmOf(const std::string& name) const {
+  if (!this->view) {
+    return {};
+  }
   const auto found =
       std::find_if(this->view->vms.begin(), this->view->vms.end(),
                    [&name](const VmRow& vm) { return vm.name == name; });
--- /dev/null
+++ b/packages/node/src/upstream_question.cc
@@ -0,0 +1,86 @@
+#include "upstream_question.h"
+
+#include <utility>
+#include <vector>
+
+#include <boost/asio/buffer.hpp>
+#include <boost/asio/write.hpp>
+
+namespace basilsill {
+namespace {
+
+// The answer comes at once or is of no use any more: what it says is old.
+constexpr std::chrono::milliseconds kAskTimeout{100};
+constexpr size_t kMaxAnswerBytes = 4096;
+
+bool IsForeign(const HttpFields& answer,
+               const std::string& header,
+               const std::string& id) {
+  if (header.empty() || id.empty()) {
+    return false;
+  }
+  const std::string_view said = HeaderValue(answer, header);
+  return !said.empty() && said != id;
+}
+
+Task<bool> ReadToEnd(UpstreamConnection& connection) {
+  std::vector<char> buffer(kMaxAnswerBytes);
+  BodyPiece piece;
+  size_t size = 0;
+  do {
+    piece = co_await connection.reader.ReadBody(connection.socket, buffer);
+    size += piece.size;
+  } while (piece.ok && !piece.last && size < kMaxAnswerBytes);
+  co_return piece.ok&& piece.last;
+}
+
+}  // namespace
+
+Task<AskReport> AskForLoad(UpstreamPool& pool,
+                           AttemptTarget target,
+                           std::string path) {
+  AskReport report;
+  UpstreamConnectionPtr connection = pool.TakeIdle(target.endpoint);
+  if (!connection) {
+    connection = co_await pool.Open(target.endpoint);
+  }
+  if (!connection) {
+    co_return report;
+  }
+  report.connected = true;
+  const auto closed = std::make_shared<bool>(false);
+  Timer limit(pool.executor(), kAskTimeout);
+  UpstreamConnection* const raw = connection.get();
+  limit.async_wait([raw, closed](const NetError& error) {
+    if (!error && !*closed) {
+      CloseWithReset(raw->socket);
+    }
+  });
+  const std::string head = "GET " + path + " HTTP/1.1\r\nHost: " +
+                           ToString(target.endpoint) + "\r\n\r\n";
+  const auto [error, size] = co_await boost::asio::async_write(
+      connection->socket, boost::asio::buffer(head), kTask);
+  HeadStatus status = HeadStatus::kBroken;
+  if (!error) {
+    status = co_await connection->reader.ReadHead(connection->socket);
+  }
+  pool.metrics().probes.Add();
+  pool.metrics().probe_bytes.Add(head.size() + connection->reader.TakeReceived());
+  bool keep = false;
+  if (status == HeadStatus::kOk) {
+    const auto& answer = connection->reader.message().get();
+    report.load = ParseLoad(HeaderValue(answer, pool.names().load));
+    report.foreign = IsForeign(answer, pool.names().served_by, target.id);
+    keep = connection->reader.message().keep_alive();
+    const bool whole = co_await ReadToEnd(*connection);
+    keep = keep && whole && !connection->reader.has_more();
+  }
+  *closed = true;
+  limit.cancel();
+  if (keep) {
+    pool.Release(MonotonicClock::now(), std::move(connection));
+  }
+  co_return report;
+}
+
+}  // namespace basilsill
--- /dev/null
+++ b/packages/node/src/upstream_question.h
@@ -0,0 +1,22 @@
+#ifndef BASILSILL_NODE_UPSTREAM_QUESTION_H_
+#define BASILSILL_NODE_UPSTREAM_QUESTION_H_
+
+#include <string>
+
+#include "basilsill/decision/dispatch.h"
+#include "upstream_attempt.h"
+#include "upstream_pool.h"
+
+/// Asks an upstream for its load, by its health check, on a connection of the
+/// pool that requests use too.
+
+namespace basilsill {
+
+/// @param path Of the health check.
+Task<AskReport> AskForLoad(UpstreamPool& pool,
+                           AttemptTarget target,
+                           std::string path);
+
+}  // namespace basilsill
+
+#endif  // BASILSILL_NODE_UPSTREAM_QUESTION_H_
--- a/packages/node/src/worker.cc
+++ b/packages/node/src/worker.cc
@@ -273,6 +273,12 @@
 void Worker::OnStream(const PeerLinkPtr& link,
                       LinkStreamPtr stream,
                       wire::Open open) {
+  // A peer may hand over a request before this node has learnt from anywhere
+  // what to serve. It is told at once that nothing ran here.
+  if (!this->current_view) {
+    RefuseLinkStream(*link, *stream, Refusal::kPeerUnreachable);
+    return;
+  }
   this->WakeTick();
   boost::asio::co_spawn(
       this->context->get_executor(),
