A repeat at another shard draws on the fleet's budget, as one at the same shard does

Now what was sent is told, and counted where it was first sent. Ruled out: overlap of two dispatchers (the trace shows one a shard).

--- a/packages/decision/include/basilsill/decision/dispatch.h
+++ b/packages/decision/include/basilsill/decision/dispatch.h
@@ -106,7 +106,7 @@
 
 /// What came of asking an upstream for its load.
 struct AskReport {
-  bool connected = false;  ///< There was a connection to it.
+  bool answered = false;  ///< Something that is HTTP came.
   bool foreign = false;    ///< Another upstream answers at its address.
   UpstreamLoad load;       ///< Not known if it gave no answer.
 };
--- a/packages/decision/src/dispatch_tables.h
+++ b/packages/decision/src/dispatch_tables.h
@@ -52,7 +52,7 @@
   RequestState state = RequestState::kWaiting;
   TrafficClass queue = TrafficClass::kOrdinary;  ///< Where it waits.
   uint8_t starts = 0;
-  uint8_t spent = 0;  ///< Attempts that ended and may have run.
+  uint8_t sends = 0;  ///< Of those, that reached or may reach an upstream.
   bool maybe_ran = false;  ///< Then no refusal may promise `not-run`.
   bool answer_started = false;
   Retry next_retry = Retry::kNone;  ///< Reason of the attempt to come.
@@ -157,7 +157,10 @@
   uint32_t queued = 0;
   uint32_t busy = 0;
   std::array<uint32_t, kClasses> running{};
-  bool tells_speed = false;  ///< Its upstreams say how slow they are.
+  /// Whether its upstreams say how slow they are; they are thought to until
+  /// one of them says nothing of it.
+  bool tells_speed = true;
+  bool can_be_asked = false;  ///< The service has a health check.
   uint32_t siblings = 1;    ///< Shards of the service, this one included.
   RepeatBudget repeats;
   uint32_t open_slots = 0;  ///< Of upstreams that take work, as of the scan.
--- a/packages/decision/src/dispatcher.cc
+++ b/packages/decision/src/dispatcher.cc
@@ -95,9 +95,6 @@
   const DispatchHandle handle = this->requests.Create(row);
   this->queue.Enter(lane);
   shard.last_used = now;
-  if (this->options.repeats) {
-    shard.repeats.OnRequest(now, *this->options.repeats);
-  }
   this->Activate(shard_row);
   this->TrackLoad(now, shard);
   NoteMix(now, shard, row);
--- a/packages/decision/src/dispatcher_end.cc
+++ b/packages/decision/src/dispatcher_end.cc
@@ -89,7 +89,8 @@
   this->Learn(now, attempt, report);
   this->Release(now, handle);
   RequestRow& request = this->Request(row);
-  request.spent += MayHaveRun(report.end) ? 1 : 0;
+  // Nothing reached an upstream that could not be connected to.
+  request.sends -= report.end == AttemptEnd::kConnectFailed ? 1 : 0;
   if (IsFailedAnswer(report) && !request.answer_started &&
       this->GoesOnAfterFailure(now, row, attempt, report)) {
     this->Pump(now, attempt.shard);
@@ -180,12 +181,7 @@
   if (all == 0) {
     return request.starts < kMaxStarts ? kMaxStarts - request.starts : 0;
   }
-  uint8_t used = request.spent;
-  for (const AttemptHandle handle : request.running) {
-    used += IsValid(handle) ? 1 : 0;
-  }
-  const bool may_start = used < all && request.starts < all + kMaxStarts;
-  return may_start ? all - used : 0;
+  return request.sends < all ? all - request.sends : 0;
 }
 
 // With no upstream left the shard can't help a request that did not run, but
@@ -193,7 +189,9 @@
 DispatcherCore::Verdict DispatcherCore::VerdictOf(TimePoint now,
                                                   const RequestRow& request,
                                                   AttemptEnd end) {
-  if (!MayHaveRun(end)) {
+  // What was sent to an upstream here has used up a part of what the fleet may
+  // repeat. The entry VM must not go on elsewhere as if nothing was sent.
+  if (!MayHaveRun(end) && request.sends == 0) {
     if (this->handing_back) {
       return {Refusal::kShuttingDown, this->WithJitter(kRetryAfter)};
     }
--- a/packages/decision/src/dispatcher_speed.cc
+++ b/packages/decision/src/dispatcher_speed.cc
@@ -20,7 +20,8 @@
 SpeedRule DispatcherCore::SpeedRuleOf(TimePoint now,
                                       const ShardState& shard,
                                       const RequestRow& request) const {
-  if (!this->options.features.speed || !shard.tells_speed) {
+  if (!this->options.features.speed || !shard.can_be_asked ||
+      !shard.tells_speed) {
     return SpeedRule::kIgnore;
   }
   const LatencyStats& stats =
@@ -74,7 +75,9 @@
                                ShardState& shard,
                                UpstreamSlots& upstream,
                                const UpstreamLoad& load) {
-  shard.tells_speed = shard.tells_speed || load.tells_slowness;
+  if (load.known) {
+    shard.tells_speed = load.tells_slowness;
+  }
   upstream.speed.OnLoad(now, load);
 }
 
@@ -96,6 +99,7 @@
       this->LearnLoad(now, shard, *found, report.load);
     } else {
       found->speed.OnNoAnswer();
+      shard.tells_speed = shard.tells_speed && !report.answered;
     }
     this->Pump(now, row);
     return;
--- a/packages/decision/src/dispatcher_start.cc
+++ b/packages/decision/src/dispatcher_start.cc
@@ -306,10 +306,14 @@
   request.state = RequestState::kRunning;
   request.next_retry = Retry::kNone;
   request.held_since = kNever;
+  ++request.sends;
   if (request.starts++ == 0) {
     // Budgets grow with first attempts, not with offers: most of those may
     // have been refused.
     LaneRow& lane = this->queue.lane(request.lane);
+    if (this->options.repeats) {
+      shard.repeats.OnRequest(now, *this->options.repeats);
+    }
     lane.retry_budget.OnRequest(now, this->options.retry_budget);
     lane.hedge_budget.OnRequest(now, this->options.hedge_budget);
   }
--- a/packages/decision/src/entry_router.cc
+++ b/packages/decision/src/entry_router.cc
@@ -34,8 +34,7 @@
 // Failures of upstreams are the dispatcher's to retry; it has tried, or its
 // budget forbids it. Only on the direct path they are the entry's.
 bool IsOfUpstream(Refusal refusal) {
-  return refusal == Refusal::kUpstreamShed ||
-         refusal == Refusal::kUpstreamConnectFailed ||
+  return refusal == Refusal::kUpstreamConnectFailed ||
          refusal == Refusal::kUpstreamDied;
 }
 
--- a/packages/decision/src/shard_table.cc
+++ b/packages/decision/src/shard_table.cc
@@ -103,6 +103,7 @@
   if (found != this->places.end()) {
     const ServiceRow& service = *this->current->services[found->second.service];
     const ShardRow& row = service.shards[found->second.shard];
+    shard.can_be_asked = !service.health_path.empty();
     shard.siblings = static_cast<uint32_t>(service.shards.size());
     shard.upstreams.reserve(row.upstreams.size());
     for (const uint32_t position : row.upstreams) {
--- a/packages/node/src/upstream_question.cc
+++ b/packages/node/src/upstream_question.cc
@@ -47,7 +47,6 @@
   if (!connection) {
     co_return report;
   }
-  report.connected = true;
   const auto closed = std::make_shared<bool>(false);
   Timer limit(pool.executor(), kAskTimeout);
   UpstreamConnection* const raw = connection.get();
@@ -68,6 +67,7 @@
   pool.metrics().probe_bytes.Add(head.size() + connection->reader.TakeReceived());
   bool keep = false;
   if (status == HeadStatus::kOk) {
+    report.answered = true;
     const auto& answer = connection->reader.message().get();
     report.load = ParseLoad(HeaderValue(answer, pool.names().load));
     report.foreign = IsForeign(answer, pool.names().served_by, target.id);
