One VM reads the platform's store for all; the others hear of it on their links

Change: a VM reads when it heard nothing for its patience, which grows with its place in an order by hash of names; who read tells the others. Ruled out: a group with partitions (nobody may read while it is dealt anew); holding the call at the store (a lost answer looks like a quiet store).

--- a/packages/base/include/basilsill/base/limits.h
+++ b/packages/base/include/basilsill/base/limits.h
@@ -66,6 +66,10 @@
 inline constexpr milliseconds kMaxPeerDuration = std::chrono::hours(24);
 inline constexpr size_t kMaxCrashReports = 256;
 
+/// Records of the platform that one VM hands on to others in a message; more
+/// are read by each for itself.
+inline constexpr size_t kMaxNewsBytes = 128 * 1024;
+
 /// Body octets that one stream, and all streams of a link, have waiting to be
 /// written. Each stream may hold kMaxInlineBodyBytes beyond the link's share.
 inline constexpr size_t kStreamQueueBytes = 2 * kBodyChunkBytes;
--- a/packages/decision/include/basilsill/decision/topic_follower.h
+++ b/packages/decision/include/basilsill/decision/topic_follower.h
@@ -11,6 +11,14 @@
 /// newest record of each key, then what is appended from there on, and the
 /// newest records again when what was to be read next is no longer there.
 /// Pure; the shell makes the calls.
+///
+/// Many VMs follow the same topics, and one read serves all of them: who has
+/// read tells the others. Each VM reads only when it has heard nothing for its
+/// own patience, which is longer the further back the VM stands in an order
+/// that all share. So the first in it reads, the second steps in when the first
+/// falls silent, and nobody has to agree on who that is. A VM that hears
+/// nothing at all, whatever the cause, reads for itself soon enough for every
+/// bound.
 
 namespace basilsill {
 
@@ -29,8 +37,12 @@
 };
 
 struct TopicFollowerOptions {
-  /// Between two reads when records come all the time. 0: read on at once.
+  /// Between two reads of the VM that reads for all.
   Duration interval{0};
+  /// How much longer each VM waits than the one before it in the order.
+  Duration step{0};
+  /// The longest that any VM waits without news.
+  Duration max_silence = std::chrono::hours(1);
   /// How long the store may hold a read without records.
   std::chrono::milliseconds wait{0};
   Duration retry_min = std::chrono::milliseconds(100);
@@ -55,6 +67,15 @@
   /// Records up to `next` came.
   void OnRecords(TimePoint now, uint64_t next);
 
+  /// Another VM has read the records from `first` on, up to `next`.
+  /// @returns true if the records are to be taken: with them, nothing is
+  /// missing here. False if they are known, or if some before them are missing;
+  /// then the next read is due at once.
+  bool OnNews(TimePoint now, uint64_t first, uint64_t next);
+
+  /// Says how many VMs stand before this one in the common order.
+  void SetRank(size_t rank) { this->rank = rank; }
+
   /// What was to be read next is gone: all is listed anew.
   void OnTrimmed(TimePoint now);
 
@@ -70,12 +91,15 @@
   uint64_t offset() const { return this->from; }
 
  private:
+  Duration Patience() const;
+
   TopicFollowerOptions options;
   bool whole = false;
   bool listing = true;
   std::string after;  ///< Last key of the page before; empty at the start.
   bool first_page = true;
   uint64_t from = 0;
+  size_t rank = 0;
   uint32_t failures = 0;
   TimePoint next_at{};
 };
--- a/packages/decision/src/topic_follower.cc
+++ b/packages/decision/src/topic_follower.cc
@@ -48,7 +48,33 @@
 void TopicFollower::OnRecords(TimePoint now, uint64_t next) {
   this->failures = 0;
   this->from = std::max(this->from, next);
-  this->next_at = now + this->options.interval;
+  this->next_at = now + this->Patience();
+}
+
+Duration TopicFollower::Patience() const {
+  const auto steps = static_cast<int64_t>(this->rank);
+  return std::min(this->options.interval + steps * this->options.step,
+                  this->options.max_silence);
+}
+
+// Old news, as a VM sends that was paused in between, says nothing of what is
+// the newest now, and does not count as a sign.
+bool TopicFollower::OnNews(TimePoint now, uint64_t first, uint64_t next) {
+  if (!this->whole || this->listing || next < this->from) {
+    return false;
+  }
+  if (first > this->from) {
+    this->next_at = std::min(this->next_at, now);
+    return false;
+  }
+  const bool is_new = next > this->from;
+  this->from = next;
+  // While the store does not answer this VM, hearing of it from others is as
+  // good, but does not end the retries: they tell whether it is back.
+  if (this->failures == 0) {
+    this->next_at = now + this->Patience();
+  }
+  return is_new;
 }
 
 void TopicFollower::OnTrimmed(TimePoint now) {
--- a/packages/wire/include/basilsill/wire/link_mux.h
+++ b/packages/wire/include/basilsill/wire/link_mux.h
@@ -166,8 +166,8 @@
 
   // The link itself.
 
-  /// Queues a Summary (data links), Heartbeat, SnapshotRequest or
-  /// SnapshotChunk (control links).
+  /// Queues a Summary (data links), Heartbeat, SnapshotRequest, SnapshotChunk
+  /// or StateNews (control links).
   /// @returns kLimitReached if the peer reads too slowly.
   Result<void> Post(PeerMessage message);
 
@@ -220,6 +220,7 @@
   Result<void> On(Heartbeat heartbeat);
   Result<void> On(const SnapshotRequest& request);
   Result<void> On(SnapshotChunk chunk);
+  Result<void> On(StateNews news);
 
   Stream* Find(const StreamId& stream) const;
   Result<Stream*> FindForPeer(const StreamId& stream) const;
--- a/packages/wire/include/basilsill/wire/message.h
+++ b/packages/wire/include/basilsill/wire/message.h
@@ -252,6 +252,17 @@
   friend bool operator==(const SnapshotChunk&, const SnapshotChunk&) = default;
 };
 
+/// What a VM has read of a topic at the platform, for those that have not.
+/// Only the source of state knows the form of records.
+struct StateNews {
+  uint8_t topic = 0;
+  uint64_t from = 0;  ///< Offset of the first record.
+  uint64_t next = 0;  ///< Offset to read on from; all before it are here.
+  Bytes records;
+
+  friend bool operator==(const StateNews&, const StateNews&) = default;
+};
+
 /// Any message of a link.
 using PeerMessage = std::variant<Hello,
                                  Open,
@@ -266,7 +277,8 @@
                                  GoAway,
                                  Heartbeat,
                                  SnapshotRequest,
-                                 SnapshotChunk>;
+                                 SnapshotChunk,
+                                 StateNews>;
 
 }  // namespace basilsill::wire
 
--- a/packages/wire/schema/peer.capnp
+++ b/packages/wire/schema/peer.capnp
@@ -181,6 +181,13 @@
   total @2 :UInt64;
 }
 
+struct StateNews {
+  topic @0 :UInt8;
+  from @1 :UInt64;
+  next @2 :UInt64;
+  records @3 :Data;
+}
+
 struct PeerMessage {
   union {
     hello @0 :Hello;
@@ -197,5 +204,6 @@
     heartbeat @11 :Heartbeat;
     snapshotRequest @12 :SnapshotRequest;
     snapshotChunk @13 :SnapshotChunk;
+    stateNews @14 :StateNews;
   }
 }
--- a/packages/wire/src/link_mux.cc
+++ b/packages/wire/src/link_mux.cc
@@ -30,7 +30,8 @@
   }
   const bool of_control = std::holds_alternative<Heartbeat>(message) ||
                           std::holds_alternative<SnapshotRequest>(message) ||
-                          std::holds_alternative<SnapshotChunk>(message);
+                          std::holds_alternative<SnapshotChunk>(message) ||
+                          std::holds_alternative<StateNews>(message);
   return of_control && role == LinkRole::kControl;
 }
 
--- a/packages/wire/src/link_mux_receive.cc
+++ b/packages/wire/src/link_mux_receive.cc
@@ -321,4 +321,8 @@
   return this->OnPosted(std::move(chunk), LinkRole::kControl);
 }
 
+Result<void> LinkMux::On(StateNews news) {
+  return this->OnPosted(std::move(news), LinkRole::kControl);
+}
+
 }  // namespace basilsill::wire
--- a/packages/wire/src/message_check.cc
+++ b/packages/wire/src/message_check.cc
@@ -202,6 +202,12 @@
                 "/position", "beyond the whole");
 }
 
+void Check(Checker& check, const StateNews& news) {
+  check.Require(news.from <= news.next, "/next", "before the first");
+  check.Require(news.records.size() <= limits::kMaxNewsBytes, "/records",
+                "too long");
+}
+
 void Check(Checker& /*check*/, const Summary& /*summary*/) {}
 void Check(Checker& /*check*/, const GoAway& /*go_away*/) {}
 void Check(Checker& /*check*/, const SnapshotRequest& /*request*/) {}
--- a/packages/wire/src/message_reader.cc
+++ b/packages/wire/src/message_reader.cc
@@ -218,6 +218,17 @@
   return chunk;
 }
 
+StateNews ReadStateNews(schema::StateNews::Reader reader) {
+  StateNews news;
+  news.topic = reader.getTopic();
+  news.from = reader.getFrom();
+  news.next = reader.getNext();
+  const capnp::Data::Reader records = reader.getRecords();
+  CheckedSize(records.size(), limits::kMaxNewsBytes, "/records");
+  news.records.assign(records.asChars().begin(), records.asChars().end());
+  return news;
+}
+
 Reset ReadReset(schema::Reset::Reader reader) {
   return {UnpackStreamId(reader.getStream()),
           ReadEnum<Refusal>(reader.getReason())};
@@ -257,6 +268,8 @@
                              reader.getSnapshotRequest().getPosition()};
     case schema::PeerMessage::SNAPSHOT_CHUNK:
       return ReadSnapshotChunk(reader.getSnapshotChunk());
+    case schema::PeerMessage::STATE_NEWS:
+      return ReadStateNews(reader.getStateNews());
   }
   Reject("/", "a message of an unknown kind");
 }
--- a/packages/wire/src/message_writer.cc
+++ b/packages/wire/src/message_writer.cc
@@ -219,6 +219,17 @@
   builder.setTotal(chunk.total);
 }
 
+void Write(const StateNews& news, schema::PeerMessage::Builder message) {
+  auto builder = message.initStateNews();
+  builder.setTopic(news.topic);
+  builder.setFrom(news.from);
+  builder.setNext(news.next);
+  auto records =
+      builder.initRecords(static_cast<unsigned>(news.records.size()));
+  std::copy(news.records.begin(), news.records.end(),
+            records.asChars().begin());
+}
+
 }  // namespace
 
 void WriteMessage(const PeerMessage& message,
