Larger VMs work for smaller ones; news of the store leave out what is not new

One answer was reset in the middle after SIGTERM: the connection was closed 150 ms after its last write, on a 10 Mbit/s link. Change: who dispatches, who would next and who reads come first by size, then by hash; links are kept with just these; patience in 109 different places; entries that are only renewed are not passed on; the caller has 1.5 s to close.

--- a/packages/decision/include/basilsill/decision/membership.h
+++ b/packages/decision/include/basilsill/decision/membership.h
@@ -30,6 +30,7 @@
   std::string data_centre;
   Endpoint control;
   bool leaving = false;
+  uint32_t capacity = 0;  ///< As in VmRow.
 };
 
 /// What a process says of itself when a control link opens.
@@ -40,6 +41,7 @@
   Endpoint control;
   std::vector<Endpoint> workers;
   bool leaving = false;
+  uint32_t capacity = 0;  ///< As in VmRow.
 };
 
 enum class HelloVerdict : uint8_t {
--- a/packages/decision/include/basilsill/decision/topic_follower.h
+++ b/packages/decision/include/basilsill/decision/topic_follower.h
@@ -39,10 +39,8 @@
 struct TopicFollowerOptions {
   /// Between two reads of the VM that reads for all.
   Duration interval{0};
-  /// How much longer each VM waits than the one before it in the order.
-  Duration step{0};
   /// The longest that any VM waits without news.
-  Duration max_silence = std::chrono::hours(1);
+  Duration max_silence{0};
   /// How long the store may hold a read without records.
   std::chrono::milliseconds wait{0};
   Duration retry_min = std::chrono::milliseconds(100);
--- a/packages/decision/include/basilsill/decision/upstream_registry.h
+++ b/packages/decision/include/basilsill/decision/upstream_registry.h
@@ -61,7 +61,8 @@
 
   /// An entry was written at `offset`. One that is older than what is known
   /// of the id is ignored.
-  void OnEntry(TimePoint now, uint64_t offset, RegisteredUpstream entry);
+  /// @returns false if it only renews what was known.
+  bool OnEntry(TimePoint now, uint64_t offset, RegisteredUpstream entry);
 
   /// The entry of `id` was removed at `offset`.
   void OnRemoved(TimePoint now, uint64_t offset, std::string_view id);
--- a/packages/decision/include/basilsill/decision/view.h
+++ b/packages/decision/include/basilsill/decision/view.h
@@ -158,8 +158,18 @@
   Endpoint control;               ///< Link of the control thread.
   std::vector<Endpoint> workers;  ///< Links of its traffic threads.
   VmState state = VmState::kLive;
+  /// Processor time that it may use, in thousandths of a core; 0: not told.
+  uint32_t capacity = 0;
 };
 
+/// @returns true if `a` stands before `b` where a VM has to work for others: a
+/// larger one first, and among VMs of about one size by `score`, a hash. Every
+/// VM comes to the same order.
+bool WorksBefore(const VmRow& a,
+                 uint64_t score_a,
+                 const VmRow& b,
+                 uint64_t score_b);
+
 struct DataCentreRow {
   DataCentreHandle handle;
   std::string name;
@@ -217,6 +227,10 @@
 /// @returns the shard `key` of any service, or nullptr.
 const ShardRow* FindShard(const ServiceRow& service, ShardKey key);
 
+/// @returns the VMs that are live, in the order in which they do work that
+/// one VM does for all.
+std::vector<VmHandle> WorkOrder(const std::vector<VmRow>& vms);
+
 /// @returns the key that names a shard on every VM.
 ShardKey MakeShardKey(std::string_view service,
                       std::string_view data_centre,
--- a/packages/decision/src/membership.cc
+++ b/packages/decision/src/membership.cc
@@ -28,6 +28,7 @@
   row.incarnation = member.incarnation;
   row.data_centre = member.data_centre;
   row.control = member.control;
+  row.capacity = member.capacity;
   row.workers = member.workers;
   row.state = StateOf(member);
   return row;
@@ -107,6 +108,7 @@
     if (member->incarnation == 0) {
       member->data_centre = this->InternDataCentre(entry.data_centre);
       member->control = entry.control;
+      member->capacity = entry.capacity;
     }
   }
   this->members.ForEach([this](VmHandle vm, Member&) { this->UpdateRow(vm); });
@@ -166,6 +168,7 @@
   member.data_centre = this->InternDataCentre(hello.data_centre);
   member.control = hello.control;
   member.workers = hello.workers;
+  member.capacity = hello.capacity;
 }
 
 void MembershipTable::OnLeaving(TimePoint now,
--- a/packages/decision/src/membership_table.h
+++ b/packages/decision/src/membership_table.h
@@ -26,6 +26,7 @@
   std::string name;
   DataCentreHandle data_centre;
   Endpoint control;
+  uint32_t capacity = 0;
   std::vector<Endpoint> workers;
   uint64_t incarnation = 0;  ///< 0 until it said hello.
   std::vector<uint64_t> superseded;
--- a/packages/decision/src/topic_follower.cc
+++ b/packages/decision/src/topic_follower.cc
@@ -8,6 +8,9 @@
 
 constexpr uint32_t kMaxDoublings = 8;
 
+// Place in the order whose patience is half-way to the longest.
+constexpr int64_t kHalfWay = 5;
+
 }  // namespace
 
 TopicFollower::TopicFollower(const TopicFollowerOptions& options)
@@ -51,10 +54,14 @@
   this->next_at = now + this->Patience();
 }
 
+// Between the interval and the longest silence, all in different places: the
+// first ones far apart, since one of them is to be heard before the next reads,
+// the last ones close together, since they hardly ever come to read.
 Duration TopicFollower::Patience() const {
-  const auto steps = static_cast<int64_t>(this->rank);
-  return std::min(this->options.interval + steps * this->options.step,
-                  this->options.max_silence);
+  const auto place = static_cast<int64_t>(this->rank);
+  const Duration room =
+      std::max(Duration(0), this->options.max_silence - this->options.interval);
+  return this->options.interval + room * place / (place + kHalfWay);
 }
 
 // Old news, as a VM sends that was paused in between, says nothing of what is
--- a/packages/decision/src/upstream_registry.cc
+++ b/packages/decision/src/upstream_registry.cc
@@ -8,7 +8,7 @@
 UpstreamRegistry::UpstreamRegistry(const RegistryOptions& options)
     : options(options) {}
 
-void UpstreamRegistry::OnEntry(TimePoint now,
+bool UpstreamRegistry::OnEntry(TimePoint now,
                                uint64_t offset,
                                RegisteredUpstream entry) {
   if (this->listing) {
@@ -17,13 +17,14 @@
   const auto [place, is_new] = this->entries.try_emplace(entry.id);
   Row& row = place->second;
   if (!is_new && offset < row.offset) {
-    return;
+    return false;
   }
   const TimePoint warm_at = now + entry.cold_for;
   const bool cold = entry.cold_for > std::chrono::milliseconds(0);
   // Renewals say the same again, but for how long it stays cold.
   entry.cold_for = std::chrono::milliseconds(0);
   const bool changed = is_new || cold != row.cold || !(entry == row.entry);
+  const bool had_lapsed = row.lapsed;
   const bool moved = is_new || !(entry.endpoint == row.entry.endpoint);
   row.entry = std::move(entry);
   row.offset = offset;
@@ -36,6 +37,7 @@
   if (moved) {
     this->MarkShadowed();
   }
+  return changed || had_lapsed;
 }
 
 void UpstreamRegistry::OnRemoved(TimePoint now,
--- a/packages/decision/src/view.cc
+++ b/packages/decision/src/view.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <array>
+#include <bit>
 #include <map>
 #include <string>
 
@@ -62,9 +63,9 @@
 }
 
 struct RankedVm {
-  int group;  // 0: live in the data centre, 1: live elsewhere, 2: the rest.
-  uint64_t score;
-  VmHandle handle;
+  int group = 0;  ///< Lower ones first.
+  uint64_t score = 0;
+  const VmRow* vm = nullptr;
 };
 
 std::vector<VmHandle> RankOwners(const RoutingView& view,
@@ -76,23 +77,53 @@
     }
     const bool near = vm.data_centre == shard.data_centre;
     const int group = vm.state != VmState::kLive ? 2 : (near ? 0 : 1);
-    ranked.push_back({group, HashText(vm.name, shard.key), vm.handle});
+    ranked.push_back({group, HashText(vm.name, shard.key), &vm});
   }
   const size_t kept = std::min(ShardRow::kOwners, ranked.size());
   std::partial_sort(ranked.begin(), ranked.begin() + kept, ranked.end(),
                     [](const RankedVm& a, const RankedVm& b) {
-                      return a.group != b.group ? a.group < b.group
-                                                : a.score > b.score;
+                      return a.group != b.group
+                                 ? a.group < b.group
+                                 : WorksBefore(*a.vm, a.score, *b.vm, b.score);
                     });
   std::vector<VmHandle> owners;
   for (size_t i = 0; i < kept; ++i) {
-    owners.push_back(ranked[i].handle);
+    owners.push_back(ranked[i].vm->handle);
   }
   return owners;
 }
 
 }  // namespace
 
+// Sizes within a factor of two count as one, so that work is spread over all
+// of them.
+bool WorksBefore(const VmRow& a,
+                 uint64_t score_a,
+                 const VmRow& b,
+                 uint64_t score_b) {
+  const int size_a = std::bit_width(a.capacity);
+  const int size_b = std::bit_width(b.capacity);
+  return size_a != size_b ? size_a > size_b : score_a > score_b;
+}
+
+std::vector<VmHandle> WorkOrder(const std::vector<VmRow>& vms) {
+  std::vector<RankedVm> ranked;
+  for (const VmRow& vm : vms) {
+    if (IsValid(vm.handle) && vm.state == VmState::kLive) {
+      ranked.push_back({0, HashText(vm.name, 0), &vm});
+    }
+  }
+  std::sort(ranked.begin(), ranked.end(),
+            [](const RankedVm& a, const RankedVm& b) {
+              return WorksBefore(*a.vm, a.score, *b.vm, b.score);
+            });
+  std::vector<VmHandle> order;
+  for (const RankedVm& vm : ranked) {
+    order.push_back(vm.vm->handle);
+  }
+  return order;
+}
+
 std::string_view NameOf(TrafficClass traffic_class) {
   return kClassNames.at(static_cast<size_t>(traffic_class));
 }
--- a/packages/decision/test/topic_follower_test.cc
+++ b/packages/decision/test/topic_follower_test.cc
@@ -19,7 +19,6 @@
 TopicFollowerOptions Shared() {
   TopicFollowerOptions options;
   options.interval = 600ms;
-  options.step = 150ms;
   options.max_silence = 1050ms;
   return options;
 }
--- a/packages/node/include/basilsill/node/settings.h
+++ b/packages/node/include/basilsill/node/settings.h
@@ -26,6 +26,9 @@
   std::string name;         ///< As it stands in the platform's VM list.
   std::string data_centre;  ///< Where it runs.
   std::string address;      ///< IP number that all ports listen on.
+  /// Thousandths of a core that it may use; 0: not known, as in files. VMs
+  /// that have more work for those that have less.
+  uint32_t capacity = 0;
 };
 
 /// Ports; 0 lets the kernel choose.
--- a/packages/node/src/caller_session.cc
+++ b/packages/node/src/caller_session.cc
@@ -18,8 +18,11 @@
 constexpr size_t kMaxInFlight = 16;
 // A chunked body up to this size is held whole, like one with a length.
 constexpr size_t kHeldBodyBytes = 16 * 1024;
-// How long the rest of a refused request is read and dropped.
-constexpr milliseconds kLingerTime{150};
+// How long the caller may take to close after the last answer. Closing before
+// it has read that answer, with bytes of its own still unread here, would
+// reset the connection and destroy what is on its way: 90 KB take a tenth of a
+// second on a slow VM's link, and more when several answers share it.
+constexpr milliseconds kLingerTime{1500};
 // A caller may use a connection for as long as the limit says; it is closed
 // here a little later, so that none crosses the close.
 constexpr milliseconds kIdleGrace{1000};
--- a/packages/node/src/control.cc
+++ b/packages/node/src/control.cc
@@ -13,6 +13,10 @@
 namespace basilsill {
 namespace {
 
+// VMs that all others have a link with because they may read for them. With
+// so many gone at once, others step in until links to the next are there.
+constexpr size_t kReadersLinked = 6;
+
 VmHello SelfHello(const Settings& settings,
                   const ControlOptions& options,
                   const Endpoint& control) {
@@ -22,6 +26,7 @@
   hello.incarnation = options.incarnation;
   hello.control = control;
   hello.workers = options.workers;
+  hello.capacity = settings.vm.capacity;
   return hello;
 }
 
@@ -44,6 +49,7 @@
   links.hello.data_centre = settings.vm.data_centre;
   links.hello.control = control;
   links.hello.workers = options.workers;
+  links.hello.capacity = settings.vm.capacity;
   return links;
 }
 
@@ -211,23 +217,39 @@
   }
 }
 
-// At today's size every VM shares shards with every other. Membership keeps
-// the most important ones when there are more than it may talk to.
+// Links are kept with the VMs that work for others: those that dispatch for a
+// shard or would do so next, and the first in the order in which VMs read the
+// platform for all. Where all are of one size these are nearly all VMs of a
+// small fleet; in a large one the small VMs have none among themselves.
 void Control::SetNeeds(TimePoint now) {
   std::vector<PeerNeed> needs;
-  const std::vector<VmRow>& rows = this->members->rows();
-  const VmRow& self = rows.at(this->members->self().index);
-  for (const VmRow& row : rows) {
-    if (!IsValid(row.handle) || row.handle == self.handle) {
-      continue;
+  const VmHandle self = this->members->self();
+  for (const VmHandle vm : this->CollectWorkers()) {
+    if (vm != self) {
+      needs.push_back({vm, PeerUse::kShard});
     }
-    const bool near = row.data_centre == self.data_centre;
-    needs.push_back(
-        {row.handle, near ? PeerUse::kDataCentre : PeerUse::kShard});
   }
   this->members->SetNeeds(now, needs);
 }
 
+std::set<VmHandle> Control::CollectWorkers() const {
+  std::set<VmHandle> workers;
+  const std::vector<VmHandle> order = WorkOrder(this->members->rows());
+  for (size_t i = 0; i < order.size() && i < kReadersLinked; ++i) {
+    workers.insert(order[i]);
+  }
+  if (!this->current_view) {
+    return workers;
+  }
+  for (const auto& service : this->current_view->services) {
+    for (size_t i = 0; service != nullptr && i < service->shards.size(); ++i) {
+      const std::vector<VmHandle>& owners = service->shards[i].owners;
+      workers.insert(owners.begin(), owners.end());
+    }
+  }
+  return workers;
+}
+
 void Control::OnHeartbeat(VmHandle from, const wire::Heartbeat& heartbeat) {
   this->force.OnApplied(from, heartbeat.applied_offset);
   if (heartbeat.state == VmState::kLeaving) {
--- a/packages/node/src/control.h
+++ b/packages/node/src/control.h
@@ -3,6 +3,7 @@
 
 #include <functional>
 #include <memory>
+#include <set>
 #include <vector>
 
 #include <boost/asio/awaitable.hpp>
@@ -93,6 +94,7 @@
   void PumpMembership();
   void Perform(const MembershipAction& action);
   void SetNeeds(TimePoint now);
+  std::set<VmHandle> CollectWorkers() const;
   void RebuildIfChanged();
   void OnHeartbeat(VmHandle from, const wire::Heartbeat& heartbeat);
   wire::Heartbeat MakeHeartbeat(bool answer_wanted) const;
--- a/packages/node/src/control_links.cc
+++ b/packages/node/src/control_links.cc
@@ -18,6 +18,7 @@
   result.control = hello.control;
   result.workers = hello.workers;
   result.leaving = hello.leaving;
+  result.capacity = hello.capacity;
   return result;
 }
 
--- a/packages/wire/include/basilsill/wire/message.h
+++ b/packages/wire/include/basilsill/wire/message.h
@@ -24,7 +24,7 @@
 namespace basilsill::wire {
 
 /// Spoken version of the protocol; peers of another version are turned away.
-inline constexpr uint32_t kProtocolVersion = 2;
+inline constexpr uint32_t kProtocolVersion = 3;
 
 /// Octets of a body. Moved, never copied, on their way to the socket.
 using Bytes = std::string;
@@ -94,6 +94,7 @@
   std::string data_centre;        ///< Control links.
   Endpoint control;               ///< Where it listens; control links.
   bool leaving = false;           ///< It takes no new work; control links.
+  uint32_t capacity = 0;          ///< Control links: VmRow::capacity.
 
   friend bool operator==(const Hello&, const Hello&) = default;
 };
--- a/packages/wire/schema/peer.capnp
+++ b/packages/wire/schema/peer.capnp
@@ -73,6 +73,7 @@
   dataCentre @8 :Text;
   control @9 :Endpoint;
   leaving @10 :Bool;
+  capacity @11 :UInt32;
 }
 
 struct OnceClaim {
--- a/packages/wire/src/message_reader.cc
+++ b/packages/wire/src/message_reader.cc
@@ -98,6 +98,7 @@
   hello.vm = ReadText(reader.getVm());
   hello.data_centre = ReadText(reader.getDataCentre());
   hello.leaving = reader.getLeaving();
+  hello.capacity = reader.getCapacity();
   hello.control = ReadEndpoint(reader.getControl());
   hello.incarnation = reader.getIncarnation();
   hello.worker = reader.getWorker();
--- a/packages/wire/src/message_writer.cc
+++ b/packages/wire/src/message_writer.cc
@@ -74,6 +74,7 @@
   WriteText(hello.data_centre,
             [&](unsigned size) { return builder.initDataCentre(size); });
   builder.setLeaving(hello.leaving);
+  builder.setCapacity(hello.capacity);
   WriteEndpoint(hello.control, builder.initControl());
   builder.setIncarnation(hello.incarnation);
   builder.setWorker(hello.worker);
