--- a/packages/decision/include/basilsill/decision/topic_follower.h
+++ b/packages/decision/include/basilsill/decision/topic_follower.h
@@ -88,8 +88,14 @@
 
   uint64_t offset() const { return this->from; }
 
+  /// @returns an offset before which every VM knows all records that heard
+  /// anything of late. News that begin there leave no gap to a VM that missed
+  /// what another reader told in between.
+  uint64_t settled() const { return this->settled_offset; }
+
  private:
   Duration Patience() const;
+  void Advance(TimePoint now, uint64_t next);
 
   TopicFollowerOptions options;
   bool whole = false;
@@ -97,6 +103,9 @@
   std::string after;  ///< Last key of the page before; empty at the start.
   bool first_page = true;
   uint64_t from = 0;
+  uint64_t settled_offset = 0;
+  uint64_t settling_offset = 0;  ///< Becomes the settled one.
+  TimePoint settling_since{};
   size_t rank = 0;
   uint32_t failures = 0;
   TimePoint next_at{};
--- a/packages/decision/src/topic_follower.cc
+++ b/packages/decision/src/topic_follower.cc
@@ -8,6 +8,10 @@
 
 constexpr uint32_t kMaxDoublings = 8;
 
+// Nobody is without news for longer than the longest silence and one call; what
+// was known here so long ago is known to all.
+constexpr Duration kCallTime = std::chrono::milliseconds(450);
+
 // Place in the order whose patience is half-way to the longest.
 constexpr int64_t kHalfWay = 5;
 
@@ -35,6 +39,9 @@
   this->failures = 0;
   if (this->first_page) {
     this->from = end;
+    this->settled_offset = end;
+    this->settling_offset = end;
+    this->settling_since = now;
     this->first_page = false;
   }
   this->next_at = now;
@@ -50,10 +57,19 @@
 
 void TopicFollower::OnRecords(TimePoint now, uint64_t next) {
   this->failures = 0;
-  this->from = std::max(this->from, next);
+  this->Advance(now, next);
   this->next_at = now + this->Patience();
 }
 
+void TopicFollower::Advance(TimePoint now, uint64_t next) {
+  if (now - this->settling_since >= this->options.max_silence + kCallTime) {
+    this->settled_offset = this->settling_offset;
+    this->settling_offset = this->from;
+    this->settling_since = now;
+  }
+  this->from = std::max(this->from, next);
+}
+
 // Between the interval and the longest silence, all in different places: the
 // first ones far apart, since one of them is to be heard before the next reads,
 // the last ones close together, since they hardly ever come to read.
@@ -75,7 +91,7 @@
     return false;
   }
   const bool is_new = next > this->from;
-  this->from = next;
+  this->Advance(now, next);
   // While the store does not answer this VM, hearing of it from others is as
   // good, but does not end the retries: they tell whether it is back.
   if (this->failures == 0) {
--- a/packages/decision/test/topic_follower_test.cc
+++ b/packages/decision/test/topic_follower_test.cc
@@ -72,6 +72,20 @@
   CHECK(this->follower.due() >= this->now + 600ms);
 }
 
+// Two VMs read by turns, and a third hears only the one of them. What the other
+// told must not look like a gap to it, or it would read for itself each time.
+TEST(TopicFollower, Settled_OthersReadMeanwhile_StaysBackForAWhile) {
+  this->follower.OnRecords(this->now, 12);
+  this->now += 600ms;
+  this->follower.OnNews(this->now, 10, 15);
+  CHECK_EQUAL(10, this->follower.settled());
+  for (int i = 0; i < 6; ++i) {
+    this->now += 600ms;
+    this->follower.OnRecords(this->now, 15);
+  }
+  CHECK_EQUAL(15, this->follower.settled());
+}
+
 // A message between VMs was lost, or its records did not fit into one.
 TEST(TopicFollower, News_WithAGap_ReadsAtOnce) {
   this->follower.OnRecords(this->now, 10);
