Requests that can't be answered in good time let those pass that still can

Change: at the head of the queue a request that would miss its aim is put behind those that would not, or refused at once when its deadline can't be met behind them; the aim goes with the request to its dispatcher. Ruled out: a shorter queue (refuses those that would be late, and gives the others nothing while they wait behind older ones).

--- a/packages/base/include/basilsill/base/time.h
+++ b/packages/base/include/basilsill/base/time.h
@@ -29,6 +29,9 @@
 /// Calendar time, as keys and records carry it. Never used for safety.
 using WallTime = std::chrono::sys_time<std::chrono::milliseconds>;
 
+/// A span that is held in rows of large tables.
+using ShortMillis = std::chrono::duration<uint32_t, std::milli>;
+
 /// The time point that never comes.
 inline constexpr TimePoint kNever = TimePoint::max();
 
--- a/packages/decision/include/basilsill/decision/dispatch.h
+++ b/packages/decision/include/basilsill/decision/dispatch.h
@@ -44,6 +44,9 @@
   Duration max_wait = Duration::max();
   /// Upstreams that it may be sent to, all in all; 0: as the policy has it.
   uint8_t max_attempts = 0;
+  /// An answer within this time is a good one, a later one worth little; 0: not
+  /// known.
+  ShortMillis good_for{0};
   uint64_t cookie = 0;  ///< The shell's own name for the request.
 };
 
--- a/packages/decision/src/dispatch_tables.h
+++ b/packages/decision/src/dispatch_tables.h
@@ -41,6 +41,7 @@
 };
 
 struct RequestRow {
+  static constexpr ShortMillis kNotHeld = ShortMillis::max();
   static constexpr size_t kMaxRunning = 2;  ///< One attempt and one hedge.
 
   DispatchRequest spec;
@@ -59,7 +60,8 @@
   Retry next_retry = Retry::kNone;  ///< Reason of the attempt to come.
   TimePoint offered;
   TimePoint hedge_at = kNever;
-  TimePoint held_since = kNever;  ///< Slots were free, but none fast.
+  /// After `offered`, when slots were free for the first time but none fast.
+  ShortMillis held_after = kNotHeld;
   std::array<AttemptHandle, kMaxRunning> running;
 };
 
--- a/packages/decision/src/dispatcher_core.h
+++ b/packages/decision/src/dispatcher_core.h
@@ -119,6 +119,7 @@
   uint32_t CapOf(const ShardState& shard, RingKind ring) const;
   bool RefuseIfHopeless(TimePoint now, ShardState& shard, uint32_t request);
   bool CheckFront(TimePoint now, ShardState& shard, uint32_t request);
+  bool PutBehindIfLate(TimePoint now, ShardState& shard, uint32_t request);
   void AddSuspect(ShardState& shard, uint32_t request);
   void RemoveSuspect(ShardState& shard, uint32_t request);
   void ServeSuspects(TimePoint now, uint32_t shard);
--- a/packages/decision/src/dispatcher_speed.cc
+++ b/packages/decision/src/dispatcher_speed.cc
@@ -27,8 +27,9 @@
   const LatencyStats& stats =
       shard.stats[static_cast<size_t>(request.spec.traffic_class)];
   const Duration typical = stats.known() ? stats.median() : kTypicalTime;
-  const bool held_out = request.held_since != kNever &&
-                        now - request.held_since >= MaxHold(typical);
+  const bool held_out =
+      request.held_after != RequestRow::kNotHeld &&
+      now - request.offered - request.held_after >= MaxHold(typical);
   const bool is_late = request.spec.deadline - now < 2 * typical;
   return held_out || is_late ? SpeedRule::kPrefer : SpeedRule::kFastOnly;
 }
@@ -56,7 +57,9 @@
     place = place + 1 < count ? place + 1 : 0;
   }
   if (any) {
-    request.held_since = std::min(request.held_since, now);
+    const auto after =
+        std::chrono::duration_cast<ShortMillis>(now - request.offered);
+    request.held_after = std::min(request.held_after, after);
     shard.next_scan = std::min(shard.next_scan, now + kHoldScan);
   }
 }
--- a/packages/decision/src/dispatcher_start.cc
+++ b/packages/decision/src/dispatcher_start.cc
@@ -173,7 +173,8 @@
 bool DispatcherCore::CheckFront(TimePoint now,
                                 ShardState& shard,
                                 uint32_t row) {
-  if (this->RefuseIfHopeless(now, shard, row)) {
+  if (this->RefuseIfHopeless(now, shard, row) ||
+      this->PutBehindIfLate(now, shard, row)) {
     return false;
   }
   if (!this->IsSuspect(now, this->Request(row))) {
@@ -186,6 +187,37 @@
   return false;
 }
 
+// While more comes than upstreams can do, a queue that is served in the order
+// of arrival makes every request late, and all the work serves nobody. One that
+// can't be answered in good time any more lets those pass that still can. It
+// is served when none of them waits, or refused at once if that is too late.
+bool DispatcherCore::PutBehindIfLate(TimePoint now,
+                                     ShardState& shard,
+                                     uint32_t row) {
+  RequestRow& request = this->Request(row);
+  const DispatchRequest& spec = request.spec;
+  const LatencyStats& stats =
+      shard.stats[static_cast<size_t>(spec.traffic_class)];
+  const Duration typical = stats.known() ? stats.median() : Duration(0);
+  if (spec.good_for == ShortMillis(0) ||
+      request.queue == TrafficClass::kBackground ||
+      now + typical <= request.offered + spec.good_for) {
+    return false;
+  }
+  const Ring& behind = shard.rings[static_cast<size_t>(RingKind::kBackground)];
+  const Duration wait =
+      this->ExpectedWait(shard, RingKind::kInteractive, behind.queued);
+  if (now + wait + typical > spec.deadline) {
+    this->Refuse(row, {Refusal::kDeadlineUnmeetable, this->WithJitter(wait)});
+    return true;
+  }
+  this->queue.Remove(shard, row);
+  request.queue = TrafficClass::kBackground;
+  this->queue.Push(shard, row, false);
+  this->SetTimer(row);
+  return true;
+}
+
 bool DispatcherCore::IsSuspect(TimePoint now, const RequestRow& request) const {
   return this->options.features.isolation && this->options.quarantine &&
          this->options.quarantine->IsSuspect(now, request.spec.fingerprint);
@@ -305,7 +337,7 @@
   place_of_attempt = handle;
   request.state = RequestState::kRunning;
   request.next_retry = Retry::kNone;
-  request.held_since = kNever;
+  request.held_after = RequestRow::kNotHeld;
   ++request.sends;
   if (request.starts++ == 0) {
     // Budgets grow with first attempts, not with offers: most of those may
--- a/packages/decision/src/dispatcher_tick.cc
+++ b/packages/decision/src/dispatcher_tick.cc
@@ -23,7 +23,8 @@
 }  // namespace
 
 TimePoint PromotionOf(const RequestRow& request) {
-  if (request.queue != TrafficClass::kBackground ||
+  if (request.spec.traffic_class != TrafficClass::kBackground ||
+      request.queue != TrafficClass::kBackground ||
       request.state != RequestState::kWaiting ||
       request.spec.deadline == kNever) {
     return kNever;
--- a/packages/node/src/caller_exchange.cc
+++ b/packages/node/src/caller_exchange.cc
@@ -167,6 +167,9 @@
   entry.team = service != nullptr ? service->team : TeamHandle{};
   entry.traffic_class = rule.traffic_class;
   entry.max_attempts = rule.max_attempts;
+  if (rule.target_latency > milliseconds(0)) {
+    this->request.good_until = this->began + rule.target_latency;
+  }
   entry.idempotent =
       !rule.once &&
       (rule.idempotent ||
--- a/packages/node/src/dispatch_host.cc
+++ b/packages/node/src/dispatch_host.cc
@@ -49,6 +49,17 @@
   return {};
 }
 
+// @returns what is left of the time in which an answer is a good one, at least
+// the shortest that counts; 0 if nothing is known.
+ShortMillis GoodFor(TimePoint now, const RequestMessage& request) {
+  if (request.good_until == kNever) {
+    return ShortMillis(0);
+  }
+  const Duration left = request.good_until - now;
+  return std::chrono::duration_cast<ShortMillis>(
+      std::max<Duration>(left, ShortMillis(1)));
+}
+
 // Some kinds only tell of scheduling and have no line in the log.
 std::optional<Event> EventOf(UpstreamEventKind kind) {
   switch (kind) {
@@ -194,6 +205,7 @@
   offer.max_attempts = request.entry.max_attempts;
   offer.cookie = cookie;
   const TimePoint now = MonotonicClock::now();
+  offer.good_for = GoodFor(now, request);
   job->offered = now;
   job->handle = this->dispatcher->Offer(now, offer);
   request.on_caller_gone = [this, job] {
--- a/packages/node/src/http_message.h
+++ b/packages/node/src/http_message.h
@@ -71,6 +71,8 @@
   EntryRequest entry;  ///< What decisions look at.
   bool hedge = false;
   bool once = false;
+  /// An answer is a good one until then; kNever: not known.
+  TimePoint good_until = kNever;
 
   /// Set by whoever works on the request now; called when its caller has
   /// gone away.
--- a/packages/node/src/link_server.cc
+++ b/packages/node/src/link_server.cc
@@ -50,6 +50,9 @@
   entry.idempotent = open.idempotent;
   entry.fingerprint = open.fingerprint;
   entry.max_attempts = open.attempts_left;
+  if (open.good_for > microseconds(0)) {
+    request.good_until = MonotonicClock::now() + open.good_for;
+  }
 }
 
 void Refuse(PeerLink& link,
--- a/packages/node/src/link_table.cc
+++ b/packages/node/src/link_table.cc
@@ -168,6 +168,11 @@
   open.fingerprint = request.entry.fingerprint;
   open.attempts_left = request.entry.max_attempts;
   open.max_wait = target.max_wait;
+  if (request.good_until != kNever) {
+    open.good_for = std::max(microseconds(1),
+                             std::chrono::duration_cast<microseconds>(
+                                 request.good_until - MonotonicClock::now()));
+  }
   open.method = request.method;
   open.target = request.target;
   open.headers = ToHeaderList(request.headers);
--- a/packages/wire/include/basilsill/wire/message.h
+++ b/packages/wire/include/basilsill/wire/message.h
@@ -134,6 +134,8 @@
   /// Above this wait the dispatcher hands the request back; Target::max_wait.
   /// The longest time of a message stands for any wait.
   Duration max_wait = limits::kMaxPeerDuration;
+  /// Left of the time in which an answer is a good one; 0: not known.
+  std::chrono::microseconds good_for{0};
   std::string method;
   std::string target;  ///< In origin form.
   HeaderList headers;
--- a/packages/wire/schema/peer.capnp
+++ b/packages/wire/schema/peer.capnp
@@ -102,6 +102,7 @@
   bodyLength @16 :UInt64;
   end @17 :Bool;
   maxWait @18 :Nanos;
+  goodFor @19 :Micros;
 }
 
 # Not named Data: that is a built-in type.
--- a/packages/wire/src/message_reader.cc
+++ b/packages/wire/src/message_reader.cc
@@ -133,6 +133,7 @@
   open.fingerprint = reader.getFingerprint();
   open.attempts_left = reader.getAttemptsLeft();
   open.max_wait = ReadNanos(reader.getMaxWait(), "/max_wait");
+  open.good_for = ReadMicros(reader.getGoodFor(), "/good_for");
   open.method = ReadText(reader.getMethod());
   open.target = ReadText(reader.getTarget());
   open.headers = ReadHeaders(reader.getHeaders());
--- a/packages/wire/src/message_writer.cc
+++ b/packages/wire/src/message_writer.cc
@@ -112,6 +112,7 @@
   builder.setFingerprint(open.fingerprint);
   builder.setAttemptsLeft(open.attempts_left);
   builder.setMaxWait(NanosOf(open.max_wait));
+  builder.setGoodFor(MicrosOf(open.good_for));
   WriteText(open.method,
             [&](unsigned size) { return builder.initMethod(size); });
   WriteText(open.target,
--- a/packages/wire/test/samples.cc
+++ b/packages/wire/test/samples.cc
@@ -94,6 +94,7 @@
   open.fingerprint = 0xabcdef;
   open.attempts_left = 2;
   open.max_wait = Duration(3'000'001);
+  open.good_for = std::chrono::microseconds(250'001);
   open.method = "POST";
   open.target = "/banks/17/level?unit=percent";
   open.headers = SampleHeaders(10);
