--- a/packages/node/src/control.cc
+++ b/packages/node/src/control.cc
@@ -295,6 +295,7 @@
       state, {this->members->rows(), this->members->data_centres(),
               this->members->self()});
   const bool is_news = this->configuration_changed;
+  const bool is_first = this->built_views++ == 0;
   this->configuration_changed = false;
   this->built_membership = this->members->version();
   this->force.SetVms(this->members->rows());
@@ -307,6 +308,9 @@
   Log(Event::kConfigurationApplied,
       {{"offset", this->current_view->applied_offset},
        {"view", this->current_view->version}});
+  if (is_first) {
+    Log(Event::kNodeReady, {{"vm", this->settings.vm.name}});
+  }
   this->source->OnFleetChanged();
   this->handlers.publish(this->current_view);
   if (is_news) {
--- a/packages/node/src/control.h
+++ b/packages/node/src/control.h
@@ -111,6 +111,7 @@
   std::unique_ptr<ViewBuilder> builder;
   RoutingViewPtr current_view;
   uint64_t built_membership = 0;
+  uint64_t built_views = 0;
   bool leaving = false;
   bool configuration_changed = false;
   bool stopped = false;
--- a/packages/node/src/worker.cc
+++ b/packages/node/src/worker.cc
@@ -106,6 +106,17 @@
   return EntryRouter::Create(entry);
 }
 
+void LogRequestEnd(Event event,
+                   const RequestMessage& request,
+                   const RequestEnd& end) {
+  const auto elapsed =
+      std::chrono::duration_cast<milliseconds>(end.elapsed).count();
+  Log(event, {{"request", request.request_id},
+              {"reason", end.refusal},
+              {"class", NameOf(request.entry.traffic_class)},
+              {"elapsed_ms", elapsed}});
+}
+
 CallerLimits LimitsOf(const Settings& settings) {
   CallerLimits limits;
   limits.header_bytes = settings.limits.header_bytes;
@@ -433,15 +444,16 @@
   const TrafficClass traffic_class = request.entry.traffic_class;
   if (end.broken) {
     this->counts->CountOutcome(traffic_class, Outcome::kBroken);
+    LogRequestEnd(Event::kAnswerBroken, request, end);
   } else if (request.caller_gone) {
     this->counts->CountOutcome(traffic_class, Outcome::kCallerGone);
+    LogRequestEnd(Event::kCallerGone, request, end);
   } else if (end.refusal == Refusal::kNone) {
     this->counts->CountOutcome(traffic_class, Outcome::kAnswered);
   } else {
     this->counts->CountOutcome(traffic_class, Outcome::kRefused);
     this->counts->CountRefusal(end.refusal);
-    Log(Event::kRequestRefused,
-        {{"request", request.request_id}, {"reason", end.refusal}});
+    LogRequestEnd(Event::kRequestRefused, request, end);
   }
 }
 
