A VM that starts in a large fleet is told all by others; a drained connection is not read

Change: the first two VMs in the order send a starting VM the newest record of each key; others wait 0.4 s for that before they list; small fleets list at once. A connection that closes without having said so is closed unread. Test first: Path Drain_RequestCrossesTheCloseOfAnIdleConnection_LeftUnread.

--- a/packages/decision/include/basilsill/decision/topic_follower.h
+++ b/packages/decision/include/basilsill/decision/topic_follower.h
@@ -47,6 +47,16 @@
   Duration retry_max = std::chrono::milliseconds(400);
 };
 
+/// @returns how long a VM that starts waits for another one to tell it all,
+/// before it lists a topic for itself.
+/// @param rank Its place in the common order.
+/// @param known VMs that it knows of.
+Duration StartPatience(size_t rank, size_t known);
+
+/// VMs, from the first in the common order on, that tell all to one that
+/// starts.
+inline constexpr size_t kStartHelpers = 2;
+
 class TopicFollower {
  public:
   explicit TopicFollower(const TopicFollowerOptions& options);
@@ -56,6 +66,9 @@
   /// @returns when `NextCall` is due.
   TimePoint due() const { return this->next_at; }
 
+  /// Puts the first call off, as StartPatience says.
+  void StartAt(TimePoint at) { this->next_at = at; }
+
   /// A page of newest records came.
   /// @param end Offset after the last record when the page was made.
   /// @param last_key Of the page; empty if it has none.
--- a/packages/decision/src/topic_follower.cc
+++ b/packages/decision/src/topic_follower.cc
@@ -15,8 +15,22 @@
 // Place in the order whose patience is half-way to the longest.
 constexpr int64_t kHalfWay = 5;
 
+// Below this number of VMs each lists for itself: it is ready sooner, and all
+// of them together make few calls. Above, a start of the whole fleet would make
+// some ten calls a VM.
+constexpr size_t kSmallFleet = 32;
+
+// A VM that tells all does so within a tick of its control thread after the
+// link is up.
+constexpr Duration kHelpTime = std::chrono::milliseconds(400);
+
 }  // namespace
 
+Duration StartPatience(size_t rank, size_t known) {
+  const bool lists = rank < kStartHelpers || known < kSmallFleet;
+  return lists ? Duration(0) : kHelpTime;
+}
+
 TopicFollower::TopicFollower(const TopicFollowerOptions& options)
     : options(options) {}
 
--- a/packages/node/src/caller_session.cc
+++ b/packages/node/src/caller_session.cc
@@ -54,8 +54,14 @@
   }
   if (this->broken) {
     CloseWithReset(this->socket);
-  } else {
+  } else if (this->closing) {
     co_await this->CloseGently();
+  } else {
+    // Nobody was told that this connection closes, so a request may be on its
+    // way. Reading it would be taking it in; unread, it is reset, and the
+    // caller knows that it can send it again.
+    NetError ignored;
+    this->socket.close(ignored);
   }
 }
 
--- a/packages/node/test/path_test.cc
+++ b/packages/node/test/path_test.cc
@@ -1,10 +1,17 @@
 // Tests of the whole path: callers, nodes, links, upstreams and the platform's
 // log, all real but for the platform and the upstreams.
 
+#include <array>
 #include <cstdint>
+#include <future>
 #include <string>
 #include <vector>
 
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/read_until.hpp>
+#include <boost/asio/write.hpp>
+
 #include "fleet.h"
 
 #include <CppUTest/TestHarness.h>
@@ -76,6 +83,38 @@
   }
 };
 
+// A VM shuts down and closes the connections that are idle. A caller's next
+// request crosses that close. If the VM read it and then went, the caller could
+// not know whether it ran; left unread it is reset and can be sent again.
+TEST(Path, Drain_RequestCrossesTheCloseOfAnIdleConnection_LeftUnread) {
+  boost::asio::io_context io;
+  boost::asio::ip::tcp::socket caller(io);
+  caller.connect(
+      {boost::asio::ip::address_v4::loopback(), this->near->callers()});
+  const std::string request =
+      "GET /levels/7 HTTP/1.1\r\nHost: levels.test\r\n\r\n";
+  boost::asio::write(caller, boost::asio::buffer(request));
+  std::string answer;
+  boost::asio::read_until(caller, boost::asio::dynamic_buffer(answer),
+                          "\r\n\r\n");
+  std::future<bool> drained = std::async(
+      std::launch::async, [this] { return this->near->DrainAndWait(); });
+  boost::system::error_code error;
+  std::array<char, 4096> rest{};
+  while (!error) {
+    caller.read_some(boost::asio::buffer(rest), error);
+  }
+  CHECK(error == boost::asio::error::eof ||
+        error == boost::asio::error::connection_reset);
+  boost::asio::write(caller, boost::asio::buffer(request), error);
+  const bool was_reset = basilsill::test::WaitUntil([&] {
+    boost::asio::write(caller, boost::asio::buffer(request), error);
+    return error.failed();
+  });
+  CHECK(was_reset);
+  CHECK(drained.get());
+}
+
 TEST(Path, Request_AtTheDispatcher_GetsTheUpstreamsAnswer) {
   const HttpResponse answer =
       Send(this->near->callers(), MakeRequest("GET", "/levels/7"));
--- a/packages/wire/include/basilsill/wire/message.h
+++ b/packages/wire/include/basilsill/wire/message.h
@@ -260,6 +260,7 @@
   uint64_t from = 0;  ///< Offset of the first record.
   uint64_t next = 0;  ///< Offset to read on from; all before it are here.
   Bytes records;
+  bool whole = false;  ///< The newest record of each key, for a VM that starts.
 
   friend bool operator==(const StateNews&, const StateNews&) = default;
 };
--- a/packages/wire/schema/peer.capnp
+++ b/packages/wire/schema/peer.capnp
@@ -187,6 +187,7 @@
   from @1 :UInt64;
   next @2 :UInt64;
   records @3 :Data;
+  whole @4 :Bool;
 }
 
 struct PeerMessage {
--- a/packages/wire/src/message_reader.cc
+++ b/packages/wire/src/message_reader.cc
@@ -224,6 +224,7 @@
   news.topic = reader.getTopic();
   news.from = reader.getFrom();
   news.next = reader.getNext();
+  news.whole = reader.getWhole();
   const capnp::Data::Reader records = reader.getRecords();
   CheckedSize(records.size(), limits::kMaxNewsBytes, "/records");
   news.records.assign(records.asChars().begin(), records.asChars().end());
--- a/packages/wire/src/message_writer.cc
+++ b/packages/wire/src/message_writer.cc
@@ -225,6 +225,7 @@
   builder.setTopic(news.topic);
   builder.setFrom(news.from);
   builder.setNext(news.next);
+  builder.setWhole(news.whole);
   auto records =
       builder.initRecords(static_cast<unsigned>(news.records.size()));
   std::copy(news.records.begin(), news.records.end(),
--- a/packages/wire/test/samples.cc
+++ b/packages/wire/test/samples.cc
@@ -137,8 +137,8 @@
       SampleHeartbeat(),
       SnapshotRequest{10, 20},
       SnapshotChunk{10, 20, limits::kBodyChunkBytes + 20, chunk},
-      StateNews{1, 7, 9, "some bytes"},
-      StateNews{2, 9, 9, {}},
+      StateNews{1, 7, 9, "some bytes", false},
+      StateNews{2, 0, 9, {}, true},
   };
 }
 
