Base: one way to read a number, to trim and to lower text

Copies differed in whether a rest after the digits was noticed.

Change: base/text.h with ParseNumber, Trimmed and ToLowerAscii, with a test of its own for signs, blanks, rests and range. The callers keep their typed errors and their bounds. The claim key reads digits that it has checked.

Ruled out: log and metrics writers use std::to_chars, the other direction; left as they are.

--- a/packages/base/src/endpoint.cc
+++ b/packages/base/src/endpoint.cc
@@ -1,9 +1,11 @@
 #include "basilsill/base/endpoint.h"
 
-#include <charconv>
+#include <optional>
 
 #include <arpa/inet.h>
 
+#include "basilsill/base/text.h"
+
 namespace basilsill {
 namespace {
 
@@ -12,13 +14,6 @@
   return inet_pton(family, text.c_str(), &parsed) == 1;
 }
 
-// Reads a port: decimal digits alone, no sign and no blank.
-bool ReadPort(std::string_view text, uint16_t& port) {
-  const char* end = text.data() + text.size();
-  const auto [stop, fault] = std::from_chars(text.data(), end, port);
-  return fault == std::errc() && stop == end;
-}
-
 }  // namespace
 
 std::string ToString(const Endpoint& endpoint) {
@@ -43,10 +38,12 @@
   }
   Endpoint endpoint;
   endpoint.address = host;
-  if (!IsIpNumber(is_v6 ? AF_INET6 : AF_INET, endpoint.address) ||
-      !ReadPort(text.substr(colon + 1), endpoint.port)) {
+  const std::optional<uint16_t> port =
+      ParseNumber<uint16_t>(text.substr(colon + 1));
+  if (!IsIpNumber(is_v6 ? AF_INET6 : AF_INET, endpoint.address) || !port) {
     return malformed;
   }
+  endpoint.port = *port;
   return endpoint;
 }
 
--- /dev/null
+++ b/packages/base/test/text_test.cc
@@ -0,0 +1,48 @@
+// Tests of reading numbers and of small changes to text.
+
+#include <cstdint>
+#include <limits>
+#include <string>
+
+#include "basilsill/base/text.h"
+
+#include <CppUTest/TestHarness.h>
+
+namespace basilsill {
+namespace {
+
+constexpr int kHexBase = 16;
+constexpr std::string_view kBlanks = " \t";
+
+TEST_GROUP(Text){};
+
+TEST(Text, ParseNumber_WholeTextIsNumber_GivesIt) {
+  CHECK(ParseNumber<uint16_t>("65535") == 65535);
+  CHECK(ParseNumber<int64_t>("-7") == -7);
+  CHECK(ParseNumber<uint64_t>("ffffffffffffffff", kHexBase) ==
+        std::numeric_limits<uint64_t>::max());
+}
+
+TEST(Text, ParseNumber_SignBlankRestOrNothing_GivesNone) {
+  for (const char* text : {"", " 1", "1 ", "+1", "-1", "1x", "0x1"}) {
+    CHECK_FALSE(ParseNumber<uint64_t>(text).has_value());
+  }
+}
+
+TEST(Text, ParseNumber_OutOfRange_GivesNone) {
+  CHECK_FALSE(ParseNumber<uint16_t>("65536").has_value());
+  CHECK_FALSE(ParseNumber<uint64_t>("18446744073709551616").has_value());
+}
+
+TEST(Text, Trimmed_BlanksAtEndsOnly_KeepsThoseWithin) {
+  CHECK(Trimmed(" \ta b\t", kBlanks) == "a b");
+  CHECK(Trimmed(" \t ", kBlanks).empty());
+  CHECK(Trimmed("", kBlanks).empty());
+}
+
+TEST(Text, ToLowerAscii_MixedText_ChangesLettersOfAsciiAlone) {
+  CHECK(ToLowerAscii("Shop-7.EXAMPLE[\xc4") == "shop-7.example[\xc4");
+}
+
+}  // namespace
+}  // namespace basilsill
--- a/packages/ctl/src/load_check.cc
+++ b/packages/ctl/src/load_check.cc
@@ -5,6 +5,7 @@
 
 #include <boost/json.hpp>
 
+#include "basilsill/base/text.h"
 #include "upstream_request.h"
 
 namespace basilsill::ctl {
@@ -28,7 +29,7 @@
       return std::chrono::milliseconds(field->get_int64());
     }
   }
-  if (const auto delay = ParseNumber(head.retry_after)) {
+  if (const auto delay = ParseNumber<uint64_t>(head.retry_after)) {
     return std::chrono::seconds(std::min<uint64_t>(*delay, 3600));
   }
   return std::nullopt;
@@ -107,7 +108,7 @@
     return body_bytes;
   }
   if (path.starts_with(kBytesPath)) {
-    return ParseNumber(path.substr(kBytesPath.size()));
+    return ParseNumber<uint64_t>(path.substr(kBytesPath.size()));
   }
   return std::nullopt;
 }
--- a/packages/ctl/src/platform_server.cc
+++ b/packages/ctl/src/platform_server.cc
@@ -1,7 +1,6 @@
 #include "basilsill/ctl/platform_server.h"
 
 #include <algorithm>
-#include <charconv>
 #include <set>
 #include <utility>
 
@@ -11,6 +10,7 @@
 #include <boost/asio/use_awaitable.hpp>
 
 #include "basilsill/base/limits.h"
+#include "basilsill/base/text.h"
 #include "basilsill/ctl/http_server.h"
 #include "platform_json.h"
 
@@ -79,9 +79,9 @@
   if (text.empty()) {
     return true;
   }
-  const char* end = text.data() + text.size();
-  const auto [stop, fault] = std::from_chars(text.data(), end, value);
-  return fault == std::errc() && stop == end;
+  const std::optional<uint64_t> number = ParseNumber<uint64_t>(text);
+  value = number.value_or(value);
+  return number.has_value();
 }
 
 TimePoint WaitLimit(uint64_t wait_ms) {
--- a/packages/ctl/src/upstream_request.cc
+++ b/packages/ctl/src/upstream_request.cc
@@ -1,7 +1,6 @@
 #include "upstream_request.h"
 
 #include <algorithm>
-#include <charconv>
 #include <span>
 
 #include <boost/asio/as_tuple.hpp>
@@ -9,6 +8,7 @@
 #include <boost/beast/http.hpp>
 
 #include "basilsill/base/limits.h"
+#include "basilsill/base/text.h"
 #include "upstream_body.h"
 
 namespace basilsill::ctl {
@@ -37,7 +37,7 @@
   request.keep_alive = head.keep_alive();
   request.work.idempotency_key = field(kKeyHeader);
   request.work.crash = field(kEmulateHeader) == kEmulateCrash;
-  if (const auto deadline = ParseNumber(field(kDeadlineHeader))) {
+  if (const auto deadline = ParseNumber<uint64_t>(field(kDeadlineHeader))) {
     const uint64_t limit = limits::kMaxDeadline.count();
     request.work.deadline =
         MonotonicClock::now() +
@@ -92,16 +92,6 @@
   return this->path() == kEchoPath || this->path() == kStatePath;
 }
 
-std::optional<uint64_t> ParseNumber(std::string_view text) {
-  uint64_t number = 0;
-  const char* end = text.data() + text.size();
-  const auto [rest, error] = std::from_chars(text.data(), end, number);
-  if (error != std::errc() || rest != end) {
-    return std::nullopt;
-  }
-  return number;
-}
-
 asio::awaitable<std::optional<UpstreamRequest>> ReadRequest(
     tcp::socket& socket,
     boost::beast::flat_buffer& buffer,
--- a/packages/ctl/src/upstream_request.h
+++ b/packages/ctl/src/upstream_request.h
@@ -56,9 +56,6 @@
   bool KeepsBody() const;
 };
 
-/// @returns the number that `text` is, if it is one in decimal digits.
-std::optional<uint64_t> ParseNumber(std::string_view text);
-
 /// Reads the next request of a connection; a body is read in pieces.
 /// @param chunk Memory for the pieces; grows once, for the first body.
 /// @returns nothing when the connection ended or sent what is no request.
--- a/packages/ctl/src/upstream_session.cc
+++ b/packages/ctl/src/upstream_session.cc
@@ -10,6 +10,7 @@
 #include <boost/beast/http.hpp>
 
 #include "basilsill/base/limits.h"
+#include "basilsill/base/text.h"
 #include "upstream_body.h"
 #include "upstream_json.h"
 #include "upstream_request.h"
@@ -232,7 +233,7 @@
     co_return co_await this->AnswerPattern(
         request, this->instance->state().behaviour().answer_bytes);
   }
-  const auto size = ParseNumber(path.substr(kBytesPath.size()));
+  const auto size = ParseNumber<uint64_t>(path.substr(kBytesPath.size()));
   if (!size || *size > limits::kMaxBodyBytes) {
     co_return co_await this->AnswerText(request, kBadRequest, "");
   }
--- a/packages/decision/src/claim_key.cc
+++ b/packages/decision/src/claim_key.cc
@@ -1,11 +1,12 @@
 #include "basilsill/decision/claim_key.h"
 
 #include <algorithm>
-#include <charconv>
 #include <string>
 
 #include <xxhash.h>
 
+#include "basilsill/base/text.h"
+
 namespace basilsill {
 namespace {
 
@@ -13,6 +14,7 @@
 constexpr size_t kUuidVersionAt = 14;
 constexpr size_t kUuidVariantAt = 19;
 constexpr size_t kUnixMsDigits = 13;
+constexpr int kHexBase = 16;
 constexpr uint64_t kTeamSeed = 0x7465616d;  // "team"
 
 bool IsHexDigit(char c) {
@@ -33,14 +35,6 @@
   return quoted ? text.substr(1, text.size() - 2) : text;
 }
 
-std::string LowerCase(std::string_view text) {
-  std::string lower(text);
-  std::transform(lower.begin(), lower.end(), lower.begin(), [](char c) {
-    return c >= 'A' && c <= 'Z' ? static_cast<char>(c - 'A' + 'a') : c;
-  });
-  return lower;
-}
-
 bool IsUuidV7(std::string_view lower) {
   if (lower.size() != kUuidLength || lower[kUuidVersionAt] != '7') {
     return false;
@@ -54,12 +48,6 @@
   return variant == '8' || variant == '9' || variant == 'a' || variant == 'b';
 }
 
-int64_t ParseNumber(std::string_view digits, int base) {
-  int64_t value = 0;
-  std::from_chars(digits.data(), digits.data() + digits.size(), value, base);
-  return value;
-}
-
 bool HasUnixMsPrefix(std::string_view text) {
   return text.size() > kUnixMsDigits + 1 && text[kUnixMsDigits] == '-' &&
          std::all_of(text.begin(), text.begin() + kUnixMsDigits,
@@ -106,13 +94,14 @@
       !std::all_of(bare.begin(), bare.end(), IsVisible)) {
     return {Refusal::kKeyMalformed, {}};
   }
-  const std::string lower = LowerCase(bare);
+  const std::string lower = ToLowerAscii(bare);
   if (IsUuidV7(lower)) {
     const std::string birth = lower.substr(0, 8) + lower.substr(9, 4);
-    return MakeKey(team, lower, ParseNumber(birth, 16));
+    return MakeKey(team, lower, *ParseNumber<int64_t>(birth, kHexBase));
   }
   if (HasUnixMsPrefix(bare)) {
-    return MakeKey(team, bare, ParseNumber(bare.substr(0, kUnixMsDigits), 10));
+    return MakeKey(team, bare,
+                   *ParseNumber<int64_t>(bare.substr(0, kUnixMsDigits)));
   }
   return {Refusal::kKeyMalformed, {}};
 }
--- a/packages/decision/src/claim_record.cc
+++ b/packages/decision/src/claim_record.cc
@@ -2,11 +2,13 @@
 
 #include <algorithm>
 #include <array>
-#include <charconv>
+#include <optional>
 #include <stdexcept>
 
 #include <boost/json.hpp>
 
+#include "basilsill/base/text.h"
+
 namespace basilsill {
 namespace {
 
@@ -62,14 +64,11 @@
 }
 
 uint64_t ParseHex(std::string_view text) {
-  uint64_t value = 0;
-  const char* end = text.data() + text.size();
-  const auto parsed = std::from_chars(text.data(), end, value, 16);
-  if (text.size() != kHexDigits || parsed.ptr != end ||
-      parsed.ec != std::errc()) {
+  const std::optional<uint64_t> value = ParseNumber<uint64_t>(text, 16);
+  if (text.size() != kHexDigits || !value) {
     throw std::invalid_argument("not 16 hexadecimal digits");
   }
-  return value;
+  return *value;
 }
 
 std::string_view Part(std::string_view text, size_t number, size_t parts) {
--- a/packages/node/src/caller_exchange.cc
+++ b/packages/node/src/caller_exchange.cc
@@ -2,7 +2,7 @@
 
 #include <algorithm>
 #include <array>
-#include <charconv>
+#include <optional>
 #include <utility>
 #include <vector>
 
@@ -10,6 +10,7 @@
 #include <boost/asio/buffer.hpp>
 #include <boost/beast/http/chunk_encode.hpp>
 
+#include "basilsill/base/text.h"
 #include "entry_host.h"
 #include "once_exchange.h"
 #include "refusal_answer.h"
@@ -41,11 +42,7 @@
   if (colon != std::string_view::npos && host.back() != ']') {
     host = host.substr(0, colon);
   }
-  std::string lower(host);
-  std::transform(lower.begin(), lower.end(), lower.begin(), [](char c) {
-    return c >= 'A' && c <= 'Z' ? static_cast<char>(c - 'A' + 'a') : c;
-  });
-  return lower;
+  return ToLowerAscii(host);
 }
 
 // With no host or two, what a rule matches and what the upstream serves could
@@ -62,14 +59,11 @@
 // The deadline a caller asks for can shorten or lengthen that of the rule,
 // within the system's own limit.
 milliseconds DeadlineOf(std::string_view text, const RuleRow& rule) {
-  int64_t asked = 0;
-  const auto [end, error] =
-      std::from_chars(text.data(), text.data() + text.size(), asked);
-  if (text.empty() || error != std::errc() ||
-      end != text.data() + text.size() || asked < 0) {
+  const std::optional<int64_t> asked = ParseNumber<int64_t>(text);
+  if (!asked || *asked < 0) {
     return rule.deadline;
   }
-  return std::min(milliseconds(asked), limits::kMaxDeadline);
+  return std::min(milliseconds(*asked), limits::kMaxDeadline);
 }
 
 Fingerprint FingerprintOf(const RequestMessage& request, const RuleRow& rule) {
--- a/packages/node/src/http_reader.cc
+++ b/packages/node/src/http_reader.cc
@@ -2,12 +2,15 @@
 
 #include <algorithm>
 
+#include "basilsill/base/text.h"
+
 namespace basilsill {
 namespace {
 
 namespace http = boost::beast::http;
 
 constexpr std::string_view kBlankLine = "\r\n\r\n";
+constexpr std::string_view kBlanks = " \t";
 constexpr std::string_view kHttp10 = "HTTP/1.0";
 constexpr size_t kReadBytes = 8 * 1024;
 
@@ -32,14 +35,6 @@
   return !folded && before != ' ' && before != '\t';
 }
 
-std::string_view Trimmed(std::string_view text) {
-  const size_t begin = text.find_first_not_of(" \t");
-  if (begin == std::string_view::npos) {
-    return {};
-  }
-  return text.substr(begin, text.find_last_not_of(" \t") - begin + 1);
-}
-
 // Beast takes a list of equal numbers for one; other servers do not.
 bool IsPlainNumber(std::string_view value) {
   return !value.empty() && std::all_of(value.begin(), value.end(), [](char c) {
@@ -58,7 +53,7 @@
   bool Add(std::string_view line, bool http_1_0) {
     const size_t colon = line.find(':');
     const std::string_view name = line.substr(0, colon);
-    const std::string_view value = Trimmed(line.substr(colon + 1));
+    const std::string_view value = Trimmed(line.substr(colon + 1), kBlanks);
     if (EqualsIgnoreCase(name, "content-length")) {
       ++this->lengths;
       return IsPlainNumber(value);
--- a/packages/node/src/resource_api.cc
+++ b/packages/node/src/resource_api.cc
@@ -1,6 +1,5 @@
 #include "resource_api.h"
 
-#include <charconv>
 #include <optional>
 #include <string>
 #include <utility>
@@ -9,6 +8,7 @@
 #include <boost/json/serialize.hpp>
 
 #include "admin_responses.h"
+#include "basilsill/base/text.h"
 #include "resource_document.h"
 
 namespace basilsill {
@@ -66,15 +66,12 @@
   return {path.kind, path.name};
 }
 
-uint64_t ParseNumber(std::string_view text, const std::string& where) {
-  uint64_t number = 0;
-  const auto [end, error] =
-      std::from_chars(text.data(), text.data() + text.size(), number);
-  if (text.empty() || error != std::errc() ||
-      end != text.data() + text.size()) {
+uint64_t NeedNumber(std::string_view text, const std::string& where) {
+  const std::optional<uint64_t> number = ParseNumber<uint64_t>(text);
+  if (!number) {
     throw FailureError({FailureKind::kSyntax, where, "not a whole number"});
   }
-  return number;
+  return *number;
 }
 
 // @returns the version in `If-Match: "17"`, absent without that header.
@@ -86,7 +83,7 @@
   if (tag.size() >= 2 && tag.front() == '"' && tag.back() == '"') {
     tag = tag.substr(1, tag.size() - 2);
   }
-  return ParseNumber(tag, "If-Match");
+  return NeedNumber(tag, "If-Match");
 }
 
 // @returns the client's name for this change, empty without one.
@@ -192,7 +189,7 @@
 
   awaitable<void> Watch(const AdminRequest& request,
                         AdminStream& stream) const {
-    uint64_t next = ParseNumber(request.Parameter("from"), "from");
+    uint64_t next = NeedNumber(request.Parameter("from"), "from");
     AdminHead head;
     head.content_type = "application/x-ndjson";
     stream.SetHead(std::move(head));
