Caller session: a request whose body breaks off ends as begun ones do

Cause: since callers are read ahead, a request that lost its caller in the middle of a body of known length was taken out of the session without OnRequestDone. The worker's count of requests in flight stayed up for good: the gauge climbed, and a draining node was never at rest.

Change: such a request is abandoned and goes through Serve like any other, which neither runs nor answers it and reports kCallerGone. A comment that claimed that Abandon spares answers under way was untrue and is gone, and so is idle(), which nobody called.

Ruled out: counting at the beginning of Serve instead; requests that are refused or still being read have to hold a draining node too.

--- a/packages/node/src/caller_exchange.cc
+++ b/packages/node/src/caller_exchange.cc
@@ -202,7 +202,9 @@
   if (this->fault == Refusal::kNoConfiguration) {
     outcome.retry_after = kNoConfigurationRetryAfter;
   }
-  if (this->fault == Refusal::kNone && !this->abandoned) {
+  if (this->abandoned) {
+    outcome.refusal = Refusal::kCallerGone;
+  } else if (this->fault == Refusal::kNone) {
     const RuleRow* rule = FindRule(*this->host.view(), this->request.rule);
     if (rule != nullptr) {
       this->request.entry.fingerprint = FingerprintOf(this->request, *rule);
--- a/packages/node/src/caller_session.cc
+++ b/packages/node/src/caller_session.cc
@@ -91,7 +91,10 @@
   const bool keep = this->reader.message().keep_alive();
   const bool whole = co_await this->ReadWholeBody(*exchange);
   if (this->broken) {
-    this->Remove(exchange);
+    // Never begun, but counted: without its end the worker would not come to
+    // rest again.
+    exchange->Abandon();
+    co_await this->ServeHere(exchange);
     co_return false;
   }
   if (!whole) {
@@ -263,8 +266,6 @@
 }
 
 void CallerSession::Abandon() {
-  // An answer that is on its way to a caller that only closed its sending
-  // side is not cut off by this.
   const std::deque<ExchangePtr> open = this->exchanges;
   for (const ExchangePtr& exchange : open) {
     exchange->Abandon();
--- a/packages/node/src/caller_session.h
+++ b/packages/node/src/caller_session.h
@@ -33,8 +33,6 @@
   /// too long, and ends requests that stall or take too long.
   void Tick(TimePoint now);
 
-  bool idle() const { return this->exchanges.empty(); }
-
  private:
   using ExchangePtr = std::shared_ptr<CallerExchange>;
 
--- a/packages/node/test/stream_test.cc
+++ b/packages/node/test/stream_test.cc
@@ -37,6 +37,9 @@
 const std::string kReport =
     "POST /report HTTP/1.1\r\nHost: levels.test\r\nConnection: close\r\n"
     "Transfer-Encoding: chunked\r\n\r\n5\r\nhello\r\n0\r\nX-Sum: 5\r\n\r\n";
+const std::string kPartOfOrder =
+    "POST /report HTTP/1.1\r\nHost: levels.test\r\nContent-Length: 10\r\n"
+    "\r\nhello";
 const std::string kChunkedHead =
     "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
 const std::string kClosingHead =
@@ -150,6 +153,24 @@
   }
 }
 
+// Story: a phone loses its network while it still sends an order of known
+// length. The VM had counted the request when its head came. If the count
+// stays up, the VM is never at rest again: its shutdown waits for a request
+// that nobody sends any more, and the gauge climbs with each such phone.
+TEST(Stream, Caller_GoneInTheMiddleOfABody_EndsTheRequest) {
+  this->Start(&AnswerHalf);
+  for (size_t i = 0; i < kNodes; ++i) {
+    boost::asio::io_context io;
+    boost::asio::ip::tcp::socket caller(io);
+    caller.connect(
+        {boost::asio::ip::make_address("127.0.0.1"), this->node(i).callers()});
+    boost::asio::write(caller, boost::asio::buffer(kPartOfOrder));
+    CHECK(ShowsInFlight(this->node(i), 1));
+    caller.close();
+    CHECK(ShowsInFlight(this->node(i), 0));
+  }
+}
+
 // Story: an upstream dies while a clerk's export is on its way. The clerk must
 // see a failed download, not a file that ends early and looks whole.
 TEST(Stream, Upstream_DyingInTheMiddle_IsResetToTheCaller) {
