Node: one way to drop a body, to tell an own answer, to part an allowance

Bounds of the bytes read stay as they were.

Ruled out: joining the two tests of max_attempts on the dispatcher's side of retries; they stand on different ways to a retry and need a trace first.

--- a/packages/node/include/basilsill/node/installation.h
+++ b/packages/node/include/basilsill/node/installation.h
@@ -64,11 +64,10 @@
   bool messages_end_soon = false;
   /// Logs go there instead of to standard error.
   bool log_to_standard_output = false;
-  /// Whether the admin port serves the resource API.
-  bool resource_api = true;
   /// Requests in the process at once; memory is set aside for so many.
   size_t max_requests = 16384;
-  /// Makes the source of state; empty: the log of basilsill's own platform.
+  /// Makes the source of state; empty: the log of basilsill's own platform,
+  /// with the resource API on the admin port.
   std::function<std::unique_ptr<StateSource>(boost::asio::io_context& context,
                                              uint64_t incarnation,
                                              const Endpoint& control)>
--- a/packages/node/src/node.cc
+++ b/packages/node/src/node.cc
@@ -163,7 +163,7 @@
     };
   }
   AddNodeRoutes(this->router, std::move(sources));
-  if (has_log && this->installation.resource_api) {
+  if (has_log) {
     AddResourceRoutes(this->router, *this->control_side, *this->log_source);
   }
   AdminOptions options;
--- a/packages/node/src/upstream_attempt.cc
+++ b/packages/node/src/upstream_attempt.cc
@@ -180,7 +180,7 @@
   if (end == AttemptEnd::kShed || end == AttemptEnd::kMisdirected) {
     // The connection is good for another request.
     const bool keep = this->connection->reader.message().keep_alive();
-    const bool dropped = co_await this->DropAnswer();
+    const bool dropped = co_await DropBody(*this->connection, kHeldAnswerBytes);
     this->reusable =
         keep && dropped && !this->drain_sign && end == AttemptEnd::kShed;
   }
@@ -197,36 +197,22 @@
 Task<HeadStatus> UpstreamAttempt::ReadOwnHead() {
   HeadStatus status = co_await this->ReadAnswerHead();
   for (int i = 0; i < kMaxForeignAnswers && status == HeadStatus::kOk; ++i) {
-    const std::string_view id =
-        this->AnswerHeader(this->pool.names().request_id);
-    if (id.empty() || id == this->request.request_id) {
+    if (this->IsOwnAnswer()) {
       co_return status;
     }
-    const bool dropped = co_await this->DropAnswer();
+    const bool dropped = co_await DropBody(*this->connection, kHeldAnswerBytes);
     if (!dropped) {
       co_return HeadStatus::kBroken;
     }
     status = co_await this->ReadAnswerHead();
   }
-  if (status == HeadStatus::kOk) {
-    const std::string_view id =
-        this->AnswerHeader(this->pool.names().request_id);
-    const bool own = id.empty() || id == this->request.request_id;
-    co_return own ? status : HeadStatus::kMalformed;
-  }
-  co_return status;
+  const bool foreign = status == HeadStatus::kOk && !this->IsOwnAnswer();
+  co_return foreign ? HeadStatus::kMalformed : status;
 }
 
-Task<bool> UpstreamAttempt::DropAnswer() {
-  auto& reader = this->connection->reader;
-  std::vector<char> buffer(limits::kBodyChunkBytes);
-  BodyPiece piece;
-  size_t dropped = 0;
-  do {
-    piece = co_await reader.ReadBody(this->connection->socket, buffer);
-    dropped += piece.size;
-  } while (piece.ok && !piece.last && dropped < kHeldAnswerBytes);
-  co_return piece.ok&& piece.last;
+bool UpstreamAttempt::IsOwnAnswer() const {
+  const std::string_view id = this->AnswerHeader(this->pool.names().request_id);
+  return id.empty() || id == this->request.request_id;
 }
 
 Task<bool> UpstreamAttempt::SendHead() {
--- a/packages/node/src/upstream_attempt.h
+++ b/packages/node/src/upstream_attempt.h
@@ -76,7 +76,7 @@
   Task<void> StopStreamedBody();
   Task<HeadStatus> ReadAnswerHead();
   Task<HeadStatus> ReadOwnHead();
-  Task<bool> DropAnswer();
+  bool IsOwnAnswer() const;
   Task<AttemptReport> Exchange();
   Task<AttemptReport> ReadAnswer();
   Task<AttemptReport> TakeAnswer();
--- a/packages/node/src/upstream_pool.cc
+++ b/packages/node/src/upstream_pool.cc
@@ -1,5 +1,6 @@
 #include "upstream_pool.h"
 
+#include <algorithm>
 #include <functional>
 #include <utility>
 
@@ -52,6 +53,17 @@
   ++this->idle_connections;
 }
 
+Task<bool> DropBody(UpstreamConnection& connection, size_t most) {
+  std::vector<char> buffer(std::min(most, limits::kBodyChunkBytes));
+  BodyPiece piece;
+  size_t dropped = 0;
+  do {
+    piece = co_await connection.reader.ReadBody(connection.socket, buffer);
+    dropped += piece.size;
+  } while (piece.ok && !piece.last && dropped < most);
+  co_return piece.ok&& piece.last;
+}
+
 void UpstreamPool::Tick(TimePoint now) {
   for (auto entry = this->idle.begin(); entry != this->idle.end();) {
     IdleList& list = entry->second;
--- a/packages/node/src/upstream_pool.h
+++ b/packages/node/src/upstream_pool.h
@@ -42,6 +42,12 @@
 };
 using UpstreamConnectionPtr = std::unique_ptr<UpstreamConnection>;
 
+/// Reads an answer's body and drops it, so that the connection can carry
+/// another request.
+/// @param most Bytes after which that is given up.
+/// @returns true if the body came to its end.
+Task<bool> DropBody(UpstreamConnection& connection, size_t most);
+
 struct UpstreamPoolOptions {
   std::chrono::milliseconds connect_timeout = limits::kUpstreamConnectTimeout;
   std::chrono::milliseconds idle_timeout = limits::kUpstreamIdleTimeout;
--- a/packages/node/src/upstream_question.cc
+++ b/packages/node/src/upstream_question.cc
@@ -23,17 +23,6 @@
   return !said.empty() && said != id;
 }
 
-Task<bool> ReadToEnd(UpstreamConnection& connection) {
-  std::vector<char> buffer(kMaxAnswerBytes);
-  BodyPiece piece;
-  size_t size = 0;
-  do {
-    piece = co_await connection.reader.ReadBody(connection.socket, buffer);
-    size += piece.size;
-  } while (piece.ok && !piece.last && size < kMaxAnswerBytes);
-  co_return piece.ok&& piece.last;
-}
-
 }  // namespace
 
 Task<AskReport> AskForLoad(UpstreamPool& pool,
@@ -74,7 +63,7 @@
     report.load = ParseLoad(HeaderValue(answer, pool.names().load));
     report.foreign = IsForeign(answer, pool.names().served_by, target.id);
     keep = connection->reader.message().keep_alive();
-    const bool whole = co_await ReadToEnd(*connection);
+    const bool whole = co_await DropBody(*connection, kMaxAnswerBytes);
     keep = keep && whole && !connection->reader.has_more();
   }
   *closed = true;
--- a/packages/node/src/worker.cc
+++ b/packages/node/src/worker.cc
@@ -63,10 +63,12 @@
 // With that bound in force, the budgets of single teams are left open.
 constexpr RatioBudgetOptions kOpenBudget{1, 1000, 1000, 1000};
 
-RepeatBudgetOptions PartOf(const RepeatAllowance& allowance, double part) {
+RepeatBudgetOptions PartOf(const RepeatAllowance& allowance,
+                           double ratio_part,
+                           double slack_part) {
   RepeatBudgetOptions options;
-  options.ratio = kRatioPart * part * allowance.ratio;
-  options.slack = part * allowance.slack;
+  options.ratio = ratio_part * allowance.ratio;
+  options.slack = slack_part * allowance.slack;
   options.window = allowance.window;
   return options;
 }
@@ -78,8 +80,8 @@
   DispatcherOptions dispatcher;
   dispatcher.max_requests = installation.max_requests;
   if (installation.repeats) {
-    dispatcher.repeats = PartOf(*installation.repeats, kDispatcherPart);
-    dispatcher.repeats->ratio = kRatioPart * installation.repeats->ratio;
+    dispatcher.repeats =
+        PartOf(*installation.repeats, kRatioPart, kDispatcherPart);
     dispatcher.retry_budget = kOpenBudget;
     dispatcher.hedge_budget = kOpenBudget;
     dispatcher.features.class_caps = false;
@@ -98,8 +100,7 @@
   EntryOptions entry;
   entry.max_requests = installation.max_requests;
   if (installation.repeats) {
-    entry.repeats = PartOf(*installation.repeats, kEntryPart);
-    entry.repeats->ratio = 0;
+    entry.repeats = PartOf(*installation.repeats, 0, kEntryPart);
   }
   entry.seed = options.seed + 1;
   entry.quarantine = quarantine;
