--- a/packages/decision/include/basilsill/decision/topic_follower.h
+++ b/packages/decision/include/basilsill/decision/topic_follower.h
@@ -33,7 +33,6 @@
   TopicCallKind kind = TopicCallKind::kListNewest;
   std::string after;
   uint64_t from = 0;
-  std::chrono::milliseconds wait{0};  ///< That the store holds the answer.
 };
 
 struct TopicFollowerOptions {
@@ -41,8 +40,6 @@
   Duration interval{0};
   /// The longest that any VM waits without news.
   Duration max_silence{0};
-  /// How long the store may hold a read without records.
-  std::chrono::milliseconds wait{0};
   Duration retry_min = std::chrono::milliseconds(100);
   Duration retry_max = std::chrono::milliseconds(400);
 };
--- /dev/null
+++ b/packages/decision/include/basilsill/decision/topic_records.h
@@ -0,0 +1,46 @@
+#ifndef BASILSILL_DECISION_TOPIC_RECORDS_H_
+#define BASILSILL_DECISION_TOPIC_RECORDS_H_
+
+#include <cstdint>
+#include <map>
+#include <string>
+#include <vector>
+
+/// What a VM keeps of a topic of a platform's record store for other VMs: the
+/// newest record of each key for those that start, and what is new for those
+/// that follow the topic. Pure.
+
+namespace basilsill {
+
+struct KeyedRecord {
+  std::string key;
+  std::string value;
+  uint64_t offset = 0;
+  bool removed = false;  ///< It takes the key away.
+};
+
+class TopicRecords {
+ public:
+  /// @returns false if the record is no newer than the one known of its key:
+  /// records are told more than once.
+  bool Keep(const KeyedRecord& record);
+
+  /// `record` said something new, and other VMs may not know it.
+  void AddUntold(const KeyedRecord& record);
+
+  /// All VMs know what stands before `settled`.
+  void ForgetTold(uint64_t settled);
+
+  const std::vector<KeyedRecord>& untold() const { return this->recent; }
+
+  /// @returns the newest record of each key.
+  std::vector<KeyedRecord> All() const;
+
+ private:
+  std::map<std::string, KeyedRecord> newest;
+  std::vector<KeyedRecord> recent;
+};
+
+}  // namespace basilsill
+
+#endif  // BASILSILL_DECISION_TOPIC_RECORDS_H_
--- a/packages/decision/src/membership.cc
+++ b/packages/decision/src/membership.cc
@@ -37,7 +37,8 @@
 bool IsSameRow(const VmRow& a, const VmRow& b) {
   return a.handle == b.handle && a.name == b.name &&
          a.incarnation == b.incarnation && a.data_centre == b.data_centre &&
-         a.control == b.control && a.workers == b.workers && a.state == b.state;
+         a.control == b.control && a.workers == b.workers &&
+         a.state == b.state && a.capacity == b.capacity;
 }
 
 }  // namespace
--- a/packages/decision/src/topic_follower.cc
+++ b/packages/decision/src/topic_follower.cc
@@ -40,7 +40,6 @@
       this->listing ? TopicCallKind::kListNewest : TopicCallKind::kReadOn;
   call.after = this->after;
   call.from = this->from;
-  call.wait = this->options.wait;
   return call;
 }
 
--- /dev/null
+++ b/packages/decision/src/topic_records.cc
@@ -0,0 +1,46 @@
+#include "basilsill/decision/topic_records.h"
+
+namespace basilsill {
+namespace {
+
+// Records that are kept to be told; more than come within the time in which
+// all VMs hear of them, also when all upstreams change at once.
+constexpr size_t kMaxUntold = 4096;
+
+}  // namespace
+
+bool TopicRecords::Keep(const KeyedRecord& record) {
+  const auto known = this->newest.find(record.key);
+  if (known != this->newest.end() && known->second.offset >= record.offset) {
+    return false;
+  }
+  if (record.removed) {
+    this->newest.erase(record.key);
+  } else {
+    this->newest[record.key] = record;
+  }
+  return true;
+}
+
+void TopicRecords::AddUntold(const KeyedRecord& record) {
+  if (this->recent.size() == kMaxUntold) {
+    this->recent.erase(this->recent.begin());
+  }
+  this->recent.push_back(record);
+}
+
+void TopicRecords::ForgetTold(uint64_t settled) {
+  std::erase_if(this->recent, [settled](const KeyedRecord& record) {
+    return record.offset < settled;
+  });
+}
+
+std::vector<KeyedRecord> TopicRecords::All() const {
+  std::vector<KeyedRecord> records;
+  for (const auto& [key, record] : this->newest) {
+    records.push_back(record);
+  }
+  return records;
+}
+
+}  // namespace basilsill
--- a/packages/node/src/control.cc
+++ b/packages/node/src/control.cc
@@ -221,15 +221,27 @@
 // shard or would do so next, and the first in the order in which VMs read the
 // platform for all. Where all are of one size these are nearly all VMs of a
 // small fleet; in a large one the small VMs have none among themselves.
+//
+// They change with the view and with membership only, and to collect them costs
+// an order of all VMs, so that isn't done at every tick.
 void Control::SetNeeds(TimePoint now) {
-  std::vector<PeerNeed> needs;
-  const VmHandle self = this->members->self();
+  const bool is_stale = this->needs_of_view != this->current_view ||
+                        this->needs_of_membership != this->members->version();
+  if (is_stale) {
+    this->needs_of_view = this->current_view;
+    this->needs_of_membership = this->members->version();
+    this->CollectNeeds();
+  }
+  this->members->SetNeeds(now, this->needs);
+}
+
+void Control::CollectNeeds() {
+  this->needs.clear();
   for (const VmHandle vm : this->CollectWorkers()) {
-    if (vm != self) {
-      needs.push_back({vm, PeerUse::kShard});
+    if (vm != this->members->self()) {
+      this->needs.push_back({vm, PeerUse::kShard});
     }
   }
-  this->members->SetNeeds(now, needs);
 }
 
 std::set<VmHandle> Control::CollectWorkers() const {
--- a/packages/node/src/control.h
+++ b/packages/node/src/control.h
@@ -94,6 +94,7 @@
   void PumpMembership();
   void Perform(const MembershipAction& action);
   void SetNeeds(TimePoint now);
+  void CollectNeeds();
   std::set<VmHandle> CollectWorkers() const;
   void RebuildIfChanged();
   void OnHeartbeat(VmHandle from, const wire::Heartbeat& heartbeat);
@@ -110,6 +111,10 @@
   InForceTable force;
   std::unique_ptr<ViewBuilder> builder;
   RoutingViewPtr current_view;
+  std::vector<PeerNeed> needs;
+  /// What `needs` were collected from.
+  RoutingViewPtr needs_of_view;
+  uint64_t needs_of_membership = 0;
   uint64_t built_membership = 0;
   uint64_t built_views = 0;
   bool leaving = false;
