Topic follower: while the store is in trouble most VMs ask it rarely

Cause: on a fleet of 109 VMs a store that refused every call for eight seconds was asked 800 times a second: each VM tried each of three topics again every 0.4 s. A store that is slow by sixty times makes the one that reads for all late, so that the others lose patience and read too.

Change: who sees the trouble itself (a call that failed or took 0.1 s) waits longer, by its place in the common order: the first as before, the last 1.8 s. Nobody is bound while the store is in trouble nor for three seconds after it, and the sign of it lapses in time. A VM that has not listed a topic yet tries as often as before.

Ruled out: one VM telling the others that the store is down. It can't tell a store that is down from one that refuses only itself.

--- a/packages/decision/include/basilsill/decision/topic_follower.h
+++ b/packages/decision/include/basilsill/decision/topic_follower.h
@@ -40,7 +40,12 @@
   Duration interval{0};
   /// The longest that any VM waits without news.
   Duration max_silence{0};
+  /// The same while the store is in trouble, as own calls show it, and the
+  /// longest between two tries of a VM far back in the order.
+  Duration trouble_silence{0};
   Duration retry_min = std::chrono::milliseconds(100);
+  /// The longest between two tries of the first VM, and of one that has not
+  /// listed the topic yet.
   Duration retry_max = std::chrono::milliseconds(400);
 };
 
@@ -90,6 +95,9 @@
   /// The call failed or got no answer.
   void OnFailed(TimePoint now);
 
+  /// A call was answered, and took so long.
+  void OnCallTook(TimePoint now, Duration took);
+
   /// @returns true once the newest records were listed whole.
   bool is_whole() const { return this->whole; }
 
@@ -104,7 +112,10 @@
   uint64_t settled() const { return this->settled_offset; }
 
  private:
-  Duration Patience() const;
+  Duration Patience(TimePoint now) const;
+  Duration RetryPause() const;
+  /// @returns a part of the way from `first` to `last`, by the VM's place.
+  Duration ByPlace(Duration first, Duration last) const;
   void Advance(TimePoint now, uint64_t next);
 
   TopicFollowerOptions options;
@@ -118,6 +129,7 @@
   TimePoint settling_since{};
   size_t rank = 0;
   uint32_t failures = 0;
+  TimePoint trouble_until{};
   TimePoint next_at{};
 };
 
--- a/packages/decision/src/topic_follower.cc
+++ b/packages/decision/src/topic_follower.cc
@@ -15,6 +15,14 @@
 // Place in the order whose patience is half-way to the longest.
 constexpr int64_t kHalfWay = 5;
 
+// An answer of the store takes some milliseconds; one that takes this long
+// comes from a store in trouble.
+constexpr Duration kSlowCall = std::chrono::milliseconds(100);
+
+// So long after its last sign, trouble may be over for as long as every VM must
+// be informed in time again (three seconds), and one call.
+constexpr Duration kTroubleLasts = std::chrono::milliseconds(1800);
+
 // Below this number of VMs each lists for itself: it is ready sooner, and all
 // of them together make few calls. Above, a start of the whole fleet would make
 // some ten calls a VM.
@@ -71,7 +79,7 @@
 void TopicFollower::OnRecords(TimePoint now, uint64_t next) {
   this->failures = 0;
   this->Advance(now, next);
-  this->next_at = now + this->Patience();
+  this->next_at = now + this->Patience(now);
 }
 
 void TopicFollower::Advance(TimePoint now, uint64_t next) {
@@ -83,14 +91,20 @@
   this->from = std::max(this->from, next);
 }
 
-// Between the interval and the longest silence, all in different places: the
-// first ones far apart, since one of them is to be heard before the next reads,
-// the last ones close together, since they hardly ever come to read.
-Duration TopicFollower::Patience() const {
+// Between the two, all in different places: the first ones far apart, since one
+// of them is to be heard before the next acts, the last ones close together,
+// since they hardly ever come to act.
+Duration TopicFollower::ByPlace(Duration first, Duration last) const {
   const auto place = static_cast<int64_t>(this->rank);
-  const Duration room =
-      std::max(Duration(0), this->options.max_silence - this->options.interval);
-  return this->options.interval + room * place / (place + kHalfWay);
+  const Duration room = std::max(Duration(0), last - first);
+  return first + room * place / (place + kHalfWay);
+}
+
+Duration TopicFollower::Patience(TimePoint now) const {
+  const Duration longest = now < this->trouble_until
+                               ? this->options.trouble_silence
+                               : this->options.max_silence;
+  return this->ByPlace(this->options.interval, longest);
 }
 
 // Old news, as a VM sends that was paused in between, says nothing of what is
@@ -108,7 +122,7 @@
   // While the store does not answer this VM, hearing of it from others is as
   // good, but does not end the retries: they tell whether it is back.
   if (this->failures == 0) {
-    this->next_at = now + this->Patience();
+    this->next_at = now + this->Patience(now);
   }
   return is_new;
 }
@@ -122,15 +136,34 @@
 }
 
 void TopicFollower::OnFailed(TimePoint now) {
-  const Duration pause =
-      this->options.retry_min *
-      (int64_t{1} << std::min(this->failures, kMaxDoublings));
+  this->next_at = now + this->RetryPause();
   ++this->failures;
-  this->next_at = now + std::min(pause, this->options.retry_max);
+  this->trouble_until = now + kTroubleLasts;
   if (this->listing) {
     this->after.clear();
     this->first_page = true;
   }
 }
 
+// Failure: the store is down for all, and each of a hundred VMs asks it some
+// times a second. It shows as thousands of refused calls. The first VMs find
+// out soon enough for all that the store is back, and tell them; one that
+// nobody can tell still finds out before it must know.
+Duration TopicFollower::RetryPause() const {
+  const auto doubled = int64_t{1} << std::min(this->failures, kMaxDoublings);
+  if (!this->whole) {
+    return std::min(this->options.retry_min * doubled, this->options.retry_max);
+  }
+  const auto place = static_cast<int64_t>(this->rank);
+  return std::min(
+      this->options.retry_min * doubled * (1 + place),
+      this->ByPlace(this->options.retry_max, this->options.trouble_silence));
+}
+
+void TopicFollower::OnCallTook(TimePoint now, Duration took) {
+  if (took >= kSlowCall) {
+    this->trouble_until = now + kTroubleLasts;
+  }
+}
+
 }  // namespace basilsill
--- a/packages/decision/test/topic_follower_test.cc
+++ b/packages/decision/test/topic_follower_test.cc
@@ -20,6 +20,7 @@
   TopicFollowerOptions options;
   options.interval = 600ms;
   options.max_silence = 1050ms;
+  options.trouble_silence = 1800ms;
   return options;
 }
 
@@ -135,6 +136,7 @@
       this->vms.back().SetRank(i);
       this->dead.push_back(false);
       this->last_fresh.push_back(this->now);
+      this->answer_at.push_back(kIdle);
     }
   }
 
@@ -142,20 +144,42 @@
     for (const TimePoint end = this->now + length; this->now < end;
          this->now += 10ms) {
       for (size_t i = 0; i < this->vms.size(); ++i) {
-        if (!this->dead[i] && this->vms[i].due() <= this->now) {
-          this->Read(i);
+        if (!this->dead[i]) {
+          this->Step(i);
         }
       }
     }
   }
 
+  /// A call is answered so late; after it, or at once, it is refused if the
+  /// store is down.
+  Duration call_time{0};
+  bool is_down = false;
   size_t reads = 0;
   Duration longest_silence{0};
   std::vector<bool> dead;
 
  private:
-  void Read(size_t reader) {
-    ++this->reads;
+  static constexpr TimePoint kIdle = TimePoint::max();
+
+  void Step(size_t vm) {
+    if (this->answer_at[vm] == kIdle && this->vms[vm].due() <= this->now) {
+      ++this->reads;
+      this->answer_at[vm] = this->now + this->call_time;
+    }
+    if (this->answer_at[vm] > this->now) {
+      return;
+    }
+    this->answer_at[vm] = kIdle;
+    if (this->is_down) {
+      this->vms[vm].OnFailed(this->now);
+    } else {
+      this->vms[vm].OnCallTook(this->now, this->call_time);
+      this->Tell(vm);
+    }
+  }
+
+  void Tell(size_t reader) {
     for (size_t i = 0; i < this->vms.size(); ++i) {
       if (this->dead[i]) {
         continue;
@@ -174,6 +198,7 @@
   TimePoint now{1s};
   std::vector<TopicFollower> vms;
   std::vector<TimePoint> last_fresh;
+  std::vector<TimePoint> answer_at;
 };
 
 }  // namespace
@@ -194,3 +219,50 @@
   readers.Run(5s);
   CHECK(readers.longest_silence <= 1100ms);
 }
+
+// The store refuses every call for eight seconds. Each of a hundred VMs tried
+// again every 0.4 s, three topics each: 800 calls a second, all of them refused
+// and paid for, and more than the store can take as it comes back. The first
+// ones in the order are enough to find out when it does.
+TEST(TopicFollower, Readers_StoreDown_MostTryRarely) {
+  Readers readers(100);
+  readers.Run(2s);
+  readers.is_down = true;
+  readers.reads = 0;
+  readers.Run(8s);
+  CHECK(readers.reads <= 640);
+  readers.is_down = false;
+  readers.longest_silence = 0s;
+  readers.reads = 0;
+  readers.Run(1s);
+  CHECK(readers.longest_silence <= 10s);
+  CHECK(readers.reads <= 60);
+}
+
+// The store takes sixty times as long as usual. Who reads for all is late by
+// that, and all the others lose patience one after the other.
+TEST(TopicFollower, Readers_StoreSlow_FewStepIn) {
+  Readers readers(100);
+  readers.Run(2s);
+  readers.call_time = 240ms;
+  readers.Run(2s);
+  readers.reads = 0;
+  readers.longest_silence = 0s;
+  readers.Run(8s);
+  CHECK(readers.reads <= 30);
+  CHECK(readers.longest_silence <= 1500ms);
+}
+
+// Trouble is over, and a while later the VM that reads for all dies. By then
+// all must hear of changes in time again.
+TEST(TopicFollower, Readers_FirstDiesAfterTrouble_NobodyIsInTheDarkForLong) {
+  Readers readers(14);
+  readers.is_down = true;
+  readers.Run(5s);
+  readers.is_down = false;
+  readers.Run(3s);
+  readers.dead[0] = true;
+  readers.longest_silence = 0s;
+  readers.Run(3s);
+  CHECK(readers.longest_silence <= 1100ms);
+}
