Soak: real nodes as processes in faults drawn from a seed

The platform's store, upstreams and callers are emulated in the soak's own process, with a proxy before each upstream and each node's store; nodes are killed, ended, paused and reloaded by their ids. What was seen is kept in tables and judged afterwards against twelve promises.

--- /dev/null
+++ b/soak/fleet.cc
@@ -0,0 +1,232 @@
+#include "fleet.h"
+
+#include <signal.h>
+#include <unistd.h>
+
+#include <algorithm>
+
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+#include "fake_caller.h"
+
+namespace basilsill::soak {
+namespace {
+
+namespace asio = boost::asio;
+using std::chrono::milliseconds;
+
+// As the platform's balancer does it.
+constexpr milliseconds kAskInterval{1000};
+constexpr milliseconds kAskLimit{500};
+constexpr size_t kMissesOut = 2;
+
+constexpr milliseconds kRestartPause{300};
+constexpr milliseconds kWatchInterval{20};
+constexpr milliseconds kEveryoneBack{1000};
+
+// 127.A.B.N, of which A and B come from the id of this process, so that soaks
+// beside each other do not meet.
+std::string AddressOf(size_t node) {
+  const auto id = static_cast<unsigned>(::getpid());
+  constexpr unsigned kOctet = 200;
+  return "127." + std::to_string(1 + id / kOctet % kOctet) + "." +
+         std::to_string(1 + id % kOctet) + "." + std::to_string(1 + node);
+}
+
+}  // namespace
+
+Fleet::Fleet(asio::io_context& io,
+             const FleetOptions& options,
+             Observations& seen)
+    : io(io), grace(options.grace), seen(seen) {
+  for (size_t i = 0; i < options.nodes; ++i) {
+    auto member = std::make_unique<Member>();
+    member->number = i;
+    member->misses = kMissesOut;
+    member->store_link = std::make_unique<Proxy>(io, options.store);
+    NodeOptions node;
+    node.program = options.program;
+    node.name = "vm-" + std::to_string(i);
+    node.address = AddressOf(i);
+    node.directory = options.directory;
+    node.store = member->store_link->endpoint();
+    node.repeat_slack = options.repeat_slack;
+    member->process = std::make_unique<NodeProcess>(node);
+    this->members.push_back(std::move(member));
+  }
+}
+
+void Fleet::Start() {
+  for (const auto& member : this->members) {
+    member->process->Start();
+    asio::co_spawn(this->io, this->Ask(*member), asio::detached);
+    asio::co_spawn(this->io, this->Watch(*member), asio::detached);
+  }
+}
+
+void Fleet::Stop() {
+  this->stopped = true;
+  for (const auto& member : this->members) {
+    member->process->Signal(SIGKILL);
+  }
+}
+
+asio::awaitable<void> Fleet::Sleep(milliseconds time) {
+  asio::steady_timer timer(this->io, time);
+  co_await timer.async_wait(asio::as_tuple(asio::use_awaitable));
+}
+
+asio::awaitable<void> Fleet::Ask(Member& member) {
+  while (!this->stopped) {
+    const bool ready = co_await adapter::test::IsReady(
+        this->io.get_executor(), member.process->readiness(), kAskLimit);
+    member.misses = ready ? 0 : member.misses + 1;
+    // One that is not taken yet is asked more often, to begin soon.
+    co_await this->Sleep(this->IsAnyReady() ? kAskInterval : kRestartPause);
+  }
+}
+
+// A node that ends though nobody told it to has crashed.
+asio::awaitable<void> Fleet::Watch(Member& member) {
+  while (!this->stopped) {
+    co_await this->Sleep(kWatchInterval);
+    if (!this->stopped && !member.is_busy && !member.process->IsRunning()) {
+      this->seen.unasked_ends.push_back({member.number, MonotonicClock::now()});
+      member.process->Start();
+    }
+  }
+}
+
+bool Fleet::IsAnyReady() const {
+  return std::any_of(
+      this->members.begin(), this->members.end(),
+      [](const auto& member) { return member->misses < kMissesOut; });
+}
+
+std::vector<size_t> Fleet::InRotation() const {
+  std::vector<size_t> nodes;
+  for (const auto& member : this->members) {
+    if (member->misses < kMissesOut || !this->IsAnyReady()) {
+      nodes.push_back(member->number);
+    }
+  }
+  return nodes;
+}
+
+void Fleet::SetStoreLinks(LinkState state) {
+  for (const auto& member : this->members) {
+    member->store_link->SetState(state);
+  }
+}
+
+size_t Fleet::Begin(DisturbanceKind kind, std::optional<size_t> node) {
+  this->seen.disturbances.push_back(
+      {kind, node, MonotonicClock::now(), TimePoint::max()});
+  return this->seen.disturbances.size() - 1;
+}
+
+asio::awaitable<void> Fleet::Harm(const Step& step) {
+  if (step.fault == Fault::kAllKill) {
+    co_await this->KillAll();
+    co_return;
+  }
+  Member& member = *this->members[step.target % this->members.size()];
+  if (member.is_busy) {
+    co_return;
+  }
+  member.is_busy = true;
+  co_await this->HarmOne(member, step);
+  member.is_busy = false;
+}
+
+asio::awaitable<void> Fleet::HarmOne(Member& member, const Step& step) {
+  switch (step.fault) {
+    case Fault::kNodeKill:
+      co_await this->Kill(member);
+      break;
+    case Fault::kNodeEnd:
+      co_await this->End(member);
+      break;
+    case Fault::kNodePause:
+      co_await this->Pause(member, step);
+      break;
+    case Fault::kStoreRefusesSome:
+      co_await this->CutFromStore(member, step);
+      break;
+    default:
+      member.process->Signal(SIGHUP);
+      break;
+  }
+}
+
+asio::awaitable<void> Fleet::Kill(Member& member) {
+  const size_t row = this->Begin(DisturbanceKind::kNode, member.number);
+  member.process->Signal(SIGKILL);
+  co_await this->Sleep(kRestartPause);
+  if (!this->stopped) {
+    member.process->Start();
+    this->Finish(row);
+  }
+}
+
+asio::awaitable<void> Fleet::End(Member& member) {
+  const size_t row = this->Begin(DisturbanceKind::kShutdown, member.number);
+  const TimePoint until = MonotonicClock::now() + this->grace;
+  member.process->Signal(SIGTERM);
+  while (member.process->IsRunning() && MonotonicClock::now() < until) {
+    co_await this->Sleep(kWatchInterval);
+  }
+  member.process->Signal(SIGKILL);
+  this->Finish(row);
+  const size_t start = this->Begin(DisturbanceKind::kNode, member.number);
+  co_await this->Sleep(kRestartPause);
+  if (!this->stopped) {
+    member.process->Start();
+    this->Finish(start);
+  }
+}
+
+asio::awaitable<void> Fleet::Pause(Member& member, const Step& step) {
+  const size_t row = this->Begin(DisturbanceKind::kNode, member.number);
+  member.process->Signal(SIGSTOP);
+  co_await this->Sleep(step.lasts);
+  member.process->Signal(SIGCONT);
+  this->Finish(row);
+}
+
+asio::awaitable<void> Fleet::CutFromStore(Member& member, const Step& step) {
+  const size_t row = this->Begin(DisturbanceKind::kStore, std::nullopt);
+  member.store_link->SetState(LinkState::kRefusing);
+  member.store_link->Reset();
+  co_await this->Sleep(step.lasts);
+  member.store_link->SetState(LinkState::kWell);
+  this->Finish(row);
+}
+
+asio::awaitable<void> Fleet::KillAll() {
+  std::vector<Member*> killed;
+  for (const auto& member : this->members) {
+    if (!member->is_busy) {
+      member->is_busy = true;
+      member->process->Signal(SIGKILL);
+      killed.push_back(member.get());
+    }
+  }
+  const size_t row = this->Begin(DisturbanceKind::kNode, std::nullopt);
+  co_await this->Sleep(kRestartPause);
+  for (Member* member : killed) {
+    if (!this->stopped) {
+      member->process->Start();
+    }
+    member->is_busy = false;
+  }
+  co_await this->Sleep(kEveryoneBack);
+  this->Finish(row);
+  this->seen.all_back = MonotonicClock::now();
+}
+
+}  // namespace basilsill::soak
--- /dev/null
+++ b/soak/node_process.cc
@@ -0,0 +1,103 @@
+#include "node_process.h"
+
+#include <signal.h>
+
+#include <fstream>
+#include <stdexcept>
+#include <unordered_map>
+#include <utility>
+#include <vector>
+
+#include <boost/process/args.hpp>
+#include <boost/process/child.hpp>
+#include <boost/process/env.hpp>
+#include <boost/process/environment.hpp>
+#include <boost/process/exe.hpp>
+#include <boost/process/io.hpp>
+
+#include "platform_text.h"
+
+namespace basilsill::soak {
+namespace {
+
+namespace process = boost::process;
+
+// Each node has an address of its own, so ports need not differ. They lie
+// below those that the kernel hands out.
+constexpr uint16_t kCallersPort = 8641;
+constexpr uint16_t kReadyPort = 8640;
+constexpr char kLinkPorts[] = "7620,7635";
+
+struct FileCloser {
+  void operator()(FILE* file) const { std::fclose(file); }
+};
+
+}  // namespace
+
+struct NodeProcess::Process {
+  Process(const std::string& program, const std::string& settings, FILE* log)
+      : running(process::exe = program,
+                process::args = "--adapter",
+                process::env[adapter::test::kSettingsVariable] = settings,
+                process::std_in<process::null, process::std_out> log,
+                process::std_err > log) {}
+
+  process::child running;
+};
+
+NodeProcess::NodeProcess(NodeOptions options) : options(std::move(options)) {
+  adapter::test::SettingsText text;
+  text.vm = this->options.name;
+  text.address = this->options.address;
+  text.store = ToString(this->options.store);
+  text.callers_port = kCallersPort;
+  text.ready_port = kReadyPort;
+  text.link_ports = kLinkPorts;
+  text.repeat_slack = this->options.repeat_slack;
+  std::ofstream settings(this->options.directory + "/" + this->options.name +
+                         ".conf");
+  settings << ToText(text);
+  if (!settings.flush()) {
+    throw std::runtime_error("can't write in " + this->options.directory);
+  }
+}
+
+NodeProcess::~NodeProcess() {
+  if (this->process != nullptr && this->process->running.valid()) {
+    this->Signal(SIGKILL);
+    std::error_code ignored;
+    this->process->running.wait(ignored);
+  }
+}
+
+void NodeProcess::Start() {
+  const std::string base = this->options.directory + "/" + this->options.name;
+  const std::unique_ptr<FILE, FileCloser> log(
+      std::fopen((base + ".log").c_str(), "ae"));
+  if (log == nullptr) {
+    throw std::runtime_error("can't write " + base + ".log");
+  }
+  this->process = std::make_unique<Process>(this->options.program,
+                                            base + ".conf", log.get());
+}
+
+void NodeProcess::Signal(int number) {
+  if (this->process != nullptr && this->IsRunning()) {
+    ::kill(this->process->running.id(), number);
+  }
+}
+
+bool NodeProcess::IsRunning() {
+  std::error_code ignored;
+  return this->process != nullptr && this->process->running.running(ignored);
+}
+
+Endpoint NodeProcess::callers() const {
+  return {this->options.address, kCallersPort};
+}
+
+Endpoint NodeProcess::readiness() const {
+  return {this->options.address, kReadyPort};
+}
+
+}  // namespace basilsill::soak
--- /dev/null
+++ b/soak/observations.h
@@ -0,0 +1,110 @@
+#ifndef BASILSILL_SOAK_OBSERVATIONS_H_
+#define BASILSILL_SOAK_OBSERVATIONS_H_
+
+#include <chrono>
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "basilsill/base/time.h"
+
+/// What callers, upstreams and the operator of a soak saw, in tables. Nothing
+/// here comes from the nodes under test but what they sent to these three.
+
+namespace basilsill::soak {
+
+enum class RequestKind : uint8_t {
+  kSafe,
+  kUnsafe,  ///< Must run at most once.
+  kDownload,
+  kCount
+};
+
+/// How a request ended at its caller.
+enum class Ending : uint8_t {
+  kOpen,     ///< It has not.
+  kAnswer,   ///< A whole answer came.
+  kBroken,   ///< Sent whole; the connection ended without a whole answer.
+  kCaller,   ///< The caller left before an answer.
+  kTimeout,  ///< No answer within the caller's patience.
+  kCount
+};
+
+/// One attempt of a caller, with an id of its own.
+struct RequestRow {
+  std::string id;
+  RequestKind kind = RequestKind::kSafe;
+  std::string route;
+  size_t service = 0;
+  size_t node = 0;
+  TimePoint sent{};  ///< Its last octet was written.
+  TimePoint ended{};
+  Ending ending = Ending::kOpen;
+  unsigned status = 0;
+  /// The answer is the whole one that an upstream gave to this very request.
+  bool is_own = false;
+  bool behind_another = false;  ///< Pipelined: others before it were open.
+};
+
+/// An upstream began to work on a request.
+struct RunRow {
+  std::string id;
+  size_t upstream = 0;
+  size_t service = 0;
+  TimePoint began{};
+};
+
+/// The platform accepted that an upstream leaves.
+struct LeavingRow {
+  size_t upstream = 0;
+  TimePoint accepted{};
+};
+
+/// The platform accepted a configuration that adds or drops a route.
+struct RouteRow {
+  std::string route;
+  bool is_added = false;
+  TimePoint sent{};
+  TimePoint accepted{};
+};
+
+enum class DisturbanceKind : uint8_t {
+  kNode,      ///< A node was killed, paused, or cut from others.
+  kShutdown,  ///< A node was told to end: planned.
+  kStore,
+  kUpstream,  ///< Upstreams, and connections to them.
+  kCount
+};
+
+/// A time in which something was done from outside.
+struct Disturbance {
+  DisturbanceKind kind = DisturbanceKind::kNode;
+  std::optional<size_t> node;  ///< Absent: all of them.
+  TimePoint from{};
+  TimePoint to{};
+};
+
+/// A node ended without having been told to.
+struct UnaskedEnd {
+  size_t node = 0;
+  TimePoint at{};
+};
+
+struct Observations {
+  std::vector<RequestRow> requests;
+  std::vector<RunRow> runs;
+  std::vector<LeavingRow> leaving;
+  std::vector<RouteRow> routes;
+  std::vector<Disturbance> disturbances;
+  std::vector<UnaskedEnd> unasked_ends;
+  /// Nodes were all back after the last time that all were killed.
+  std::optional<TimePoint> all_back;
+  TimePoint ended{};
+  /// The latest that a timer of the soak itself came: the machine is busy.
+  Duration lag{0};
+};
+
+}  // namespace basilsill::soak
+
+#endif  // BASILSILL_SOAK_OBSERVATIONS_H_
--- /dev/null
+++ b/soak/plan.cc
@@ -0,0 +1,88 @@
+#include "plan.h"
+
+#include <algorithm>
+#include <array>
+#include <random>
+
+#include <pcg_random.hpp>
+
+namespace basilsill::soak {
+namespace {
+
+using std::chrono::milliseconds;
+
+constexpr std::array<std::string_view, static_cast<size_t>(Fault::kCount)>
+    kNames = {"node-kill",     "node-end",       "node-pause",
+              "node-reload",   "all-kill",       "store-down",
+              "store-busy",    "store-silent",   "store-slow",
+              "store-refuses", "upstream-crash", "upstream-leave",
+              "upstream-slow", "upstream-fails", "answers-lost",
+              "answers-cut",   "link-slow",      "link-reset",
+              "link-one-way",  "link-silent",    "route-change"};
+
+// One fault in this time on average, so that some overlap: most of them last
+// up to three seconds.
+constexpr milliseconds kMeanGap{1300};
+constexpr milliseconds kShortest{200};
+constexpr milliseconds kLongest{3000};
+// Traffic runs undisturbed first, so that what is new is told from what is old.
+constexpr milliseconds kQuietStart{1500};
+// After all nodes were killed, until recovery has been judged.
+constexpr milliseconds kRecoveryTime{14000};
+// Faults often come in series of one kind.
+constexpr double kRepeatShare = 0.25;
+
+uint32_t Draw(pcg32& random, uint32_t below) {
+  return std::uniform_int_distribution<uint32_t>(0, below - 1)(random);
+}
+
+milliseconds DrawGap(pcg32& random) {
+  const double mean = static_cast<double>(kMeanGap.count());
+  return milliseconds(static_cast<int64_t>(
+      std::exponential_distribution<double>(1 / mean)(random)));
+}
+
+Step DrawStep(pcg32& random, milliseconds at) {
+  Step step;
+  step.fault =
+      static_cast<Fault>(Draw(random, static_cast<uint32_t>(Fault::kCount)));
+  step.at = at;
+  step.lasts =
+      kShortest +
+      milliseconds(
+          Draw(random, static_cast<uint32_t>((kLongest - kShortest).count())));
+  step.target = random();
+  return step;
+}
+
+}  // namespace
+
+std::string_view NameOf(Fault fault) {
+  return kNames.at(static_cast<size_t>(fault));
+}
+
+Plan MakePlan(uint64_t seed, size_t nodes, milliseconds lasts) {
+  Plan plan;
+  plan.seed = seed;
+  plan.nodes = nodes;
+  plan.lasts = lasts;
+  pcg32 random(seed);
+  std::bernoulli_distribution repeats(kRepeatShare);
+  milliseconds at = kQuietStart + DrawGap(random);
+  while (at < lasts) {
+    Step step = DrawStep(random, at);
+    if (!plan.steps.empty() && repeats(random)) {
+      step.fault = plan.steps.back().fault;
+    }
+    plan.steps.push_back(step);
+    at += DrawGap(random);
+  }
+  for (const Step& step : plan.steps) {
+    if (step.fault == Fault::kAllKill) {
+      plan.lasts = std::max(plan.lasts, step.at + kRecoveryTime);
+    }
+  }
+  return plan;
+}
+
+}  // namespace basilsill::soak
--- /dev/null
+++ b/soak/promises.cc
@@ -0,0 +1,395 @@
+#include "promises.h"
+
+#include <algorithm>
+#include <array>
+#include <map>
+#include <set>
+#include <unordered_map>
+
+namespace basilsill::soak {
+namespace {
+
+using std::chrono::milliseconds;
+
+constexpr std::array<std::string_view, static_cast<size_t>(Promise::kCount)>
+    kNames = {"own-answer", "once",          "not-run",   "leaving",
+              "shutdown",   "configuration", "no-return", "repeats",
+              "recovery",   "caller-gone",   "timeout",   "stays-up"};
+
+// Promises with a bound in time allow for single requests that fell between
+// two moments of observation.
+constexpr size_t kFewRequests = 3;
+
+constexpr unsigned kNotFound = 404;
+constexpr unsigned kSuccessFirst = 200;
+constexpr unsigned kSuccessEnd = 300;
+// Statuses that say that the request has not run and never will.
+constexpr std::array<unsigned, 4> kNotRunStatuses = {408, 421, 429, 503};
+
+bool IsSuccess(const RequestRow& row) {
+  return row.ending == Ending::kAnswer && row.status >= kSuccessFirst &&
+         row.status < kSuccessEnd;
+}
+
+bool SaysNotRun(const RequestRow& row) {
+  return row.ending == Ending::kAnswer &&
+         std::find(kNotRunStatuses.begin(), kNotRunStatuses.end(),
+                   row.status) != kNotRunStatuses.end();
+}
+
+class Judgement {
+ public:
+  Judgement(const Observations& seen, const Bounds& bounds)
+      : seen(seen), bounds(bounds), slack(bounds.tolerance + seen.lag) {
+    for (const RunRow& run : seen.runs) {
+      this->runs[run.id].push_back(&run);
+    }
+    for (const RequestRow& row : seen.requests) {
+      this->requests[row.id] = &row;
+    }
+  }
+
+  std::vector<Violation> Run() {
+    using Check = void (Judgement::*)();
+    constexpr std::array<Check, static_cast<size_t>(Promise::kCount)> kChecks =
+        {&Judgement::CheckOwnAnswer, &Judgement::CheckOnce,
+         &Judgement::CheckNotRun,    &Judgement::CheckLeaving,
+         &Judgement::CheckShutdown,  &Judgement::CheckConfiguration,
+         &Judgement::CheckNoReturn,  &Judgement::CheckRepeats,
+         &Judgement::CheckRecovery,  &Judgement::CheckCallerGone,
+         &Judgement::CheckTimeout,   &Judgement::CheckStaysUp};
+    for (const Check check : kChecks) {
+      (this->*check)();
+    }
+    return std::move(this->found);
+  }
+
+ private:
+  void Add(Promise promise,
+           std::vector<std::string> ids,
+           TimePoint at,
+           std::string detail) {
+    this->found.push_back({promise, std::move(ids), at, std::move(detail)});
+  }
+
+  const std::vector<const RunRow*>& RunsOf(const std::string& id) const {
+    static const std::vector<const RunRow*> kNone;
+    const auto place = this->runs.find(id);
+    return place == this->runs.end() ? kNone : place->second;
+  }
+
+  /// @returns true if nothing of `kinds` touched `node` from `from` to `to`,
+  /// nor the stability window before.
+  bool IsCalm(std::initializer_list<DisturbanceKind> kinds,
+              std::optional<size_t> node,
+              TimePoint from,
+              TimePoint to) const {
+    const TimePoint since = from - this->bounds.stability - this->slack;
+    return std::none_of(
+        this->seen.disturbances.begin(), this->seen.disturbances.end(),
+        [&](const Disturbance& row) {
+          const bool counts =
+              std::find(kinds.begin(), kinds.end(), row.kind) != kinds.end();
+          const bool touches = !node || !row.node || *row.node == *node;
+          return counts && touches && row.to >= since && row.from <= to;
+        });
+  }
+
+  // A node in touch, with the store as it should be.
+  bool IsInTouch(size_t node, TimePoint from, TimePoint to) const {
+    return this->IsCalm({DisturbanceKind::kNode, DisturbanceKind::kShutdown},
+                        node, from, to) &&
+           this->IsCalm({DisturbanceKind::kStore}, std::nullopt, from, to);
+  }
+
+  void CheckOwnAnswer() {
+    for (const RequestRow& row : this->seen.requests) {
+      if (IsSuccess(row) && !row.is_own) {
+        this->Add(Promise::kOwnAnswer, {row.id}, row.ended,
+                  "status " + std::to_string(row.status));
+      }
+    }
+  }
+
+  void CheckOnce() {
+    for (const RequestRow& row : this->seen.requests) {
+      const size_t count = this->RunsOf(row.id).size();
+      if (row.kind == RequestKind::kUnsafe && count > 1) {
+        this->Add(Promise::kOnce, {row.id}, row.ended,
+                  "ran " + std::to_string(count) + " times");
+      }
+    }
+  }
+
+  void CheckNotRun() {
+    for (const RequestRow& row : this->seen.requests) {
+      if (row.kind == RequestKind::kUnsafe && SaysNotRun(row) &&
+          !this->RunsOf(row.id).empty()) {
+        this->Add(Promise::kNotRun, {row.id}, row.ended,
+                  "status " + std::to_string(row.status));
+      }
+    }
+  }
+
+  void CheckLeaving() {
+    for (const LeavingRow& row : this->seen.leaving) {
+      const TimePoint bound = row.accepted + this->bounds.drain + this->slack;
+      for (const RunRow& run : this->seen.runs) {
+        const auto request = this->requests.find(run.id);
+        // The node that the request came to need not be the one that sent it
+        // on, so all must be in touch.
+        const bool counts = run.upstream == row.upstream && run.began > bound &&
+                            request != this->requests.end() &&
+                            this->AreAllInTouch(row.accepted, run.began);
+        if (counts) {
+          this->Add(Promise::kLeaving, {run.id}, run.began,
+                    "upstream " + std::to_string(run.upstream));
+        }
+      }
+    }
+  }
+
+  bool AreAllInTouch(TimePoint from, TimePoint to) const {
+    return this->IsCalm({DisturbanceKind::kNode, DisturbanceKind::kShutdown,
+                         DisturbanceKind::kStore},
+                        std::nullopt, from, to);
+  }
+
+  // A node ends on request, with nothing else amiss. What it has read whole it
+  // answers whole; what it has not, it must close on at once.
+  void CheckShutdown() {
+    for (const Disturbance& end : this->seen.disturbances) {
+      if (end.kind == DisturbanceKind::kShutdown) {
+        this->CheckShutdown(end);
+      }
+    }
+  }
+
+  void CheckShutdown(const Disturbance& end) {
+    for (const RequestRow& row : this->seen.requests) {
+      const bool during =
+          end.node == row.node && row.ended >= end.from && row.sent <= end.to;
+      if (!during || row.ending != Ending::kBroken || row.behind_another ||
+          !this->IsCalmButForEnds(row.sent, row.ended)) {
+        continue;
+      }
+      const bool ran = !this->RunsOf(row.id).empty();
+      const bool late =
+          row.ended - row.sent > this->bounds.loss_slack + this->slack;
+      if (ran || late) {
+        this->Add(Promise::kShutdown, {row.id}, row.ended,
+                  ran ? "an upstream had it" : "closed late");
+      }
+    }
+  }
+
+  bool IsCalmButForEnds(TimePoint from, TimePoint to) const {
+    return this->IsCalm({DisturbanceKind::kNode, DisturbanceKind::kStore,
+                         DisturbanceKind::kUpstream},
+                        std::nullopt, from, to);
+  }
+
+  /// @returns the next change of `route` after change `place`, or the end.
+  TimePoint NextChange(size_t place) const {
+    for (size_t i = place + 1; i < this->seen.routes.size(); ++i) {
+      if (this->seen.routes[i].route == this->seen.routes[place].route) {
+        return this->seen.routes[i].sent;
+      }
+    }
+    return TimePoint::max();
+  }
+
+  // Until the next change only this one is in force, a bound after it was
+  // accepted.
+  void CheckConfiguration() {
+    for (size_t i = 0; i < this->seen.routes.size(); ++i) {
+      const RouteRow& change = this->seen.routes[i];
+      const TimePoint from = change.accepted + this->bounds.apply + this->slack;
+      const TimePoint until = this->NextChange(i);
+      for (const RequestRow& row : this->seen.requests) {
+        const bool counts = row.route == change.route && row.sent > from &&
+                            row.ending == Ending::kAnswer && row.ended < until;
+        const bool found = row.status != kNotFound;
+        if (counts && found != change.is_added &&
+            this->IsInTouch(row.node, change.accepted, row.ended)) {
+          this->Add(Promise::kConfiguration, {row.id}, row.ended,
+                    "status " + std::to_string(row.status) + " from node " +
+                        std::to_string(row.node));
+        }
+      }
+    }
+  }
+
+  // One process of a node has told a caller that a route is gone. With no
+  // change in between it must not serve it again, whatever it hears.
+  void CheckNoReturn() {
+    for (size_t i = 0; i < this->seen.routes.size(); ++i) {
+      const RouteRow& change = this->seen.routes[i];
+      if (change.is_added) {
+        continue;
+      }
+      std::map<size_t, TimePoint> gone;  // By node.
+      for (const RequestRow& row : this->seen.requests) {
+        const bool counts = row.route == change.route &&
+                            row.sent > change.accepted &&
+                            row.ended < this->NextChange(i);
+        if (counts && row.ending == Ending::kAnswer) {
+          this->CheckReturn(row, gone);
+        }
+      }
+    }
+  }
+
+  void CheckReturn(const RequestRow& row, std::map<size_t, TimePoint>& gone) {
+    const auto since = gone.find(row.node);
+    if (row.status == kNotFound) {
+      gone.emplace(row.node, row.ended);
+    } else if (IsSuccess(row) && since != gone.end() &&
+               row.sent > since->second + this->slack &&
+               this->IsSameProcess(row.node, since->second, row.ended)) {
+      this->Add(Promise::kNoReturn, {row.id}, row.ended,
+                "node " + std::to_string(row.node));
+    }
+  }
+
+  bool IsSameProcess(size_t node, TimePoint from, TimePoint to) const {
+    return this->IsCalm({DisturbanceKind::kNode, DisturbanceKind::kShutdown},
+                        node, from, to);
+  }
+
+  // The requests that a window's repeats are measured by may have come in the
+  // window before.
+  void CheckRepeats() {
+    std::map<size_t, std::vector<TimePoint>> repeats;  // By service.
+    std::set<std::string> first;
+    for (const RunRow& run : this->seen.runs) {
+      if (!first.insert(run.id).second) {
+        repeats[run.service].push_back(run.began);
+      }
+    }
+    for (const auto& [service, times] : repeats) {
+      for (const TimePoint end : times) {
+        this->CheckRepeats(service, times, end);
+      }
+    }
+  }
+
+  void CheckRepeats(size_t service,
+                    const std::vector<TimePoint>& times,
+                    TimePoint end) {
+    const Duration window = this->bounds.repeat_window;
+    const auto spent = static_cast<double>(std::count_if(
+        times.begin(), times.end(),
+        [&](TimePoint at) { return at > end - window && at <= end; }));
+    const size_t asked =
+        std::max(this->CountRequests(service, end - window, end),
+                 this->CountRequests(service, end - 2 * window, end - window));
+    const double allowed =
+        this->bounds.repeat_ratio * static_cast<double>(asked) +
+        this->bounds.repeat_slack;
+    if (spent > allowed) {
+      this->Add(Promise::kRepeats, {}, end,
+                std::to_string(static_cast<size_t>(spent)) +
+                    " repeats in a window, " + std::to_string(asked) +
+                    " requests");
+    }
+  }
+
+  size_t CountRequests(size_t service, TimePoint from, TimePoint to) const {
+    return static_cast<size_t>(std::count_if(
+        this->seen.requests.begin(), this->seen.requests.end(),
+        [&](const RequestRow& row) {
+          return row.service == service && row.sent > from && row.sent <= to;
+        }));
+  }
+
+  void CheckRecovery() {
+    if (!this->seen.all_back) {
+      return;
+    }
+    const TimePoint from = *this->seen.all_back + this->bounds.recover;
+    size_t asked = 0;
+    size_t served = 0;
+    for (const RequestRow& row : this->seen.requests) {
+      const bool counts = row.sent > from && row.ending != Ending::kCaller &&
+                          row.ending != Ending::kOpen &&
+                          row.status != kNotFound;
+      asked += counts ? 1 : 0;
+      served += counts && IsSuccess(row) ? 1 : 0;
+    }
+    if (served * 4 < asked) {
+      this->Add(
+          Promise::kRecovery, {}, from,
+          std::to_string(served) + " of " + std::to_string(asked) + " served");
+    }
+  }
+
+  void CheckCallerGone() {
+    std::vector<std::string> ids;
+    for (const RequestRow& row : this->seen.requests) {
+      if (row.ending != Ending::kCaller) {
+        continue;
+      }
+      const TimePoint bound =
+          row.ended + this->bounds.caller_gone + this->slack;
+      for (const RunRow* run : this->RunsOf(row.id)) {
+        if (run->began > bound &&
+            this->IsCalm({DisturbanceKind::kNode}, std::nullopt, row.sent,
+                         run->began)) {
+          ids.push_back(row.id);
+        }
+      }
+    }
+    if (ids.size() > kFewRequests) {
+      this->Add(Promise::kCallerGone, ids, this->seen.ended,
+                "begun after their callers had left");
+    }
+  }
+
+  void CheckTimeout() {
+    size_t open = 0;
+    std::vector<std::string> late;
+    for (const RequestRow& row : this->seen.requests) {
+      const TimePoint due = row.sent + this->bounds.timeout;
+      const bool counts =
+          (row.ending == Ending::kAnswer || row.ending == Ending::kTimeout) &&
+          row.ended > due && !row.behind_another &&
+          this->IsInTouch(row.node, row.sent, row.ended);
+      open += counts ? 1 : 0;
+      if (counts &&
+          row.ended > due + this->bounds.timeout_slack + this->slack) {
+        late.push_back(row.id);
+      }
+    }
+    if (late.size() > kFewRequests && late.size() * 2 > open) {
+      this->Add(Promise::kTimeout, late, this->seen.ended,
+                "of " + std::to_string(open) + " that reached it");
+    }
+  }
+
+  void CheckStaysUp() {
+    for (const UnaskedEnd& end : this->seen.unasked_ends) {
+      this->Add(Promise::kStaysUp, {}, end.at,
+                "node " + std::to_string(end.node));
+    }
+  }
+
+  const Observations& seen;
+  const Bounds& bounds;
+  const Duration slack;
+  std::unordered_map<std::string, std::vector<const RunRow*>> runs;
+  std::unordered_map<std::string, const RequestRow*> requests;
+  std::vector<Violation> found;
+};
+
+}  // namespace
+
+std::string_view NameOf(Promise promise) {
+  return kNames.at(static_cast<size_t>(promise));
+}
+
+std::vector<Violation> Judge(const Observations& seen, const Bounds& bounds) {
+  return Judgement(seen, bounds).Run();
+}
+
+}  // namespace basilsill::soak
--- /dev/null
+++ b/soak/promises.h
@@ -0,0 +1,67 @@
+#ifndef BASILSILL_SOAK_PROMISES_H_
+#define BASILSILL_SOAK_PROMISES_H_
+
+#include <chrono>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "observations.h"
+
+/// Judges what was observed in a soak against the promises that the system
+/// makes. Pure: it looks at tables only.
+
+namespace basilsill::soak {
+
+enum class Promise : uint8_t {
+  kOwnAnswer,      ///< A success is the whole answer to one's own request.
+  kOnce,           ///< What must not repeat runs once at most.
+  kNotRun,         ///< What was refused as not run never runs.
+  kLeaving,        ///< A leaving upstream gets nothing new after its bound.
+  kShutdown,       ///< Ending a node cuts no request.
+  kConfiguration,  ///< A configuration is in force everywhere in time.
+  kNoReturn,       ///< A dropped route does not come back by itself.
+  kRepeats,        ///< Repeats of the fleet stay within their budget.
+  kRecovery,       ///< Service is back after all nodes were killed.
+  kCallerGone,     ///< Nothing is begun for a caller that left.
+  kTimeout,        ///< What is open at its timeout is answered then.
+  kStaysUp,        ///< No node ends by itself.
+  kCount
+};
+
+std::string_view NameOf(Promise promise);
+
+/// Bounds of the installation under test, as its settings have them, and what
+/// the soak adds for itself.
+struct Bounds {
+  std::chrono::milliseconds stability{3000};
+  std::chrono::milliseconds drain{2000};
+  std::chrono::milliseconds apply{2000};
+  std::chrono::milliseconds grace{6000};
+  std::chrono::milliseconds loss_slack{200};
+  std::chrono::milliseconds caller_gone{500};
+  std::chrono::milliseconds timeout{1500};  ///< Of every route.
+  std::chrono::milliseconds timeout_slack{500};
+  /// Of requests that are sent so long after all nodes are back, a quarter or
+  /// more is served.
+  std::chrono::milliseconds recover{8000};
+  double repeat_ratio = 0.2;
+  double repeat_slack = 20;
+  std::chrono::milliseconds repeat_window{10000};
+  /// For the way between the soak's own parts; the observed lag is added.
+  std::chrono::milliseconds tolerance{300};
+};
+
+struct Violation {
+  Promise promise = Promise::kCount;
+  std::vector<std::string> ids;  ///< Of requests.
+  TimePoint at{};
+  std::string detail;
+};
+
+/// @returns every promise that was broken, in the order of Promise.
+std::vector<Violation> Judge(const Observations& seen, const Bounds& bounds);
+
+}  // namespace basilsill::soak
+
+#endif  // BASILSILL_SOAK_PROMISES_H_
--- /dev/null
+++ b/soak/proxy.cc
@@ -0,0 +1,183 @@
+#include "proxy.h"
+
+#include <array>
+#include <set>
+#include <utility>
+
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/asio/write.hpp>
+
+namespace basilsill::soak {
+namespace {
+
+namespace asio = boost::asio;
+using asio::ip::tcp;
+using std::chrono::milliseconds;
+
+constexpr auto kNoThrow = asio::as_tuple(asio::use_awaitable);
+constexpr size_t kBufferBytes = 16 * 1024;
+constexpr milliseconds kSlowness{250};
+// How often a held octet looks whether it may go on.
+constexpr milliseconds kLook{10};
+
+tcp::endpoint ToTcp(const Endpoint& endpoint) {
+  return {asio::ip::make_address(endpoint.address), endpoint.port};
+}
+
+enum class Direction : uint8_t { kToTarget, kFromTarget };
+
+/// Both sides of one connection.
+struct Pair {
+  explicit Pair(tcp::socket accepted)
+      : near(std::move(accepted)), far(this->near.get_executor()) {}
+
+  void Reset() {
+    boost::system::error_code ignored;
+    for (tcp::socket* socket : {&this->near, &this->far}) {
+      socket->set_option(tcp::socket::linger(true, 0), ignored);
+      socket->close(ignored);
+    }
+  }
+
+  tcp::socket near;
+  tcp::socket far;
+};
+
+}  // namespace
+
+struct Proxy::State : std::enable_shared_from_this<State> {
+  State(asio::io_context& io, Endpoint target)
+      : acceptor(io, tcp::endpoint(asio::ip::address_v4::loopback(), 0)),
+        target(std::move(target)) {}
+
+  asio::awaitable<void> Accept();
+  asio::awaitable<void> Connect(std::shared_ptr<Pair> pair);
+  asio::awaitable<void> Pump(std::shared_ptr<Pair> pair, Direction direction);
+  asio::awaitable<void> Hold(Direction direction);
+  bool Holds(Direction direction) const {
+    return this->link == LinkState::kSilent ||
+           (this->link == LinkState::kOneWay &&
+            direction == Direction::kFromTarget);
+  }
+
+  tcp::acceptor acceptor;
+  Endpoint target;
+  LinkState link = LinkState::kWell;
+  std::set<std::shared_ptr<Pair>> pairs;
+  bool stopped = false;
+};
+
+asio::awaitable<void> Proxy::State::Accept() {
+  const auto self = this->shared_from_this();
+  while (!this->stopped) {
+    tcp::socket socket(this->acceptor.get_executor());
+    const auto [error] = co_await this->acceptor.async_accept(socket, kNoThrow);
+    if (error) {
+      co_return;
+    }
+    auto pair = std::make_shared<Pair>(std::move(socket));
+    if (this->link == LinkState::kRefusing) {
+      pair->Reset();
+    } else {
+      asio::co_spawn(this->acceptor.get_executor(),
+                     this->Connect(std::move(pair)), asio::detached);
+    }
+  }
+}
+
+asio::awaitable<void> Proxy::State::Connect(std::shared_ptr<Pair> pair) {
+  const auto self = this->shared_from_this();
+  const auto [error] =
+      co_await pair->far.async_connect(ToTcp(this->target), kNoThrow);
+  if (error || this->stopped) {
+    pair->Reset();
+    co_return;
+  }
+  boost::system::error_code ignored;
+  pair->near.set_option(tcp::no_delay(true), ignored);
+  pair->far.set_option(tcp::no_delay(true), ignored);
+  this->pairs.insert(pair);
+  const auto executor = this->acceptor.get_executor();
+  asio::co_spawn(executor, this->Pump(pair, Direction::kToTarget),
+                 asio::detached);
+  co_await this->Pump(pair, Direction::kFromTarget);
+  this->pairs.erase(pair);
+}
+
+asio::awaitable<void> Proxy::State::Pump(std::shared_ptr<Pair> pair,
+                                         Direction direction) {
+  const auto self = this->shared_from_this();
+  const bool there = direction == Direction::kToTarget;
+  tcp::socket& from = there ? pair->near : pair->far;
+  tcp::socket& to = there ? pair->far : pair->near;
+  std::array<char, kBufferBytes> buffer{};
+  boost::system::error_code failed;
+  while (!failed) {
+    const auto [error, size] =
+        co_await from.async_read_some(asio::buffer(buffer), kNoThrow);
+    failed = error;
+    co_await this->Hold(direction);
+    if (!failed) {
+      const auto [unwritten, written] =
+          co_await asio::async_write(to, asio::buffer(buffer, size), kNoThrow);
+      failed = unwritten;
+    }
+  }
+  // An end is passed on as what it was: in order, or as a reset.
+  if (failed != asio::error::eof) {
+    pair->Reset();
+    co_return;
+  }
+  boost::system::error_code ignored;
+  to.shutdown(tcp::socket::shutdown_send, ignored);
+}
+
+asio::awaitable<void> Proxy::State::Hold(Direction direction) {
+  asio::steady_timer timer(this->acceptor.get_executor());
+  if (this->link == LinkState::kSlow) {
+    timer.expires_after(kSlowness);
+    co_await timer.async_wait(kNoThrow);
+  }
+  while (this->Holds(direction) && !this->stopped) {
+    timer.expires_after(kLook);
+    co_await timer.async_wait(kNoThrow);
+  }
+}
+
+Proxy::Proxy(asio::io_context& io, Endpoint target)
+    : state(std::make_shared<State>(io, std::move(target))) {
+  asio::co_spawn(io, this->state->Accept(), asio::detached);
+}
+
+Proxy::~Proxy() {
+  this->state->stopped = true;
+  boost::system::error_code ignored;
+  this->state->acceptor.close(ignored);
+  this->Reset();
+}
+
+Endpoint Proxy::endpoint() const {
+  return {"127.0.0.1", this->state->acceptor.local_endpoint().port()};
+}
+
+void Proxy::SetTarget(Endpoint target) {
+  this->state->target = std::move(target);
+}
+
+void Proxy::SetState(LinkState next) {
+  this->state->link = next;
+}
+
+void Proxy::Reset() {
+  const auto pairs = std::exchange(this->state->pairs, {});
+  for (const auto& pair : pairs) {
+    pair->Reset();
+  }
+}
+
+}  // namespace basilsill::soak
--- /dev/null
+++ b/soak/rig.cc
@@ -0,0 +1,219 @@
+#include "rig.h"
+
+#include <algorithm>
+#include <set>
+#include <utility>
+
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+#include "callers.h"
+#include "fake_store.h"
+#include "fleet.h"
+#include "platform_text.h"
+#include "upstreams.h"
+
+namespace basilsill::soak {
+namespace {
+
+namespace asio = boost::asio;
+using adapter::test::FakeStore;
+using adapter::test::RouteText;
+using adapter::test::StoreMode;
+using std::chrono::milliseconds;
+
+constexpr milliseconds kStartLimit{15000};
+constexpr milliseconds kStartLook{50};
+constexpr milliseconds kMeterInterval{20};
+// What is open when traffic ends has this long to be answered.
+constexpr milliseconds kLastAnswers{3000};
+constexpr char kMovingRoute[] = "extra";
+
+class Rig {
+ public:
+  Rig(const Plan& plan, const RigOptions& options)
+      : plan(plan),
+        options(options),
+        upstreams(this->io, this->store, this->seen, plan.seed),
+        fleet(this->io, this->MakeFleetOptions(), this->seen),
+        callers(this->io, this->fleet, this->MakeCallersOptions(), this->seen) {
+  }
+
+  Observations Run() {
+    this->Configure();
+    this->fleet.Start();
+    asio::co_spawn(this->io, this->Carry(), asio::detached);
+    asio::co_spawn(this->io, this->Meter(), asio::detached);
+    this->io.run();
+    return std::move(this->seen);
+  }
+
+ private:
+  FleetOptions MakeFleetOptions() const {
+    FleetOptions fleet;
+    fleet.program = this->options.program;
+    fleet.directory = this->options.directory;
+    fleet.nodes = this->plan.nodes;
+    fleet.store = this->store.endpoint();
+    fleet.repeat_slack = this->options.bounds.repeat_slack;
+    fleet.grace = this->options.bounds.grace;
+    return fleet;
+  }
+
+  CallersOptions MakeCallersOptions() const {
+    CallersOptions callers;
+    callers.callers = this->options.callers;
+    callers.seed = this->plan.seed;
+    return callers;
+  }
+
+  // The operator's configuration, with the moving route or without it.
+  void Configure() {
+    const auto make = [this](const char* name, const char* kind,
+                             size_t service) {
+      return ToText(RouteText{name, kind, ServiceNames()[service],
+                              this->options.bounds.timeout});
+    };
+    std::vector<std::string> routes = {make("levels", "safe", 0),
+                                       make("pickups", "unsafe", 1),
+                                       make("files", "download", 0)};
+    if (this->has_moving_route) {
+      routes.push_back(make(kMovingRoute, "safe", 0));
+    }
+    const TimePoint sent = MonotonicClock::now();
+    this->store.Put(adapter::test::kOperatorTopic,
+                    adapter::test::kConfigurationKey,
+                    adapter::test::ConfigurationText(
+                        VersionText(++this->version), routes, ServiceNames()));
+    this->seen.routes.push_back(
+        {kMovingRoute, this->has_moving_route, sent, MonotonicClock::now()});
+  }
+
+  // Eight hexadecimal digits; versions grow in steps.
+  static std::string VersionText(uint64_t version) {
+    constexpr uint64_t kBase = 0x10000000;
+    constexpr uint64_t kStep = 3;
+    static constexpr char kDigits[] = "0123456789abcdef";
+    std::string text;
+    for (uint64_t left = kBase + version * kStep; left > 0; left /= 16) {
+      text.insert(text.begin(), kDigits[left % 16]);
+    }
+    return text;
+  }
+
+  asio::awaitable<void> Sleep(milliseconds time) {
+    asio::steady_timer timer(this->io, time);
+    co_await timer.async_wait(asio::as_tuple(asio::use_awaitable));
+  }
+
+  // How late timers come tells how busy the machine is.
+  asio::awaitable<void> Meter() {
+    while (!this->over) {
+      const TimePoint due = MonotonicClock::now() + kMeterInterval;
+      co_await this->Sleep(kMeterInterval);
+      this->seen.lag = std::max(this->seen.lag, MonotonicClock::now() - due);
+    }
+  }
+
+  asio::awaitable<void> Carry() {
+    const TimePoint limit = MonotonicClock::now() + kStartLimit;
+    while (!this->fleet.IsAnyReady() && MonotonicClock::now() < limit) {
+      co_await this->Sleep(kStartLook);
+    }
+    this->callers.Start();
+    const TimePoint start = MonotonicClock::now();
+    for (const Step& step : this->plan.steps) {
+      co_await this->SleepUntil(start + step.at);
+      asio::co_spawn(this->io, this->Harm(step), asio::detached);
+    }
+    co_await this->SleepUntil(start + this->plan.lasts);
+    this->callers.Stop();
+    co_await this->Sleep(kLastAnswers);
+    this->Finish();
+  }
+
+  asio::awaitable<void> SleepUntil(TimePoint until) {
+    asio::steady_timer timer(this->io, until - MonotonicClock::now());
+    co_await timer.async_wait(asio::as_tuple(asio::use_awaitable));
+  }
+
+  void Finish() {
+    this->over = true;
+    this->seen.ended = MonotonicClock::now();
+    this->fleet.Stop();
+    this->upstreams.Stop();
+    this->io.stop();
+  }
+
+  asio::awaitable<void> Harm(Step step) {
+    if (step.fault <= Fault::kAllKill ||
+        step.fault == Fault::kStoreRefusesSome) {
+      co_await this->fleet.Harm(step);
+    } else if (step.fault < Fault::kStoreRefusesSome) {
+      co_await this->HarmStore(step);
+    } else if (step.fault == Fault::kRouteChange) {
+      this->has_moving_route = !this->has_moving_route;
+      this->Configure();
+    } else {
+      co_await this->upstreams.Harm(step);
+    }
+  }
+
+  asio::awaitable<void> HarmStore(const Step& step) {
+    if (this->store_is_harmed) {
+      co_return;
+    }
+    this->store_is_harmed = true;
+    const size_t row = this->seen.disturbances.size();
+    this->seen.disturbances.push_back({DisturbanceKind::kStore, std::nullopt,
+                                       MonotonicClock::now(),
+                                       TimePoint::max()});
+    this->SetStore(step.fault);
+    co_await this->Sleep(step.lasts);
+    this->store.SetMode(StoreMode::kWell);
+    this->fleet.SetStoreLinks(LinkState::kWell);
+    this->seen.disturbances[row].to = MonotonicClock::now();
+    this->store_is_harmed = false;
+  }
+
+  void SetStore(Fault fault) {
+    switch (fault) {
+      case Fault::kStoreDown:
+        this->store.SetMode(StoreMode::kRefusing);
+        break;
+      case Fault::kStoreBusy:
+        this->store.SetMode(StoreMode::kBusy);
+        break;
+      case Fault::kStoreSilent:
+        this->store.SetMode(StoreMode::kSilent);
+        break;
+      default:
+        this->fleet.SetStoreLinks(LinkState::kSlow);
+        break;
+    }
+  }
+
+  Plan plan;
+  RigOptions options;
+  Observations seen;
+  FakeStore store;
+  asio::io_context io;
+  Upstreams upstreams;
+  Fleet fleet;
+  Callers callers;
+  uint64_t version = 0;
+  bool has_moving_route = true;
+  bool store_is_harmed = false;
+  bool over = false;
+};
+
+}  // namespace
+
+Observations RunPlan(const Plan& plan, const RigOptions& options) {
+  return Rig(plan, options).Run();
+}
+
+}  // namespace basilsill::soak
--- /dev/null
+++ b/soak/upstreams.cc
@@ -0,0 +1,190 @@
+#include "upstreams.h"
+
+#include <map>
+#include <utility>
+
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+#include "platform_text.h"
+
+namespace basilsill::soak {
+namespace {
+
+using std::chrono::milliseconds;
+
+// Instances of each service: more than the load needs, so that some can fail.
+constexpr size_t kInstances = 4;
+
+// A leaving instance serves on for the bound, and a little longer.
+constexpr milliseconds kServesOn{3000};
+constexpr milliseconds kPauseBetween{500};
+// The platform takes an entry away after three silent intervals.
+constexpr milliseconds kEntryLapses{4500};
+constexpr milliseconds kSlowWork{200};
+constexpr double kFaultyShare = 0.5;
+
+}  // namespace
+
+Upstreams::Upstreams(boost::asio::io_context& io,
+                     adapter::test::FakeStore& store,
+                     Observations& seen,
+                     uint64_t seed)
+    : io(io), store(store), seen(seen), seed(seed) {
+  for (size_t service = 0; service < ServiceNames().size(); ++service) {
+    for (size_t i = 0; i < kInstances; ++i) {
+      this->places.push_back(std::make_unique<Place>());
+      Place& place = *this->places.back();
+      place.service = service;
+      place.proxy = std::make_unique<Proxy>(io, Endpoint{});
+      this->StartInstance(place);
+    }
+  }
+}
+
+void Upstreams::Stop() {
+  this->stopped = true;
+  this->places.clear();
+}
+
+void Upstreams::StartInstance(Place& place) {
+  const size_t number = this->started++;
+  place.number = number;
+  const size_t service = place.service;
+  place.instance = std::make_unique<adapter::test::FakeUpstream>(
+      this->io, "i-" + std::to_string(number), this->seed + number,
+      [this, number, service](const std::string& id) {
+        this->seen.runs.push_back({id, number, service, MonotonicClock::now()});
+      });
+  place.proxy->SetTarget(place.instance->endpoint());
+  this->Write(place, "ready");
+}
+
+void Upstreams::Write(const Place& place, const std::string& state) {
+  adapter::test::EntryText entry;
+  entry.address = ToString(place.proxy->endpoint());
+  entry.service = ServiceNames()[place.service];
+  entry.state = state;
+  this->store.Put(adapter::test::kUpstreamTopic, place.instance->id(),
+                  ToText(entry));
+}
+
+boost::asio::awaitable<void> Upstreams::Sleep(milliseconds time) {
+  boost::asio::steady_timer timer(this->io, time);
+  co_await timer.async_wait(boost::asio::as_tuple(boost::asio::use_awaitable));
+}
+
+boost::asio::awaitable<void> Upstreams::Harm(const Step& step) {
+  Place& place = *this->places[step.target % this->places.size()];
+  if (place.is_busy) {
+    co_return;
+  }
+  place.is_busy = true;
+  const TimePoint from = MonotonicClock::now();
+  const size_t row = this->seen.disturbances.size();
+  // Open until it is over.
+  if (step.fault != Fault::kUpstreamLeave) {
+    this->seen.disturbances.push_back(
+        {DisturbanceKind::kUpstream, std::nullopt, from, TimePoint::max()});
+  }
+  switch (step.fault) {
+    case Fault::kUpstreamCrash:
+      co_await this->Crash(place, step);
+      break;
+    case Fault::kUpstreamLeave:
+      co_await this->Leave(place);
+      break;
+    case Fault::kLinkSlow:
+    case Fault::kLinkReset:
+    case Fault::kLinkOneWay:
+    case Fault::kLinkSilent:
+      co_await this->HarmLink(place, step);
+      break;
+    default:
+      co_await this->Misbehave(place, step);
+      break;
+  }
+  if (this->stopped) {
+    co_return;
+  }
+  if (step.fault != Fault::kUpstreamLeave) {
+    this->seen.disturbances[row].to = MonotonicClock::now();
+  }
+  place.is_busy = false;
+}
+
+boost::asio::awaitable<void> Upstreams::Crash(Place& place, const Step& step) {
+  const std::string id = place.instance->id();
+  place.instance->Stop();
+  place.proxy->Reset();
+  co_await this->Sleep(step.lasts);
+  if (this->stopped) {
+    co_return;
+  }
+  this->StartInstance(place);
+  const size_t number = place.number;
+  co_await this->Sleep(std::max(milliseconds(0), kEntryLapses - step.lasts));
+  if (!this->stopped && place.number == number) {
+    this->store.Remove(adapter::test::kUpstreamTopic, id);
+  }
+}
+
+boost::asio::awaitable<void> Upstreams::Leave(Place& place) {
+  this->Write(place, "draining");
+  this->seen.leaving.push_back({place.number, MonotonicClock::now()});
+  place.instance->conduct().leaving = true;
+  co_await this->Sleep(kServesOn);
+  if (this->stopped) {
+    co_return;
+  }
+  this->store.Remove(adapter::test::kUpstreamTopic, place.instance->id());
+  place.instance->Stop();
+  co_await this->Sleep(kPauseBetween);
+  if (!this->stopped) {
+    this->StartInstance(place);
+  }
+}
+
+boost::asio::awaitable<void> Upstreams::Misbehave(Place& place,
+                                                  const Step& step) {
+  adapter::test::UpstreamConduct faulty;
+  switch (step.fault) {
+    case Fault::kUpstreamSlow:
+      faulty.work = kSlowWork;
+      break;
+    case Fault::kUpstreamFails:
+      faulty.failing = kFaultyShare;
+      break;
+    case Fault::kAnswersLost:
+      faulty.losing = kFaultyShare;
+      break;
+    default:
+      faulty.cutting = kFaultyShare;
+      break;
+  }
+  place.instance->conduct() = faulty;
+  co_await this->Sleep(step.lasts);
+  if (!this->stopped) {
+    place.instance->conduct() = {};
+  }
+}
+
+boost::asio::awaitable<void> Upstreams::HarmLink(Place& place,
+                                                 const Step& step) {
+  static const std::map<Fault, LinkState> kStates = {
+      {Fault::kLinkSlow, LinkState::kSlow},
+      {Fault::kLinkReset, LinkState::kWell},
+      {Fault::kLinkOneWay, LinkState::kOneWay},
+      {Fault::kLinkSilent, LinkState::kSilent}};
+  if (step.fault == Fault::kLinkReset) {
+    place.proxy->Reset();
+  }
+  place.proxy->SetState(kStates.at(step.fault));
+  co_await this->Sleep(step.lasts);
+  if (!this->stopped) {
+    place.proxy->SetState(LinkState::kWell);
+  }
+}
+
+}  // namespace basilsill::soak
