--- a/packages/base/test/text_test.cc
+++ b/packages/base/test/text_test.cc
@@ -8,12 +8,17 @@
 
 #include <CppUTest/TestHarness.h>
 
-namespace basilsill {
+using basilsill::ParseNumber;
+using basilsill::ToLowerAscii;
+using basilsill::Trimmed;
+
 namespace {
 
 constexpr int kHexBase = 16;
 constexpr std::string_view kBlanks = " \t";
 
+}  // namespace
+
 TEST_GROUP(Text){};
 
 TEST(Text, ParseNumber_WholeTextIsNumber_GivesIt) {
@@ -43,6 +48,3 @@
 TEST(Text, ToLowerAscii_MixedText_ChangesLettersOfAsciiAlone) {
   CHECK(ToLowerAscii("Shop-7.EXAMPLE[\xc4") == "shop-7.example[\xc4");
 }
-
-}  // namespace
-}  // namespace basilsill
--- a/packages/decision/src/dispatcher_end.cc
+++ b/packages/decision/src/dispatcher_end.cc
@@ -25,14 +25,14 @@
          end != AttemptEnd::kMisdirected;
 }
 
+constexpr std::array<std::string_view, static_cast<size_t>(AttemptEnd::kCount)>
+    kEndNames = {"answered",  "shed",      "connect-failed", "died",
+                 "timed-out", "malformed", "misdirected",    "cancelled"};
+
 }  // namespace
 
 std::string_view NameOf(AttemptEnd end) {
-  constexpr std::array<std::string_view,
-                       static_cast<size_t>(AttemptEnd::kCount)>
-      kNames = {"answered",  "shed",      "connect-failed", "died",
-                "timed-out", "malformed", "misdirected",    "cancelled"};
-  return kNames.at(static_cast<size_t>(end));
+  return kEndNames.at(static_cast<size_t>(end));
 }
 
 Refusal RefusalOf(AttemptEnd end) {
@@ -256,10 +256,9 @@
   }
   if (!IsDenied(reason) && !in_time) {
     reason = Retry::kDeniedDeadline;
-  } else if (!IsDenied(reason) && !free &&
-             !this->queue.lane(request.lane).retry_budget.Take()) {
-    reason = Retry::kDeniedBudget;
-  } else if (!IsDenied(reason) && !this->TakeRepeat(now, shard)) {
+  } else if (!IsDenied(reason) &&
+             ((!free && !this->queue.lane(request.lane).retry_budget.Take()) ||
+              !this->TakeRepeat(now, shard))) {
     reason = Retry::kDeniedBudget;
   }
   ++this->counts.retries[static_cast<size_t>(reason)];
--- a/packages/decision/src/view.cc
+++ b/packages/decision/src/view.cc
@@ -108,6 +108,7 @@
 
 std::vector<VmHandle> WorkOrder(const std::vector<VmRow>& vms) {
   std::vector<RankedVm> ranked;
+  ranked.reserve(vms.size());
   for (const VmRow& vm : vms) {
     if (IsValid(vm.handle) && vm.state == VmState::kLive) {
       ranked.push_back({0, HashText(vm.name, 0), &vm});
@@ -118,6 +119,7 @@
               return WorksBefore(*a.vm, a.score, *b.vm, b.score);
             });
   std::vector<VmHandle> order;
+  order.reserve(ranked.size());
   for (const RankedVm& vm : ranked) {
     order.push_back(vm.vm->handle);
   }
--- a/packages/decision/test/declared_configuration_test.cc
+++ b/packages/decision/test/declared_configuration_test.cc
@@ -12,7 +12,6 @@
 using basilsill::DeclaredRoute;
 using basilsill::FailureKind;
 using basilsill::RegisteredUpstream;
-using basilsill::ResourceKind;
 using basilsill::RouteKind;
 using basilsill::RoutingViewPtr;
 using basilsill::RuleRow;
@@ -99,8 +98,8 @@
 TEST(DeclaredConfiguration, Match_TwoPrefixes_LongestWins) {
   this->AddRoute("deep", "/levels/deep/", RouteKind::kSafe, 2);
   const RoutingViewPtr view = this->Build();
-  CHECK_EQUAL("deep", this->Match(view, "/levels/deep/1")->name);
-  CHECK_EQUAL("levels", this->Match(view, "/levels/1")->name);
+  STRCMP_EQUAL("deep", this->Match(view, "/levels/deep/1")->name.c_str());
+  STRCMP_EQUAL("levels", this->Match(view, "/levels/1")->name.c_str());
   CHECK(this->Match(view, "/level") == nullptr);
 }
 
--- a/packages/decision/test/dispatch_overload_test.cc
+++ b/packages/decision/test/dispatch_overload_test.cc
@@ -14,7 +14,6 @@
 using basilsill::DispatchHarness;
 using basilsill::DispatchRequest;
 using basilsill::Duration;
-using basilsill::Refusal;
 using basilsill::ShortMillis;
 using basilsill::TimePoint;
 
--- a/packages/decision/test/dispatch_speed_test.cc
+++ b/packages/decision/test/dispatch_speed_test.cc
@@ -14,13 +14,9 @@
 using namespace std::chrono_literals;
 using basilsill::AskReport;
 using basilsill::AttemptEnd;
-using basilsill::AttemptReport;
-using basilsill::Dispatcher;
 using basilsill::DispatcherOptions;
 using basilsill::DispatchHarness;
-using basilsill::DispatchRequest;
 using basilsill::Duration;
-using basilsill::Refusal;
 using basilsill::TimePoint;
 using basilsill::UpstreamHandle;
 
@@ -122,7 +118,7 @@
   }
   this->harness.Advance(500ms);
   CHECK_EQUAL(0, this->harness.RunningOn(gone));
-  CHECK(this->harness.running.size() > 0);
+  CHECK_FALSE(this->harness.running.empty());
 }
 
 namespace {
--- a/packages/decision/test/topic_follower_test.cc
+++ b/packages/decision/test/topic_follower_test.cc
@@ -39,7 +39,7 @@
   TopicFollower fresh(Shared());
   CHECK_FALSE(fresh.OnPage(this->now, 10, true, "m"));
   CHECK(fresh.NextCall().kind == TopicCallKind::kListNewest);
-  CHECK_EQUAL("m", fresh.NextCall().after);
+  STRCMP_EQUAL("m", fresh.NextCall().after.c_str());
   CHECK_FALSE(fresh.is_whole());
 }
 
--- a/packages/node/src/configuration_host.cc
+++ b/packages/node/src/configuration_host.cc
@@ -190,8 +190,8 @@
   for (const std::string& part : parts) {
     this->counts.log_appends.Add();
     std::vector<std::string> records(1, part);
-    const Result<AppendAnswer> answer = co_await this->log.Append(
-        std::string(kConfigurationStream), std::move(records));
+    const Result<AppendAnswer> answer =
+        co_await this->log.Append(std::string(kConfigurationStream), records);
     whole = whole && answer.has_value();
   }
   if (whole) {
--- a/packages/node/test/raw_upstream.cc
+++ b/packages/node/test/raw_upstream.cc
@@ -4,6 +4,7 @@
 #include <utility>
 
 #include <boost/asio/connect.hpp>
+#include <boost/asio/read.hpp>
 #include <boost/asio/read_until.hpp>
 #include <boost/asio/write.hpp>
 
@@ -37,6 +38,14 @@
   }
 }
 
+std::string RawUpstream::Exchange::Read(size_t size) {
+  std::string bytes;
+  NetError ignored;
+  boost::asio::read(this->socket, boost::asio::dynamic_buffer(bytes, size),
+                    ignored);
+  return bytes;
+}
+
 RawUpstream::RawUpstream(std::function<void(Exchange&)> serve)
     : acceptor(this->io, {boost::asio::ip::address_v4::loopback(), 0}),
       serve(std::move(serve)),
--- a/packages/node/test/raw_upstream.h
+++ b/packages/node/test/raw_upstream.h
@@ -28,6 +28,8 @@
     bool Write(const std::string& bytes);
     /// Blocks until the other side closes.
     void WaitForClose();
+    /// Reads `size` octets, or fewer if the other side closes before.
+    std::string Read(size_t size);
 
    private:
     boost::asio::ip::tcp::socket& socket;
