--- a/packages/node/test/http_malformed_test.cc
+++ b/packages/node/test/http_malformed_test.cc
@@ -43,8 +43,8 @@
       kChunkedHead + "3\r\nabc\r\n0\r\nX-Sum: 3\r\nX-Note: d\r\n\r\n",
       "HEAD /levels/7 HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n",
       "PUT /levels/7 HTTP/1.0\r\nHost: a\r\nContent-Length: 4\r\n\r\nabcd",
-      "OPTIONS * HTTP/1.1\r\nHost: a\r\nExpect: 100-continue\r\n"
-      "Content-Length: 2\r\n\r\nok",
+      ("OPTIONS * HTTP/1.1\r\nHost: a\r\nExpect: 100-continue\r\n"
+       "Content-Length: 2\r\n\r\nok"),
   };
 }
 
--- a/soak/callers.cc
+++ b/soak/callers.cc
@@ -16,7 +16,6 @@
 
 namespace asio = boost::asio;
 using adapter::test::CallerAnswer;
-using adapter::test::CallerRequest;
 using adapter::test::FakeCaller;
 using std::chrono::milliseconds;
 
@@ -50,6 +49,7 @@
     return kRoutes.front();
   }
   std::vector<double> weights;
+  weights.reserve(kRoutes.size());
   for (const RouteKind& route : kRoutes) {
     weights.push_back(route.weight);
   }
@@ -79,7 +79,7 @@
     Caller caller;
     caller.random = pcg32(this->options.seed, i);
     caller.number = i;
-    asio::co_spawn(this->io, this->Live(std::move(caller)), asio::detached);
+    asio::co_spawn(this->io, this->Live(caller), asio::detached);
   }
 }
 
--- a/soak/fleet.cc
+++ b/soak/fleet.cc
@@ -1,9 +1,9 @@
 #include "fleet.h"
 
-#include <signal.h>
 #include <unistd.h>
 
 #include <algorithm>
+#include <csignal>
 
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/co_spawn.hpp>
@@ -32,9 +32,9 @@
 // beside each other do not meet.
 std::string AddressOf(size_t node) {
   const auto id = static_cast<unsigned>(::getpid());
-  constexpr unsigned kOctet = 200;
-  return "127." + std::to_string(1 + id / kOctet % kOctet) + "." +
-         std::to_string(1 + id % kOctet) + "." + std::to_string(1 + node);
+  constexpr unsigned octet = 200;
+  return "127." + std::to_string(1 + id / octet % octet) + "." +
+         std::to_string(1 + id % octet) + "." + std::to_string(1 + node);
 }
 
 }  // namespace
--- a/soak/node_process.cc
+++ b/soak/node_process.cc
@@ -1,7 +1,6 @@
 #include "node_process.h"
 
-#include <signal.h>
-
+#include <csignal>
 #include <fstream>
 #include <stdexcept>
 #include <unordered_map>
--- a/soak/promises.cc
+++ b/soak/promises.cc
@@ -51,14 +51,14 @@
 
   std::vector<Violation> Run() {
     using Check = void (Judgement::*)();
-    constexpr std::array<Check, static_cast<size_t>(Promise::kCount)> kChecks =
-        {&Judgement::CheckOwnAnswer, &Judgement::CheckOnce,
-         &Judgement::CheckNotRun,    &Judgement::CheckLeaving,
-         &Judgement::CheckShutdown,  &Judgement::CheckConfiguration,
-         &Judgement::CheckNoReturn,  &Judgement::CheckRepeats,
-         &Judgement::CheckRecovery,  &Judgement::CheckCallerGone,
-         &Judgement::CheckTimeout,   &Judgement::CheckStaysUp};
-    for (const Check check : kChecks) {
+    constexpr std::array<Check, static_cast<size_t>(Promise::kCount)> checks = {
+        &Judgement::CheckOwnAnswer, &Judgement::CheckOnce,
+        &Judgement::CheckNotRun,    &Judgement::CheckLeaving,
+        &Judgement::CheckShutdown,  &Judgement::CheckConfiguration,
+        &Judgement::CheckNoReturn,  &Judgement::CheckRepeats,
+        &Judgement::CheckRecovery,  &Judgement::CheckCallerGone,
+        &Judgement::CheckTimeout,   &Judgement::CheckStaysUp};
+    for (const Check check : checks) {
       (this->*check)();
     }
     return std::move(this->found);
@@ -73,9 +73,9 @@
   }
 
   const std::vector<const RunRow*>& RunsOf(const std::string& id) const {
-    static const std::vector<const RunRow*> kNone;
+    static const std::vector<const RunRow*> none;
     const auto place = this->runs.find(id);
-    return place == this->runs.end() ? kNone : place->second;
+    return place == this->runs.end() ? none : place->second;
   }
 
   /// @returns true if nothing of `kinds` touched `node` from `from` to `to`,
--- a/soak/rig.cc
+++ b/soak/rig.cc
@@ -94,12 +94,12 @@
 
   // Eight hexadecimal digits; versions grow in steps.
   static std::string VersionText(uint64_t version) {
-    constexpr uint64_t kBase = 0x10000000;
-    constexpr uint64_t kStep = 3;
-    static constexpr char kDigits[] = "0123456789abcdef";
+    constexpr uint64_t base = 0x10000000;
+    constexpr uint64_t step = 3;
+    static constexpr char digits[] = "0123456789abcdef";
     std::string text;
-    for (uint64_t left = kBase + version * kStep; left > 0; left /= 16) {
-      text.insert(text.begin(), kDigits[left % 16]);
+    for (uint64_t left = base + version * step; left > 0; left /= 16) {
+      text.insert(text.begin(), digits[left % 16]);
     }
     return text;
   }
--- a/soak/upstreams.cc
+++ b/soak/upstreams.cc
@@ -27,6 +27,11 @@
 
 }  // namespace
 
+const std::vector<std::string>& ServiceNames() {
+  static const std::vector<std::string> names = {"banklevel", "pickupbook"};
+  return names;
+}
+
 Upstreams::Upstreams(boost::asio::io_context& io,
                      adapter::test::FakeStore& store,
                      Observations& seen,
@@ -172,7 +177,7 @@
 
 boost::asio::awaitable<void> Upstreams::HarmLink(Place& place,
                                                  const Step& step) {
-  static const std::map<Fault, LinkState> kStates = {
+  static const std::map<Fault, LinkState> states = {
       {Fault::kLinkSlow, LinkState::kSlow},
       {Fault::kLinkReset, LinkState::kWell},
       {Fault::kLinkOneWay, LinkState::kOneWay},
@@ -180,7 +185,7 @@
   if (step.fault == Fault::kLinkReset) {
     place.proxy->Reset();
   }
-  place.proxy->SetState(kStates.at(step.fault));
+  place.proxy->SetState(states.at(step.fault));
   co_await this->Sleep(step.lasts);
   if (!this->stopped) {
     place.proxy->SetState(LinkState::kWell);
--- a/soak/upstreams.h
+++ b/soak/upstreams.h
@@ -21,10 +21,7 @@
 namespace basilsill::soak {
 
 /// Services by number, as observations have them.
-inline const std::vector<std::string>& ServiceNames() {
-  static const std::vector<std::string> kServices = {"banklevel", "pickupbook"};
-  return kServices;
-}
+const std::vector<std::string>& ServiceNames();
 
 class Upstreams {
  public:
