basilsillctl explain: a request's course from the logs of several VMs

Cause: to explain a failed request, on-call had to collect its lines from all VMs, sort them by hand, know what each number means, and notice by themselves that lines had been left out.

Change: the time line of the request VM by VM in words, what its VMs went through in the three seconds before, and which lines are missing.

--- a/packages/ctl/src/command_table.cc
+++ b/packages/ctl/src/command_table.cc
@@ -1,6 +1,7 @@
 #include <array>
 
 #include "command.h"
+#include "explain_command.h"
 #include "load_command.h"
 #include "platform_command.h"
 #include "resource_commands.h"
@@ -16,6 +17,7 @@
     Command{"delete", "delete a resource", RunDelete},
     Command{"watch", "follow changes of resources", RunWatch},
     Command{"status", "show the state of an installation", RunStatus},
+    Command{"explain", "what became of one request, from logs", RunExplain},
     Command{"platform", "emulated platform: log, VM list, faults", RunPlatform},
     Command{"upstream", "emulated upstream instances", RunUpstream},
     Command{"load", "sends load, checks and measures", RunLoadCommand},
