A settings file that changes without a signal is read again

Cause: only SIGHUP made the node read its file again, and the platform also changes it without one. A file with a fault is refused whole as before.

--- /dev/null
+++ b/packages/node/src/file_watch.h
@@ -0,0 +1,54 @@
+#ifndef BASILSILL_NODE_FILE_WATCH_H_
+#define BASILSILL_NODE_FILE_WATCH_H_
+
+#include <chrono>
+#include <cstdint>
+#include <filesystem>
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
+
+/// Notices that a file was written or replaced, for a settings file that
+/// changes without a signal. It looks now and then: not every system tells of
+/// changes, and nothing in the file is urgent.
+
+namespace basilsill {
+
+class FileWatch {
+ public:
+  static constexpr std::chrono::milliseconds kUsualInterval{2000};
+
+  /// @param on_change Called on the thread of `context`.
+  FileWatch(boost::asio::io_context& context,
+            std::string path,
+            std::function<void()> on_change,
+            std::chrono::milliseconds interval = kUsualInterval);
+
+  void Start();
+
+ private:
+  /// What tells one state of the file from the next.
+  struct Stamp {
+    std::filesystem::file_time_type written;
+    uintmax_t size = 0;
+
+    friend bool operator==(const Stamp&, const Stamp&) = default;
+  };
+
+  std::optional<Stamp> Look() const;
+  void Check();
+
+  boost::asio::steady_timer timer;
+  std::string path;
+  std::function<void()> on_change;
+  std::chrono::milliseconds interval;
+  std::optional<Stamp> known;
+};
+
+}  // namespace basilsill
+
+#endif  // BASILSILL_NODE_FILE_WATCH_H_
--- a/packages/node/src/main.cc
+++ b/packages/node/src/main.cc
@@ -12,6 +12,7 @@
 #include "basilsill/node/log.h"
 #include "basilsill/node/settings.h"
 #include "command_line.h"
+#include "file_watch.h"
 #include "node.h"
 #include "signals.h"
 
@@ -73,6 +74,9 @@
   const auto signals = basilsill::ShutdownSignals::Create(
       context, {[&] { node.Drain(stop); }, [&] { stop(false); },
                 [&] { Reload(node, load); }});
+  basilsill::FileWatch watch(context, setup.file,
+                             [&] { Reload(node, load); });
+  watch.Start();
   Log(Event::kNodeStarting, {{"vm", settings.vm.name},
                              {"callers", node.callers_endpoint().port},
                              {"control", node.control().endpoint().port},
@@ -94,7 +98,7 @@
         if (!settings) {
           return settings.error();
         }
-        return Setup{std::move(settings).value(), {}};
+        return Setup{std::move(settings).value(), {}, path};
       };
 }
 
