--- a/packages/node/src/main.cc
+++ b/packages/node/src/main.cc
@@ -13,8 +13,8 @@
 #include "basilsill/node/log.h"
 #include "basilsill/node/settings.h"
 #include "command_line.h"
-#include "file_watch.h"
 #include "node.h"
+#include "settings_watch.h"
 #include "signals.h"
 
 namespace {
@@ -75,7 +75,8 @@
   const auto signals = basilsill::ShutdownSignals::Create(
       context, {[&] { node.Drain(stop); }, [&] { stop(false); },
                 [&] { Reload(node, load); }});
-  basilsill::FileWatch watch(context, setup.file, [&] { Reload(node, load); });
+  basilsill::SettingsWatch watch(context, setup.file,
+                                 [&] { Reload(node, load); });
   watch.Start();
   Log(Event::kNodeStarting, {{"vm", settings.vm.name},
                              {"callers", node.callers_endpoint().port},
--- a/packages/node/src/file_watch.cc
+++ b/packages/node/src/settings_watch.cc
@@ -1,20 +1,20 @@
-#include "file_watch.h"
+#include "settings_watch.h"
 
 #include <utility>
 
 namespace basilsill {
 
-FileWatch::FileWatch(boost::asio::io_context& context,
-                     std::string path,
-                     std::function<void()> on_change,
-                     std::chrono::milliseconds interval)
+SettingsWatch::SettingsWatch(boost::asio::io_context& context,
+                             std::string path,
+                             std::function<void()> on_change,
+                             std::chrono::milliseconds interval)
     : timer(context),
       path(std::move(path)),
       on_change(std::move(on_change)),
       interval(interval),
       known(this->Look()) {}
 
-void FileWatch::Start() {
+void SettingsWatch::Start() {
   this->timer.expires_after(this->interval);
   this->timer.async_wait([this](const boost::system::error_code& error) {
     if (!error) {
@@ -24,7 +24,7 @@
   });
 }
 
-std::optional<FileWatch::Stamp> FileWatch::Look() const {
+std::optional<SettingsWatch::Stamp> SettingsWatch::Look() const {
   std::error_code failed;
   Stamp stamp;
   stamp.written = std::filesystem::last_write_time(this->path, failed);
@@ -36,7 +36,7 @@
 
 // Failure: the file is replaced, and for a moment there is none. That is no
 // change of settings; what comes in its place is.
-void FileWatch::Check() {
+void SettingsWatch::Check() {
   const std::optional<Stamp> now = this->Look();
   if (!now || now == this->known) {
     return;
--- a/packages/node/src/file_watch.h
+++ b/packages/node/src/settings_watch.h
@@ -1,5 +1,5 @@
-#ifndef BASILSILL_NODE_FILE_WATCH_H_
-#define BASILSILL_NODE_FILE_WATCH_H_
+#ifndef BASILSILL_NODE_SETTINGS_WATCH_H_
+#define BASILSILL_NODE_SETTINGS_WATCH_H_
 
 #include <chrono>
 #include <cstdint>
@@ -18,15 +18,15 @@
 
 namespace basilsill {
 
-class FileWatch {
+class SettingsWatch {
  public:
   static constexpr std::chrono::milliseconds kUsualInterval{2000};
 
   /// @param on_change Called on the thread of `context`.
-  FileWatch(boost::asio::io_context& context,
-            std::string path,
-            std::function<void()> on_change,
-            std::chrono::milliseconds interval = kUsualInterval);
+  SettingsWatch(boost::asio::io_context& context,
+                std::string path,
+                std::function<void()> on_change,
+                std::chrono::milliseconds interval = kUsualInterval);
 
   void Start();
 
@@ -51,4 +51,4 @@
 
 }  // namespace basilsill
 
-#endif  // BASILSILL_NODE_FILE_WATCH_H_
+#endif  // BASILSILL_NODE_SETTINGS_WATCH_H_
--- a/packages/node/test/file_watch_test.cc
+++ b/packages/node/test/settings_watch_test.cc
@@ -1,6 +1,6 @@
 // Tests of noticing a settings file that changes without a signal.
 
-#include "file_watch.h"
+#include "settings_watch.h"
 
 #include <cstdio>
 #include <fstream>
@@ -10,9 +10,9 @@
 
 #include <CppUTest/TestHarness.h>
 
-using basilsill::FileWatch;
+using basilsill::SettingsWatch;
 
-TEST_GROUP(FileWatch) {
+TEST_GROUP(SettingsWatch) {
   std::string path =
       "/tmp/basilsill-watch-" + std::to_string(::getpid()) + ".conf";
   boost::asio::io_context context;
@@ -30,37 +30,37 @@
   }
 
   /// Lets the watch look a few times.
-  void Run(FileWatch & watch) {
+  void Run(SettingsWatch & watch) {
     watch.Start();
     for (int i = 0; i < 3; ++i) {
       this->context.run_one();
     }
   }
 
-  FileWatch Make() {
-    return FileWatch(
+  SettingsWatch Make() {
+    return SettingsWatch(
         this->context, this->path, [this] { ++this->changes; },
         std::chrono::milliseconds(1));
   }
 };
 
-TEST(FileWatch, File_Unchanged_SaysNothing) {
-  FileWatch watch = this->Make();
+TEST(SettingsWatch, File_Unchanged_SaysNothing) {
+  SettingsWatch watch = this->Make();
   this->Run(watch);
   CHECK_EQUAL(0, this->changes);
 }
 
 // An operator writes the file and sends no signal. The node would go on with
 // the old settings until somebody remembers to.
-TEST(FileWatch, File_Written_SaysSoOnce) {
-  FileWatch watch = this->Make();
+TEST(SettingsWatch, File_Written_SaysSoOnce) {
+  SettingsWatch watch = this->Make();
   this->Write("a=1\nb=2");
   this->Run(watch);
   CHECK_EQUAL(1, this->changes);
 }
 
-TEST(FileWatch, File_AwayForAMoment_SaysNothingUntilItIsBack) {
-  FileWatch watch = this->Make();
+TEST(SettingsWatch, File_AwayForAMoment_SaysNothingUntilItIsBack) {
+  SettingsWatch watch = this->Make();
   std::remove(this->path.c_str());
   this->Run(watch);
   CHECK_EQUAL(0, this->changes);
