News of records: each is told twice, and not until all are known to have it

The VM that reads for all told each change four to five times, on the links to all others.

Change: news begin where the last but one of the same VM ended, or where all are known to know all, whichever is later. One lost message leaves no gap; who missed two in a row finds the gap and reads for itself.

Ruled out: telling once; each message that a clogged link drops would cost a call to the store.

--- a/packages/decision/include/basilsill/decision/topic_follower.h
+++ b/packages/decision/include/basilsill/decision/topic_follower.h
@@ -106,9 +106,15 @@
 
   uint64_t offset() const { return this->from; }
 
+  /// This VM tells the others of all records from the returned offset on, up to
+  /// `offset()`. Every VM that heard anything of late knows what stands before
+  /// it. What two news in a row have told is left out too: who missed both
+  /// finds the gap and reads for itself. Telling all that some VM may not know
+  /// costs each record four to five times, on the links to all VMs.
+  uint64_t BeginNews();
+
   /// @returns an offset before which every VM knows all records that heard
-  /// anything of late. News that begin there leave no gap to a VM that missed
-  /// what another reader told in between.
+  /// anything of late.
   uint64_t settled() const { return this->settled_offset; }
 
  private:
@@ -127,6 +133,9 @@
   uint64_t settled_offset = 0;
   uint64_t settling_offset = 0;  ///< Becomes the settled one.
   TimePoint settling_since{};
+  /// Where the last news of this VM ended, and those before.
+  uint64_t told_offset = 0;
+  uint64_t told_twice_offset = 0;
   size_t rank = 0;
   uint32_t failures = 0;
   TimePoint trouble_until{};
--- a/packages/decision/include/basilsill/decision/topic_records.h
+++ b/packages/decision/include/basilsill/decision/topic_records.h
@@ -31,7 +31,8 @@
   /// All VMs know what stands before `settled`.
   void ForgetTold(uint64_t settled);
 
-  const std::vector<KeyedRecord>& untold() const { return this->recent; }
+  /// @returns what may not be known elsewhere, from offset `start` on.
+  std::vector<KeyedRecord> UntoldFrom(uint64_t start) const;
 
   /// @returns the newest record of each key.
   std::vector<KeyedRecord> All() const;
--- a/packages/decision/src/topic_follower.cc
+++ b/packages/decision/src/topic_follower.cc
@@ -91,6 +91,14 @@
   this->from = std::max(this->from, next);
 }
 
+uint64_t TopicFollower::BeginNews() {
+  const uint64_t start =
+      std::max(this->settled_offset, this->told_twice_offset);
+  this->told_twice_offset = this->told_offset;
+  this->told_offset = this->from;
+  return start;
+}
+
 // Between the two, all in different places: the first ones far apart, since one
 // of them is to be heard before the next acts, the last ones close together,
 // since they hardly ever come to act.
--- a/packages/decision/src/topic_records.cc
+++ b/packages/decision/src/topic_records.cc
@@ -35,6 +35,16 @@
   });
 }
 
+std::vector<KeyedRecord> TopicRecords::UntoldFrom(uint64_t start) const {
+  std::vector<KeyedRecord> records;
+  for (const KeyedRecord& record : this->recent) {
+    if (record.offset >= start) {
+      records.push_back(record);
+    }
+  }
+  return records;
+}
+
 std::vector<KeyedRecord> TopicRecords::All() const {
   std::vector<KeyedRecord> records;
   for (const auto& [key, record] : this->newest) {
--- a/packages/decision/test/topic_follower_test.cc
+++ b/packages/decision/test/topic_follower_test.cc
@@ -266,3 +266,50 @@
   readers.Run(3s);
   CHECK(readers.longest_silence <= 1100ms);
 }
+
+// An upstream's change reaches a hundred VMs over as many links. It was told
+// again with each news until all were known to have it, four or five times.
+TEST(TopicFollower, News_OfOneReader_TellEachRecordTwice) {
+  uint64_t told = 0;
+  for (uint64_t next = 20; next <= 1000; next += 10) {
+    this->now += 600ms;
+    this->follower.OnRecords(this->now, next);
+    told += next - this->follower.BeginNews();
+  }
+  CHECK(told <= 2 * 990);
+}
+
+// A VM is told by one reader, then that one dies and another tells, which had
+// not told anything for long.
+TEST(TopicFollower, News_OfTheNextReader_LeaveNoGap) {
+  TopicFollower listener(Shared());
+  TopicFollower next_reader(Shared());
+  listener.OnPage(this->now, 10, false, "k");
+  next_reader.OnPage(this->now, 10, false, "k");
+  uint64_t offset = 10;
+  for (int i = 0; i < 20; ++i) {
+    this->now += 600ms;
+    offset += 10;
+    this->follower.OnRecords(this->now, offset);
+    const uint64_t start = this->follower.BeginNews();
+    CHECK(next_reader.OnNews(this->now, start, offset));
+    CHECK(listener.OnNews(this->now, start, offset));
+  }
+  this->now += 900ms;
+  next_reader.OnRecords(this->now, offset + 10);
+  CHECK(listener.OnNews(this->now, next_reader.BeginNews(), offset + 10));
+}
+
+// One of the news is lost on its way. The next one still has what it told.
+TEST(TopicFollower, News_OneIsLost_TheNextHasIt) {
+  TopicFollower listener(Shared());
+  listener.OnPage(this->now, 10, false, "k");
+  for (uint64_t next = 20; next <= 400; next += 10) {
+    this->now += 600ms;
+    this->follower.OnRecords(this->now, next);
+    const uint64_t start = this->follower.BeginNews();
+    if (next % 20 == 0) {
+      CHECK(listener.OnNews(this->now, start, next));
+    }
+  }
+}
