Worker: four ticks a second while nothing is in flight

Cause: a VM at rest woke up 38 times a second, 20 of them to look at requests that were not there. Change: with nothing in flight the worker ticks as often as idle connections are looked for.

--- a/packages/node/src/worker.cc
+++ b/packages/node/src/worker.cc
@@ -14,11 +14,11 @@
 
 using std::chrono::milliseconds;
 
-// Period of the tick while nothing is in flight.
-constexpr milliseconds kSlowTick{50};
 // Sessions are looked at less often than requests: there can be thousands.
 constexpr milliseconds kSessionTick{20};
 // Idle links and upstream connections are looked for no more often than this.
+// While nothing is in flight there is nothing else to look at, and a VM at rest
+// wakes up four times a second for it.
 constexpr milliseconds kIdleTick{250};
 constexpr milliseconds kAcceptRetryDelay{20};
 // Bits of an attempt's sequence that count; the worker's number stands above.
@@ -343,7 +343,7 @@
   for (;;) {
     this->ticking_slowly =
         this->requests_in_flight == 0 && this->dispatch_host.active() == 0;
-    this->tick_timer.expires_after(this->ticking_slowly ? kSlowTick
+    this->tick_timer.expires_after(this->ticking_slowly ? kIdleTick
                                                         : limits::kWorkerTick);
     co_await this->tick_timer.async_wait(kTask);
     this->Tick(MonotonicClock::now());
