--- a/packages/decision/include/basilsill/decision/topic_follower.h
+++ b/packages/decision/include/basilsill/decision/topic_follower.h
@@ -59,6 +59,12 @@
 /// starts.
 inline constexpr size_t kStartHelpers = 2;
 
+/// VMs, from the first in the common order on, that tell the others what they
+/// read, and that all others have links with. With so many gone at once, those
+/// behind them step in as they are suspected, and until then each VM reads for
+/// itself.
+inline constexpr size_t kNewsTellers = 6;
+
 class TopicFollower {
  public:
   explicit TopicFollower(const TopicFollowerOptions& options);
@@ -113,6 +119,14 @@
   /// costs each record four to five times, on the links to all VMs.
   uint64_t BeginNews();
 
+  /// @returns true if this VM tells the others what it reads. Failure: news are
+  /// late by a clogged link, so VMs read for themselves, and each tells all its
+  /// peers what they know by then, which clogs more links. It shows as most VMs
+  /// calling the store, and traffic between VMs that is many times the
+  /// callers'. With few that tell, reading for oneself costs one call and no
+  /// more.
+  bool TellsOthers() const { return this->rank < kNewsTellers; }
+
   /// @returns an offset before which every VM knows all records that heard
   /// anything of late.
   uint64_t settled() const { return this->settled_offset; }
--- a/packages/decision/test/topic_follower_test.cc
+++ b/packages/decision/test/topic_follower_test.cc
@@ -313,3 +313,12 @@
     }
   }
 }
+
+// Links are clogged, so VMs far back in the order read for themselves. If each
+// told all its peers, the links would only get worse.
+TEST(TopicFollower, Reader_FarBackInTheOrder_TellsNobody) {
+  this->follower.SetRank(basilsill::kNewsTellers - 1);
+  CHECK(this->follower.TellsOthers());
+  this->follower.SetRank(basilsill::kNewsTellers);
+  CHECK_FALSE(this->follower.TellsOthers());
+}
--- a/packages/node/src/control.cc
+++ b/packages/node/src/control.cc
@@ -8,15 +8,12 @@
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
+#include "basilsill/decision/topic_follower.h"
 #include "basilsill/node/log.h"
 
 namespace basilsill {
 namespace {
 
-// VMs that all others have a link with because they may read for them. With
-// so many gone at once, others step in until links to the next are there.
-constexpr size_t kReadersLinked = 6;
-
 VmHello SelfHello(const Settings& settings,
                   const ControlOptions& options,
                   const Endpoint& control) {
@@ -247,7 +244,7 @@
 std::set<VmHandle> Control::CollectWorkers() const {
   std::set<VmHandle> workers;
   const std::vector<VmHandle> order = WorkOrder(this->members->rows());
-  for (size_t i = 0; i < order.size() && i < kReadersLinked; ++i) {
+  for (size_t i = 0; i < order.size() && i < kNewsTellers; ++i) {
     workers.insert(order[i]);
   }
   if (!this->current_view) {
