Soak: answers on a route are held to the order of its versions

The route was dropped, added and dropped again while the store was slow; the node said gone by the first drop and served it by what came after, as its log of versions shows. The check took the first answer for the newest drop.

Change: going through a node's answers, each is taken as the oldest version that the ones before allow, and one that fits none is a return. Narrower for this case alone, and it now also sees an added route that is gone again.

--- a/soak/promises.cc
+++ b/soak/promises.cc
@@ -3,8 +3,10 @@
 #include <algorithm>
 #include <array>
 #include <map>
+#include <optional>
 #include <set>
 #include <unordered_map>
+#include <utility>
 
 namespace basilsill::soak {
 namespace {
@@ -220,36 +222,71 @@
     }
   }
 
-  // One process of a node has told a caller that a route is gone. With no
-  // change in between it must not serve it again, whatever it hears.
+  // Each answer on a route could be by any configuration sent before it that
+  // has the route, or has it not. Going through a node's answers in order, each
+  // is taken as the oldest that the ones before it allow; where there is none,
+  // the node has gone back to an older one. What ends after another is sent
+  // says nothing of their order.
   void CheckNoReturn() {
-    for (size_t i = 0; i < this->seen.routes.size(); ++i) {
-      const RouteRow& change = this->seen.routes[i];
-      if (change.is_added) {
-        continue;
+    std::map<std::pair<size_t, std::string>, std::vector<const RequestRow*>>
+        answers;
+    for (const RequestRow& row : this->seen.requests) {
+      const bool tells = row.ending == Ending::kAnswer &&
+                         (IsSuccess(row) || row.status == kNotFound);
+      if (tells && this->HasChanges(row.route)) {
+        answers[{row.node, row.route}].push_back(&row);
       }
-      std::map<size_t, TimePoint> gone;  // By node.
-      for (const RequestRow& row : this->seen.requests) {
-        const bool counts = row.route == change.route &&
-                            row.sent > change.accepted &&
-                            row.ended < this->NextChange(i);
-        if (counts && row.ending == Ending::kAnswer) {
-          this->CheckReturn(row, gone);
-        }
+    }
+    for (auto& [key, rows] : answers) {
+      std::sort(rows.begin(), rows.end(),
+                [](const RequestRow* a, const RequestRow* b) {
+                  return a->sent < b->sent;
+                });
+      this->CheckNoReturn(rows);
+    }
+  }
+
+  struct Shown {
+    const RequestRow* row;
+    size_t change;  ///< The oldest that the answer can be by.
+  };
+
+  void CheckNoReturn(const std::vector<const RequestRow*>& rows) {
+    std::vector<Shown> shown;
+    for (const RequestRow* row : rows) {
+      size_t oldest = 0;
+      for (const Shown& before : shown) {
+        const bool counts =
+            before.row->ended + this->slack < row->sent &&
+            this->IsSameProcess(row->node, before.row->ended, row->ended);
+        oldest = counts ? std::max(oldest, before.change) : oldest;
+      }
+      const std::optional<size_t> change = this->FindChange(*row, oldest);
+      if (change) {
+        shown.push_back({row, *change});
+      } else {
+        this->Add(Promise::kNoReturn, {row->id}, row->ended,
+                  "node " + std::to_string(row->node));
       }
     }
   }
 
-  void CheckReturn(const RequestRow& row, std::map<size_t, TimePoint>& gone) {
-    const auto since = gone.find(row.node);
-    if (row.status == kNotFound) {
-      gone.emplace(row.node, row.ended);
-    } else if (IsSuccess(row) && since != gone.end() &&
-               row.sent > since->second + this->slack &&
-               this->IsSameProcess(row.node, since->second, row.ended)) {
-      this->Add(Promise::kNoReturn, {row.id}, row.ended,
-                "node " + std::to_string(row.node));
+  bool HasChanges(const std::string& route) const {
+    return std::any_of(
+        this->seen.routes.begin(), this->seen.routes.end(),
+        [&route](const RouteRow& change) { return change.route == route; });
+  }
+
+  /// @returns the oldest change, from `oldest` on, that `row` can be by.
+  std::optional<size_t> FindChange(const RequestRow& row, size_t oldest) const {
+    for (size_t i = oldest; i < this->seen.routes.size(); ++i) {
+      const RouteRow& change = this->seen.routes[i];
+      if (change.route == row.route && change.sent <= row.ended &&
+          change.is_added == (row.status != kNotFound)) {
+        return i;
+      }
     }
+    return std::nullopt;
   }
 
   bool IsSameProcess(size_t node, TimePoint from, TimePoint to) const {
--- a/soak/test/promises_test.cc
+++ b/soak/test/promises_test.cc
@@ -156,13 +156,32 @@
 }
 
 TEST(Promises, NoReturn_ServedAfterItWasGone_Found) {
+  this->seen.routes.push_back({"levels", true, kStart, kStart});
   this->seen.routes.push_back({"levels", false, kStart + 5s, kStart + 5s});
   this->AddServed("a", 5500ms).status = 404;
   this->AddServed("b", 6500ms);
   CHECK(this->IsBroken(Promise::kNoReturn));
 }
 
+// The route comes, goes, comes and goes, and a node hears of each change late:
+// it says that the route is gone by the first drop, then serves it by what came
+// after that.
+TEST(Promises, NoReturn_LateByTwoChanges_Allowed) {
+  this->seen.routes.push_back({"levels", true, kStart, kStart});
+  this->seen.routes.push_back({"levels", false, kStart + 2s, kStart + 2s});
+  this->seen.routes.push_back({"levels", true, kStart + 5s, kStart + 5s});
+  this->seen.routes.push_back(
+      {"levels", false, kStart + 5300ms, kStart + 5300ms});
+  this->AddServed("a", 5400ms).status = 404;
+  this->AddServed("b", 6500ms);
+  this->AddServed("c", 7500ms).status = 404;
+  CHECK_FALSE(this->IsBroken(Promise::kNoReturn));
+  this->AddServed("d", 8500ms);
+  CHECK(this->IsBroken(Promise::kNoReturn));
+}
+
 TEST(Promises, NoReturn_AnotherProcessOfTheNode_Allowed) {
+  this->seen.routes.push_back({"levels", true, kStart, kStart});
   this->seen.routes.push_back({"levels", false, kStart + 5s, kStart + 5s});
   this->AddServed("a", 5500ms).status = 404;
   this->Disturb(DisturbanceKind::kNode, 5600ms, 5900ms);
