ctl: one way to read ADDRESS:PORT

The upstream and load commands each read it by hand, and took a host name for an address. They use ParseEndpoint now, whose failure names the flag.

--- a/packages/ctl/src/load_command.cc
+++ b/packages/ctl/src/load_command.cc
@@ -1,6 +1,5 @@
 #include "load_command.h"
 
-#include <charconv>
 #include <fstream>
 #include <iostream>
 #include <iterator>
@@ -10,6 +9,7 @@
 
 #include <tclap/CmdLine.h>
 
+#include "basilsill/base/endpoint.h"
 #include "basilsill/ctl/load.h"
 #include "load_mix.h"
 #include "load_report.h"
@@ -98,18 +98,12 @@
 Result<std::vector<LoadEndpoint>> ReadEndpoints(const Endpoints& argument) {
   std::vector<LoadEndpoint> endpoints;
   for (const std::string& text : argument) {
-    const size_t colon = text.rfind(':');
-    LoadEndpoint endpoint;
-    endpoint.address = text.substr(0, colon);
-    const std::string port =
-        colon == std::string::npos ? "" : text.substr(colon + 1);
-    const char* end = port.data() + port.size();
-    const auto [rest, error] = std::from_chars(port.data(), end, endpoint.port);
-    if (error != std::errc() || rest != end) {
-      return Failure{FailureKind::kSyntax, "--" + argument.getName(),
-                     "found " + text + ", allowed is ADDRESS:PORT"};
+    const Result<Endpoint> endpoint =
+        ParseEndpoint(text, "--" + argument.getName());
+    if (!endpoint) {
+      return endpoint.error();
     }
-    endpoints.push_back(std::move(endpoint));
+    endpoints.push_back({endpoint.value().address, endpoint.value().port});
   }
   return endpoints;
 }
--- a/packages/ctl/src/upstream_command.cc
+++ b/packages/ctl/src/upstream_command.cc
@@ -1,7 +1,6 @@
 #include "upstream_command.h"
 
 #include <algorithm>
-#include <charconv>
 #include <csignal>
 #include <iostream>
 #include <memory>
@@ -12,6 +11,7 @@
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/signal_set.hpp>
 
+#include "basilsill/base/endpoint.h"
 #include "basilsill/ctl/upstream.h"
 #include "upstream_json.h"
 
@@ -27,16 +27,12 @@
 }
 
 Result<void> ReadListen(const std::string& text, UpstreamOptions& options) {
-  const size_t colon = text.rfind(':');
-  const std::string port =
-      colon == std::string::npos ? std::string() : text.substr(colon + 1);
-  const char* end = port.data() + port.size();
-  const auto [rest, error] = std::from_chars(port.data(), end, options.port);
-  if (error != std::errc() || rest != end) {
-    return Failure{FailureKind::kSyntax, "--listen",
-                   "found " + text + ", allowed is ADDRESS:PORT"};
+  const Result<Endpoint> endpoint = ParseEndpoint(text, "--listen");
+  if (!endpoint) {
+    return endpoint.error();
   }
-  options.address = text.substr(0, colon);
+  options.address = endpoint.value().address;
+  options.port = endpoint.value().port;
   return boost::outcome_v2::success();
 }
 
