--- a/packages/node/test/fleet.cc
+++ b/packages/node/test/fleet.cc
@@ -66,17 +66,13 @@
   done.get_future().wait();
 }
 
-RunningNode::RunningNode(const std::string& name,
-                         const std::string& data_centre,
-                         const Endpoint& platform,
-                         const std::function<void(Settings&)>& adjust)
-    : vm(name), place(data_centre) {
+RunningNode::RunningNode(const Settings& settings,
+                         const Installation& installation)
+    : vm(settings.vm.name), place(settings.vm.data_centre) {
   this->control_thread.Run([&] {
-    Settings settings = MakeSettings(name, data_centre, platform);
-    if (adjust) {
-      adjust(settings);
-    }
-    this->node = Node::Create(this->control_thread.context(), settings).value();
+    this->node =
+        Node::Create(this->control_thread.context(), settings, installation)
+            .value();
     this->callers_port = this->node->callers_endpoint().port;
     this->admin_port = this->node->admin_port();
     this->control_endpoint = this->node->control().endpoint();
@@ -123,8 +119,11 @@
 
 RunningNode& Fleet::AddNode(const std::string& name,
                             const std::string& data_centre) {
-  this->running.push_back(std::make_unique<RunningNode>(
-      name, data_centre, this->platform_endpoint, this->adjust));
+  Settings settings = MakeSettings(name, data_centre, this->platform_endpoint);
+  if (this->adjust) {
+    this->adjust(settings);
+  }
+  this->running.push_back(std::make_unique<RunningNode>(settings));
   RunningNode& node = *this->running.back();
   this->WithPlatform([&node](ctl::PlatformServer& server) {
     server.PutVm({node.name(), node.data_centre(), node.control(), {}});
--- a/packages/node/test/fleet.h
+++ b/packages/node/test/fleet.h
@@ -49,10 +49,8 @@
 /// One node with the thread of its control side.
 class RunningNode {
  public:
-  RunningNode(const std::string& name,
-              const std::string& data_centre,
-              const Endpoint& platform,
-              const std::function<void(Settings&)>& adjust);
+  explicit RunningNode(const Settings& settings,
+                       const Installation& installation = {});
   ~RunningNode();
 
   /// Ends the node at once, whatever is in flight.
