Dispatcher: nothing is started where it is known to end too late

Change: an upstream that said within 250 ms that it would take longer than what is left of the request's time is passed over, for second copies too, while any other takes work; the request waits for a slot there.

Ruled out: passing it over also when all are that slow; that would hold requests to their end for nothing. A bound in the upstream's grade: it learns of a request that may run once only when that ends.

--- a/packages/decision/src/dispatcher_core.h
+++ b/packages/decision/src/dispatcher_core.h
@@ -104,6 +104,9 @@
   bool MayStart(const ShardState& shard, RingKind ring) const;
 
   // dispatcher_speed.cc
+  static double SlownessLimitOf(TimePoint now,
+                                const ShardState& shard,
+                                const DispatchRequest& spec);
   SpeedRule SpeedRuleOf(TimePoint now,
                         const ShardState& shard,
                         const RequestRow& request) const;
--- a/packages/decision/src/dispatcher_speed.cc
+++ b/packages/decision/src/dispatcher_speed.cc
@@ -1,6 +1,9 @@
 #include <algorithm>
+#include <chrono>
+#include <limits>
 
 #include "dispatcher_core.h"
+#include "upstream_choice.h"
 
 namespace basilsill {
 namespace {
@@ -34,6 +37,27 @@
   return held_out || is_late ? SpeedRule::kPrefer : SpeedRule::kFastOnly;
 }
 
+// Failure: one upstream takes sixty times its usual time, and is the only one
+// with a free slot, as nobody else gets done there. A request that has waited
+// long enough for a fast one was started on it all the same, to end at its
+// deadline; one that may run once at most was lost. It shows as attempts with
+// a known slowness that end at their deadlines. So it waits for the others,
+// while there are any.
+double DispatcherCore::SlownessLimitOf(TimePoint now,
+                                       const ShardState& shard,
+                                       const DispatchRequest& spec) {
+  constexpr double none = std::numeric_limits<double>::infinity();
+  const LatencyStats& stats =
+      shard.stats[static_cast<size_t>(spec.traffic_class)];
+  if (!stats.known() || spec.deadline == kNever ||
+      stats.median() <= Duration(0)) {
+    return none;
+  }
+  const double limit = std::chrono::duration<double>(spec.deadline - now) /
+                       std::chrono::duration<double>(stats.median());
+  return HasWithin(now, shard, limit) ? limit : none;
+}
+
 // No upstream that was fast a moment ago has a free slot. Those that may be
 // fast are asked; the request goes on when one of them says so.
 void DispatcherCore::Hold(TimePoint now,
--- a/packages/decision/src/dispatcher_start.cc
+++ b/packages/decision/src/dispatcher_start.cc
@@ -74,9 +74,11 @@
   choice.limit_bulk = this->options.features.class_caps;
   choice.ahead = this->MaySendAhead(now, shard, ring);
   choice.speed = this->SpeedRuleOf(now, shard, this->Request(request));
+  choice.slowness_limit =
+      SlownessLimitOf(now, shard, this->Request(request).spec);
   const uint32_t upstream = PickUpstream(now, shard, choice);
   if (upstream == kNoRow) {
-    if (choice.speed == SpeedRule::kFastOnly) {
+    if (choice.speed != SpeedRule::kIgnore) {
       this->Hold(now, shard, this->Request(request), choice);
     }
     return false;
--- a/packages/decision/src/upstream_choice.cc
+++ b/packages/decision/src/upstream_choice.cc
@@ -69,15 +69,17 @@
 uint32_t CostOfSpeed(TimePoint now,
                      const ShardState& shard,
                      uint32_t place,
-                     SpeedRule rule) {
-  if (rule == SpeedRule::kIgnore) {
+                     const ChoiceOptions& options) {
+  if (options.speed == SpeedRule::kIgnore) {
     return 0;
   }
-  const SpeedGrade grade = shard.speeds[place].GradeAt(now);
-  if (grade == SpeedGrade::kFast) {
+  const SpeedBelief& speed = shard.speeds[place];
+  if (speed.GradeAt(now) == SpeedGrade::kFast) {
     return 0;
   }
-  return rule == SpeedRule::kFastOnly ? kNotFree : kSlowNow;
+  const bool is_out = options.speed == SpeedRule::kFastOnly ||
+                      speed.IsSlowerThan(now, options.slowness_limit);
+  return is_out ? kNotFree : kSlowNow;
 }
 
 // @returns the cost of `upstream`, which has a free slot.
@@ -106,7 +108,7 @@
   const uint16_t open = OpenSlots(now, upstream);
   if (BusySlots(now, shard, place) < open && FitsBulk(upstream, options)) {
     const uint32_t cost = CostOfFree(now, shard, place);
-    const uint32_t speed = CostOfSpeed(now, shard, place, options.speed);
+    const uint32_t speed = CostOfSpeed(now, shard, place, options);
     const bool free = cost != kNotFree && speed != kNotFree;
     return free ? cost + speed + avoided : kNotFree;
   }
@@ -150,6 +152,17 @@
   upstream.ramp_left = ramp ? kRampAnswers : 0;
 }
 
+bool HasWithin(TimePoint now, const ShardState& shard, double limit) {
+  for (size_t i = 0; i < shard.upstreams.size() && i < shard.speeds.size();
+       ++i) {
+    if (TakesWork(now, shard.upstreams[i]) &&
+        !shard.speeds[i].IsSlowerThan(now, limit)) {
+      return true;
+    }
+  }
+  return false;
+}
+
 uint32_t PickUpstream(TimePoint now,
                       ShardState& shard,
                       const ChoiceOptions& options) {
--- a/packages/decision/src/upstream_choice.h
+++ b/packages/decision/src/upstream_choice.h
@@ -1,6 +1,8 @@
 #ifndef BASILSILL_DECISION_UPSTREAM_CHOICE_H_
 #define BASILSILL_DECISION_UPSTREAM_CHOICE_H_
 
+#include <limits>
+
 #include "dispatch_tables.h"
 
 /// Which upstream of a shard gets the next request.
@@ -40,6 +42,9 @@
   uint32_t avoid = kNoRow;  ///< Only taken if there is no other.
   bool limit_bulk = true;   ///< Bulk may not fill an upstream.
   SpeedRule speed = SpeedRule::kIgnore;
+  /// An upstream that is known to be slower than this many times its usual
+  /// speed can't answer in time.
+  double slowness_limit = std::numeric_limits<double>::infinity();
   bool ahead = false;  ///< One more than its slots may be sent.
 };
 
@@ -50,6 +55,10 @@
                       ShardState& shard,
                       const ChoiceOptions& options);
 
+/// @returns true if some upstream that takes work is not known to be slower
+/// than `limit`; it may have no slot free now.
+bool HasWithin(TimePoint now, const ShardState& shard, double limit);
+
 /// @returns true if the choice could fall on the upstream but for its speed.
 bool IsCandidate(TimePoint now,
                  const ShardState& shard,
--- a/packages/decision/src/upstream_speed.cc
+++ b/packages/decision/src/upstream_speed.cc
@@ -13,6 +13,10 @@
 // that has not answered by now is busy, cut off or gone.
 constexpr Duration kAskPatience = std::chrono::milliseconds(20);
 
+// What is slower by so much that nothing is answered in time has not merely met
+// a spell, and is asked again before this has passed.
+constexpr Duration kSlowRemembered = std::chrono::milliseconds(250);
+
 // Where slowness is told, it is about 1 or about 5.
 constexpr double kSlowFrom = 1.8;
 
@@ -51,6 +55,11 @@
                                          : SpeedGrade::kSlow;
 }
 
+bool SpeedBelief::IsSlowerThan(TimePoint now, double limit) const {
+  return this->known && this->told_slowness > limit &&
+         now - this->told_at <= kSlowRemembered;
+}
+
 bool SpeedBelief::IsAsked(TimePoint now) const {
   return this->asking && now - this->asked_at < kAskPatience;
 }
--- a/packages/decision/src/upstream_speed.h
+++ b/packages/decision/src/upstream_speed.h
@@ -31,6 +31,10 @@
 
   SpeedGrade GradeAt(TimePoint now) const;
 
+  /// @returns true if it said not long ago that it is slower than `limit`
+  /// times its usual speed.
+  bool IsSlowerThan(TimePoint now, double limit) const;
+
   /// @returns true if it was asked a moment ago and may still answer.
   bool IsAsked(TimePoint now) const;
 
--- a/packages/decision/test/dispatch_speed_test.cc
+++ b/packages/decision/test/dispatch_speed_test.cc
@@ -24,6 +24,7 @@
 
 constexpr double kUsual = 1;
 constexpr double kSlow = 5;
+constexpr double kMuchTooSlow = 1000;
 
 }  // namespace
 
@@ -37,6 +38,40 @@
     }
     this->harness.Apply();
   }
+
+  UpstreamHandle Upstream(size_t place) const {
+    return this->harness.fixture.service.upstreams.at(place).handle;
+  }
+
+  /// All are asked about, and answer: `slow` so, the others as usual.
+  void TellAll(UpstreamHandle slow, double slowness) {
+    const std::vector<UpstreamHandle> asked = this->harness.asked;
+    for (const UpstreamHandle upstream : asked) {
+      this->harness.Tell(upstream, upstream == slow ? slowness : kUsual);
+    }
+  }
+
+  /// Offers a request and answers what is asked for longer than it is held.
+  uint64_t OfferTelling(UpstreamHandle slow, double slowness) {
+    const uint64_t cookie = this->harness.Offer();
+    for (Duration waited{0}; waited < 400ms; waited += 5ms) {
+      this->TellAll(slow, slowness);
+      if (IsValid(this->harness.RunOf(cookie).attempt)) {
+        break;
+      }
+      this->harness.Advance(5ms);
+    }
+    return cookie;
+  }
+
+  /// Typical times are known.
+  void WarmUp() {
+    for (int i = 0; i < 40; ++i) {
+      const uint64_t cookie = this->OfferTelling({}, kUsual);
+      this->harness.Advance(basilsill::DispatchHarness::kServiceTime);
+      this->harness.End(cookie, AttemptEnd::kAnswered);
+    }
+  }
 };
 
 TEST(DispatchSpeed, Offer_NothingKnown_AsksSomeAndWaits) {
@@ -80,6 +115,41 @@
   CHECK(IsValid(this->harness.RunOf(cookie).attempt));
 }
 
+// One upstream has turned sixty times slower and holds what it got; the others
+// work on and are full. It has the only free slot, and what is started there
+// ends at its deadline, also what may run only once.
+TEST(DispatchSpeed, Offer_OnlyOneThatIsMuchTooSlowIsFree_WaitsForTheOthers) {
+  std::vector<uint64_t> running;
+  this->WarmUp();
+  // What was told before is forgotten.
+  this->harness.Advance(300ms);
+  const UpstreamHandle slow = this->Upstream(0);
+  for (int i = 0; i < 6; ++i) {
+    running.push_back(this->OfferTelling(slow, kMuchTooSlow));
+  }
+  CHECK_EQUAL(0, this->harness.RunningOn(slow));
+  const uint64_t last = this->OfferTelling(slow, kMuchTooSlow);
+  CHECK_FALSE(IsValid(this->harness.RunOf(last).attempt));
+  this->harness.End(running.front(), AttemptEnd::kAnswered);
+  this->TellAll(slow, kMuchTooSlow);
+  CHECK(IsValid(this->harness.RunOf(last).attempt));
+  CHECK_EQUAL(0, this->harness.RunningOn(slow));
+}
+
+// All of them have. Waiting would gain nothing.
+TEST(DispatchSpeed, Offer_AllMuchTooSlow_StartsOnOneInTheEnd) {
+  this->WarmUp();
+  const uint64_t cookie = this->harness.Offer();
+  for (Duration waited{0}; waited < 400ms; waited += 5ms) {
+    const std::vector<UpstreamHandle> asked = this->harness.asked;
+    for (const UpstreamHandle upstream : asked) {
+      this->harness.Tell(upstream, kMuchTooSlow);
+    }
+    this->harness.Advance(5ms);
+  }
+  CHECK(IsValid(this->harness.RunOf(cookie).attempt));
+}
+
 // An upstream that is cut off does not answer what it is asked. The request
 // must not wait for it, nor for ever.
 TEST(DispatchSpeed, Offer_NobodyAnswers_StartsAnyway) {
