--- a/packages/decision/src/declared_configuration.cc
+++ b/packages/decision/src/declared_configuration.cc
@@ -185,10 +185,12 @@
     set.ids.push_back(entry.id);
   }
   std::vector<ResourceId> dropped;
+  dropped.reserve(touched.size());
   for (const UpstreamSetKey& key : touched) {
     dropped.push_back({ResourceKind::kUpstreamSet, NameOf(key)});
   }
   std::vector<ResourceEntry> entries;
+  entries.reserve(sets.size());
   for (auto& [key, set] : sets) {
     entries.push_back(MakeEntry(NameOf(key), std::move(set), this->updates));
   }
--- a/packages/decision/test/dispatch_speed_test.cc
+++ b/packages/decision/test/dispatch_speed_test.cc
@@ -120,6 +120,7 @@
 // ends at its deadline, also what may run only once.
 TEST(DispatchSpeed, Offer_OnlyOneThatIsMuchTooSlowIsFree_WaitsForTheOthers) {
   std::vector<uint64_t> running;
+  running.reserve(6);
   this->WarmUp();
   // What was told before is forgotten.
   this->harness.Advance(300ms);
--- a/packages/node/src/configuration_host.cc
+++ b/packages/node/src/configuration_host.cc
@@ -273,7 +273,8 @@
 boost::asio::awaitable<void> ConfigurationHost::Append(ChangeHandle change,
                                                        std::string record) {
   this->counts.log_appends.Add();
-  std::vector<std::string> records(1, std::move(record));
+  std::vector<std::string> records;
+  records.push_back(std::move(record));
   const Result<AppendAnswer> answer = co_await this->log.Append(
       std::string(kConfigurationStream), std::move(records));
   if (!this->stopped) {
