Caller exchange: no overflow at a request without a deadline

Cause: the sanitizer stopped the adapter's and the node's tests: a grace time was added to a deadline that is never. What follows was guarded, so nothing went wrong that was seen, but the sum is undefined. Change: the grace time is taken off the present. Test: Request_NoHostOrTwo_Malformed under the sanitizer, which ended there before.

--- a/packages/node/src/caller_exchange.cc
+++ b/packages/node/src/caller_exchange.cc
@@ -363,9 +363,9 @@
 }
 
 void CallerExchange::Tick(TimePoint now) {
-  const bool late = now >= this->request.entry.deadline + kDeadlineGrace;
-  const bool due = late && this->request.entry.deadline != kNever;
-  if (due && !this->has_started && !this->expired && !this->abandoned &&
+  // Taken off this side: a deadline that is never can't grow.
+  const bool late = now - kDeadlineGrace >= this->request.entry.deadline;
+  if (late && !this->has_started && !this->expired && !this->abandoned &&
       !this->request.once) {
     this->expired = true;
     this->EndWork();
