--- a/packages/decision/include/basilsill/decision/declared_configuration.h
+++ b/packages/decision/include/basilsill/decision/declared_configuration.h
@@ -67,6 +67,10 @@
   void Update(const DeclaredConfiguration& configuration,
               UpstreamRegistry& upstreams);
 
+  /// @returns true if an update would change nothing.
+  bool IsCurrent(const DeclaredConfiguration& configuration,
+                 const UpstreamRegistry& upstreams) const;
+
   const ConfigurationState& state() const { return this->current; }
 
  private:
@@ -76,6 +80,7 @@
                    const UpstreamRegistry& upstreams);
 
   std::optional<uint64_t> configuration_version;
+  uint64_t upstreams_version = 0;
   std::set<std::string, std::less<>> services;
   uint64_t updates = 0;
   ConfigurationState current;
--- a/packages/decision/include/basilsill/decision/topic_records.h
+++ b/packages/decision/include/basilsill/decision/topic_records.h
@@ -2,6 +2,7 @@
 #define BASILSILL_DECISION_TOPIC_RECORDS_H_
 
 #include <cstdint>
+#include <deque>
 #include <map>
 #include <string>
 #include <vector>
@@ -39,7 +40,7 @@
 
  private:
   std::map<std::string, KeyedRecord> newest;
-  std::vector<KeyedRecord> recent;
+  std::deque<KeyedRecord> recent;
 };
 
 }  // namespace basilsill
--- a/packages/decision/include/basilsill/decision/upstream_registry.h
+++ b/packages/decision/include/basilsill/decision/upstream_registry.h
@@ -125,7 +125,8 @@
   void Erase(std::string_view id);
   void Place(const std::string& id, const Endpoint& endpoint);
   void Displace(const std::string& id, const Endpoint& endpoint);
-  void MarkShadowed(const Endpoint& endpoint);
+  /// @param ids All entries at one endpoint.
+  void MarkShadowed(const std::set<std::string>& ids);
   void Touch(const Row& row);
   void AddNews(UpstreamBelief belief, const Row& row);
 
--- a/packages/decision/src/declared_configuration.cc
+++ b/packages/decision/src/declared_configuration.cc
@@ -139,6 +139,7 @@
 void DeclaredState::Update(const DeclaredConfiguration& configuration,
                            UpstreamRegistry& upstreams) {
   ++this->updates;
+  this->upstreams_version = upstreams.version();
   const std::set<UpstreamSetKey> touched = upstreams.TakeTouched();
   if (this->configuration_version == configuration.version) {
     this->DeclareSets(touched, upstreams);
@@ -147,6 +148,12 @@
   }
 }
 
+bool DeclaredState::IsCurrent(const DeclaredConfiguration& configuration,
+                              const UpstreamRegistry& upstreams) const {
+  return this->configuration_version == configuration.version &&
+         this->upstreams_version == upstreams.version();
+}
+
 // A new configuration may name other services, so all sets are made anew too.
 void DeclaredState::DeclareAll(const DeclaredConfiguration& configuration,
                                const UpstreamRegistry& upstreams) {
--- a/packages/decision/src/dispatcher_core.h
+++ b/packages/decision/src/dispatcher_core.h
@@ -104,6 +104,10 @@
   bool MayStart(const ShardState& shard, RingKind ring) const;
 
   // dispatcher_speed.cc
+  void SetSpeedTerms(TimePoint now,
+                     const ShardState& shard,
+                     const RequestRow& request,
+                     ChoiceOptions& choice) const;
   static double SlownessLimitOf(TimePoint now,
                                 const ShardState& shard,
                                 const DispatchRequest& spec);
--- a/packages/decision/src/dispatcher_speed.cc
+++ b/packages/decision/src/dispatcher_speed.cc
@@ -37,6 +37,18 @@
   return held_out || is_late ? SpeedRule::kPrefer : SpeedRule::kFastOnly;
 }
 
+// The limit also keeps a request that is held from asking those that can't
+// help.
+void DispatcherCore::SetSpeedTerms(TimePoint now,
+                                   const ShardState& shard,
+                                   const RequestRow& request,
+                                   ChoiceOptions& choice) const {
+  choice.speed = this->SpeedRuleOf(now, shard, request);
+  if (choice.speed != SpeedRule::kIgnore) {
+    choice.slowness_limit = SlownessLimitOf(now, shard, request.spec);
+  }
+}
+
 // Failure: one upstream takes sixty times its usual time, and is the only one
 // with a free slot, as nobody else gets done there. A request that has waited
 // long enough for a fast one was started on it all the same, to end at its
--- a/packages/decision/src/dispatcher_start.cc
+++ b/packages/decision/src/dispatcher_start.cc
@@ -73,9 +73,7 @@
   choice.avoid = this->Request(request).avoid;
   choice.limit_bulk = this->options.features.class_caps;
   choice.ahead = this->MaySendAhead(now, shard, ring);
-  choice.speed = this->SpeedRuleOf(now, shard, this->Request(request));
-  choice.slowness_limit =
-      SlownessLimitOf(now, shard, this->Request(request).spec);
+  this->SetSpeedTerms(now, shard, this->Request(request), choice);
   const uint32_t upstream = PickUpstream(now, shard, choice);
   if (upstream == kNoRow) {
     if (choice.speed != SpeedRule::kIgnore) {
--- a/packages/decision/src/dispatcher_tick.cc
+++ b/packages/decision/src/dispatcher_tick.cc
@@ -108,8 +108,7 @@
   ChoiceOptions choice;
   choice.traffic_class = request.spec.traffic_class;
   choice.avoid = place;
-  choice.speed = this->SpeedRuleOf(now, shard, request);
-  choice.slowness_limit = SlownessLimitOf(now, shard, request.spec);
+  this->SetSpeedTerms(now, shard, request, choice);
   LaneRow& lane = this->queue.lane(request.lane);
   const Ring& waiting =
       shard.rings[static_cast<size_t>(RingKind::kInteractive)];
--- a/packages/decision/src/topic_records.cc
+++ b/packages/decision/src/topic_records.cc
@@ -24,7 +24,7 @@
 
 void TopicRecords::AddUntold(const KeyedRecord& record) {
   if (this->recent.size() == kMaxUntold) {
-    this->recent.erase(this->recent.begin());
+    this->recent.pop_front();
   }
   this->recent.push_back(record);
 }
--- a/packages/decision/src/upstream_registry.cc
+++ b/packages/decision/src/upstream_registry.cc
@@ -145,8 +145,9 @@
 }
 
 void UpstreamRegistry::Place(const std::string& id, const Endpoint& endpoint) {
-  this->at_endpoint[ToString(endpoint)].insert(id);
-  this->MarkShadowed(endpoint);
+  std::set<std::string>& ids = this->at_endpoint[ToString(endpoint)];
+  ids.insert(id);
+  this->MarkShadowed(ids);
 }
 
 void UpstreamRegistry::Displace(const std::string& id,
@@ -157,14 +158,13 @@
     this->at_endpoint.erase(found);
     return;
   }
-  this->MarkShadowed(endpoint);
+  this->MarkShadowed(found->second);
 }
 
 // The platform gives the address of an instance that has ended to another one,
 // whose entry can come before the old one's removal. A request sent there for
 // the old one would only be turned away.
-void UpstreamRegistry::MarkShadowed(const Endpoint& endpoint) {
-  const std::set<std::string>& ids = this->at_endpoint[ToString(endpoint)];
+void UpstreamRegistry::MarkShadowed(const std::set<std::string>& ids) {
   uint64_t newest = 0;
   for (const std::string& id : ids) {
     newest = std::max(newest, this->entries.find(id)->second.offset);
