Soak: one way to wait, one way to say that something was disturbed

Cause: four parts of the soak each had a coroutine that waits, three opened and closed rows of disturbances by hand, and a version was written in hexadecimal digit by digit.

Change: Sleep on the executor of whoever waits, BeginDisturbance and EndDisturbance of the table itself, std::to_chars. Checks and plans are as they were.

--- a/soak/callers.cc
+++ b/soak/callers.cc
@@ -11,6 +11,8 @@
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
+#include "sleep.h"
+
 namespace basilsill::soak {
 namespace {
 
@@ -83,11 +85,6 @@
   }
 }
 
-asio::awaitable<void> Callers::Sleep(milliseconds time) {
-  asio::steady_timer timer(this->io, time);
-  co_await timer.async_wait(asio::as_tuple(asio::use_awaitable));
-}
-
 asio::awaitable<void> Callers::Live(Caller caller) {
   while (!this->stopped) {
     const std::vector<size_t> nodes = this->fleet.InRotation();
@@ -97,7 +94,7 @@
         co_await connection.Open(this->fleet.callers(node), kConnectLimit);
     bool goes_on = open;
     while (goes_on && !this->stopped) {
-      co_await this->Sleep(DrawPause(caller.random, kPauseBetween));
+      co_await Sleep(DrawPause(caller.random, kPauseBetween));
       if (Draw(caller.random, kSeveralShare)) {
         goes_on = co_await this->AskSeveral(caller, connection, node);
       } else {
@@ -106,7 +103,7 @@
       goes_on = goes_on && !Draw(caller.random, kNewConnectionShare);
     }
     if (!open) {
-      co_await this->Sleep(kPauseAfterFailure);
+      co_await Sleep(kPauseAfterFailure);
     }
   }
 }
@@ -199,7 +196,7 @@
   row.status = answer.status;
   row.is_own = answer.is_own;
   if (answer.retry_after > 0 && !Draw(caller.random, kAtOnceShare)) {
-    co_await this->Sleep(
+    co_await Sleep(
         milliseconds(static_cast<int64_t>(answer.retry_after * 1000)));
   }
   co_return !answer.closes;
@@ -208,7 +205,7 @@
 asio::awaitable<void> Callers::LeaveEarly(Caller& caller,
                                           FakeCaller& connection,
                                           const Sent& sent) {
-  co_await this->Sleep(DrawPause(caller.random, kPauseAfterFailure));
+  co_await Sleep(DrawPause(caller.random, kPauseAfterFailure));
   connection.Close();
   this->Finish(sent.row, Ending::kCaller);
 }
--- a/soak/callers.h
+++ b/soak/callers.h
@@ -68,7 +68,6 @@
                                           const Sent& sent);
   Sent MakeRequest(Caller& caller, size_t node, bool only_safe);
   void Finish(size_t row, Ending ending);
-  boost::asio::awaitable<void> Sleep(std::chrono::milliseconds time);
 
   boost::asio::io_context& io;
   const Fleet& fleet;
--- a/soak/fleet.cc
+++ b/soak/fleet.cc
@@ -12,6 +12,7 @@
 #include <boost/asio/use_awaitable.hpp>
 
 #include "fake_caller.h"
+#include "sleep.h"
 
 namespace basilsill::soak {
 namespace {
@@ -77,25 +78,20 @@
   }
 }
 
-asio::awaitable<void> Fleet::Sleep(milliseconds time) {
-  asio::steady_timer timer(this->io, time);
-  co_await timer.async_wait(asio::as_tuple(asio::use_awaitable));
-}
-
 asio::awaitable<void> Fleet::Ask(Member& member) {
   while (!this->stopped) {
     const bool ready = co_await adapter::test::IsReady(
         this->io.get_executor(), member.process->readiness(), kAskLimit);
     member.misses = ready ? 0 : member.misses + 1;
     // One that is not taken yet is asked more often, to begin soon.
-    co_await this->Sleep(this->IsAnyReady() ? kAskInterval : kRestartPause);
+    co_await Sleep(this->IsAnyReady() ? kAskInterval : kRestartPause);
   }
 }
 
 // A node that ends though nobody told it to has crashed.
 asio::awaitable<void> Fleet::Watch(Member& member) {
   while (!this->stopped) {
-    co_await this->Sleep(kWatchInterval);
+    co_await Sleep(kWatchInterval);
     if (!this->stopped && !member.is_busy && !member.process->IsRunning()) {
       this->seen.unasked_ends.push_back({member.number, MonotonicClock::now()});
       member.process->Start();
@@ -125,12 +121,6 @@
   }
 }
 
-size_t Fleet::Begin(DisturbanceKind kind, std::optional<size_t> node) {
-  this->seen.disturbances.push_back(
-      {kind, node, MonotonicClock::now(), TimePoint::max()});
-  return this->seen.disturbances.size() - 1;
-}
-
 asio::awaitable<void> Fleet::Harm(const Step& step) {
   if (step.fault == Fault::kAllKill) {
     co_await this->KillAll();
@@ -166,47 +156,52 @@
 }
 
 asio::awaitable<void> Fleet::Kill(Member& member) {
-  const size_t row = this->Begin(DisturbanceKind::kNode, member.number);
+  const size_t row =
+      this->seen.BeginDisturbance(DisturbanceKind::kNode, member.number);
   member.process->Signal(SIGKILL);
-  co_await this->Sleep(kRestartPause);
+  co_await Sleep(kRestartPause);
   if (!this->stopped) {
     member.process->Start();
-    this->Finish(row);
+    this->seen.EndDisturbance(row);
   }
 }
 
 asio::awaitable<void> Fleet::End(Member& member) {
-  const size_t row = this->Begin(DisturbanceKind::kShutdown, member.number);
+  const size_t row =
+      this->seen.BeginDisturbance(DisturbanceKind::kShutdown, member.number);
   const TimePoint until = MonotonicClock::now() + this->grace;
   member.process->Signal(SIGTERM);
   while (member.process->IsRunning() && MonotonicClock::now() < until) {
-    co_await this->Sleep(kWatchInterval);
+    co_await Sleep(kWatchInterval);
   }
   member.process->Signal(SIGKILL);
-  this->Finish(row);
-  const size_t start = this->Begin(DisturbanceKind::kNode, member.number);
-  co_await this->Sleep(kRestartPause);
+  this->seen.EndDisturbance(row);
+  const size_t start =
+      this->seen.BeginDisturbance(DisturbanceKind::kNode, member.number);
+  co_await Sleep(kRestartPause);
   if (!this->stopped) {
     member.process->Start();
-    this->Finish(start);
+    this->seen.EndDisturbance(start);
   }
 }
 
 asio::awaitable<void> Fleet::Pause(Member& member, const Step& step) {
-  const size_t row = this->Begin(DisturbanceKind::kNode, member.number);
+  const size_t row =
+      this->seen.BeginDisturbance(DisturbanceKind::kNode, member.number);
   member.process->Signal(SIGSTOP);
-  co_await this->Sleep(step.lasts);
+  co_await Sleep(step.lasts);
   member.process->Signal(SIGCONT);
-  this->Finish(row);
+  this->seen.EndDisturbance(row);
 }
 
 asio::awaitable<void> Fleet::CutFromStore(Member& member, const Step& step) {
-  const size_t row = this->Begin(DisturbanceKind::kStore, std::nullopt);
+  const size_t row =
+      this->seen.BeginDisturbance(DisturbanceKind::kStore, std::nullopt);
   member.store_link->SetState(LinkState::kRefusing);
   member.store_link->Reset();
-  co_await this->Sleep(step.lasts);
+  co_await Sleep(step.lasts);
   member.store_link->SetState(LinkState::kWell);
-  this->Finish(row);
+  this->seen.EndDisturbance(row);
 }
 
 asio::awaitable<void> Fleet::KillAll() {
@@ -218,16 +213,17 @@
       killed.push_back(member.get());
     }
   }
-  const size_t row = this->Begin(DisturbanceKind::kNode, std::nullopt);
-  co_await this->Sleep(kRestartPause);
+  const size_t row =
+      this->seen.BeginDisturbance(DisturbanceKind::kNode, std::nullopt);
+  co_await Sleep(kRestartPause);
   for (Member* member : killed) {
     if (!this->stopped) {
       member->process->Start();
     }
     member->is_busy = false;
   }
-  co_await this->Sleep(kEveryoneBack);
-  this->Finish(row);
+  co_await Sleep(kEveryoneBack);
+  this->seen.EndDisturbance(row);
   this->seen.all_back = MonotonicClock::now();
 }
 
--- a/soak/fleet.h
+++ b/soak/fleet.h
@@ -72,12 +72,6 @@
   boost::asio::awaitable<void> CutFromStore(Member& member, const Step& step);
   boost::asio::awaitable<void> HarmOne(Member& member, const Step& step);
   boost::asio::awaitable<void> KillAll();
-  boost::asio::awaitable<void> Sleep(std::chrono::milliseconds time);
-  /// @returns the row of a disturbance that begins now.
-  size_t Begin(DisturbanceKind kind, std::optional<size_t> node);
-  void Finish(size_t row) {
-    this->seen.disturbances[row].to = MonotonicClock::now();
-  }
 
   boost::asio::io_context& io;
   std::chrono::milliseconds grace;
--- a/soak/observations.h
+++ b/soak/observations.h
@@ -92,6 +92,16 @@
 };
 
 struct Observations {
+  /// @returns the row of a disturbance that begins now, and is open.
+  size_t BeginDisturbance(DisturbanceKind kind, std::optional<size_t> node) {
+    this->disturbances.push_back(
+        {kind, node, MonotonicClock::now(), TimePoint::max()});
+    return this->disturbances.size() - 1;
+  }
+  void EndDisturbance(size_t row) {
+    this->disturbances[row].to = MonotonicClock::now();
+  }
+
   std::vector<RequestRow> requests;
   std::vector<RunRow> runs;
   std::vector<LeavingRow> leaving;
--- a/soak/rig.cc
+++ b/soak/rig.cc
@@ -1,6 +1,8 @@
 #include "rig.h"
 
 #include <algorithm>
+#include <array>
+#include <charconv>
 #include <set>
 #include <utility>
 
@@ -14,6 +16,7 @@
 #include "fake_store.h"
 #include "fleet.h"
 #include "platform_text.h"
+#include "sleep.h"
 #include "upstreams.h"
 
 namespace basilsill::soak {
@@ -95,24 +98,17 @@
   static std::string VersionText(uint64_t version) {
     constexpr uint64_t base = 0x10000000;
     constexpr uint64_t step = 3;
-    static constexpr char digits[] = "0123456789abcdef";
-    std::string text;
-    for (uint64_t left = base + version * step; left > 0; left /= 16) {
-      text.insert(text.begin(), digits[left % 16]);
-    }
-    return text;
-  }
-
-  asio::awaitable<void> Sleep(milliseconds time) {
-    asio::steady_timer timer(this->io, time);
-    co_await timer.async_wait(asio::as_tuple(asio::use_awaitable));
+    std::array<char, 2 * sizeof(uint64_t)> text{};
+    const auto [end, error] = std::to_chars(
+        text.data(), text.data() + text.size(), base + version * step, 16);
+    return {text.data(), end};
   }
 
   // How late timers come tells how busy the machine is.
   asio::awaitable<void> Meter() {
     while (!this->over) {
       const TimePoint due = MonotonicClock::now() + kMeterInterval;
-      co_await this->Sleep(kMeterInterval);
+      co_await Sleep(kMeterInterval);
       this->seen.lag = std::max(this->seen.lag, MonotonicClock::now() - due);
     }
   }
@@ -120,25 +116,20 @@
   asio::awaitable<void> Carry() {
     const TimePoint limit = MonotonicClock::now() + kStartLimit;
     while (!this->fleet.IsAnyReady() && MonotonicClock::now() < limit) {
-      co_await this->Sleep(kStartLook);
+      co_await Sleep(kStartLook);
     }
     this->callers.Start();
     const TimePoint start = MonotonicClock::now();
     for (const Step& step : this->plan.steps) {
-      co_await this->SleepUntil(start + step.at);
+      co_await Sleep(start + step.at - MonotonicClock::now());
       asio::co_spawn(this->io, this->Harm(step), asio::detached);
     }
-    co_await this->SleepUntil(start + this->plan.lasts);
+    co_await Sleep(start + this->plan.lasts - MonotonicClock::now());
     this->callers.Stop();
-    co_await this->Sleep(kLastAnswers);
+    co_await Sleep(kLastAnswers);
     this->Finish();
   }
 
-  asio::awaitable<void> SleepUntil(TimePoint until) {
-    asio::steady_timer timer(this->io, until - MonotonicClock::now());
-    co_await timer.async_wait(asio::as_tuple(asio::use_awaitable));
-  }
-
   void Finish() {
     this->over = true;
     this->seen.ended = MonotonicClock::now();
@@ -166,15 +157,13 @@
       co_return;
     }
     this->store_is_harmed = true;
-    const size_t row = this->seen.disturbances.size();
-    this->seen.disturbances.push_back({DisturbanceKind::kStore, std::nullopt,
-                                       MonotonicClock::now(),
-                                       TimePoint::max()});
+    const size_t row =
+        this->seen.BeginDisturbance(DisturbanceKind::kStore, std::nullopt);
     this->SetStore(step.fault);
-    co_await this->Sleep(step.lasts);
+    co_await Sleep(step.lasts);
     this->store.SetMode(StoreMode::kWell);
     this->fleet.SetStoreLinks(LinkState::kWell);
-    this->seen.disturbances[row].to = MonotonicClock::now();
+    this->seen.EndDisturbance(row);
     this->store_is_harmed = false;
   }
 
--- a/soak/upstreams.cc
+++ b/soak/upstreams.cc
@@ -8,6 +8,7 @@
 #include <boost/asio/use_awaitable.hpp>
 
 #include "platform_text.h"
+#include "sleep.h"
 
 namespace basilsill::soak {
 namespace {
@@ -75,23 +76,16 @@
                   ToText(entry));
 }
 
-boost::asio::awaitable<void> Upstreams::Sleep(milliseconds time) {
-  boost::asio::steady_timer timer(this->io, time);
-  co_await timer.async_wait(boost::asio::as_tuple(boost::asio::use_awaitable));
-}
-
 boost::asio::awaitable<void> Upstreams::Harm(const Step& step) {
   Place& place = *this->places[step.target % this->places.size()];
   if (place.is_busy) {
     co_return;
   }
   place.is_busy = true;
-  const TimePoint from = MonotonicClock::now();
-  const size_t row = this->seen.disturbances.size();
-  // Open until it is over.
+  // One that leaves as it should is no disturbance.
+  std::optional<size_t> row;
   if (step.fault != Fault::kUpstreamLeave) {
-    this->seen.disturbances.push_back(
-        {DisturbanceKind::kUpstream, std::nullopt, from, TimePoint::max()});
+    row = this->seen.BeginDisturbance(DisturbanceKind::kUpstream, std::nullopt);
   }
   switch (step.fault) {
     case Fault::kUpstreamCrash:
@@ -113,8 +107,8 @@
   if (this->stopped) {
     co_return;
   }
-  if (step.fault != Fault::kUpstreamLeave) {
-    this->seen.disturbances[row].to = MonotonicClock::now();
+  if (row) {
+    this->seen.EndDisturbance(*row);
   }
   place.is_busy = false;
 }
@@ -123,13 +117,13 @@
   const std::string id = place.instance->id();
   place.instance->Stop();
   place.proxy->Reset();
-  co_await this->Sleep(step.lasts);
+  co_await Sleep(step.lasts);
   if (this->stopped) {
     co_return;
   }
   this->StartInstance(place);
   const size_t number = place.number;
-  co_await this->Sleep(std::max(milliseconds(0), kEntryLapses - step.lasts));
+  co_await Sleep(std::max(milliseconds(0), kEntryLapses - step.lasts));
   if (!this->stopped && place.number == number) {
     this->store.Remove(adapter::test::kUpstreamTopic, id);
   }
@@ -139,13 +133,13 @@
   this->Write(place, "draining");
   this->seen.leaving.push_back({place.number, MonotonicClock::now()});
   place.instance->conduct().leaving = true;
-  co_await this->Sleep(kServesOn);
+  co_await Sleep(kServesOn);
   if (this->stopped) {
     co_return;
   }
   this->store.Remove(adapter::test::kUpstreamTopic, place.instance->id());
   place.instance->Stop();
-  co_await this->Sleep(kPauseBetween);
+  co_await Sleep(kPauseBetween);
   if (!this->stopped) {
     this->StartInstance(place);
   }
@@ -169,7 +163,7 @@
       break;
   }
   place.instance->conduct() = faulty;
-  co_await this->Sleep(step.lasts);
+  co_await Sleep(step.lasts);
   if (!this->stopped) {
     place.instance->conduct() = {};
   }
@@ -186,7 +180,7 @@
     place.proxy->Reset();
   }
   place.proxy->SetState(states.at(step.fault));
-  co_await this->Sleep(step.lasts);
+  co_await Sleep(step.lasts);
   if (!this->stopped) {
     place.proxy->SetState(LinkState::kWell);
   }
--- a/soak/upstreams.h
+++ b/soak/upstreams.h
@@ -51,7 +51,6 @@
   boost::asio::awaitable<void> Leave(Place& place);
   boost::asio::awaitable<void> Misbehave(Place& place, const Step& step);
   boost::asio::awaitable<void> HarmLink(Place& place, const Step& step);
-  boost::asio::awaitable<void> Sleep(std::chrono::milliseconds time);
 
   boost::asio::io_context& io;
   adapter::test::FakeStore& store;
