--- a/bench/ablation.cc
+++ b/bench/ablation.cc
@@ -1,9 +1,8 @@
 #include "ablation.h"
 
-#include <array>
 #include <cmath>
 #include <iomanip>
-#include <string_view>
+#include <string>
 
 #include "model/fleet.h"
 
@@ -16,38 +15,7 @@
 /// The same for the share of requests without an answer.
 constexpr double kLostNoise = 0.0005;
 
-struct DispatcherFlag {
-  std::string_view name;
-  bool DispatcherFeatures::*flag;
-};
-constexpr std::array kDispatcherFlags = {
-    DispatcherFlag{"fair_queue", &DispatcherFeatures::fair_queue},
-    DispatcherFlag{"class_caps", &DispatcherFeatures::class_caps},
-    DispatcherFlag{"reserve", &DispatcherFeatures::reserve},
-    DispatcherFlag{"early_refusal", &DispatcherFeatures::early_refusal},
-    DispatcherFlag{"straggler", &DispatcherFeatures::straggler},
-    DispatcherFlag{"running_age", &DispatcherFeatures::running_age},
-    DispatcherFlag{"fail_fast", &DispatcherFeatures::fail_fast},
-    DispatcherFlag{"ramp", &DispatcherFeatures::ramp},
-    DispatcherFlag{"shed_backoff", &DispatcherFeatures::shed_backoff},
-    DispatcherFlag{"retry", &DispatcherFeatures::retry},
-    DispatcherFlag{"hedge", &DispatcherFeatures::hedge},
-    DispatcherFlag{"isolation", &DispatcherFeatures::isolation},
-};
-
-struct EntryFlag {
-  std::string_view name;
-  bool EntryFeatures::*flag;
-};
-constexpr std::array kEntryFlags = {
-    EntryFlag{"overflow", &EntryFeatures::overflow},
-    EntryFlag{"hand_back", &EntryFeatures::hand_back},
-    EntryFlag{"entry_retry", &EntryFeatures::retry},
-    EntryFlag{"limits", &EntryFeatures::limits},
-    EntryFlag{"direct", &EntryFeatures::direct},
-};
-
-StrategySpec Make(const std::string& name, const FleetFeatures& features) {
+StrategySpec Make(const std::string& name, const PolicyFeatures& features) {
   return {name,
           [features](World& world) { return MakeFleet(world, features); }};
 }
@@ -86,15 +54,10 @@
 
 std::vector<StrategySpec> AblatedStrategies() {
   std::vector<StrategySpec> all = {Make(kOwnStrategy, {})};
-  for (const DispatcherFlag& flag : kDispatcherFlags) {
-    FleetFeatures features;
-    features.dispatcher.*flag.flag = false;
-    all.push_back(Make(std::string(flag.name), features));
-  }
-  for (const EntryFlag& flag : kEntryFlags) {
-    FleetFeatures features;
-    features.entry.*flag.flag = false;
-    all.push_back(Make(std::string(flag.name), features));
+  for (const Mechanism& mechanism : AllMechanisms()) {
+    PolicyFeatures features;
+    mechanism.flag(features) = false;
+    all.push_back(Make(std::string(mechanism.name), features));
   }
   return all;
 }
--- a/bench/model/fleet.cc
+++ b/bench/model/fleet.cc
@@ -45,7 +45,7 @@
           retry_after};
 }
 
-Fleet::Fleet(World& world, const FleetFeatures& features) : world(world) {
+Fleet::Fleet(World& world, const PolicyFeatures& features) : world(world) {
   const size_t count = world.deployment().vms.size();
   for (size_t vm = 0; vm < count; ++vm) {
     this->AddNode(vm, features);
@@ -59,7 +59,7 @@
   }
 }
 
-void Fleet::AddNode(size_t vm, const FleetFeatures& features) {
+void Fleet::AddNode(size_t vm, const PolicyFeatures& features) {
   DispatcherOptions dispatch;
   dispatch.seed = vm + 1;
   dispatch.features = features.dispatcher;
@@ -155,7 +155,7 @@
 }
 
 std::unique_ptr<Strategy> MakeFleet(World& world,
-                                    const FleetFeatures& features) {
+                                    const PolicyFeatures& features) {
   return std::make_unique<Fleet>(world, features);
 }
 
--- a/bench/model/fleet.h
+++ b/bench/model/fleet.h
@@ -5,6 +5,7 @@
 
 #include "basilsill/decision/dispatch.h"
 #include "basilsill/decision/entry.h"
+#include "basilsill/decision/mechanism.h"
 #include "model/world.h"
 
 /// The policy under test: on every VM the product's own EntryRouter and
@@ -12,13 +13,8 @@
 
 namespace basilsill::bench {
 
-struct FleetFeatures {
-  DispatcherFeatures dispatcher;
-  EntryFeatures entry;
-};
-
 std::unique_ptr<Strategy> MakeFleet(World& world,
-                                    const FleetFeatures& features);
+                                    const PolicyFeatures& features);
 
 }  // namespace basilsill::bench
 
--- a/bench/model/fleet_core.h
+++ b/bench/model/fleet_core.h
@@ -61,7 +61,7 @@
 
 class Fleet : public Strategy {
  public:
-  Fleet(World& world, const FleetFeatures& features);
+  Fleet(World& world, const PolicyFeatures& features);
 
   void OnArrival(RequestId id) override;
   void OnGivenUp(RequestId id) override;
@@ -70,7 +70,7 @@
   void OnKnowledge(size_t vm, const Knowledge& knowledge) override;
 
  private:
-  void AddNode(size_t vm, const FleetFeatures& features);
+  void AddNode(size_t vm, const PolicyFeatures& features);
   void Tick(size_t vm);
   void SendCrashReports(size_t vm);
 
--- a/packages/base/include/basilsill/base/event.h
+++ b/packages/base/include/basilsill/base/event.h
@@ -21,6 +21,7 @@
   kNodeDraining = 102,
   kNodeStopped = 103,
   kNodeForcedStop = 104,
+  kMechanismsOff = 105,
   kSettingsRejected = 110,
   kSettingsReloaded = 111,
   kEventsSuppressed = 120,
@@ -44,7 +45,8 @@
   kUpstreamDoubted = 312,
   kUpstreamBack = 313,
   kUpstreamGone = 314,
-  kFingerprintQuarantined = 310,
+  kUpstreamStartedAgain = 315,
+  kFingerprintQuarantined = 320,
   // 400: links between nodes
   kLinkOpened = 400,
   kLinkLost = 401,
--- a/packages/decision/include/basilsill/decision/dispatch.h
+++ b/packages/decision/include/basilsill/decision/dispatch.h
@@ -133,20 +133,22 @@
 /// Mechanisms of the dispatcher, each of which can be switched off to measure
 /// what it buys.
 struct DispatcherFeatures {
-  bool fair_queue = true;     ///< Off: one FIFO a shard.
-  bool class_caps = true;     ///< Bulk and background hold few slots.
-  bool reserve = true;        ///< Slots kept for urgent and ordinary.
-  bool early_refusal = true;  ///< Refuse what can't be met in time.
-  bool straggler = true;      ///< Slow upstreams get less.
-  bool running_age = true;    ///< Evidence from what still runs.
-  bool fail_fast = true;      ///< Upstreams that answer errors get less.
-  bool send_ahead = true;     ///< Long queues fill the gaps between answers.
-  bool ramp = true;           ///< New and returned upstreams start slowly.
-  bool shed_backoff = true;   ///< Pause after a shed answer.
-  bool retry = true;          ///< Retries inside the shard.
-  bool hedge = true;          ///< A slow attempt may be doubled.
-  bool speed = true;          ///< Slow moments of upstreams are waited out.
-  bool isolation = true;      ///< Suspects of an upstream's death run alone.
+  bool fair_queue = true;      ///< Off: one FIFO a shard.
+  bool class_caps = true;      ///< Bulk and background hold few slots.
+  bool reserve = true;         ///< Slots kept for urgent and ordinary.
+  bool early_refusal = true;   ///< Refuse what can't be met in time.
+  bool straggler = true;       ///< Slow upstreams get less.
+  bool running_age = true;     ///< Evidence from what still runs.
+  bool fail_fast = true;       ///< Upstreams that answer errors get less.
+  bool send_ahead = true;      ///< Long queues fill the gaps between answers.
+  bool ramp = true;            ///< New and returned upstreams start slowly.
+  bool shed_backoff = true;    ///< Pause after a shed answer.
+  bool retry = true;           ///< Retries inside the shard.
+  bool hedge = true;           ///< A slow attempt may be doubled.
+  bool speed = true;           ///< Slow moments of upstreams are waited out.
+  bool slowness_limit = true;  ///< Nothing starts where it ends too late.
+  bool late_behind = true;     ///< What would be late lets others pass.
+  bool isolation = true;       ///< Suspects of an upstream's death run alone.
 };
 
 struct DispatcherOptions {
--- a/packages/decision/include/basilsill/decision/entry.h
+++ b/packages/decision/include/basilsill/decision/entry.h
@@ -73,6 +73,7 @@
   bool retry = true;      ///< Retries at another shard.
   bool limits = true;     ///< Team limits.
   bool direct = true;     ///< Direct path when no dispatcher is reached.
+  bool silence = true;    ///< A dispatcher that falls silent is passed over.
 };
 
 struct EntryOptions {
--- a/packages/decision/src/dispatch_tables.h
+++ b/packages/decision/src/dispatch_tables.h
@@ -87,6 +87,7 @@
   uint16_t busy = 0;
   uint16_t bulk = 0;          ///< Of those, with bulk requests.
   bool present = false;       ///< In the view.
+  bool superseded = false;    ///< It has started again: what it ran has died.
   bool leaving = false;       ///< As the view says.
   bool cold = false;          ///< As the view says.
   bool isolated = false;      ///< Runs, or is emptied for, a suspect request.
@@ -164,8 +165,9 @@
   /// Whether its upstreams say how slow they are; they are thought to until
   /// one of them says nothing of it.
   bool tells_speed = true;
-  bool can_be_asked = false;  ///< The service has a health check.
-  uint32_t siblings = 1;      ///< Shards of the service, this one included.
+  bool can_be_asked = false;    ///< The service has a health check.
+  bool any_superseded = false;  ///< Of `upstreams`, with work to be ended.
+  uint32_t siblings = 1;        ///< Shards of the service, this one included.
   std::unique_ptr<RepeatBudget> repeats;  ///< If the fleet has a bound.
   uint32_t open_slots = 0;  ///< Of upstreams that take work, as of the scan.
   uint32_t starts_since_trickle = 0;
--- a/packages/decision/src/dispatcher_core.h
+++ b/packages/decision/src/dispatcher_core.h
@@ -172,6 +172,7 @@
   void JudgeUpstream(TimePoint now, ShardState& shard, uint32_t upstream);
 
   // dispatcher_tick.cc
+  void EndSuperseded(TimePoint now, uint32_t shard);
   void FireTimer(TimePoint now, uint32_t request);
   void Promote(uint32_t request);
   void TryHedge(TimePoint now, uint32_t request);
--- a/packages/decision/src/dispatcher_speed.cc
+++ b/packages/decision/src/dispatcher_speed.cc
@@ -44,7 +44,8 @@
                                    const RequestRow& request,
                                    ChoiceOptions& choice) const {
   choice.speed = this->SpeedRuleOf(now, shard, request);
-  if (choice.speed != SpeedRule::kIgnore) {
+  if (choice.speed != SpeedRule::kIgnore &&
+      this->options.features.slowness_limit) {
     choice.slowness_limit = SlownessLimitOf(now, shard, request.spec);
   }
 }
--- a/packages/decision/src/dispatcher_start.cc
+++ b/packages/decision/src/dispatcher_start.cc
@@ -199,7 +199,7 @@
   const LatencyStats& stats =
       shard.stats[static_cast<size_t>(spec.traffic_class)];
   const Duration typical = stats.known() ? stats.median() : Duration(0);
-  if (spec.good_for == ShortMillis(0) ||
+  if (!this->options.features.late_behind || spec.good_for == ShortMillis(0) ||
       request.queue == TrafficClass::kBackground ||
       now + typical <= request.offered + spec.good_for) {
     return false;
--- a/packages/decision/src/dispatcher_tick.cc
+++ b/packages/decision/src/dispatcher_tick.cc
@@ -40,6 +40,9 @@
   for (size_t i = this->active.size(); i > 0; --i) {
     const uint32_t row = this->active[i - 1];
     ShardState& shard = this->shards.at(row);
+    if (shard.any_superseded) {
+      this->EndSuperseded(now, row);
+    }
     if (shard.queued + shard.busy + shard.suspects_queued == 0) {
       this->Deactivate(row);
     } else if (shard.next_scan <= now) {
@@ -48,6 +51,37 @@
   }
 }
 
+// Failure: an upstream dies where nothing tells of it, such as behind a cut,
+// and starts again under its id. What it ran is waited for until its time is
+// over, though the platform says that the one it ran on is no more. It shows as
+// requests that end at their timeout after an upstream started again. They end
+// as at any death: what may run again goes elsewhere at once, anything else is
+// told so at once. A tick lies between the news and this, in which an answer
+// that has come meanwhile is read.
+void DispatcherCore::EndSuperseded(TimePoint now, uint32_t shard_row) {
+  this->shards.at(shard_row).any_superseded = false;
+  std::vector<AttemptHandle> dead;
+  for (const UpstreamSlots& upstream : this->shards.at(shard_row).upstreams) {
+    for (uint32_t row = upstream.superseded ? upstream.running : kNoRow;
+         row != kNoRow; row = this->Attempt(row).next) {
+      dead.push_back(this->attempts.HandleAt(row));
+    }
+  }
+  for (const AttemptHandle handle : dead) {
+    const AttemptRow* attempt = this->attempts.Find(handle);
+    if (attempt == nullptr ||
+        this->Request(attempt->request.index).answer_started) {
+      continue;
+    }
+    DispatchAction& action =
+        this->Emit(DispatchActionKind::kCancel, attempt->request.index);
+    action.attempt = handle;
+    AttemptReport report;
+    report.end = AttemptEnd::kDied;
+    this->OnAttemptEnd(now, handle, report);
+  }
+}
+
 void DispatcherCore::FireTimer(TimePoint now, uint32_t row) {
   const RequestRow& request = this->Request(row);
   if (request.spec.deadline > now) {
--- a/packages/decision/src/entry_choice.cc
+++ b/packages/decision/src/entry_choice.cc
@@ -48,7 +48,8 @@
     if (Contains(entry.tried_vms, owner) || !this->IsUsable(now, owner)) {
       continue;
     }
-    if (!this->silence.IsSilent(now, owner, expected)) {
+    if (!this->options.features.silence ||
+        !this->silence.IsSilent(now, owner, expected)) {
       return owner;
     }
     silent = IsValid(silent) ? silent : owner;
--- a/packages/decision/src/shard_table.cc
+++ b/packages/decision/src/shard_table.cc
@@ -1,6 +1,8 @@
 #include "shard_table.h"
 
 #include <algorithm>
+#include <map>
+#include <string_view>
 
 #include <xxhash.h>
 
@@ -12,6 +14,47 @@
 // Lanes of a ring for which there is room before it has to grow.
 constexpr size_t kRingReserve = 16;
 
+// Adds upstreams of `before` that have started again in `after`.
+void CollectSuperseded(const ServiceRow& before,
+                       const ServiceRow& after,
+                       std::vector<UpstreamHandle>& superseded) {
+  std::map<std::string_view, std::chrono::milliseconds> starts;
+  for (const UpstreamIncarnation& incarnation : after.incarnations) {
+    starts[incarnation.id] = incarnation.started;
+  }
+  for (size_t i = 0; i < before.incarnations.size(); ++i) {
+    const auto now = starts.find(before.incarnations[i].id);
+    if (now != starts.end() && now->second > before.incarnations[i].started) {
+      superseded.push_back(before.upstreams[i].handle);
+    }
+  }
+}
+
+// @returns upstreams of the view `before` that have started again since.
+std::vector<UpstreamHandle> FindSuperseded(const RoutingView* before,
+                                           const RoutingView& after) {
+  std::vector<UpstreamHandle> superseded;
+  for (size_t i = 0; before != nullptr && i < before->services.size(); ++i) {
+    const auto& row = before->services[i];
+    const ServiceRow* next =
+        row != nullptr ? FindService(after, row->handle) : nullptr;
+    if (next != nullptr && next != row.get()) {
+      CollectSuperseded(*row, *next, superseded);
+    }
+  }
+  return superseded;
+}
+
+void MarkSuperseded(ShardState& shard,
+                    const std::vector<UpstreamHandle>& superseded) {
+  for (UpstreamSlots& upstream : shard.upstreams) {
+    const bool has_died = std::find(superseded.begin(), superseded.end(),
+                                    upstream.handle) != superseded.end();
+    upstream.superseded |= has_died;
+    shard.any_superseded |= has_died && upstream.busy > 0;
+  }
+}
+
 }  // namespace
 
 ShardTable::ShardTable(size_t capacity, bool ramp, bool count_repeats)
@@ -20,14 +63,17 @@
 }
 
 void ShardTable::ApplyView(TimePoint now, const RoutingViewPtr& view) {
-  const bool same = this->SameServices(*view);
-  this->current = view;
-  if (same) {
+  if (this->SameServices(*view)) {
+    this->current = view;
     return;
   }
+  const std::vector<UpstreamHandle> superseded =
+      FindSuperseded(this->current.get(), *view);
+  this->current = view;
   this->IndexView();
   for (ShardState& shard : this->shards) {
     if (shard.in_use) {
+      MarkSuperseded(shard, superseded);
       this->Refresh(now, shard, false);
     }
   }
--- a/packages/decision/test/decision_fixture.h
+++ b/packages/decision/test/decision_fixture.h
@@ -51,6 +51,25 @@
     return row.handle;
   }
 
+  /// `upstream` has died and started again: another handle, the same id.
+  UpstreamHandle StartAgain(UpstreamHandle upstream) {
+    this->NameUpstreams();
+    const size_t place = upstream.index;
+    UpstreamRow& row = this->service.upstreams.at(place);
+    row.handle.generation += 1;
+    this->service.incarnations.at(place).started += std::chrono::seconds(1);
+    return row.handle;
+  }
+
+  /// Each upstream has an id, and tells its start.
+  void NameUpstreams() {
+    for (size_t i = this->service.incarnations.size();
+         i < this->service.upstreams.size(); ++i) {
+      this->service.incarnations.push_back(
+          {"i-" + std::to_string(i), std::chrono::seconds(1)});
+    }
+  }
+
   RoutingViewPtr Build() {
     ServiceRow row = this->service;
     AssignShards(this->view, row);
--- a/packages/node/include/basilsill/node/installation.h
+++ b/packages/node/include/basilsill/node/installation.h
@@ -12,6 +12,7 @@
 #include <boost/asio/io_context.hpp>
 
 #include "basilsill/base/endpoint.h"
+#include "basilsill/decision/mechanism.h"
 #include "basilsill/node/state_source.h"
 
 /// What differs from one installation to another beyond settings: the names
@@ -66,6 +67,8 @@
   bool log_to_standard_output = false;
   /// Requests in the process at once; memory is set aside for so many.
   size_t max_requests = 16384;
+  /// Mechanisms of the decision code that are on.
+  PolicyFeatures features;
   /// Makes the source of state; empty: the log of basilsill's own platform,
   /// with the resource API on the admin port.
   std::function<std::unique_ptr<StateSource>(boost::asio::io_context& context,
--- a/packages/node/include/basilsill/node/settings.h
+++ b/packages/node/include/basilsill/node/settings.h
@@ -97,6 +97,11 @@
   uint64_t kept_answer_bytes = limits::kMaxKeptAnswerBytes;
 };
 
+struct PolicySettings {
+  /// Mechanisms that are switched off, their names separated by commas.
+  std::string without;
+};
+
 /// Most rows that the schema can hold.
 inline constexpr size_t kMaxSettingsFields = 64;
 
@@ -112,6 +117,7 @@
   MeasuringSettings measuring;
   RetrySettings retries;
   OnceSettings once;
+  PolicySettings policy;
 
   /// Which rows of the schema the file gave; the others are defaults.
   std::bitset<kMaxSettingsFields> from_file;
--- a/packages/node/src/command_line.cc
+++ b/packages/node/src/command_line.cc
@@ -6,6 +6,8 @@
 
 #include <tclap/CmdLine.h>
 
+#include "basilsill/decision/mechanism.h"
+
 namespace basilsill {
 namespace {
 
@@ -72,6 +74,9 @@
                            "Take the settings from the users' platform "
                            "(platform/).",
                            line);
+  TCLAP::ValueArg<std::string> without(
+      "", "without", "Switch mechanisms off (docs/SETTINGS.md).", false, "",
+      "NAME[,NAME]", line);
   TCLAP::SwitchArg check("", "check",
                          "Only check the settings: report every fault.", line);
   TCLAP::SwitchArg print("", "print-settings",
@@ -82,7 +87,7 @@
   } catch (const TCLAP::ArgException& fault) {
     return Failure{FailureKind::kSyntax, "command line", Describe(fault)};
   } catch (const TCLAP::ExitException&) {
-    return CommandLine{Command::kPrintText, "", false, output.text};
+    return CommandLine{Command::kPrintText, "", false, "", output.text};
   }
   if (settings.isSet() == adapter.getValue()) {
     return Failure{FailureKind::kSyntax, "command line",
@@ -93,8 +98,12 @@
   if (!command) {
     return command.error();
   }
+  const Result<PolicyFeatures> features = FeaturesWithout(without.getValue());
+  if (!features) {
+    return features.error();
+  }
   return CommandLine{command.value(), settings.getValue(), adapter.getValue(),
-                     ""};
+                     without.getValue(), ""};
 }
 
 }  // namespace basilsill
--- a/packages/node/src/command_line.h
+++ b/packages/node/src/command_line.h
@@ -29,6 +29,8 @@
   std::string settings_file;
   /// Settings come from the platform's own file, through the adapter.
   bool adapter = false;
+  /// Names of mechanisms to switch off, separated by commas; checked.
+  std::string without{};
   std::string text;
 };
 
--- a/packages/node/src/main.cc
+++ b/packages/node/src/main.cc
@@ -82,6 +82,10 @@
                              {"callers", node.callers_endpoint().port},
                              {"control", node.control().endpoint().port},
                              {"admin", node.admin_port()}});
+  const std::string off = basilsill::NamesOff(setup.installation.features);
+  if (!off.empty()) {
+    Log(Event::kMechanismsOff, {{"without", off}});
+  }
   node.Start();
   context.run();
   node.Stop();
@@ -89,18 +93,40 @@
   return status;
 }
 
+// What the settings and the command line switch off is off.
+basilsill::CheckedResult<Setup> WithoutMechanisms(
+    basilsill::CheckedResult<Setup> setup,
+    const std::string& without) {
+  if (!setup) {
+    return setup;
+  }
+  std::string names = setup.value().settings.policy.without;
+  names += names.empty() || without.empty() ? "" : ",";
+  names += without;
+  const auto features = basilsill::FeaturesWithout(names);
+  if (!features) {
+    return std::vector{features.error()};
+  }
+  setup.value().installation.features = features.value();
+  return setup;
+}
+
 LoadSetup SourceOf(const basilsill::CommandLine& command_line) {
   if (command_line.adapter) {
-    return [] { return basilsill::adapter::SetUpFromEnvironment(); };
+    return [without = command_line.without] {
+      return WithoutMechanisms(basilsill::adapter::SetUpFromEnvironment(),
+                               without);
+    };
   }
-  return
-      [path = command_line.settings_file]() -> basilsill::CheckedResult<Setup> {
-        auto settings = basilsill::LoadSettings(path);
-        if (!settings) {
-          return settings.error();
-        }
-        return Setup{std::move(settings).value(), {}, path};
-      };
+  return [path = command_line.settings_file,
+          without = command_line.without]() -> basilsill::CheckedResult<Setup> {
+    auto settings = basilsill::LoadSettings(path);
+    if (!settings) {
+      return settings.error();
+    }
+    return WithoutMechanisms(Setup{std::move(settings).value(), {}, path},
+                             without);
+  };
 }
 
 int RunCommand(const basilsill::CommandLine& command_line) {
--- a/packages/node/src/settings_schema.cc
+++ b/packages/node/src/settings_schema.cc
@@ -233,6 +233,12 @@
         .member = RefTo<&Settings::once, &OnceSettings::kept_answer_bytes>,
         .most = kMaxKeptAnswerBytes,
         .doc = "Largest answer that is kept for a repeated key."},
+
+    SettingField{.path = "/policy/without",
+                 .member = RefTo<&Settings::policy, &PolicySettings::without>,
+                 .format = TextFormat::kMechanisms,
+                 .doc = "Mechanisms to switch off, for measuring and for "
+                        "ruling one out."},
 };
 static_assert(kSchema.size() <= kMaxSettingsFields);
 
@@ -262,6 +268,8 @@
              " of a-z, 0-9 and inner hyphens";
     case TextFormat::kAddress:
       return "an IP number";
+    case TextFormat::kMechanisms:
+      return "names of mechanisms, separated by commas, or an empty string";
     case TextFormat::kPath:
     case TextFormat::kCount:
       break;
--- a/packages/node/src/settings_schema.h
+++ b/packages/node/src/settings_schema.h
@@ -33,6 +33,8 @@
   kName,     ///< 1 to kMaxNameLength of a-z, 0-9 and inner hyphens.
   kAddress,  ///< An IP number, never a host name.
   kPath,     ///< Of a file; may be empty.
+  /// Names of mechanisms, separated by commas; may be empty.
+  kMechanisms,
   kCount
 };
 
--- a/packages/node/src/settings_value.cc
+++ b/packages/node/src/settings_value.cc
@@ -12,6 +12,7 @@
 #include <boost/json/value.hpp>
 
 #include "basilsill/base/limits.h"
+#include "basilsill/decision/mechanism.h"
 
 namespace basilsill {
 namespace {
@@ -57,6 +58,8 @@
     case TextFormat::kPath:
       // The system's calls end a path at a NUL and would use another file.
       return text.find('\0') == std::string_view::npos;
+    case TextFormat::kMechanisms:
+      return FeaturesWithout(text).has_value();
     case TextFormat::kCount:
       break;
   }
--- a/packages/node/src/worker.cc
+++ b/packages/node/src/worker.cc
@@ -28,7 +28,8 @@
                                 const Installation& installation) {
   UpstreamPoolOptions options;
   options.names = installation.headers;
-  options.hold_answers = installation.messages_end_soon;
+  options.hold_answers =
+      installation.messages_end_soon && installation.features.hold_answers;
   options.connect_timeout = settings.limits.upstream_connect;
   options.idle_timeout = settings.limits.upstream_idle;
   options.reader.header_bytes = settings.limits.header_bytes;
@@ -79,6 +80,7 @@
     const std::shared_ptr<Quarantine>& quarantine) {
   DispatcherOptions dispatcher;
   dispatcher.max_requests = installation.max_requests;
+  dispatcher.features = installation.features.dispatcher;
   if (installation.repeats) {
     dispatcher.repeats =
         PartOf(*installation.repeats, kRatioPart, kDispatcherPart);
@@ -89,7 +91,8 @@
     dispatcher.features.send_ahead = false;
   }
   dispatcher.seed = options.seed;
-  dispatcher.quarantine = quarantine;
+  dispatcher.quarantine =
+      installation.features.quarantine ? quarantine : nullptr;
   return Dispatcher::Create(dispatcher);
 }
 
@@ -99,11 +102,12 @@
     const std::shared_ptr<Quarantine>& quarantine) {
   EntryOptions entry;
   entry.max_requests = installation.max_requests;
+  entry.features = installation.features.entry;
   if (installation.repeats) {
     entry.repeats = PartOf(*installation.repeats, 0, kEntryPart);
   }
   entry.seed = options.seed + 1;
-  entry.quarantine = quarantine;
+  entry.quarantine = installation.features.quarantine ? quarantine : nullptr;
   return EntryRouter::Create(entry);
 }
 
--- a/packages/node/test/settings_test.cc
+++ b/packages/node/test/settings_test.cc
@@ -93,7 +93,8 @@
   if (std::holds_alternative<std::string*>(field.member(settings))) {
     values.insert(values.end(), {7, json::array{"a"}});
     const bool is_path = field.format == basilsill::TextFormat::kPath;
-    values.push_back(is_path ? json::string("a\0b", 3) : "");
+    const bool is_list = field.format == basilsill::TextFormat::kMechanisms;
+    values.push_back(is_path ? json::string("a\0b", 3) : is_list ? "," : "");
     for (const char* text : {"Upper", "a b", "-a", "host.example", "a/b"}) {
       if (!is_path) {
         values.push_back(json::string(text));
