Upstreams that start again under their id; entries that name nothing

Cause: identity was the id alone. A start inherited what was known of the one before: two minutes without work after a drain sign, slots of the dead, its pauses, and idle connections to it; work on it was waited for until its timeout. An unknown state was taken for leaving; one item of a list that could not be read failed the whole list, and an empty value counted as a removal.

Change: identity is id and start everywhere (registry, sets, views, handles, pool of connections). A younger start displaces an older one in any order, an older one never comes back; nothing compares its clock with ours. Entries of another writer are counted by reason, logged within the log's bound, and skipped; a good entry that stood there before holds until it is removed. A place shared by two entries is judged anew at each renewal: the random histories showed two VMs with different beliefs without it.

--- a/packages/decision/include/basilsill/decision/resource.h
+++ b/packages/decision/include/basilsill/decision/resource.h
@@ -70,10 +70,10 @@
   std::string service;
   std::string data_centre;
   std::vector<InstanceSpec> instances;
-  /// Each names one incarnation of the instance at its place, where the
-  /// platform does so: with another id at the same endpoint it is another
-  /// upstream. Empty where there are no such ids.
-  std::vector<std::string> ids{};
+  /// Which start of which upstream the instance at its place is, where the
+  /// platform says so: another one at the same endpoint is another upstream.
+  /// Empty where it does not.
+  std::vector<UpstreamIncarnation> incarnations{};
 
   friend bool operator==(const UpstreamSetSpec&,
                          const UpstreamSetSpec&) = default;
--- a/packages/decision/include/basilsill/decision/topic_records.h
+++ b/packages/decision/include/basilsill/decision/topic_records.h
@@ -22,9 +22,12 @@
 
 class TopicRecords {
  public:
-  /// @returns false if the record is no newer than the one known of its key:
+  /// @returns false if the record is no newer than the one kept of its key:
   /// records are told more than once.
-  bool Keep(const KeyedRecord& record);
+  bool IsNewer(const KeyedRecord& record) const;
+
+  /// Keeps a newer record in the place of the one known of its key.
+  void Keep(const KeyedRecord& record);
 
   /// `record` said something new, and other VMs may not know it.
   void AddUntold(const KeyedRecord& record);
--- a/packages/decision/include/basilsill/decision/upstream_registry.h
+++ b/packages/decision/include/basilsill/decision/upstream_registry.h
@@ -3,6 +3,7 @@
 
 #include <chrono>
 #include <cstdint>
+#include <deque>
 #include <map>
 #include <set>
 #include <string>
@@ -19,12 +20,19 @@
 /// not end work for an upstream that is well. So a removal that is seen while
 /// the platform is unreachable or has just come back is only believed once the
 /// upstream had time to list itself again.
+///
+/// An upstream may start again under its id. The younger start displaces the
+/// older one, whatever comes in which order: the words of an older start may
+/// still be on their way when it has died. Starts of one id are told apart by
+/// the upstream's own clock, which is compared with nothing else.
 
 namespace basilsill {
 
 /// One entry, as its upstream wrote it.
 struct RegisteredUpstream {
-  std::string id;  ///< Of this incarnation; never used again.
+  std::string id;
+  /// Which start of `id` this is, by the upstream's own clock; 0: not told.
+  std::chrono::milliseconds started{0};
   std::string service;
   std::string data_centre;
   Endpoint endpoint;
@@ -46,14 +54,23 @@
 
 /// How what is thought of an upstream changed.
 enum class UpstreamBelief : uint8_t {
-  kListed,   ///< It is new.
-  kLeaving,  ///< It says so itself.
+  kListed,        ///< It is new.
+  kStartedAgain,  ///< A younger start of an upstream that was known.
+  kLeaving,       ///< It says so itself.
   kDoubted,  ///< Removed while the platform was in trouble: not believed yet.
   kBack,     ///< Doubted, and there after all.
   kGone,
   kCount
 };
 
+/// What an entry was worth to the registry.
+enum class EntryWorth : uint8_t {
+  kNew,       ///< It says something that was not known.
+  kRenewal,   ///< It says what was known.
+  kOutdated,  ///< Newer words are known, or those of a younger start.
+  kCount
+};
+
 struct UpstreamNews {
   UpstreamBelief belief = UpstreamBelief::kCount;
   std::string id;
@@ -83,12 +100,19 @@
     TimePoint warm_at{};
   };
 
+  using Rows = std::map<std::string, Row, std::less<>>;
+
   explicit UpstreamRegistry(const RegistryOptions& options = {});
 
   /// An entry was written at `offset`. One that is older than what is known
   /// of the id is ignored.
-  /// @returns false if it only renews what was known.
-  bool OnEntry(TimePoint now, uint64_t offset, RegisteredUpstream entry);
+  EntryWorth OnEntry(TimePoint now, uint64_t offset, RegisteredUpstream entry);
+
+  /// What stands under `id` can't be read, or names no upstream: another
+  /// writer put it there. It says nothing of the upstream that was known, which
+  /// goes on until its entry is removed: it renews it within a heartbeat if it
+  /// lives.
+  void OnUnreadable(std::string_view id);
 
   /// The entry of `id` was removed at `offset`.
   void OnRemoved(TimePoint now, uint64_t offset, std::string_view id);
@@ -105,9 +129,7 @@
   /// Believes removals that are due, and ends cold times.
   void Tick(TimePoint now);
 
-  const std::map<std::string, Row, std::less<>>& rows() const {
-    return this->entries;
-  }
+  const Rows& rows() const { return this->entries; }
 
   /// @returns what changed since the last call, for the log. The first list is
   /// left out: all of it is new.
@@ -122,16 +144,22 @@
 
  private:
   bool Doubts(TimePoint now) const;
+  bool IsOlderStart(const RegisteredUpstream& entry) const;
+  void NoteStart(const RegisteredUpstream& entry);
   void Erase(std::string_view id);
   void Place(const std::string& id, const Endpoint& endpoint);
-  void Displace(const std::string& id, const Endpoint& endpoint);
+  void LeaveEndpoint(const std::string& id, const Endpoint& endpoint);
+  void Displace(Rows::iterator older);
   /// @param ids All entries at one endpoint.
   void MarkShadowed(const std::set<std::string>& ids);
   void Touch(const Row& row);
   void AddNews(UpstreamBelief belief, const Row& row);
 
   RegistryOptions options;
-  std::map<std::string, Row, std::less<>> entries;
+  Rows entries;
+  /// Of each id, also of those that have gone, from the first one heard of on.
+  std::map<std::string, std::chrono::milliseconds> youngest_starts;
+  std::deque<std::string> starts_in_order;
   /// Ids of the entries at each endpoint: two while one follows the other.
   std::map<std::string, std::set<std::string>> at_endpoint;
   std::set<UpstreamSetKey> touched;
--- a/packages/decision/include/basilsill/decision/view.h
+++ b/packages/decision/include/basilsill/decision/view.h
@@ -75,6 +75,19 @@
   TeamLimits limits;
 };
 
+/// One start of an upstream that says who it is. It may start again under the
+/// same id: then it holds nothing of what it held, so that nothing that was
+/// learnt of, sent to or kept open for the earlier start holds for it.
+struct UpstreamIncarnation {
+  std::string id;  ///< Empty where upstreams have no ids.
+  /// When it started, by the upstream's own clock: tells one start from the
+  /// next and is never compared with another clock. 0: not told.
+  std::chrono::milliseconds started{0};
+
+  friend bool operator==(const UpstreamIncarnation&,
+                         const UpstreamIncarnation&) = default;
+};
+
 struct UpstreamRow {
   UpstreamHandle handle;
   Endpoint endpoint;
@@ -102,9 +115,8 @@
   TeamHandle team;
   std::string health_path;  ///< Empty: upstreams are not asked.
   std::vector<UpstreamRow> upstreams;
-  /// Of the incarnations of `upstreams`, in their order; empty where there are
-  /// no such ids.
-  std::vector<std::string> upstream_ids;
+  /// Of `upstreams`, in their order; empty where they have no ids.
+  std::vector<UpstreamIncarnation> incarnations;
   std::vector<ShardRow> shards;
 };
 
@@ -220,9 +232,9 @@
 const UpstreamRow* FindUpstream(const ServiceRow& service,
                                 UpstreamHandle handle);
 
-/// @returns the id of the incarnation of `upstream`, a row of `service`; empty
-/// where there are no such ids.
-std::string_view IdOf(const ServiceRow& service, const UpstreamRow& upstream);
+/// @returns which start of which upstream `upstream` is, a row of `service`.
+UpstreamIncarnation IncarnationOf(const ServiceRow& service,
+                                  const UpstreamRow& upstream);
 
 /// @returns the shard `key` of any service, or nullptr.
 const ShardRow* FindShard(const ServiceRow& service, ShardKey key);
--- a/packages/decision/src/declared_configuration.cc
+++ b/packages/decision/src/declared_configuration.cc
@@ -189,7 +189,7 @@
     set.data_centre = entry.data_centre;
     set.instances.push_back(
         {entry.endpoint, entry.slots, entry.leaving, row.cold});
-    set.ids.push_back(entry.id);
+    set.incarnations.push_back({entry.id, entry.started});
   }
   std::vector<ResourceId> dropped;
   dropped.reserve(touched.size());
--- a/packages/decision/src/service_rows.cc
+++ b/packages/decision/src/service_rows.cc
@@ -16,9 +16,12 @@
 // nothing that was learnt of the first one holds for it.
 std::string KeyOfInstance(const UpstreamSetSpec& set, size_t place) {
   std::string key = ToString(set.instances[place].endpoint);
-  if (place < set.ids.size()) {
+  if (place < set.incarnations.size()) {
+    const UpstreamIncarnation& incarnation = set.incarnations[place];
     key += ' ';
-    key += set.ids[place];
+    key += incarnation.id;
+    key += ' ';
+    key += std::to_string(incarnation.started.count());
   }
   return key;
 }
@@ -189,8 +192,8 @@
     }
     row.upstreams.push_back({handle, instance.endpoint, set.data_centre,
                              instance.slots, instance.leaving, instance.cold});
-    if (i < spec.ids.size()) {
-      row.upstream_ids.push_back(spec.ids[i]);
+    if (i < spec.incarnations.size()) {
+      row.incarnations.push_back(spec.incarnations[i]);
     }
   }
 }
--- a/packages/decision/src/topic_records.cc
+++ b/packages/decision/src/topic_records.cc
@@ -9,17 +9,20 @@
 
 }  // namespace
 
-bool TopicRecords::Keep(const KeyedRecord& record) {
+bool TopicRecords::IsNewer(const KeyedRecord& record) const {
   const auto known = this->newest.find(record.key);
-  if (known != this->newest.end() && known->second.offset >= record.offset) {
-    return false;
+  return known == this->newest.end() || known->second.offset < record.offset;
+}
+
+void TopicRecords::Keep(const KeyedRecord& record) {
+  if (!this->IsNewer(record)) {
+    return;
   }
   if (record.removed) {
     this->newest.erase(record.key);
   } else {
     this->newest[record.key] = record;
   }
-  return true;
 }
 
 void TopicRecords::AddUntold(const KeyedRecord& record) {
--- a/packages/decision/src/upstream_registry.cc
+++ b/packages/decision/src/upstream_registry.cc
@@ -1,24 +1,51 @@
 #include "basilsill/decision/upstream_registry.h"
 
+#include <algorithm>
 #include <utility>
 #include <vector>
 
+#include "basilsill/base/limits.h"
+
 namespace basilsill {
+namespace {
+
+// Starts that are remembered; more than an installation has upstreams, and
+// twice over.
+constexpr size_t kMaxKnownStarts = 2 * limits::kMaxUpstreams;
+
+bool TellsStart(const RegisteredUpstream& entry) {
+  return entry.started > std::chrono::milliseconds(0);
+}
+
+}  // namespace
 
 UpstreamRegistry::UpstreamRegistry(const RegistryOptions& options)
     : options(options) {}
 
-bool UpstreamRegistry::OnEntry(TimePoint now,
-                               uint64_t offset,
-                               RegisteredUpstream entry) {
+EntryWorth UpstreamRegistry::OnEntry(TimePoint now,
+                                     uint64_t offset,
+                                     RegisteredUpstream entry) {
   if (this->listing) {
     this->listed.insert(entry.id);
   }
+  if (this->IsOlderStart(entry)) {
+    return EntryWorth::kOutdated;
+  }
+  const auto known = this->entries.find(entry.id);
+  if (known != this->entries.end() && !TellsStart(entry)) {
+    entry.started = known->second.entry.started;
+  }
+  if (known != this->entries.end() && offset < known->second.offset) {
+    return EntryWorth::kOutdated;
+  }
+  this->NoteStart(entry);
+  const bool starts_again = known != this->entries.end() &&
+                            entry.started != known->second.entry.started;
+  if (starts_again) {
+    this->Displace(known);
+  }
   const auto [place, is_new] = this->entries.try_emplace(entry.id);
   Row& row = place->second;
-  if (!is_new && offset < row.offset) {
-    return false;
-  }
   const TimePoint warm_at = now + entry.cold_for;
   const bool cold = entry.cold_for > std::chrono::milliseconds(0);
   // Renewals say the same again, but for how long it stays cold.
@@ -31,7 +58,7 @@
     this->Touch(row);
   }
   if (moved) {
-    this->Displace(entry.id, row.entry.endpoint);
+    this->LeaveEndpoint(entry.id, row.entry.endpoint);
   }
   row.entry = std::move(entry);
   row.offset = offset;
@@ -41,11 +68,11 @@
   if (changed) {
     this->Touch(row);
   }
-  if (is_new || moved) {
-    this->Place(row.entry.id, row.entry.endpoint);
-  }
+  this->Place(row.entry.id, row.entry.endpoint);
   if (is_new) {
-    this->AddNews(UpstreamBelief::kListed, row);
+    this->AddNews(
+        starts_again ? UpstreamBelief::kStartedAgain : UpstreamBelief::kListed,
+        row);
   }
   if (had_lapsed) {
     this->AddNews(UpstreamBelief::kBack, row);
@@ -53,7 +80,50 @@
   if (begins_to_leave) {
     this->AddNews(UpstreamBelief::kLeaving, row);
   }
-  return changed || had_lapsed;
+  return changed || had_lapsed ? EntryWorth::kNew : EntryWorth::kRenewal;
+}
+
+void UpstreamRegistry::OnUnreadable(std::string_view id) {
+  if (this->listing) {
+    this->listed.emplace(id);
+  }
+}
+
+// Failure: the last words of a start that died arrive after those of the next
+// one, from a store that carries a write out late or by way of another VM.
+// Taken, they would put its address and its leaving in the place of the
+// younger one's. It shows as an upstream that gets no work, or work at an
+// address where nobody is.
+bool UpstreamRegistry::IsOlderStart(const RegisteredUpstream& entry) const {
+  const auto youngest = this->youngest_starts.find(entry.id);
+  return TellsStart(entry) && youngest != this->youngest_starts.end() &&
+         entry.started < youngest->second;
+}
+
+// Kept also when the entry has gone, or the words of an older start would list
+// it anew. Bounded: one that is dropped was the longest without a start.
+void UpstreamRegistry::NoteStart(const RegisteredUpstream& entry) {
+  if (!TellsStart(entry)) {
+    return;
+  }
+  const auto [place, is_new] =
+      this->youngest_starts.insert_or_assign(entry.id, entry.started);
+  if (!is_new) {
+    return;
+  }
+  this->starts_in_order.push_back(entry.id);
+  if (this->starts_in_order.size() > kMaxKnownStarts) {
+    this->youngest_starts.erase(this->starts_in_order.front());
+    this->starts_in_order.pop_front();
+  }
+}
+
+// Nothing of the older start holds for the younger one: neither that it leaves
+// nor that its entry lapsed nor how long it is cold.
+void UpstreamRegistry::Displace(Rows::iterator older) {
+  this->Touch(older->second);
+  this->LeaveEndpoint(older->first, older->second.entry.endpoint);
+  this->entries.erase(older);
 }
 
 void UpstreamRegistry::AddNews(UpstreamBelief belief, const Row& row) {
@@ -140,18 +210,19 @@
   const auto found = this->entries.find(id);
   this->AddNews(UpstreamBelief::kGone, found->second);
   this->Touch(found->second);
-  this->Displace(found->first, found->second.entry.endpoint);
+  this->LeaveEndpoint(found->first, found->second.entry.endpoint);
   this->entries.erase(found);
 }
 
+// The entry `id` is at `endpoint`, newly or still.
 void UpstreamRegistry::Place(const std::string& id, const Endpoint& endpoint) {
   std::set<std::string>& ids = this->at_endpoint[ToString(endpoint)];
   ids.insert(id);
   this->MarkShadowed(ids);
 }
 
-void UpstreamRegistry::Displace(const std::string& id,
-                                const Endpoint& endpoint) {
+void UpstreamRegistry::LeaveEndpoint(const std::string& id,
+                                     const Endpoint& endpoint) {
   const auto found = this->at_endpoint.find(ToString(endpoint));
   found->second.erase(id);
   if (found->second.empty()) {
@@ -163,7 +234,9 @@
 
 // The platform gives the address of an instance that has ended to another one,
 // whose entry can come before the old one's removal. A request sent there for
-// the old one would only be turned away.
+// the old one would only be turned away. Renewals count too: of two that claim
+// an address the one that goes on claiming it is there, whatever came in which
+// order, so that all VMs come to the same.
 void UpstreamRegistry::MarkShadowed(const std::set<std::string>& ids) {
   uint64_t newest = 0;
   for (const std::string& id : ids) {
--- a/packages/decision/src/view.cc
+++ b/packages/decision/src/view.cc
@@ -175,10 +175,11 @@
   return found == service.upstreams.end() ? nullptr : &*found;
 }
 
-std::string_view IdOf(const ServiceRow& service, const UpstreamRow& upstream) {
+UpstreamIncarnation IncarnationOf(const ServiceRow& service,
+                                  const UpstreamRow& upstream) {
   const auto place = static_cast<size_t>(&upstream - service.upstreams.data());
-  return place < service.upstream_ids.size() ? service.upstream_ids[place]
-                                             : std::string_view();
+  return place < service.incarnations.size() ? service.incarnations[place]
+                                             : UpstreamIncarnation();
 }
 
 const ShardRow* FindShard(const ServiceRow& service, ShardKey key) {
--- a/packages/decision/test/declared_configuration_test.cc
+++ b/packages/decision/test/declared_configuration_test.cc
@@ -125,7 +125,7 @@
   const auto& after = view->services[0]->upstreams.at(0);
   CHECK(before.endpoint == after.endpoint);
   CHECK_FALSE(before.handle == after.handle);
-  CHECK(IdOf(*view->services[0], after) == "b");
+  CHECK(IncarnationOf(*view->services[0], after).id == "b");
 }
 
 TEST(DeclaredConfiguration, Build_SomethingElseChanged_KeepsHandles) {
@@ -157,7 +157,10 @@
             entry);
     text += name + ":";
     for (size_t i = 0; i < set.instances.size(); ++i) {
-      text += " " + set.ids[i] + "@" + ToString(set.instances[i].endpoint) +
+      const basilsill::UpstreamIncarnation& incarnation = set.incarnations[i];
+      text += " " + incarnation.id + "/" +
+              std::to_string(incarnation.started.count()) + "@" +
+              ToString(set.instances[i].endpoint) +
               (set.instances[i].leaving ? "-" : "+");
     }
     text += "\n";
@@ -179,6 +182,7 @@
     entry.data_centre = random() % 2 == 0 ? "lyulin" : "druzhba";
     entry.endpoint = {"10.0.0.1", static_cast<uint16_t>(random() % 15)};
     entry.leaving = random() % 4 == 0;
+    entry.started = std::chrono::milliseconds(random() % 5);
     if (random() % 3 == 0) {
       this->registry.OnRemoved(TimePoint(1s), step, entry.id);
     } else {
--- a/packages/decision/test/upstream_registry_test.cc
+++ b/packages/decision/test/upstream_registry_test.cc
@@ -3,6 +3,12 @@
 
 #include "basilsill/decision/upstream_registry.h"
 
+#include <map>
+#include <utility>
+#include <vector>
+
+#include <pcg_random.hpp>
+
 #include <CppUTest/TestHarness.h>
 
 using namespace std::chrono_literals;
@@ -25,6 +31,44 @@
     return entry;
   }
 
+  static RegisteredUpstream Started(const std::string& id,
+                                    std::chrono::milliseconds started,
+                                    uint16_t port = 80) {
+    RegisteredUpstream entry = Entry(id, port);
+    entry.started = started;
+    return entry;
+  }
+
+  /// @returns for each id the place of its last word, which is of its youngest
+  /// start.
+  static std::map<std::string, size_t> LastWords(
+      const std::vector<RegisteredUpstream>& words) {
+    std::map<std::string, size_t> last;
+    for (size_t i = 0; i < words.size(); ++i) {
+      last[words[i].id] = i;
+    }
+    return last;
+  }
+
+  /// Hears `words` in another order, some twice, some never but the last ones.
+  static UpstreamRegistry Heard(const std::vector<RegisteredUpstream>& words,
+                                const std::map<std::string, size_t>& last,
+                                pcg32& random) {
+    std::vector<size_t> order;
+    for (size_t i = 0; i < words.size(); ++i) {
+      const bool is_last = last.at(words[i].id) == i;
+      order.insert(order.end(), is_last ? 1 + random(2) : random(3), i);
+    }
+    for (size_t i = order.size(); i > 1; --i) {
+      std::swap(order[i - 1], order[random(static_cast<uint32_t>(i))]);
+    }
+    UpstreamRegistry registry;
+    for (const size_t place : order) {
+      registry.OnEntry(TimePoint(1s), place, words[place]);
+    }
+    return registry;
+  }
+
   void Write(const RegisteredUpstream& entry) {
     this->registry.OnEntry(this->now, this->offset++, entry);
   }
@@ -173,3 +217,104 @@
   CHECK_FALSE(this->registry.rows().at("a").shadowed);
   CHECK(this->registry.rows().at("b").shadowed);
 }
+
+// An upstream says that it leaves, crashes, and starts again under its id. The
+// next start would get no work if it inherited the leaving of the one before.
+TEST(UpstreamRegistry, Entry_OfAYoungerStart_HasNothingOfTheOlder) {
+  this->Write(Started("a", 100ms));
+  RegisteredUpstream leaving = Started("a", 100ms);
+  leaving.leaving = true;
+  leaving.cold_for = 5s;
+  this->Write(leaving);
+  this->registry.OnPlatformLost();
+  this->Remove("a");
+  this->Write(Started("a", 200ms));
+  const UpstreamRegistry::Row& row = this->registry.rows().at("a");
+  CHECK_FALSE(row.entry.leaving);
+  CHECK_FALSE(row.cold);
+  CHECK_FALSE(row.lapsed);
+  CHECK(row.entry.started == 200ms);
+}
+
+// The store carries out a write of the start that died seconds late, after the
+// next start has listed itself at another address.
+TEST(UpstreamRegistry, Entry_OfAnOlderStart_NeverComesBack) {
+  this->Write(Started("a", 200ms, 81));
+  this->Write(Started("a", 100ms, 80));
+  CHECK_EQUAL(81, this->registry.rows().at("a").entry.endpoint.port);
+  this->Remove("a");
+  this->Write(Started("a", 100ms, 80));
+  CHECK_FALSE(this->Has("a"));
+  this->Write(Started("a", 300ms, 82));
+  CHECK(this->Has("a"));
+}
+
+TEST(UpstreamRegistry, Entry_WithoutAStart_IsOfTheKnownOne) {
+  this->Write(Started("a", 200ms));
+  const uint64_t before = this->registry.version();
+  this->Write(Entry("a"));
+  CHECK(this->registry.rows().at("a").entry.started == 200ms);
+  CHECK_EQUAL(before, this->registry.version());
+}
+
+// The upstream at the address that a start has left must not stay shadowed by
+// it.
+TEST(UpstreamRegistry, Entry_OfAYoungerStartElsewhere_FreesTheAddress) {
+  this->Write(Entry("other"));
+  this->Write(Started("a", 100ms));
+  CHECK(this->registry.rows().at("other").shadowed);
+  this->Write(Started("a", 200ms, 81));
+  CHECK_FALSE(this->registry.rows().at("other").shadowed);
+}
+
+TEST(UpstreamRegistry, StartedAgain_AfterTheFirstList_ToldOnce) {
+  this->registry.BeginListing();
+  this->Write(Started("a", 100ms));
+  this->registry.EndListing(this->now);
+  this->Write(Started("a", 200ms));
+  this->Write(Started("a", 200ms));
+  const auto news = this->registry.TakeNews();
+  CHECK_EQUAL(1, news.size());
+  CHECK(news[0].belief == UpstreamBelief::kStartedAgain);
+}
+
+// Another writer puts something unreadable in the place of a good entry. The
+// upstream lives, and would be without work until its next heartbeat if the
+// list counted it as gone.
+TEST(UpstreamRegistry, Listing_EntryUnreadable_IsNotGone) {
+  this->Write(Entry("a"));
+  this->registry.BeginListing();
+  this->registry.OnUnreadable("a");
+  this->registry.OnUnreadable("never known");
+  this->registry.EndListing(this->now);
+  CHECK(this->Has("a"));
+  CHECK_FALSE(this->Has("never known"));
+}
+
+// Two VMs hear of the same upstreams, that start again at random, in other
+// orders and some things twice or not at all. Once both have heard the last
+// word of each, they believe the same.
+TEST(UpstreamRegistry, Histories_StartsInAnyOrder_EndWithTheSameBelief) {
+  for (uint64_t seed = 1; seed <= 300; ++seed) {
+    pcg32 random(seed);
+    std::vector<RegisteredUpstream> words;
+    std::map<std::string, std::chrono::milliseconds> starts;
+    for (int i = 0; i < 40; ++i) {
+      const std::string id = "i-" + std::to_string(random(4));
+      std::chrono::milliseconds& start = starts[id];
+      start += std::chrono::milliseconds(random(3) == 0 || start == 0ms);
+      words.push_back(Started(id, start, 80 + random(6)));
+      words.back().leaving = random(4) == 0;
+    }
+    const auto last = LastWords(words);
+    UpstreamRegistry first = Heard(words, last, random);
+    UpstreamRegistry second = Heard(words, last, random);
+    CHECK_EQUAL(last.size(), first.rows().size());
+    for (const auto& [id, place] : last) {
+      const RegisteredUpstream& word = words[place];
+      CHECK(first.rows().at(id).entry == word);
+      CHECK(second.rows().at(id).entry == word);
+      CHECK_EQUAL(first.rows().at(id).shadowed, second.rows().at(id).shadowed);
+    }
+  }
+}
--- a/packages/node/include/basilsill/node/state_source.h
+++ b/packages/node/include/basilsill/node/state_source.h
@@ -37,6 +37,9 @@
   virtual std::vector<VmHandle> LinkedPeers() const = 0;
 
   virtual const Membership& membership() const = 0;
+
+  /// A record of the platform names nothing that could be used.
+  virtual void OnRecordIgnored(FailureKind reason) = 0;
 };
 
 class StateSource {
--- a/packages/node/src/control.h
+++ b/packages/node/src/control.h
@@ -87,6 +87,9 @@
   std::vector<VmHandle> LinkedPeers() const override {
     return this->links.Linked();
   }
+  void OnRecordIgnored(FailureKind reason) override {
+    this->counts.records_ignored[static_cast<size_t>(reason)].Add();
+  }
 
   ControlLinkHandlers MakeLinkHandlers();
   boost::asio::awaitable<void> TickLoop();
--- a/packages/node/src/dispatch_host.cc
+++ b/packages/node/src/dispatch_host.cc
@@ -22,7 +22,7 @@
   const UpstreamRow* row = nullptr;
 
   AttemptTarget target() const {
-    return {this->row->endpoint, std::string(IdOf(*this->service, *this->row))};
+    return {this->row->endpoint, IncarnationOf(*this->service, *this->row)};
   }
 };
 
@@ -325,7 +325,8 @@
     return this->dispatcher->MaySendAgain(MonotonicClock::now(), attempt);
   };
   AttemptTarget target = found.target();
-  std::string name = target.id.empty() ? ToString(target.endpoint) : target.id;
+  const std::string& id = target.incarnation.id;
+  std::string name = id.empty() ? ToString(target.endpoint) : id;
   auto running = std::make_unique<UpstreamAttempt>(
       this->pool, std::move(target), job->request, job->sink, std::move(hooks));
   UpstreamAttempt* const raw = running.get();
--- a/packages/node/src/metrics.h
+++ b/packages/node/src/metrics.h
@@ -136,6 +136,7 @@
   Counter log_reads;
   Counter log_appends;
   Counter platform_failures;
+  PerEnum<Counter, FailureKind> records_ignored;
 };
 
 /// @returns the name of `state` as metrics carry it.
--- a/packages/node/src/metrics_table.cc
+++ b/packages/node/src/metrics_table.cc
@@ -149,6 +149,14 @@
   });
 }
 
+void RecordsIgnored(const MetricsPage& page, MetricsWriter& writer) {
+  ForEachValue<FailureKind>([&](FailureKind reason) {
+    writer.Sample(
+        {{"reason", FailureName(reason)}},
+        page.control.records_ignored[static_cast<size_t>(reason)].value());
+  });
+}
+
 void WorkerCpu(const MetricsPage& page, MetricsWriter& writer) {
   for (size_t i = 0; i < page.worker_list().size(); ++i) {
     const auto used = static_cast<Duration::rep>(
@@ -345,6 +353,10 @@
                "",
                "Calls to the platform that failed or were lost.",
                ControlValue<&Control::platform_failures>),
+    CounterRow("basilsill_records_ignored_total",
+               "reason",
+               "Records of the platform that name nothing to be used.",
+               RecordsIgnored),
 
     // Process.
     CounterRow("basilsill_worker_cpu_seconds_total",
--- a/packages/node/src/upstream_attempt.cc
+++ b/packages/node/src/upstream_attempt.cc
@@ -144,10 +144,9 @@
   if (this->aborted != AttemptEnd::kCount) {
     co_return false;
   }
-  this->connection =
-      fresh ? nullptr : this->pool.TakeIdle(this->target.endpoint);
+  this->connection = fresh ? nullptr : this->pool.TakeIdle(this->target);
   if (!this->connection) {
-    this->connection = co_await this->pool.Open(this->target.endpoint);
+    this->connection = co_await this->pool.Open(this->target);
   }
   co_return this->connection != nullptr&& this->aborted == AttemptEnd::kCount;
 }
@@ -221,9 +220,9 @@
   UpstreamHead upstream;
   upstream.deadline_name = names.deadline;
   upstream.remaining = RemainingTime(this->request);
-  if (!this->target.id.empty()) {
+  if (!this->target.incarnation.id.empty()) {
     upstream.expected_name = names.expected_instance;
-    upstream.expected_instance = this->target.id;
+    upstream.expected_instance = this->target.incarnation.id;
   }
   AppendRequestHead(head, this->request, upstream);
   const std::array<boost::asio::const_buffer, 2> buffers = {
@@ -334,7 +333,7 @@
   const auto& answer = this->connection->reader.message().get();
   const unsigned status = answer.result_int();
   if (status == static_cast<unsigned>(http::status::misdirected_request) &&
-      !this->target.id.empty()) {
+      !this->target.incarnation.id.empty()) {
     return AttemptEnd::kMisdirected;
   }
   if (!IsGood(status) && !this->AnswerHeader(names.not_run).empty()) {
--- a/packages/node/src/upstream_attempt.h
+++ b/packages/node/src/upstream_attempt.h
@@ -19,12 +19,6 @@
 
 namespace basilsill {
 
-/// Where an attempt goes.
-struct AttemptTarget {
-  Endpoint endpoint;
-  std::string id;  ///< Of the incarnation; empty where there are no such ids.
-};
-
 /// What the host of an attempt decides while it runs.
 struct AttemptHooks {
   /// An answer begins that is too long to hold.
--- a/packages/node/src/upstream_pool.cc
+++ b/packages/node/src/upstream_pool.cc
@@ -11,12 +11,13 @@
                            std::shared_ptr<WorkerMetrics> metrics)
     : run_on(executor), options(options), counts(std::move(metrics)) {}
 
-size_t UpstreamPool::EndpointHash::operator()(const Endpoint& endpoint) const {
+size_t UpstreamPool::TargetHash::operator()(const AttemptTarget& target) const {
+  const Endpoint& endpoint = target.endpoint;
   return std::hash<std::string>()(endpoint.address) * 31 + endpoint.port;
 }
 
-UpstreamConnectionPtr UpstreamPool::TakeIdle(const Endpoint& endpoint) {
-  const auto found = this->idle.find(endpoint);
+UpstreamConnectionPtr UpstreamPool::TakeIdle(const AttemptTarget& target) {
+  const auto found = this->idle.find(target);
   if (found == this->idle.end()) {
     return nullptr;
   }
@@ -34,22 +35,23 @@
   return nullptr;
 }
 
-Task<UpstreamConnectionPtr> UpstreamPool::Open(const Endpoint& endpoint) {
-  Result<Socket> socket =
-      co_await ConnectTo(this->run_on, endpoint, this->options.connect_timeout);
+Task<UpstreamConnectionPtr> UpstreamPool::Open(const AttemptTarget& target) {
+  Result<Socket> socket = co_await ConnectTo(this->run_on, target.endpoint,
+                                             this->options.connect_timeout);
   if (!socket) {
     co_return nullptr;
   }
   auto connection = std::make_unique<UpstreamConnection>(
       std::move(socket).value(), this->options.reader, this->counts);
-  connection->endpoint = endpoint;
+  connection->target = target;
   co_return connection;
 }
 
 void UpstreamPool::Release(TimePoint now, UpstreamConnectionPtr connection) {
   connection->idle_since = now;
   connection->reused = true;
-  this->idle[connection->endpoint].push_back(std::move(connection));
+  IdleList& list = this->idle[connection->target];
+  list.push_back(std::move(connection));
   ++this->idle_connections;
 }
 
--- a/packages/node/src/upstream_pool.h
+++ b/packages/node/src/upstream_pool.h
@@ -19,6 +19,14 @@
 
 namespace basilsill {
 
+/// Where an attempt goes, and who is expected there.
+struct AttemptTarget {
+  Endpoint endpoint;
+  UpstreamIncarnation incarnation{};
+
+  friend bool operator==(const AttemptTarget&, const AttemptTarget&) = default;
+};
+
 struct UpstreamConnection {
   UpstreamConnection(Socket socket,
                      const AnswerReader::Limits& limits,
@@ -34,7 +42,7 @@
   Socket socket;
   AnswerReader reader;
   std::shared_ptr<WorkerMetrics> metrics;
-  Endpoint endpoint;
+  AttemptTarget target;
   TimePoint idle_since;
   /// After this it may be closed by the upstream, as that said itself.
   Duration keeps{Duration::max()};
@@ -65,12 +73,16 @@
                const UpstreamPoolOptions& options,
                std::shared_ptr<WorkerMetrics> metrics);
 
-  /// @returns an idle connection that looks alive, or nullptr.
-  UpstreamConnectionPtr TakeIdle(const Endpoint& endpoint);
+  /// @returns an idle connection that looks alive, or nullptr. Connections are
+  /// kept by incarnation. Failure: an upstream dies behind a cut and starts
+  /// again, or its address goes to another; a connection to the one that died
+  /// looks alive here, as nothing told its end. A request on it has an unknown
+  /// outcome, though the one that is meant is well.
+  UpstreamConnectionPtr TakeIdle(const AttemptTarget& target);
 
   /// Opens a new connection.
   /// @returns nullptr if that failed or took too long.
-  Task<UpstreamConnectionPtr> Open(const Endpoint& endpoint);
+  Task<UpstreamConnectionPtr> Open(const AttemptTarget& target);
 
   /// Gives back a connection that can carry another request.
   void Release(TimePoint now, UpstreamConnectionPtr connection);
@@ -87,14 +99,14 @@
  private:
   using IdleList = std::vector<UpstreamConnectionPtr>;
 
-  struct EndpointHash {
-    size_t operator()(const Endpoint& endpoint) const;
+  struct TargetHash {
+    size_t operator()(const AttemptTarget& target) const;
   };
 
   Executor run_on;
   UpstreamPoolOptions options;
   std::shared_ptr<WorkerMetrics> counts;
-  std::unordered_map<Endpoint, IdleList, EndpointHash> idle;
+  std::unordered_map<AttemptTarget, IdleList, TargetHash> idle;
   size_t idle_connections = 0;
 };
 
--- a/packages/node/src/upstream_question.cc
+++ b/packages/node/src/upstream_question.cc
@@ -29,9 +29,9 @@
                            AttemptTarget target,
                            std::string path) {
   AskReport report;
-  UpstreamConnectionPtr connection = pool.TakeIdle(target.endpoint);
+  UpstreamConnectionPtr connection = pool.TakeIdle(target);
   if (!connection) {
-    connection = co_await pool.Open(target.endpoint);
+    connection = co_await pool.Open(target);
   }
   if (!connection) {
     co_return report;
@@ -61,7 +61,8 @@
     report.answered = true;
     const auto& answer = connection->reader.message().get();
     report.load = ParseLoad(HeaderValue(answer, pool.names().load));
-    report.foreign = IsForeign(answer, pool.names().served_by, target.id);
+    report.foreign =
+        IsForeign(answer, pool.names().served_by, target.incarnation.id);
     keep = connection->reader.message().keep_alive();
     const bool whole = co_await DropBody(*connection, kMaxAnswerBytes);
     keep = keep && whole && !connection->reader.has_more();
