Dispatcher: requests leave a data centre whose upstreams are all slow now

Hypothesis: a request that waits near for a fast upstream (124 ms at the 90th percentile in pairs of upstreams) does better elsewhere, 3 ms away. Change: a held request that may still move is handed back at once when every free upstream said it is slow, and the wait is usually longer than what the entry VM expects elsewhere. Virtual time: 97.2 to 99.2 in 100 within an aim of three times the work.

--- a/packages/decision/src/dispatch_tables.h
+++ b/packages/decision/src/dispatch_tables.h
@@ -165,6 +165,9 @@
   /// Whether its upstreams say how slow they are; they are thought to until
   /// one of them says nothing of it.
   bool tells_speed = true;
+  /// How long requests are held until an upstream is fast again; before any
+  /// was, about what a spell of slowness has left when it is met.
+  Duration hold_time = std::chrono::milliseconds(50);
   bool can_be_asked = false;    ///< The service has a health check.
   bool any_superseded = false;  ///< Of `upstreams`, with work to be ended.
   uint32_t siblings = 1;        ///< Shards of the service, this one included.
--- a/packages/decision/src/dispatcher_core.h
+++ b/packages/decision/src/dispatcher_core.h
@@ -116,8 +116,12 @@
                         const RequestRow& request) const;
   void Hold(TimePoint now,
             ShardState& shard,
-            RequestRow& request,
+            uint32_t row,
             const ChoiceOptions& choice);
+  static void LearnHold(TimePoint now,
+                        ShardState& shard,
+                        const RequestRow& request);
+  bool MovesFromSlow(const ShardState& shard, const RequestRow& request) const;
   void Ask(TimePoint now, ShardState& shard, uint32_t place);
   void LearnLoad(TimePoint now,
                  ShardState& shard,
--- a/packages/decision/src/dispatcher_speed.cc
+++ b/packages/decision/src/dispatcher_speed.cc
@@ -15,6 +15,9 @@
 // While a request is held, upstreams are asked again this often.
 constexpr Duration kHoldScan = std::chrono::milliseconds(10);
 
+// Requests in the moving mean of how long one is held.
+constexpr int kHoldWeight = 16;
+
 // Typical time of a request of which nothing is known.
 constexpr Duration kTypicalTime = std::chrono::milliseconds(100);
 
@@ -71,12 +74,30 @@
   return HasWithin(now, shard, limit) ? limit : none;
 }
 
+// Failure: the upstreams of a service near are all slow at this moment, and a
+// request waits for one of them to be fast again, for longer than the way to
+// another data centre and back takes. It shows as waits before a start of a
+// good part of the aim while upstreams elsewhere are idle, and as starts on
+// slow ones once such a wait was too long. So a request that may still move
+// goes back to its entry VM at once, if what that expects elsewhere is less
+// than the usual length of such a wait here. With two upstreams a data centre
+// that are seven times slower for a quarter of the time, 99.2 in 100 are within
+// an aim of three times their work instead of 97.2 (test/leave_slow_test.cc),
+// for the octets of one request in twenty.
+bool DispatcherCore::MovesFromSlow(const ShardState& shard,
+                                   const RequestRow& request) const {
+  return this->options.features.leave_slow &&
+         request.spec.max_wait != Duration::max() && request.starts == 0 &&
+         shard.hold_time > request.spec.max_wait;
+}
+
 // No upstream that was fast a moment ago has a free slot. Those that may be
 // fast are asked; the request goes on when one of them says so.
 void DispatcherCore::Hold(TimePoint now,
                           ShardState& shard,
-                          RequestRow& request,
+                          uint32_t row,
                           const ChoiceOptions& choice) {
+  RequestRow& request = this->Request(row);
   const auto count = static_cast<uint32_t>(shard.upstreams.size());
   auto asked = static_cast<uint32_t>(std::count_if(
       shard.speeds.begin(), shard.speeds.end(),
@@ -93,6 +114,10 @@
     }
     place = place + 1 < count ? place + 1 : 0;
   }
+  if (any && asked == 0 && this->MovesFromSlow(shard, request)) {
+    this->Refuse(row, {Refusal::kQueueFull, this->WithJitter(kHoldScan)});
+    return;
+  }
   if (any) {
     const auto after =
         std::chrono::duration_cast<ShortMillis>(now - request.offered);
@@ -101,6 +126,15 @@
   }
 }
 
+void DispatcherCore::LearnHold(TimePoint now,
+                               ShardState& shard,
+                               const RequestRow& request) {
+  if (request.held_after != RequestRow::kNotHeld) {
+    const Duration held = now - request.offered - request.held_after;
+    shard.hold_time += (held - shard.hold_time) / kHoldWeight;
+  }
+}
+
 void DispatcherCore::Ask(TimePoint now, ShardState& shard, uint32_t place) {
   shard.speeds[place].OnAsk(now);
   DispatchAction action;
--- a/packages/decision/src/dispatcher_start.cc
+++ b/packages/decision/src/dispatcher_start.cc
@@ -77,7 +77,7 @@
   const uint32_t upstream = PickUpstream(now, shard, choice);
   if (upstream == kNoRow) {
     if (choice.speed != SpeedRule::kIgnore) {
-      this->Hold(now, shard, this->Request(request), choice);
+      this->Hold(now, shard, request, choice);
     }
     return false;
   }
@@ -337,6 +337,7 @@
   place_of_attempt = handle;
   request.state = RequestState::kRunning;
   request.next_retry = Retry::kNone;
+  this->LearnHold(now, shard, request);
   request.held_after = RequestRow::kNotHeld;
   ++request.sends;
   if (request.starts++ == 0) {
--- a/packages/decision/src/mechanism.cc
+++ b/packages/decision/src/mechanism.cc
@@ -53,6 +53,8 @@
               InDispatcher<&Dispatch::hedge>},
     Mechanism{"speed", "Slow moments of upstreams are asked for, waited out.",
               InDispatcher<&Dispatch::speed>},
+    Mechanism{"leave-slow", "Requests leave a data centre that is slow now.",
+              InDispatcher<&Dispatch::leave_slow>},
     Mechanism{"slowness-limit", "Nothing starts where it ends too late.",
               InDispatcher<&Dispatch::slowness_limit>},
     Mechanism{"isolation", "Suspects of an upstream's death run alone.",
