Start: only a VM that is new waits for its announcement

Hypothesis: windows after all VMs of the grown fleet start are lost at the store, which takes 116 announcements one after the other, 4 ms each, before any of them reads on. Log of one such start: from process to ready 417 ms at the median, 650 requests refused for want of a configuration. Links are opened as soon as the list is there.

--- a/packages/node/src/control.cc
+++ b/packages/node/src/control.cc
@@ -163,7 +163,13 @@
 }
 
 void Control::OnVmList(uint64_t version, const std::vector<ListedVm>& vms) {
-  this->members->OnVmList(MonotonicClock::now(), version, vms);
+  const TimePoint now = MonotonicClock::now();
+  this->members->OnVmList(now, version, vms);
+  // What others could tell is not waited for until the next tick.
+  if (!this->current_view) {
+    this->SetNeeds(now);
+    this->members->Tick(now);
+  }
   this->PumpMembership();
 }
 
