Links: the last answer leaves before the connection is closed

Cause: with GoAway sent and received and no stream left, a link closed its socket at once; bytes of the peer still unread (credit for that answer) turn that into a reset, which drops what is still in the send buffer. Ruled out: drain of callers' connections, order of events on the receiving side. Change: only the sending side is closed; the peer closes when it has all, within a second.

--- a/packages/node/src/peer_link.cc
+++ b/packages/node/src/peer_link.cc
@@ -17,6 +17,10 @@
 // enough that what is urgent does not wait behind it.
 constexpr size_t kWriteBytes = 64 * 1024;
 
+// A peer that has everything closes at once; one that is gone is not waited for
+// any longer.
+constexpr std::chrono::seconds kLingerTime{1};
+
 template <typename Handler, typename... Arguments>
 void Notify(const Handler& handler, Arguments&&... arguments) {
   if (handler) {
@@ -77,7 +81,7 @@
   while (!this->is_over) {
     if (!this->mux.HasOutput()) {
       if (this->mux.CanClose()) {
-        this->Close();
+        co_await this->CloseGently();
         co_return;
       }
       co_await this->output.Wait();
@@ -128,7 +132,26 @@
   this->Flush();
 }
 
+// Failure: the last answer on a link is still in this side's buffers as both
+// sides have said that they end. Closing at once, with bytes of the peer still
+// unread (credit for that very answer), resets the connection, and what has not
+// left yet is dropped. It shows as an answer that breaks off at a VM that shuts
+// down. So only the sending side is closed; the peer closes when it has all.
+Task<void> PeerLink::CloseGently() {
+  const PeerLinkPtr self = this->shared_from_this();
+  NetError ignored;
+  this->socket.shutdown(Tcp::socket::shutdown_send, ignored);
+  Timer limit(this->run_on, kLingerTime);
+  this->closing = &limit;
+  co_await limit.async_wait(kTask);
+  this->closing = nullptr;
+  this->Close();
+}
+
 void PeerLink::Close() {
+  if (this->closing != nullptr) {
+    this->closing->cancel();
+  }
   NetError ignored;
   this->socket.close(ignored);
   this->output.Set();
--- a/packages/node/src/peer_link.h
+++ b/packages/node/src/peer_link.h
@@ -101,6 +101,7 @@
 
  private:
   Task<void> WriteLoop();
+  Task<void> CloseGently();
   void Flush();
   void TakeEvents();
   void Deliver(wire::LinkEvent event);
@@ -114,6 +115,7 @@
   std::map<wire::StreamId, LinkStreamPtr, StreamIdLess> streams;
   std::vector<wire::LinkEvent> taken;
   AsyncEvent output;
+  Timer* closing = nullptr;  ///< Runs while the peer is to close.
   bool is_over = false;
 };
 
