--- a/packages/node/test/peer_link_test.cc
+++ b/packages/node/test/peer_link_test.cc
@@ -78,7 +78,7 @@
 /// The peer: speaks the protocol over a plain blocking socket.
 class PlainPeer {
  public:
-  PlainPeer(Tcp::socket socket)
+  explicit PlainPeer(Tcp::socket socket)
       : socket(std::move(socket)),
         mux(wire::LinkMux::Create(MonotonicClock::now(),
                                   Options(wire::LinkSide::kConnector, "vm-2"))
