Sight: a VM that ends says whether it had work of peers, a new link what its peer says of itself

Two of the three hypotheses on requests that are given up at work could not be told apart from logs and metrics: a VM that ends logged nothing of what peers had handed it, and a new link did not show whether its peer was leaving. Now node-stopped carries peer_requests_cut_off, link-opened carries leaving, and basilsill_peer_requests is a gauge on the metrics page. No logic is changed.

--- a/packages/node/src/control_links.cc
+++ b/packages/node/src/control_links.cc
@@ -115,7 +115,8 @@
     link->Close();
     return;
   }
-  Log(Event::kLinkOpened, {{"peer", link->peer().vm}});
+  Log(Event::kLinkOpened,
+      {{"peer", link->peer().vm}, {"leaving", link->peer().leaving}});
   this->links[link] = {result.vm, link->peer().incarnation};
 }
 
--- a/packages/node/src/main.cc
+++ b/packages/node/src/main.cc
@@ -88,8 +88,11 @@
   }
   node.Start();
   context.run();
+  const int64_t cut_off = node.CountPeerRequests();
   node.Stop();
-  Log(Event::kNodeStopped, {{"vm", settings.vm.name}, {"status", status}});
+  Log(Event::kNodeStopped, {{"vm", settings.vm.name},
+                            {"status", status},
+                            {"peer_requests_cut_off", cut_off}});
   return status;
 }
 
--- a/packages/node/src/metrics.h
+++ b/packages/node/src/metrics.h
@@ -85,6 +85,7 @@
   Counter caller_connections_opened;
   Gauge caller_connections;
   Gauge requests_in_flight;
+  Gauge peer_requests;
   Counter caller_bytes_received;
   Counter caller_bytes_sent;
 
--- a/packages/node/src/node.cc
+++ b/packages/node/src/node.cc
@@ -264,6 +264,14 @@
   return total;
 }
 
+int64_t Node::CountPeerRequests() const {
+  int64_t total = 0;
+  for (const auto& worker : this->traffic) {
+    total += worker->metrics()->peer_requests.value();
+  }
+  return total;
+}
+
 boost::asio::awaitable<void> Node::RunDrain(
     std::function<void(bool whole)> on_stopped) {
   LogDraining(this->settings.vm.name);
--- a/packages/node/src/node.h
+++ b/packages/node/src/node.h
@@ -45,6 +45,9 @@
   void Reload(const Settings& changed);
 
   bool ready() const;
+
+  /// @returns how many requests of peers have not ended here.
+  int64_t CountPeerRequests() const;
   const Control& control() const { return *this->control_side; }
   Endpoint callers_endpoint() const;
   uint16_t admin_port() const { return this->admin->port(); }
--- a/packages/node/src/worker.cc
+++ b/packages/node/src/worker.cc
@@ -298,12 +298,15 @@
     return;
   }
   this->WakeTick();
+  this->counts->peer_requests.Add(1);
   boost::asio::co_spawn(
       this->context->get_executor(),
       ServeLinkStream(this->current_view, this->dispatch_host, link,
                       std::move(stream), std::move(open),
                       this->installation.headers.request_id),
-      boost::asio::detached);
+      [this](const std::exception_ptr& /*error*/) {
+        this->counts->peer_requests.Add(-1);
+      });
 }
 
 void Worker::ImportCrashes(std::vector<CrashReport> crashes) {
