Entry: a summary of a VM that is not known yet does not end the process

Cause: the look-up of the peer took an invalid handle's index for a row; a link that is opened and used for a summary before this VM lists its peer ended the process (segmentation fault, found by a peer of a test that floods a link). Before: crash in the test; after: the shard's news counts, the peer's silence does not.

--- a/packages/decision/src/entry_router.cc
+++ b/packages/decision/src/entry_router.cc
@@ -100,7 +100,11 @@
 void EntryCore::OnSummary(TimePoint now,
                           VmHandle from,
                           const ShardSummary& summary) {
-  this->silence.OnWord(now, from);
+  // Failure: a VM opens a link before this one knows it, and sends a summary
+  // first. It has no row here, and the process would die at the look-up.
+  if (IsValid(from)) {
+    this->silence.OnWord(now, from);
+  }
   this->beliefs.OnSummary(now, summary);
 }
 
--- a/packages/decision/test/entry_test.cc
+++ b/packages/decision/test/entry_test.cc
@@ -251,6 +251,17 @@
   CHECK(this->Choose(this->Admit()).vm == owner);
 }
 
+// A VM that this one does not know yet opens a link and tells of a shard. It
+// has no place among the peers, and the process died as it looked for one.
+TEST(Entry, OnSummary_FromAnUnknownVm_CountsForTheShardAlone) {
+  this->Apply();
+  ShardSummary summary;
+  summary.shard = this->NearShard().key;
+  this->router->OnSummary(this->now, VmHandle{}, summary);
+  const Target target = this->Choose(this->Admit());
+  CHECK(target.shard == this->FarShard().key);
+}
+
 TEST(Entry, OnRefused_DispatcherShutsDown_SameShardAtItsSuccessor) {
   this->Tell(this->NearShard(), 0ms, 0);
   const EntryHandle entry = this->Admit();
