Tests: a VM that shuts down while peers work with it, failing

A request of a peer is at work; an answer lies in a link's buffers; a control link opened after the order to end; a data link opened as the VM ends. The plain peer of the link's test is shared.

--- a/packages/node/test/fleet.cc
+++ b/packages/node/test/fleet.cc
@@ -76,6 +76,7 @@
     this->callers_port = this->node->callers_endpoint().port;
     this->admin_port = this->node->admin_port();
     this->control_endpoint = this->node->control().endpoint();
+    this->links_endpoint = this->node->workers().front()->links_endpoint();
     this->node->Start();
   });
 }
@@ -90,6 +91,14 @@
   this->node.reset();
 }
 
+ShardKey RunningNode::FirstShard() {
+  ShardKey shard = 0;
+  this->control_thread.Run([&] {
+    shard = this->node->control().view()->services.front()->shards.front().key;
+  });
+  return shard;
+}
+
 bool RunningNode::DrainAndWait() {
   std::promise<bool> stopped;
   this->control_thread.Run([&] {
--- a/packages/node/test/fleet.h
+++ b/packages/node/test/fleet.h
@@ -65,6 +65,11 @@
   uint16_t callers() const { return this->callers_port; }
   uint16_t admin() const { return this->admin_port; }
   Endpoint control() const { return this->control_endpoint; }
+  /// @returns where its first worker takes links.
+  Endpoint links() const { return this->links_endpoint; }
+
+  /// @returns the first shard of the first service in the node's view.
+  ShardKey FirstShard();
 
  private:
   std::string vm;
@@ -74,6 +79,7 @@
   uint16_t callers_port = 0;
   uint16_t admin_port = 0;
   Endpoint control_endpoint;
+  Endpoint links_endpoint;
 };
 
 class Fleet {
--- /dev/null
+++ b/packages/node/test/leave_test.cc
@@ -0,0 +1,225 @@
+// Tests of a VM that shuts down while other VMs work with it. Seen in a large
+// fleet whose rolling restarts overlap: callers got 502 for requests at which
+// an upstream was at work, and half answers. Such a request had come to one VM
+// and was handed to another; that one had been told to end, waited for the
+// connections of its own callers alone, and was gone with the work of others.
+// Its log showed the order to end, new work of peers long after it, and the end
+// in the same millisecond as the upstream's connection was closed.
+
+#include <chrono>
+#include <future>
+#include <string>
+#include <utility>
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+
+#include "fleet.h"
+#include "plain_peer.h"
+#include "raw_upstream.h"
+
+#include <CppUTest/TestHarness.h>
+
+namespace {
+
+using basilsill::Endpoint;
+using basilsill::ShardKey;
+using basilsill::test::Fleet;
+using basilsill::test::HttpResponse;
+using basilsill::test::MakeRequest;
+using basilsill::test::PeerHello;
+using basilsill::test::PeerRequest;
+using basilsill::test::PlainPeer;
+using basilsill::test::RawUpstream;
+using basilsill::test::RunningNode;
+using basilsill::test::Send;
+using basilsill::test::WaitUntil;
+using boost::asio::ip::tcp;
+namespace wire = basilsill::wire;
+
+constexpr size_t kBodyBytes = 200'000;
+// Most of an answer is still in the buffer of the side that sends it.
+constexpr int kSmallBuffer = 4096;
+constexpr int kSummaries = 20'000;
+// A VM that ends looks some 20 ms apart whether it may go.
+constexpr std::chrono::milliseconds kLongerThanItsPoll{200};
+const std::string kHeadEnd = "\r\n\r\n";
+
+/// An upstream that answers one request when it is told to.
+class HeldUpstream {
+ public:
+  HeldUpstream()
+      : upstream([this](RawUpstream::Exchange& exchange) {
+          exchange.ReadUntil(kHeadEnd);
+          this->has_request.set_value();
+          this->may_answer.get_future().wait();
+          exchange.Write("HTTP/1.1 200 OK\r\nContent-Length: " +
+                         std::to_string(kBodyBytes) + kHeadEnd +
+                         std::string(kBodyBytes, 'x'));
+          exchange.WaitForClose();
+        }) {}
+
+  void WaitForRequest() { this->has_request.get_future().wait(); }
+  void Answer() {
+    if (!std::exchange(this->answers, true)) {
+      this->may_answer.set_value();
+    }
+  }
+  uint16_t port() const { return this->upstream.port(); }
+
+ private:
+  std::promise<void> has_request;
+  std::promise<void> may_answer;
+  bool answers = false;
+  RawUpstream upstream;
+};
+
+/// @returns true once the node's metrics show `row`.
+bool Shows(const RunningNode& node, const std::string& row) {
+  return WaitUntil([&] {
+    const HttpResponse page =
+        Send(node.admin(), MakeRequest("GET", "/metrics"));
+    return page.body().find(row + "\n") != std::string::npos;
+  });
+}
+
+/// @returns true once the node takes no more callers.
+bool HasClosedItsDoor(const RunningNode& node) {
+  return WaitUntil([&] {
+    boost::asio::io_context io;
+    tcp::socket caller(io);
+    boost::system::error_code error;
+    caller.connect({boost::asio::ip::address_v4::loopback(), node.callers()},
+                   error);
+    return error.failed();
+  });
+}
+
+}  // namespace
+
+// Two VMs in two data centres; the one upstream stands in the first, whose VM
+// dispatches for it.
+TEST_GROUP(Leave) {
+  boost::asio::io_context io;
+  HeldUpstream upstream;
+  Fleet fleet;
+  RunningNode* dispatcher = nullptr;
+  RunningNode* entry = nullptr;
+  std::future<HttpResponse> answer;
+  std::future<bool> drained;
+
+  void setup() override {
+    this->dispatcher = &this->fleet.AddNode("lyulin-1", "lyulin");
+    this->entry = &this->fleet.AddNode("druzhba-1", "druzhba");
+    this->fleet.AddUpstreamAt("lyulin", this->upstream.port());
+    this->fleet.Configure();
+  }
+
+  // Whatever failed, nothing is left waiting for the upstream.
+  void teardown() override {
+    this->upstream.Answer();
+  }
+
+  // Sends a request to `node`, and returns as it is at work.
+  void Ask(const RunningNode& node) {
+    const uint16_t port = node.callers();
+    this->answer = std::async(std::launch::async, [port] {
+      return Send(port, MakeRequest("GET", "/levels/7"));
+    });
+    this->upstream.WaitForRequest();
+  }
+
+  void BeginDrain() {
+    RunningNode* const node = this->dispatcher;
+    this->drained =
+        std::async(std::launch::async, [node] { return node->DrainAndWait(); });
+  }
+
+  // The held request goes on to its end, and nothing is cut off.
+  void EndDrain() {
+    this->upstream.Answer();
+    const HttpResponse got = this->answer.get();
+    CHECK_EQUAL(200, got.result_int());
+    CHECK_EQUAL(kBodyBytes, got.body().size());
+    CHECK(this->drained.get());
+  }
+
+  // Opens a link to the dispatcher's VM.
+  PlainPeer Link(const Endpoint& to, wire::LinkRole role) {
+    tcp::socket socket(this->io);
+    socket.open(tcp::v4());
+    socket.set_option(
+        boost::asio::socket_base::receive_buffer_size(kSmallBuffer));
+    socket.connect({boost::asio::ip::address_v4::loopback(), to.port});
+    return {std::move(socket), PeerHello(role, "nadezhda-1")};
+  }
+};
+
+// A VM is told to end while an upstream works on a request that another VM has
+// handed it. It has no callers of its own, takes itself for idle and ends. The
+// upstream's run is cut, and the caller of the other VM gets 502.
+TEST(Leave, Drain_RequestOfAPeerIsAtWork_IsAnsweredFirst) {
+  this->Ask(*this->entry);
+  CHECK(Shows(*this->dispatcher, R"(basilsill_peer_requests{worker="0"} 1)"));
+  this->BeginDrain();
+  CHECK(HasClosedItsDoor(*this->dispatcher));
+  CHECK(this->drained.wait_for(kLongerThanItsPoll) ==
+        std::future_status::timeout);
+  this->EndDrain();
+}
+
+// The last answer has left the upstream and lies in the buffers between two
+// VMs as the first of them ends. What the peer has sent meanwhile is unread, so
+// the end of the process resets the connection, and the rest of the answer is
+// dropped: the caller gets half of it.
+TEST(Leave, Drain_AnswerLiesInTheLinksBuffers_ArrivesWhole) {
+  PlainPeer peer = this->Link(this->dispatcher->links(), wire::LinkRole::kData);
+  CHECK(peer.ReadUntil([&peer] { return !peer.mux.peer().vm.empty(); }));
+  const ShardKey shard = this->dispatcher->FirstShard();
+  CHECK(peer.mux.OpenStream(PeerRequest(shard)).has_value());
+  peer.Flush();
+  this->upstream.WaitForRequest();
+  this->upstream.Answer();
+  CHECK(Shows(*this->dispatcher, R"(basilsill_peer_requests{worker="0"} 0)"));
+  this->BeginDrain();
+  for (int i = 0; i < kSummaries; ++i) {
+    CHECK(peer.mux.Post(wire::Summary{}).has_value());
+    peer.Flush();
+  }
+  while (peer.Read()) {
+    peer.Flush();
+  }
+  CHECK_EQUAL(kBodyBytes, peer.body);
+  CHECK(peer.ended);
+  CHECK(this->drained.get());
+}
+
+// A VM starts, or begins to need a dispatcher, while that one is about to end.
+// It was not there when the others were told, so it takes the other for live
+// and hands it work until the next heartbeat.
+TEST(Leave, ControlLink_OpenedAfterTheOrderToEnd_SaysSo) {
+  this->Ask(*this->dispatcher);
+  this->BeginDrain();
+  CHECK(HasClosedItsDoor(*this->dispatcher));
+  PlainPeer peer =
+      this->Link(this->dispatcher->control(), wire::LinkRole::kControl);
+  CHECK(peer.ReadUntil([&peer] { return !peer.mux.peer().vm.empty(); }));
+  CHECK(peer.mux.peer().leaving);
+  this->EndDrain();
+}
+
+// A VM that ends has told its peers on each link that it takes no new work.
+// One of them opens another link for its next request: there it was told
+// nothing, and its work keeps the VM up, or is lost with it.
+TEST(Leave, DataLink_OpenedAsItEnds_TakesNoWork) {
+  this->Ask(*this->dispatcher);
+  this->BeginDrain();
+  CHECK(HasClosedItsDoor(*this->dispatcher));
+  PlainPeer peer = this->Link(this->dispatcher->links(), wire::LinkRole::kData);
+  const ShardKey shard = this->dispatcher->FirstShard();
+  CHECK(peer.mux.OpenStream(PeerRequest(shard)).has_value());
+  CHECK(peer.ReadUntil([&peer] { return !peer.mux.peer().vm.empty(); }));
+  CHECK(peer.went_away);
+  CHECK_EQUAL(0, peer.mux.stream_count());
+  this->EndDrain();
+}
--- a/packages/node/test/peer_link_test.cc
+++ b/packages/node/test/peer_link_test.cc
@@ -12,7 +12,8 @@
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/ip/tcp.hpp>
-#include <boost/asio/write.hpp>
+
+#include "plain_peer.h"
 
 #include <CppUTest/TestHarness.h>
 
@@ -29,6 +30,9 @@
 using basilsill::Socket;
 using basilsill::Task;
 using basilsill::Tcp;
+using basilsill::test::PeerHello;
+using basilsill::test::PeerRequest;
+using basilsill::test::PlainPeer;
 namespace wire = basilsill::wire;
 
 namespace {
@@ -36,14 +40,12 @@
 constexpr size_t kBodyBytes = 200'000;
 // Most of an answer is still in the buffer of the side that sends it.
 constexpr int kSmallBuffer = 4096;
-constexpr size_t kPieceBytes = 1024;
 constexpr int kSummaries = 20'000;
 
-wire::LinkMuxOptions Options(wire::LinkSide side, const std::string& vm) {
+wire::LinkMuxOptions AcceptorOptions() {
   wire::LinkMuxOptions options;
-  options.side = side;
-  options.hello.vm = vm;
-  options.hello.incarnation = 1;
+  options.side = wire::LinkSide::kAcceptor;
+  options.hello = PeerHello(wire::LinkRole::kData, "vm-1");
   return options;
 }
 
@@ -57,9 +59,9 @@
       boost::asio::co_spawn(link->executor(), Answer(link, std::move(stream)),
                             boost::asio::detached);
     };
-    this->link = std::make_shared<PeerLink>(
-        std::move(socket), Options(wire::LinkSide::kAcceptor, "vm-1"),
-        std::move(handlers), this->counts);
+    this->link =
+        std::make_shared<PeerLink>(std::move(socket), AcceptorOptions(),
+                                   std::move(handlers), this->counts);
   }
 
   static Task<void> Answer(PeerLinkPtr link, LinkStreamPtr stream) {
@@ -75,63 +77,6 @@
   PeerLinkPtr link;
 };
 
-/// The peer: speaks the protocol over a plain blocking socket.
-class PlainPeer {
- public:
-  explicit PlainPeer(Tcp::socket socket)
-      : socket(std::move(socket)),
-        mux(wire::LinkMux::Create(MonotonicClock::now(),
-                                  Options(wire::LinkSide::kConnector, "vm-2"))
-                .value()) {}
-
-  void Flush() {
-    wire::FrameBuffer frames;
-    std::vector<std::span<const char>> parts;
-    while (this->mux.HasOutput()) {
-      this->mux.TakeOutput(MonotonicClock::now(), frames);
-      frames.Gather(parts);
-      for (const std::span<const char> part : parts) {
-        boost::system::error_code ignored;
-        boost::asio::write(this->socket,
-                           boost::asio::buffer(part.data(), part.size()),
-                           ignored);
-      }
-    }
-  }
-
-  /// Reads one piece.
-  /// @returns false once the link has ended.
-  bool Read() {
-    std::vector<char> piece(kPieceBytes);
-    boost::system::error_code error;
-    const size_t size =
-        this->socket.read_some(boost::asio::buffer(piece), error);
-    if (error) {
-      return false;
-    }
-    CHECK(this->mux.OnBytes(MonotonicClock::now(), {piece.data(), size})
-              .has_value());
-    std::vector<wire::LinkEvent> events;
-    this->mux.TakeEvents(events);
-    for (const wire::LinkEvent& event : events) {
-      this->Take(event);
-    }
-    return true;
-  }
-
-  void Take(const wire::LinkEvent& event) {
-    if (event.kind == wire::LinkEventKind::kData) {
-      this->body += std::get<wire::Data>(event.message).bytes.size();
-    }
-    this->ended = this->ended || event.kind == wire::LinkEventKind::kEnded;
-  }
-
-  Tcp::socket socket;
-  wire::LinkMux mux;
-  size_t body = 0;
-  bool ended = false;
-};
-
 }  // namespace
 
 TEST_GROUP(PeerLink){};
@@ -157,19 +102,12 @@
   boost::asio::co_spawn(context, answering.link->Run(), boost::asio::detached);
   const std::jthread thread([&context] { context.run(); });
 
-  PlainPeer peer(std::move(connecting));
+  PlainPeer peer(std::move(connecting),
+                 PeerHello(wire::LinkRole::kData, "vm-2"));
   peer.Flush();
   while (peer.mux.peer().vm.empty() && peer.Read()) {
   }
-  wire::Open open;
-  open.service = "s";
-  open.team = "t";
-  open.rule = "r";
-  open.method = "GET";
-  open.target = "/";
-  open.deadline = std::chrono::seconds(10);
-  open.end = true;
-  CHECK(peer.mux.OpenStream(std::move(open)).has_value());
+  CHECK(peer.mux.OpenStream(PeerRequest(0)).has_value());
   peer.Flush();
   peer.mux.SendGoAway();
   peer.Flush();
