Shutdown: a VM that ends waits for the work and the answers of its peers

Cause: the wait at the end of a shutdown counted connections of callers alone. A VM without callers ended one poll after it had closed their port, with requests that peers had handed it at work, and with answers in its links' buffers. And a link that a peer opened after the GoAway on the older ones got none. Change: links count while a stream is open or what was written last may not have arrived; each closes when its last answer has. A link that is accepted later is told GoAway at once. The call to drain counts until the worker acts on it. Ruled out: the end of the entry VM; an end of the dispatcher's queue, which hands back what waits. Test: three of the four tests of a leaving VM pass, which failed.

--- a/packages/node/src/link_table.cc
+++ b/packages/node/src/link_table.cc
@@ -17,6 +17,9 @@
 // A link that nothing has used for so long is closed; opening another costs
 // about as much as one call.
 constexpr std::chrono::seconds kLinkIdle{60};
+// A VM that shuts down opens links for the last requests of its own callers.
+// Between two of these less time passes than this, a few round trips.
+constexpr std::chrono::milliseconds kLinkIdleAtEnd{50};
 
 }  // namespace
 
@@ -38,8 +41,16 @@
   });
 }
 
+// Failure: a VM that shuts down has said GoAway on each link, and a peer that
+// has not heard yet that it leaves opens another one. It shows as work that
+// comes until the process ends, and ends with it. So that link is told too,
+// before it can bring a request.
 void LinkTable::Accept(Socket socket) {
-  this->Add(std::move(socket), wire::LinkSide::kAcceptor, VmHandle{});
+  const PeerLinkPtr link =
+      this->Add(std::move(socket), wire::LinkSide::kAcceptor, VmHandle{});
+  if (this->is_draining) {
+    link->Drain();
+  }
 }
 
 PeerLinkPtr LinkTable::Add(Socket socket, wire::LinkSide side, VmHandle vm) {
@@ -185,15 +196,23 @@
 }
 
 void LinkTable::Drain() {
+  this->is_draining = true;
   for (const PeerLinkPtr& link : std::set<PeerLinkPtr>(this->all)) {
     link->Drain();
   }
 }
 
+size_t LinkTable::CountBusy(TimePoint now) const {
+  return static_cast<size_t>(std::count_if(
+      this->all.begin(), this->all.end(),
+      [now](const PeerLinkPtr& link) { return link->IsBusy(now); }));
+}
+
 void LinkTable::Tick(TimePoint now) {
+  const Duration most = this->is_draining ? kLinkIdleAtEnd : kLinkIdle;
   for (const PeerLinkPtr& link : std::set<PeerLinkPtr>(this->all)) {
     const TimePoint idle = link->idle_since();
-    if (idle != kNever && now - idle > kLinkIdle) {
+    if (idle != kNever && now - idle > most) {
       link->Drain();
     }
   }
--- a/packages/node/src/link_table.h
+++ b/packages/node/src/link_table.h
@@ -47,9 +47,12 @@
                            const Target& target,
                            AnswerSink& sink);
 
-  /// Tells peers to open no further streams here.
+  /// Tells peers to open no further streams here, on this and on later links.
   void Drain();
 
+  /// @returns how many links would lose something if the process ended.
+  size_t CountBusy(TimePoint now) const;
+
   /// Closes links that nothing has used for long.
   void Tick(TimePoint now);
 
@@ -85,6 +88,7 @@
   RoutingViewPtr view;
   std::map<PeerKey, std::shared_ptr<Peer>> peers;
   std::set<PeerLinkPtr> all;
+  bool is_draining = false;
 };
 
 }  // namespace basilsill
--- a/packages/node/src/node.cc
+++ b/packages/node/src/node.cc
@@ -1,5 +1,6 @@
 #include "node.h"
 
+#include <algorithm>
 #include <chrono>
 #include <random>
 #include <utility>
@@ -41,10 +42,6 @@
   Log(Event::kNodeDraining, {{"vm", vm}});
 }
 
-void LogForcedStop(size_t in_flight) {
-  Log(Event::kNodeForcedStop, {{"in_flight", in_flight}});
-}
-
 }  // namespace
 
 Result<std::unique_ptr<Node>> Node::Create(IoContext& context,
@@ -256,12 +253,19 @@
                         boost::asio::detached);
 }
 
-size_t Node::busy() const {
-  size_t total = 0;
+bool Node::busy() const {
+  return std::any_of(this->traffic.begin(), this->traffic.end(),
+                     [](const auto& worker) { return worker->busy(); });
+}
+
+void Node::LogForcedStop() const {
+  size_t callers = 0;
+  size_t links = 0;
   for (const auto& worker : this->traffic) {
-    total += worker->busy();
+    callers += worker->busy_callers();
+    links += worker->busy_links();
   }
-  return total;
+  Log(Event::kNodeForcedStop, {{"callers", callers}, {"links", links}});
 }
 
 int64_t Node::CountPeerRequests() const {
@@ -294,16 +298,16 @@
   const auto limit = started + this->settings.shutdown.limit;
   // Ends of requests that must not repeat go into the log before the process
   // goes, or their resends would be told `unknown`.
-  while ((this->busy() > 0 || !this->claims_idle()) &&
+  while ((this->busy() || !this->claims_idle()) &&
          MonotonicClock::now() < limit) {
     timer.expires_after(kDrainPoll);
     co_await timer.async_wait(boost::asio::use_awaitable);
   }
-  const size_t cut_off = this->busy();
-  if (cut_off > 0) {
-    LogForcedStop(cut_off);
+  const bool cuts_off = this->busy();
+  if (cuts_off) {
+    this->LogForcedStop();
   }
-  on_stopped(cut_off == 0);
+  on_stopped(!cuts_off);
 }
 
 void Node::Stop() {
--- a/packages/node/src/node.h
+++ b/packages/node/src/node.h
@@ -69,7 +69,8 @@
   boost::asio::awaitable<void> RunDrain(
       std::function<void(bool whole)> on_stopped);
   void SpreadCrashes(size_t from, std::vector<CrashReport> crashes);
-  size_t busy() const;
+  bool busy() const;
+  void LogForcedStop() const;
 
   IoContext& context;
   Settings settings;
--- a/packages/node/src/peer_link.cc
+++ b/packages/node/src/peer_link.cc
@@ -93,8 +93,10 @@
     for (const std::span<const char> part : parts) {
       buffers.emplace_back(part.data(), part.size());
     }
+    this->is_writing = true;
     const auto [error, size] =
         co_await boost::asio::async_write(this->socket, buffers, kTask);
+    this->is_writing = false;
     this->counts.bytes_sent.Add(size);
     if (error) {
       this->Close();
@@ -126,6 +128,14 @@
   this->streams.erase(stream.id);
 }
 
+// Whether bytes have arrived shows only as the peer closes, which it does once
+// it has all. A peer that is gone is waited for no longer than for its close.
+bool PeerLink::IsBusy(TimePoint now) const {
+  const TimePoint idle = this->mux.idle_since();
+  const bool may_be_on_way = idle == kNever || now - idle < kLingerTime;
+  return !this->is_over && (this->is_writing || may_be_on_way);
+}
+
 void PeerLink::Drain() {
   this->mux.SendGoAway();
   this->TakeEvents();
--- a/packages/node/src/peer_link.h
+++ b/packages/node/src/peer_link.h
@@ -96,6 +96,10 @@
   /// @returns true if a stream can be opened on it.
   bool usable() const { return !this->is_over && this->mux.TakesStreams(); }
   TimePoint idle_since() const { return this->mux.idle_since(); }
+
+  /// @returns true while the end of the process would lose something: a stream
+  /// is open, or what was written last may not have arrived.
+  bool IsBusy(TimePoint now) const;
   TimePoint last_received() const { return this->mux.last_received(); }
   const Executor& executor() const { return this->run_on; }
 
@@ -116,6 +120,7 @@
   std::vector<wire::LinkEvent> taken;
   AsyncEvent output;
   Timer* closing = nullptr;  ///< Runs while the peer is to close.
+  bool is_writing = false;
   bool is_over = false;
 };
 
--- a/packages/node/src/worker.cc
+++ b/packages/node/src/worker.cc
@@ -14,7 +14,8 @@
 
 using std::chrono::milliseconds;
 
-// Sessions are looked at less often than requests: there can be thousands.
+// Sessions are looked at less often than requests: there can be thousands. So
+// are links of a VM that shuts down.
 constexpr milliseconds kSessionTick{20};
 // Idle links and upstream connections are looked for no more often than this.
 // While nothing is in flight there is nothing else to look at, and a VM at rest
@@ -204,6 +205,7 @@
 }
 
 void Worker::Drain() {
+  this->is_to_drain.store(true);
   boost::asio::post(*this->context, [this] { this->BeginDrain(); });
 }
 
@@ -245,6 +247,18 @@
   for (const auto& session : this->sessions) {
     session->Drain();
   }
+  this->WakeTick();
+  this->TickDrain(MonotonicClock::now());
+  this->is_to_drain.store(false);
+}
+
+// Failure: a VM that shuts down has no callers left and ends, while upstreams
+// work on what peers have handed it, or answers to peers lie in the buffers of
+// its links. It shows as 502 and half answers at the peers' callers. So links
+// count as well; each of them closes when its last answer has arrived.
+void Worker::TickDrain(TimePoint now) {
+  this->links.Tick(now);
+  this->links_in_use.store(this->links.CountBusy(now));
 }
 
 Task<void> Worker::AcceptCallers() {
@@ -341,17 +355,23 @@
                         [this, session](const std::exception_ptr& /*error*/) {
                           this->sessions.erase(session);
                           this->counts->caller_connections.Add(-1);
-                          this->busy_count.store(this->sessions.size());
+                          this->open_sessions.store(this->sessions.size());
                         });
-  this->busy_count.store(this->sessions.size());
+  this->open_sessions.store(this->sessions.size());
+}
+
+std::chrono::milliseconds Worker::TickInterval() const {
+  if (this->requests_in_flight > 0 || this->dispatch_host.active() > 0) {
+    return limits::kWorkerTick;
+  }
+  return this->is_draining ? kSessionTick : kIdleTick;
 }
 
 Task<void> Worker::TickLoop() {
   for (;;) {
-    this->ticking_slowly =
-        this->requests_in_flight == 0 && this->dispatch_host.active() == 0;
-    this->tick_timer.expires_after(this->ticking_slowly ? kIdleTick
-                                                        : limits::kWorkerTick);
+    const milliseconds interval = this->TickInterval();
+    this->ticking_slowly = interval > limits::kWorkerTick;
+    this->tick_timer.expires_after(interval);
     co_await this->tick_timer.async_wait(kTask);
     this->Tick(MonotonicClock::now());
   }
@@ -376,6 +396,9 @@
   for (const auto& session : this->sessions) {
     session->Tick(now);
   }
+  if (this->is_draining) {
+    this->TickDrain(now);
+  }
 }
 
 // Closes what nothing has used for long. The limits are seconds, so walking
--- a/packages/node/src/worker.h
+++ b/packages/node/src/worker.h
@@ -71,10 +71,15 @@
   void Stop();
   void Join();
 
-  /// @returns requests and caller connections that have not ended.
-  size_t busy() const {
-    return this->busy_count.load(std::memory_order_relaxed);
+  /// @returns true while the end of the process would lose something: there
+  /// are connections of callers or, once `Drain` was called, links with work or
+  /// answers of peers.
+  bool busy() const {
+    return this->is_to_drain.load() || this->busy_callers() > 0 ||
+           this->busy_links() > 0;
   }
+  size_t busy_callers() const { return this->open_sessions.load(); }
+  size_t busy_links() const { return this->links_in_use.load(); }
   const std::shared_ptr<WorkerMetrics>& metrics() const { return this->counts; }
   Endpoint callers_endpoint() const { return this->callers_at; }
   Endpoint links_endpoint() const { return this->links_at; }
@@ -94,9 +99,11 @@
   void ReportCrashes(TimePoint now);
   void WakeTick();
   Task<void> TickLoop();
+  std::chrono::milliseconds TickInterval() const;
   void Tick(TimePoint now);
   void TickSessions(TimePoint now);
   void TickIdle(TimePoint now);
+  void TickDrain(TimePoint now);
   void TakeCounters();
   void Adopt(const RoutingViewPtr& view);
   void StartSession(Socket socket);
@@ -166,7 +173,10 @@
   bool is_leaving = false;
   bool is_draining = false;
   bool ticking_slowly = false;
-  std::atomic<size_t> busy_count{0};
+  std::atomic<size_t> open_sessions{0};
+  std::atomic<size_t> links_in_use{0};
+  /// From the call of `Drain` until the worker's thread acts on it.
+  std::atomic<bool> is_to_drain{false};
   std::thread thread;
 };
 
