Shutdown: a link that opens after the order to end says that this VM leaves

Cause: what a VM says of itself as a link opens was fixed at its start. A VM that started or began to need another one after that one had announced its end took it for live until the first heartbeat, a second later, and handed it work. Change: the introduction says so from the order on, and a link that was being opened meanwhile is told as soon as it works.

--- a/packages/node/src/control.cc
+++ b/packages/node/src/control.cc
@@ -116,6 +116,7 @@
   link.on_heard = [this](VmHandle vm, uint64_t heard) {
     return this->members->OnHeard(MonotonicClock::now(), vm, heard);
   };
+  link.on_linked = [this](VmHandle vm) { this->OnLinked(vm); };
   link.on_heartbeat = [this](VmHandle vm, const wire::Heartbeat& heartbeat) {
     this->OnHeartbeat(vm, heartbeat);
   };
@@ -145,14 +146,26 @@
   this->links.Stop();
 }
 
+// Failure: a VM starts, or begins to need this one, just after this one has
+// told its peers that it leaves. It takes this one for live and hands it work
+// until the next heartbeat, a second later. It shows as requests that reach a
+// VM long after its order to end. So links that open later say so in their
+// introduction, and one that was being opened is told as soon as it works.
 void Control::Leave() {
   this->leaving = true;
+  this->links.Leave();
   this->members->Leave(MonotonicClock::now());
   this->links.Broadcast(this->MakeHeartbeat(false));
   this->PumpMembership();
   this->RebuildIfChanged();
 }
 
+void Control::OnLinked(VmHandle vm) {
+  if (this->leaving) {
+    this->links.Send(vm, this->MakeHeartbeat(false));
+  }
+}
+
 void Control::OnStateChanged() {
   // The next tick builds a view: changes often come in groups. The first one
   // is built at once, since nothing is served before.
--- a/packages/node/src/control.h
+++ b/packages/node/src/control.h
@@ -101,6 +101,7 @@
   void CollectNeeds();
   std::set<VmHandle> CollectWorkers() const;
   void RebuildIfChanged();
+  void OnLinked(VmHandle vm);
   void OnHeartbeat(VmHandle from, const wire::Heartbeat& heartbeat);
   wire::Heartbeat MakeHeartbeat(bool answer_wanted) const;
 
--- a/packages/node/src/control_links.cc
+++ b/packages/node/src/control_links.cc
@@ -118,6 +118,7 @@
   Log(Event::kLinkOpened,
       {{"peer", link->peer().vm}, {"leaving", link->peer().leaving}});
   this->links[link] = {result.vm, link->peer().incarnation};
+  this->handlers.on_linked(result.vm);
 }
 
 void ControlLinks::OnMessage(const PeerLinkPtr& link,
--- a/packages/node/src/control_links.h
+++ b/packages/node/src/control_links.h
@@ -22,6 +22,8 @@
   std::function<HelloResult(const VmHello&)> on_hello;
   /// Any message came. False: it is of another incarnation, drop it.
   std::function<bool(VmHandle, uint64_t incarnation)> on_heard;
+  /// A link to a process that was accepted works.
+  std::function<void(VmHandle)> on_linked;
   std::function<void(VmHandle, const wire::Heartbeat&)> on_heartbeat;
   std::function<void(VmHandle, uint64_t incarnation)> on_lost;
   std::function<void(VmHandle)> on_open_failed;
@@ -46,6 +48,9 @@
   void Start();
   void Stop();
 
+  /// On links that open from here on, this node says that it leaves.
+  void Leave() { this->options.hello.leaving = true; }
+
   void Open(VmHandle vm, const Endpoint& control);
   void Drop(VmHandle vm);
 
