--- a/packages/node/test/leave_test.cc
+++ b/packages/node/test/leave_test.cc
@@ -13,6 +13,8 @@
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/read.hpp>
+#include <boost/asio/write.hpp>
 
 #include "fleet.h"
 #include "plain_peer.h"
@@ -43,22 +45,15 @@
 constexpr int kSummaries = 20'000;
 // A VM that ends looks some 20 ms apart whether it may go.
 constexpr std::chrono::milliseconds kLongerThanItsPoll{200};
+// What is lost is lost soon where a test fails.
+constexpr std::chrono::seconds kLimit{5};
 const std::string kHeadEnd = "\r\n\r\n";
+const std::string kReading =
+    "GET /levels/7 HTTP/1.1\r\nHost: levels.test\r\n\r\n";
 
-/// An upstream that answers one request when it is told to.
+/// An upstream that begins to answer when it is told to.
 class HeldUpstream {
  public:
-  HeldUpstream()
-      : upstream([this](RawUpstream::Exchange& exchange) {
-          exchange.ReadUntil(kHeadEnd);
-          this->has_request.set_value();
-          this->may_answer.get_future().wait();
-          exchange.Write("HTTP/1.1 200 OK\r\nContent-Length: " +
-                         std::to_string(kBodyBytes) + kHeadEnd +
-                         std::string(kBodyBytes, 'x'));
-          exchange.WaitForClose();
-        }) {}
-
   void WaitForRequest() { this->has_request.get_future().wait(); }
   void Answer() {
     if (!std::exchange(this->answers, true)) {
@@ -68,10 +63,25 @@
   uint16_t port() const { return this->upstream.port(); }
 
  private:
+  void Serve(RawUpstream::Exchange& exchange) {
+    exchange.ReadUntil(kHeadEnd);
+    if (this->requests++ == 0) {
+      this->has_request.set_value();
+    }
+    this->released.wait();
+    exchange.Write(
+        "HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(kBodyBytes) +
+        kHeadEnd + std::string(kBodyBytes, 'x'));
+    exchange.WaitForClose();
+  }
+
   std::promise<void> has_request;
   std::promise<void> may_answer;
+  std::shared_future<void> released{this->may_answer.get_future()};
   bool answers = false;
-  RawUpstream upstream;
+  int requests = 0;
+  RawUpstream upstream{
+      [this](RawUpstream::Exchange& exchange) { this->Serve(exchange); }};
 };
 
 /// @returns true once the node's metrics show `row`.
@@ -102,7 +112,8 @@
 TEST_GROUP(Leave) {
   boost::asio::io_context io;
   HeldUpstream upstream;
-  Fleet fleet;
+  Fleet fleet{
+      [](basilsill::Settings& settings) { settings.shutdown.limit = kLimit; }};
   RunningNode* dispatcher = nullptr;
   RunningNode* entry = nullptr;
   std::future<HttpResponse> answer;
@@ -194,6 +205,33 @@
   CHECK(this->drained.get());
 }
 
+// A caller sends request after request on a connection, without waiting for
+// answers. A VM that is told to end reads on while the first is at work:
+// seconds later it still takes requests, whose answers wait behind the first
+// one, and ends with answers that were ready but had no turn.
+TEST(Leave, Caller_SendsAnotherBehindOneAtWork_IsLeftUnread) {
+  tcp::socket caller(this->io);
+  caller.connect(
+      {boost::asio::ip::address_v4::loopback(), this->dispatcher->callers()});
+  boost::asio::write(caller, boost::asio::buffer(kReading));
+  this->upstream.WaitForRequest();
+  this->BeginDrain();
+  CHECK(HasClosedItsDoor(*this->dispatcher));
+  boost::asio::write(caller, boost::asio::buffer(kReading));
+  CHECK(this->drained.wait_for(kLongerThanItsPoll) ==
+        std::future_status::timeout);
+  this->upstream.Answer();
+  std::string bytes;
+  boost::system::error_code end;
+  boost::asio::read(caller, boost::asio::dynamic_buffer(bytes), end);
+  CHECK(end == boost::asio::error::eof);
+  CHECK(bytes.starts_with("HTTP/1.1 200 "));
+  CHECK(bytes.find("HTTP/1.1 ", 1) == std::string::npos);
+  CHECK(bytes.find("Connection: close\r\n") != std::string::npos);
+  caller.close();
+  CHECK(this->drained.get());
+}
+
 // A VM starts, or begins to need a dispatcher, while that one is about to end.
 // It was not there when the others were told, so it takes the other for live
 // and hands it work until the next heartbeat.
