Shutdown: a request behind one at work is left unread once the door is closed

Cause: a session read on while its first request was at work, so a VM that ends took requests seconds after its order, whose answers wait for a turn that may not come before the limit. Change: from the moment at which idle connections are closed, what comes behind a request at work is left unread, the last answer says that the connection closes, and unread bytes are no reason to keep it open. Ruled out: a link's loss; the answer had come, and the session held it back.

--- a/packages/node/src/caller_session.cc
+++ b/packages/node/src/caller_session.cc
@@ -75,8 +75,14 @@
     this->Abandon();
     co_return false;
   }
-  // Not served and not answered: the caller was told that the connection
-  // closes, and sends this again elsewhere.
+  // Failure: a caller sends request after request without waiting for answers.
+  // A VM that shuts down would take one behind the other; their answers wait
+  // for the first, and those that had no turn at the limit are lost. So what
+  // comes behind a request at work is left unread: not served and not answered,
+  // and the caller sends it again elsewhere, as it does once it was told that
+  // the connection closes.
+  const bool is_behind = this->host.draining() && !this->exchanges.empty();
+  this->closing = this->closing || is_behind;
   if (this->closing) {
     co_return false;
   }
@@ -241,9 +247,11 @@
 }
 
 // With others behind it an answer does not close the connection: they may run
-// already, and would be lost.
+// already, and would be lost. Bytes of a request that is not served any more
+// are no reason to keep it open.
 bool CallerSession::DecideClose(bool must_close) {
-  const bool is_last = this->exchanges.size() <= 1 && !this->reader.has_more();
+  const bool has_next = this->reader.has_more() && !this->host.draining();
+  const bool is_last = this->exchanges.size() <= 1 && !has_next;
   const bool unread = this->reader.has_message() && !this->reader.done();
   const bool close = must_close || unread || (this->host.leaving() && is_last);
   this->closing = this->closing || close;
