Sessions: an answer does not close the connection over requests that run behind it

Cause: a body that is still being read made any answer close the connection, also one with other requests between it and that body. They run already; the caller takes them for unread and sends them again. Found while reading the session's end. Test: Stream, Answer_WhileALaterBodyIsRead_LeavesTheConnectionOpen failed before, passes after; 30 tests of the path pass.

--- a/packages/node/src/caller_session.cc
+++ b/packages/node/src/caller_session.cc
@@ -250,9 +250,11 @@
 // already, and would be lost. Bytes of a request that is not served any more
 // are no reason to keep it open.
 bool CallerSession::DecideClose(bool must_close) {
+  const bool is_alone = this->exchanges.size() <= 1;
   const bool has_next = this->reader.has_more() && !this->host.draining();
-  const bool is_last = this->exchanges.size() <= 1 && !has_next;
-  const bool unread = this->reader.has_message() && !this->reader.done();
+  const bool is_last = is_alone && !has_next;
+  const bool unread =
+      is_alone && this->reader.has_message() && !this->reader.done();
   const bool close = must_close || unread || (this->host.leaving() && is_last);
   this->closing = this->closing || close;
   return close;
--- a/packages/node/test/stream_test.cc
+++ b/packages/node/test/stream_test.cc
@@ -9,6 +9,7 @@
 
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/read.hpp>
+#include <boost/asio/read_until.hpp>
 #include <boost/asio/write.hpp>
 
 #include "fleet.h"
@@ -133,6 +134,35 @@
   }
 }
 
+// A caller sends three requests without waiting; the body of the third is still
+// on its way as the first is answered. Closing after that answer, for the sake
+// of the body, would drop the answer to the second, which runs already, and the
+// caller would send it again.
+TEST(Stream, Answer_WhileALaterBodyIsRead_LeavesTheConnectionOpen) {
+  std::promise<void> may_answer;
+  const std::shared_future<void> released(may_answer.get_future());
+  this->Start([released](RawUpstream::Exchange& exchange) {
+    exchange.ReadUntil(kHeadEnd);
+    released.wait();
+    exchange.Write(kClosingHead + "0\r\n\r\n");
+  });
+  boost::asio::io_context io;
+  boost::asio::ip::tcp::socket caller(io);
+  caller.connect(
+      {boost::asio::ip::address_v4::loopback(), this->node(0).callers()});
+  const std::string two =
+      "GET /a HTTP/1.1\r\nHost: levels.test\r\n\r\n"
+      "GET /b HTTP/1.1\r\nHost: levels.test\r\n\r\n";
+  boost::asio::write(caller, boost::asio::buffer(two + kPartOfOrder));
+  const bool all_read = ShowsInFlight(this->node(0), 3);
+  may_answer.set_value();
+  CHECK(all_read);
+  std::string first;
+  boost::asio::read_until(caller, boost::asio::dynamic_buffer(first), kHeadEnd);
+  CHECK(first.starts_with("HTTP/1.1 200 "));
+  CHECK(HeadOf(first).find("Connection: close") == std::string::npos);
+}
+
 // Story: a clerk closes the browser in the middle of a long download whose
 // answer began at once, before a waiting caller would be watched for leaving.
 // The request has ended; if the VM kept it, it would hold a slot of the team
