Soak: what an upstream had and other nodes gave up while one ends is found as well

Why the soak missed the incident: its shutdown promise looked at broken connections of the node that ends alone, not at 502 from one that had handed it work, and left out what was sent behind another request even when it was passed on.

--- a/soak/promises.cc
+++ b/soak/promises.cc
@@ -23,6 +23,7 @@
 constexpr size_t kFewRequests = 3;
 
 constexpr unsigned kNotFound = 404;
+constexpr unsigned kBadGateway = 502;
 constexpr unsigned kSuccessFirst = 200;
 constexpr unsigned kSuccessEnd = 300;
 // Statuses that say that the request has not run and never will.
@@ -33,6 +34,13 @@
          row.status < kSuccessEnd;
 }
 
+// The system ended it without an upstream's answer, and does not know whether
+// it ran.
+bool IsGivenUp(const RequestRow& row) {
+  return row.ending == Ending::kBroken ||
+         (row.ending == Ending::kAnswer && row.status == kBadGateway);
+}
+
 bool SaysNotRun(const RequestRow& row) {
   return row.ending == Ending::kAnswer &&
          std::find(kNotRunStatuses.begin(), kNotRunStatuses.end(),
@@ -167,24 +175,29 @@
     }
   }
 
+  // A node that ends may work for others, so their requests count as well.
   void CheckShutdown(const Disturbance& end) {
     for (const RequestRow& row : this->seen.requests) {
-      const bool during =
-          end.node == row.node && row.ended >= end.from && row.sent <= end.to;
-      if (!during || row.ending != Ending::kBroken || row.behind_another ||
-          !this->IsCalmButForEnds(row.sent, row.ended)) {
+      const bool during = row.ended >= end.from && row.sent <= end.to;
+      if (!during || !this->IsCalmButForEnds(row.sent, row.ended)) {
         continue;
       }
       const bool ran = !this->RunsOf(row.id).empty();
-      const bool late =
-          row.ended - row.sent > this->bounds.loss_slack + this->slack;
-      if (ran || late) {
+      if (ran && IsGivenUp(row)) {
         this->Add(Promise::kShutdown, {row.id}, row.ended,
-                  ran ? "an upstream had it" : "closed late");
+                  "an upstream had it");
+      } else if (end.node == row.node && this->IsClosedLate(row)) {
+        this->Add(Promise::kShutdown, {row.id}, row.ended, "closed late");
       }
     }
   }
 
+  // What was sent behind another and not passed on may be closed at any time.
+  bool IsClosedLate(const RequestRow& row) const {
+    return row.ending == Ending::kBroken && !row.behind_another &&
+           row.ended - row.sent > this->bounds.loss_slack + this->slack;
+  }
+
   bool IsCalmButForEnds(TimePoint from, TimePoint to) const {
     return this->IsCalm({DisturbanceKind::kNode, DisturbanceKind::kStore,
                          DisturbanceKind::kUpstream},
--- a/soak/test/promises_test.cc
+++ b/soak/test/promises_test.cc
@@ -136,6 +136,22 @@
   CHECK_FALSE(this->IsBroken(Promise::kShutdown));
 }
 
+TEST(Promises, Shutdown_OtherNodeGivesUpWhatAnUpstreamHad_Found) {
+  this->Disturb(DisturbanceKind::kShutdown, 5s, 8s);
+  RequestRow& row = this->AddServed("a", 6s);
+  row.node = 1;
+  row.status = 502;
+  CHECK(this->IsBroken(Promise::kShutdown));
+}
+
+TEST(Promises, Shutdown_ClosesOnWhatWasPassedOnBehindAnother_Found) {
+  this->Disturb(DisturbanceKind::kShutdown, 5s, 8s);
+  RequestRow& row = this->AddServed("a", 6s);
+  row.ending = Ending::kBroken;
+  row.behind_another = true;
+  CHECK(this->IsBroken(Promise::kShutdown));
+}
+
 TEST(Promises, Configuration_DroppedRouteServedTooLong_Found) {
   this->seen.routes.push_back({"levels", false, kStart + 5s, kStart + 5s});
   this->AddServed("a", 7500ms);
