Shutdown: a link counts from the end of its last write, and as soon as it brings work

Change: the end of the write counts, and links are counted again as one is accepted or opens a stream.

--- a/packages/node/src/peer_link.cc
+++ b/packages/node/src/peer_link.cc
@@ -1,5 +1,6 @@
 #include "peer_link.h"
 
+#include <algorithm>
 #include <span>
 #include <utility>
 
@@ -97,6 +98,7 @@
     const auto [error, size] =
         co_await boost::asio::async_write(this->socket, buffers, kTask);
     this->is_writing = false;
+    this->written_at = MonotonicClock::now();
     this->counts.bytes_sent.Add(size);
     if (error) {
       this->Close();
@@ -129,11 +131,12 @@
 }
 
 // Whether bytes have arrived shows only as the peer closes, which it does once
-// it has all. A peer that is gone is waited for no longer than for its close.
+// it has all. One that does not is waited for as long as for its close.
 bool PeerLink::IsBusy(TimePoint now) const {
   const TimePoint idle = this->mux.idle_since();
-  const bool may_be_on_way = idle == kNever || now - idle < kLingerTime;
-  return !this->is_over && (this->is_writing || may_be_on_way);
+  const bool has_work = idle == kNever || this->is_writing;
+  const TimePoint last = std::max(idle, this->written_at);
+  return !this->is_over && (has_work || now - last < kLingerTime);
 }
 
 void PeerLink::Drain() {
--- a/packages/node/src/peer_link.h
+++ b/packages/node/src/peer_link.h
@@ -120,6 +120,7 @@
   std::vector<wire::LinkEvent> taken;
   AsyncEvent output;
   Timer* closing = nullptr;  ///< Runs while the peer is to close.
+  TimePoint written_at{};
   bool is_writing = false;
   bool is_over = false;
 };
--- a/packages/node/src/worker.cc
+++ b/packages/node/src/worker.cc
@@ -248,17 +248,18 @@
     session->Drain();
   }
   this->WakeTick();
-  this->TickDrain(MonotonicClock::now());
+  this->CountBusyLinks();
   this->is_to_drain.store(false);
 }
 
 // Failure: a VM that shuts down has no callers left and ends, while upstreams
 // work on what peers have handed it, or answers to peers lie in the buffers of
 // its links. It shows as 502 and half answers at the peers' callers. So links
-// count as well; each of them closes when its last answer has arrived.
-void Worker::TickDrain(TimePoint now) {
-  this->links.Tick(now);
-  this->links_in_use.store(this->links.CountBusy(now));
+// count as well, and again as soon as one is taken or brings a request.
+void Worker::CountBusyLinks() {
+  if (this->is_draining) {
+    this->links_in_use.store(this->links.CountBusy(MonotonicClock::now()));
+  }
 }
 
 Task<void> Worker::AcceptCallers() {
@@ -283,6 +284,7 @@
         co_await this->link_acceptor.async_accept(socket, kTask);
     if (!error) {
       this->links.Accept(std::move(socket));
+      this->CountBusyLinks();
     }
   }
 }
@@ -312,6 +314,7 @@
     return;
   }
   this->WakeTick();
+  this->CountBusyLinks();
   this->counts->peer_requests.Add(1);
   boost::asio::co_spawn(
       this->context->get_executor(),
@@ -397,7 +400,8 @@
     session->Tick(now);
   }
   if (this->is_draining) {
-    this->TickDrain(now);
+    this->links.Tick(now);
+    this->CountBusyLinks();
   }
 }
 
--- a/packages/node/src/worker.h
+++ b/packages/node/src/worker.h
@@ -103,7 +103,7 @@
   void Tick(TimePoint now);
   void TickSessions(TimePoint now);
   void TickIdle(TimePoint now);
-  void TickDrain(TimePoint now);
+  void CountBusyLinks();
   void TakeCounters();
   void Adopt(const RoutingViewPtr& view);
   void StartSession(Socket socket);
