Shutdown: the last answer of a connection reaches a slow caller; nobody waits for one that does not close

And a connection whose end was told waited for its caller without a bound, so one that does not close kept the VM up to its limit, with status 1. The test of the links' buffers now waits for the chance to end, the one of an answer over a later body for the second answer; a link that is being opened at the order, and half a request behind another, have tests.

--- a/packages/node/src/caller_session.cc
+++ b/packages/node/src/caller_session.cc
@@ -75,14 +75,7 @@
     this->Abandon();
     co_return false;
   }
-  // Failure: a caller sends request after request without waiting for answers.
-  // A VM that shuts down would take one behind the other; their answers wait
-  // for the first, and those that had no turn at the limit are lost. So what
-  // comes behind a request at work is left unread: not served and not answered,
-  // and the caller sends it again elsewhere, as it does once it was told that
-  // the connection closes.
-  const bool is_behind = this->host.draining() && !this->exchanges.empty();
-  this->closing = this->closing || is_behind;
+  this->closing = this->closing || this->IsLeftUnread();
   if (this->closing) {
     co_return false;
   }
@@ -118,6 +111,16 @@
   co_return keep || !this->exchanges.empty();
 }
 
+// Failure: a caller sends request after request without waiting for answers. A
+// VM that shuts down would take one behind the other; their answers wait for
+// the first, and those that had no turn at the limit are lost. So what comes
+// behind a request at work is left unread: not served and not answered, and the
+// caller sends it again elsewhere, as it does once it was told that the
+// connection closes.
+bool CallerSession::IsLeftUnread() const {
+  return this->host.draining() && !this->exchanges.empty();
+}
+
 void CallerSession::RefuseFault(HeadStatus status) {
   const ExchangePtr exchange = this->Add();
   exchange->TakeFault(status == HeadStatus::kTooLarge
@@ -143,9 +146,7 @@
   if (!this->exchanges.empty()) {
     this->exchanges.front()->SetTurn();
   } else if (this->closing) {
-    // The read that is pending ends with it.
-    NetError ignored;
-    this->socket.shutdown(Tcp::socket::shutdown_send, ignored);
+    this->BeginLinger();
   }
   this->changed.Notify();
 }
@@ -287,28 +288,31 @@
 // sending side is closed first, and what still comes is read and dropped, for
 // a short while.
 Task<void> CallerSession::CloseGently() {
-  NetError ignored;
-  this->socket.shutdown(Tcp::socket::shutdown_send, ignored);
-  const auto self = this->shared_from_this();
-  Timer limit(this->socket.get_executor(), kLingerTime);
-  limit.async_wait([self](const NetError& error) {
-    if (!error) {
-      NetError unused;
-      self->socket.close(unused);
-    }
-  });
+  this->BeginLinger();
   std::vector<char> dropped(kHeldBodyBytes);
   NetError error;
   while (!error) {
     error = std::get<0>(co_await this->socket.async_read_some(
         boost::asio::buffer(dropped), kTask));
   }
-  limit.cancel();
+  NetError ignored;
   this->socket.close(ignored);
 }
 
+// From here on the caller has to close; `Tick` does it for one that does not.
+void CallerSession::BeginLinger() {
+  this->lingers_since = std::min(this->lingers_since, MonotonicClock::now());
+  NetError ignored;
+  this->socket.shutdown(Tcp::socket::shutdown_send, ignored);
+}
+
+// Failure: a VM that shuts down closes what has no request in flight, and the
+// last answer of such a connection is still on its way. It shows as half an
+// answer, where bytes of the caller come behind it. One that lingers closes by
+// itself.
 void CallerSession::Drain() {
-  if (this->exchanges.empty() && !this->reader.has_more()) {
+  const bool lingers = this->lingers_since != kNever;
+  if (!lingers && this->exchanges.empty() && !this->reader.has_more()) {
     NetError ignored;
     this->socket.cancel(ignored);
   }
@@ -323,6 +327,10 @@
   if (this->broken) {
     return;
   }
+  if (this->lingers_since != kNever) {
+    this->CheckLinger(now);
+    return;
+  }
   if (this->exchanges.empty()) {
     this->CheckIdle(now);
     return;
@@ -351,6 +359,13 @@
   return answer_stalls || (body_stalls && !first.answer_started());
 }
 
+void CallerSession::CheckLinger(TimePoint now) {
+  if (now - this->lingers_since > kLingerTime) {
+    NetError ignored;
+    this->socket.close(ignored);
+  }
+}
+
 void CallerSession::CheckIdle(TimePoint now) {
   const CallerLimits& limits = this->host.caller_limits();
   if (!this->reader.has_more()) {
--- a/packages/node/src/caller_session.h
+++ b/packages/node/src/caller_session.h
@@ -47,6 +47,9 @@
   void Remove(const ExchangePtr& exchange);
   void Abandon();
   Task<void> CloseGently();
+  void BeginLinger();
+  void CheckLinger(TimePoint now);
+  bool IsLeftUnread() const;
   void CutOff();
   bool Stalls(TimePoint now) const;
   void CheckIdle(TimePoint now);
@@ -74,6 +77,7 @@
   TimePoint head_since = kNever;  ///< First byte of a head that is not whole.
   TimePoint reading_since = kNever;  ///< Of the body read that is pending.
   bool awaits_continue = false;      ///< And was not told yet.
+  TimePoint lingers_since = kNever;  ///< The caller has to close since then.
   bool closing = false;              ///< No further request is taken.
   bool broken = false;
 };
--- a/packages/node/test/leave_test.cc
+++ b/packages/node/test/leave_test.cc
@@ -43,8 +43,11 @@
 // Most of an answer is still in the buffer of the side that sends it.
 constexpr int kSmallBuffer = 4096;
 constexpr int kSummaries = 20'000;
-// A VM that ends looks some 20 ms apart whether it may go.
+// A VM that ends looks some 20 ms apart whether it may go. That it stays for so
+// long can only be seen by waiting; a slow machine never fails for it.
 constexpr std::chrono::milliseconds kLongerThanItsPoll{200};
+// Callers come for so long after the order to end.
+constexpr std::chrono::milliseconds kReadyDelay{200};
 // What is lost is lost soon where a test fails.
 constexpr std::chrono::seconds kLimit{5};
 const std::string kHeadEnd = "\r\n\r\n";
@@ -93,8 +96,21 @@
   });
 }
 
+bool IsReady(const RunningNode& node) {
+  return Send(node.admin(), MakeRequest("GET", "/readyz")).result_int() == 200;
+}
+
+/// @returns what comes until the other side closes.
+std::string ReadToEnd(tcp::socket& socket) {
+  std::string bytes;
+  boost::system::error_code end;
+  boost::asio::read(socket, boost::asio::dynamic_buffer(bytes), end);
+  CHECK(end == boost::asio::error::eof);
+  return bytes;
+}
+
 /// @returns true once the node takes no more callers.
-bool HasClosedItsDoor(const RunningNode& node) {
+bool HasClosedCallersPort(const RunningNode& node) {
   return WaitUntil([&] {
     boost::asio::io_context io;
     tcp::socket caller(io);
@@ -112,8 +128,10 @@
 TEST_GROUP(Leave) {
   boost::asio::io_context io;
   HeldUpstream upstream;
-  Fleet fleet{
-      [](basilsill::Settings& settings) { settings.shutdown.limit = kLimit; }};
+  Fleet fleet{[](basilsill::Settings& settings) {
+    settings.shutdown.ready_delay = kReadyDelay;
+    settings.shutdown.limit = kLimit;
+  }};
   RunningNode* dispatcher = nullptr;
   RunningNode* entry = nullptr;
   std::future<HttpResponse> answer;
@@ -155,14 +173,38 @@
     CHECK(this->drained.get());
   }
 
-  // Opens a link to the dispatcher's VM.
-  PlainPeer Link(const Endpoint& to, wire::LinkRole role) {
+  tcp::socket Connect(uint16_t port) {
     tcp::socket socket(this->io);
     socket.open(tcp::v4());
     socket.set_option(
         boost::asio::socket_base::receive_buffer_size(kSmallBuffer));
-    socket.connect({boost::asio::ip::address_v4::loopback(), to.port});
-    return {std::move(socket), PeerHello(role, "nadezhda-1")};
+    socket.connect({boost::asio::ip::address_v4::loopback(), port});
+    return socket;
+  }
+
+  // Opens a link to the dispatcher's VM.
+  PlainPeer Link(const Endpoint& to, wire::LinkRole role) {
+    return {this->Connect(to.port), PeerHello(role, "nadezhda-1")};
+  }
+
+  // Sends a request, and `behind` once the VM is to end and the first is at
+  // work.
+  void CheckFirstAnswerCloses(const std::string& behind) {
+    tcp::socket caller = this->Connect(this->dispatcher->callers());
+    boost::asio::write(caller, boost::asio::buffer(kReading));
+    this->upstream.WaitForRequest();
+    this->BeginDrain();
+    CHECK(HasClosedCallersPort(*this->dispatcher));
+    boost::asio::write(caller, boost::asio::buffer(behind));
+    CHECK(this->drained.wait_for(kLongerThanItsPoll) ==
+          std::future_status::timeout);
+    this->upstream.Answer();
+    const std::string bytes = ReadToEnd(caller);
+    CHECK(bytes.starts_with("HTTP/1.1 200 "));
+    CHECK(bytes.find("HTTP/1.1 ", 1) == std::string::npos);
+    CHECK(bytes.find("Connection: close\r\n") != std::string::npos);
+    caller.close();
+    CHECK(this->drained.get());
   }
 };
 
@@ -173,7 +215,7 @@
   this->Ask(*this->entry);
   CHECK(Shows(*this->dispatcher, R"(basilsill_peer_requests{worker="0"} 1)"));
   this->BeginDrain();
-  CHECK(HasClosedItsDoor(*this->dispatcher));
+  CHECK(HasClosedCallersPort(*this->dispatcher));
   CHECK(this->drained.wait_for(kLongerThanItsPoll) ==
         std::future_status::timeout);
   this->EndDrain();
@@ -193,6 +235,9 @@
   this->upstream.Answer();
   CHECK(Shows(*this->dispatcher, R"(basilsill_peer_requests{worker="0"} 0)"));
   this->BeginDrain();
+  CHECK(HasClosedCallersPort(*this->dispatcher));
+  CHECK(this->drained.wait_for(kLongerThanItsPoll) ==
+        std::future_status::timeout);
   for (int i = 0; i < kSummaries; ++i) {
     CHECK(peer.mux.Post(wire::Summary{}).has_value());
     peer.Flush();
@@ -210,25 +255,44 @@
 // seconds later it still takes requests, whose answers wait behind the first
 // one, and ends with answers that were ready but had no turn.
 TEST(Leave, Caller_SendsAnotherBehindOneAtWork_IsLeftUnread) {
-  tcp::socket caller(this->io);
-  caller.connect(
-      {boost::asio::ip::address_v4::loopback(), this->dispatcher->callers()});
+  this->CheckFirstAnswerCloses(kReading);
+}
+
+TEST(Leave, Caller_SentHalfAnotherBehindOneAtWork_IsLeftUnread) {
+  this->CheckFirstAnswerCloses(kReading.substr(0, kReading.size() / 2));
+}
+
+// A caller has its last answer, and was told that the connection closes, but
+// keeps it. The VM waits for the caller to close, up to the limit of its end,
+// and reports that it has cut something off.
+TEST(Leave, Drain_CallerKeepsItsConnection_EndsWhole) {
+  tcp::socket caller = this->Connect(this->dispatcher->callers());
   boost::asio::write(caller, boost::asio::buffer(kReading));
   this->upstream.WaitForRequest();
   this->BeginDrain();
-  CHECK(HasClosedItsDoor(*this->dispatcher));
+  CHECK(HasClosedCallersPort(*this->dispatcher));
+  this->upstream.Answer();
+  CHECK(ReadToEnd(caller).ends_with(std::string(kBodyBytes, 'x')));
+  CHECK(this->drained.get());
+}
+
+// An answer that closes its connection is still on its way to a slow caller,
+// which has sent another request behind. A VM that shuts down takes the
+// connection for idle and closes it. Bytes of the caller then reset it, and the
+// caller gets the beginning of the answer.
+TEST(Leave, Drain_LastAnswerIsOnItsWayToTheCaller_ArrivesWhole) {
+  tcp::socket caller = this->Connect(this->dispatcher->callers());
   boost::asio::write(caller, boost::asio::buffer(kReading));
-  CHECK(this->drained.wait_for(kLongerThanItsPoll) ==
-        std::future_status::timeout);
+  this->upstream.WaitForRequest();
+  this->BeginDrain();
+  CHECK(WaitUntil([this] { return !IsReady(*this->dispatcher); }));
   this->upstream.Answer();
-  std::string bytes;
-  boost::system::error_code end;
-  boost::asio::read(caller, boost::asio::dynamic_buffer(bytes), end);
-  CHECK(end == boost::asio::error::eof);
-  CHECK(bytes.starts_with("HTTP/1.1 200 "));
-  CHECK(bytes.find("HTTP/1.1 ", 1) == std::string::npos);
-  CHECK(bytes.find("Connection: close\r\n") != std::string::npos);
-  caller.close();
+  CHECK(Shows(*this->dispatcher,
+              R"(basilsill_requests_in_flight{worker="0"} 0)"));
+  boost::asio::write(caller, boost::asio::buffer(kReading));
+  CHECK(HasClosedCallersPort(*this->dispatcher));
+  boost::asio::write(caller, boost::asio::buffer(kReading));
+  CHECK(ReadToEnd(caller).ends_with(std::string(kBodyBytes, 'x')));
   CHECK(this->drained.get());
 }
 
@@ -238,7 +302,7 @@
 TEST(Leave, ControlLink_OpenedAfterTheOrderToEnd_SaysSo) {
   this->Ask(*this->dispatcher);
   this->BeginDrain();
-  CHECK(HasClosedItsDoor(*this->dispatcher));
+  CHECK(HasClosedCallersPort(*this->dispatcher));
   PlainPeer peer =
       this->Link(this->dispatcher->control(), wire::LinkRole::kControl);
   CHECK(peer.ReadUntil([&peer] { return !peer.mux.peer().vm.empty(); }));
@@ -246,13 +310,27 @@
   this->EndDrain();
 }
 
+// The link is being opened as the order comes: the introduction, already sent,
+// says that the VM lives, and the peer is not yet among those that are told.
+TEST(Leave, ControlLink_BeingOpenedAtTheOrderToEnd_IsToldOnceItWorks) {
+  this->Ask(*this->dispatcher);
+  PlainPeer peer =
+      this->Link(this->dispatcher->control(), wire::LinkRole::kControl);
+  CHECK(peer.Read());
+  CHECK_FALSE(peer.mux.peer().leaving);
+  this->BeginDrain();
+  CHECK(HasClosedCallersPort(*this->dispatcher));
+  CHECK(peer.ReadUntil([&peer] { return peer.left; }));
+  this->EndDrain();
+}
+
 // A VM that ends has told its peers on each link that it takes no new work.
 // One of them opens another link for its next request: there it was told
 // nothing, and its work keeps the VM up, or is lost with it.
 TEST(Leave, DataLink_OpenedAsItEnds_TakesNoWork) {
   this->Ask(*this->dispatcher);
   this->BeginDrain();
-  CHECK(HasClosedItsDoor(*this->dispatcher));
+  CHECK(HasClosedCallersPort(*this->dispatcher));
   PlainPeer peer = this->Link(this->dispatcher->links(), wire::LinkRole::kData);
   const ShardKey shard = this->dispatcher->FirstShard();
   CHECK(peer.mux.OpenStream(PeerRequest(shard)).has_value());
--- a/packages/node/test/plain_peer.cc
+++ b/packages/node/test/plain_peer.cc
@@ -80,6 +80,9 @@
   if (event.kind == wire::LinkEventKind::kData) {
     this->body += std::get<wire::Data>(event.message).bytes.size();
   }
+  if (const auto* heartbeat = std::get_if<wire::Heartbeat>(&event.message)) {
+    this->left = this->left || heartbeat->state == VmState::kLeaving;
+  }
   this->ended = this->ended || event.kind == wire::LinkEventKind::kEnded;
   this->went_away =
       this->went_away || event.kind == wire::LinkEventKind::kGoAway;
--- a/packages/node/test/plain_peer.h
+++ b/packages/node/test/plain_peer.h
@@ -35,6 +35,7 @@
   unsigned status = 0;     ///< Of the last answer that has begun.
   bool ended = false;      ///< A body has come to its end.
   bool went_away = false;  ///< The node takes no new streams here.
+  bool left = false;       ///< A heartbeat said that the node leaves.
 
  private:
   void Take(const wire::LinkEvent& event);
--- a/packages/node/test/stream_test.cc
+++ b/packages/node/test/stream_test.cc
@@ -157,10 +157,14 @@
   const bool all_read = ShowsInFlight(this->node(0), 3);
   may_answer.set_value();
   CHECK(all_read);
-  std::string first;
-  boost::asio::read_until(caller, boost::asio::dynamic_buffer(first), kHeadEnd);
-  CHECK(first.starts_with("HTTP/1.1 200 "));
-  CHECK(HeadOf(first).find("Connection: close") == std::string::npos);
+  std::string bytes;
+  for (int i = 0; i < 2; ++i) {
+    const size_t size = boost::asio::read_until(
+        caller, boost::asio::dynamic_buffer(bytes), kHeadEnd);
+    CHECK(bytes.starts_with("HTTP/1.1 200 "));
+    CHECK(HeadOf(bytes).find("Connection: close") == std::string::npos);
+    bytes.erase(0, size);
+  }
 }
 
 // Story: a clerk closes the browser in the middle of a long download whose
