--- a/packages/node/test/peer_link_test.cc
+++ b/packages/node/test/peer_link_test.cc
@@ -24,7 +24,6 @@
 using basilsill::LinkCounters;
 using basilsill::LinkHandlers;
 using basilsill::LinkStreamPtr;
-using basilsill::MonotonicClock;
 using basilsill::PeerLink;
 using basilsill::PeerLinkPtr;
 using basilsill::Socket;
