--- a/soak/fleet.cc
+++ b/soak/fleet.cc
@@ -160,9 +160,18 @@
       this->seen.BeginDisturbance(DisturbanceKind::kNode, member.number);
   member.process->Signal(SIGKILL);
   co_await Sleep(kRestartPause);
+  co_await this->StartAgain(member);
+  this->seen.EndDisturbance(row);
+}
+
+// On a busy machine a killed process keeps its ports a little longer than the
+// pause, and the next one would end for want of them.
+asio::awaitable<void> Fleet::StartAgain(Member& member) {
+  while (!this->stopped && member.process->IsRunning()) {
+    co_await Sleep(kWatchInterval);
+  }
   if (!this->stopped) {
     member.process->Start();
-    this->seen.EndDisturbance(row);
   }
 }
 
@@ -179,10 +188,8 @@
   const size_t start =
       this->seen.BeginDisturbance(DisturbanceKind::kNode, member.number);
   co_await Sleep(kRestartPause);
-  if (!this->stopped) {
-    member.process->Start();
-    this->seen.EndDisturbance(start);
-  }
+  co_await this->StartAgain(member);
+  this->seen.EndDisturbance(start);
 }
 
 asio::awaitable<void> Fleet::Pause(Member& member, const Step& step) {
@@ -217,9 +224,7 @@
       this->seen.BeginDisturbance(DisturbanceKind::kNode, std::nullopt);
   co_await Sleep(kRestartPause);
   for (Member* member : killed) {
-    if (!this->stopped) {
-      member->process->Start();
-    }
+    co_await this->StartAgain(*member);
     member->is_busy = false;
   }
   co_await Sleep(kEveryoneBack);
--- a/soak/fleet.h
+++ b/soak/fleet.h
@@ -72,6 +72,7 @@
   boost::asio::awaitable<void> CutFromStore(Member& member, const Step& step);
   boost::asio::awaitable<void> HarmOne(Member& member, const Step& step);
   boost::asio::awaitable<void> KillAll();
+  boost::asio::awaitable<void> StartAgain(Member& member);
 
   boost::asio::io_context& io;
   std::chrono::milliseconds grace;
