Metrics: the gauges of VMs and control links are set

Cause: basilsill_vms and basilsill_control_links stood on the metrics page and nothing ever set them, so both were 0 always. Seen when a test waited for them for a minute. Before: 0 on every node.

--- a/packages/node/src/control.cc
+++ b/packages/node/src/control.cc
@@ -1,6 +1,7 @@
 #include "control.h"
 
 #include <algorithm>
+#include <array>
 #include <utility>
 
 #include <boost/asio/co_spawn.hpp>
@@ -207,6 +208,23 @@
   this->PumpMembership();
   this->source->Tick(now);
   this->RebuildIfChanged();
+  this->CountVms();
+}
+
+void Control::CountVms() {
+  if (this->counted_membership == this->members->version()) {
+    return;
+  }
+  this->counted_membership = this->members->version();
+  std::array<int64_t, static_cast<size_t>(VmState::kCount)> vms{};
+  for (const VmRow& vm : this->members->rows()) {
+    if (IsValid(vm.handle)) {
+      ++vms.at(static_cast<size_t>(vm.state));
+    }
+  }
+  for (size_t state = 0; state < vms.size(); ++state) {
+    this->counts.vms.at(state).Set(vms.at(state));
+  }
 }
 
 // Failure: the platform refuses a VM that starts, for seconds, while it serves
--- a/packages/node/src/control.h
+++ b/packages/node/src/control.h
@@ -95,6 +95,7 @@
   boost::asio::awaitable<void> TickLoop();
   void Tick(TimePoint now);
   void AskForState(TimePoint now);
+  void CountVms();
   void PumpMembership();
   void Perform(const MembershipAction& action);
   void SetNeeds(TimePoint now);
@@ -123,6 +124,7 @@
   RoutingViewPtr needs_of_view;
   uint64_t needs_of_membership = 0;
   uint64_t built_membership = 0;
+  uint64_t counted_membership = 0;
   uint64_t built_views = 0;
   bool leaving = false;
   bool configuration_changed = false;
--- a/packages/node/src/control_links.cc
+++ b/packages/node/src/control_links.cc
@@ -118,6 +118,7 @@
   Log(Event::kLinkOpened,
       {{"peer", link->peer().vm}, {"leaving", link->peer().leaving}});
   this->links[link] = {result.vm, link->peer().incarnation};
+  this->counts.open.Set(static_cast<int64_t>(this->links.size()));
   this->handlers.on_linked(result.vm);
 }
 
@@ -143,6 +144,7 @@
   if (found != this->links.end()) {
     const Peer peer = found->second;
     this->links.erase(found);
+    this->counts.open.Set(static_cast<int64_t>(this->links.size()));
     // Of two links with one peer the loss of one is no sign against it.
     if (!this->Find(peer.vm) && !this->stopped) {
       this->handlers.on_lost(peer.vm, peer.incarnation);
