--- a/packages/base/include/basilsill/base/limits.h
+++ b/packages/base/include/basilsill/base/limits.h
@@ -70,6 +70,13 @@
 /// are read by each for itself.
 inline constexpr size_t kMaxNewsBytes = 128 * 1024;
 
+/// Topics of the platform that VMs tell each other of.
+inline constexpr size_t kMaxTopics = 16;
+
+/// A record that one VM writes for another: what a VM says of itself has a few
+/// hundred octets.
+inline constexpr size_t kMaxWriteBytes = 4 * 1024;
+
 /// Body octets that one stream, and all streams of a link, have waiting to be
 /// written. Each stream may hold kMaxInlineBodyBytes beyond the link's share.
 inline constexpr size_t kStreamQueueBytes = 2 * kBodyChunkBytes;
--- /dev/null
+++ b/packages/decision/include/basilsill/decision/announcement.h
@@ -0,0 +1,84 @@
+#ifndef BASILSILL_DECISION_ANNOUNCEMENT_H_
+#define BASILSILL_DECISION_ANNOUNCEMENT_H_
+
+#include <cstddef>
+#include <cstdint>
+#include <vector>
+
+#include "basilsill/base/time.h"
+#include "basilsill/decision/view.h"
+
+/// How a VM gets its word of itself written at the platform: by a VM that
+/// already runs, which writes many at a time, or by itself if none does so in
+/// time. Pure; the shell sends and calls.
+///
+/// Whose word: only the VM that is named says what is written. A helper that
+/// dies between its call and its answer leaves the word written, or not; the VM
+/// writes it itself then, and the same word twice is one entry. A late write
+/// of an earlier start's word may replace a later one's. The VM finds that out
+/// as it reads the list that it is on (OnListed), and says its word again.
+
+namespace basilsill {
+
+enum class AnnouncementStepKind : uint8_t {
+  kNone,        ///< Nothing to do now.
+  kAskHelper,   ///< Ask `helper` to write it, as request `number`.
+  kWriteAlone,  ///< Write it.
+  kCount
+};
+
+struct AnnouncementStep {
+  AnnouncementStepKind kind = AnnouncementStepKind::kNone;
+  VmHandle helper;
+  uint64_t number = 0;
+};
+
+class Announcement {
+ public:
+  /// The word is to be written.
+  /// @param others_listed Others are there who may help. A VM that knows nobody
+  /// does not wait for any.
+  /// @param spread A number of this VM's own, the same for the whole process:
+  /// VMs that nobody helped do not all write at the same moment.
+  void Begin(TimePoint now, bool others_listed, uint64_t spread);
+
+  /// A link with `vm` works.
+  void OnLinked(VmHandle vm);
+
+  /// @returns what to do now. The shell does it at once.
+  AnnouncementStep Next(TimePoint now);
+
+  /// @returns when Next is due if nothing else happens; kNever if done.
+  TimePoint due() const;
+
+  /// `vm` answered request `number`.
+  void OnHelperAnswer(TimePoint now,
+                      VmHandle vm,
+                      uint64_t number,
+                      bool written);
+
+  /// The call of kWriteAlone has ended.
+  void OnWroteAlone(TimePoint now, bool written);
+
+  /// The list shows an entry of this VM. @param is_own_word It says what this
+  /// VM says.
+  void OnListed(TimePoint now, bool is_own_word);
+
+  /// @returns true if nothing is left to be written.
+  bool done() const { return this->state == State::kDone; }
+
+ private:
+  enum class State : uint8_t { kIdle, kWaiting, kAsked, kWriting, kDone };
+
+  std::vector<VmHandle> peers;
+  size_t turn = 0;
+  State state = State::kIdle;
+  VmHandle asked;
+  uint64_t number = 0;
+  TimePoint alone_at{};
+  uint64_t spread = 0;
+};
+
+}  // namespace basilsill
+
+#endif  // BASILSILL_DECISION_ANNOUNCEMENT_H_
--- /dev/null
+++ b/packages/decision/src/announcement.cc
@@ -0,0 +1,91 @@
+#include "basilsill/decision/announcement.h"
+
+#include <algorithm>
+
+namespace basilsill {
+namespace {
+
+// A helper gathers, and its call takes some milliseconds; one that has not
+// answered after this is gone, or its call is in trouble.
+constexpr Duration kHelpTime = std::chrono::milliseconds(250);
+
+// Beyond that, VMs that nobody helped come one after the other.
+constexpr uint64_t kSpreadMilliseconds = 250;
+
+// Between two tries; nobody is worse served meanwhile, since a VM that is not
+// listed is found by those it links with.
+constexpr Duration kRetryInterval = std::chrono::milliseconds(400);
+
+}  // namespace
+
+void Announcement::Begin(TimePoint now, bool others_listed, uint64_t spread) {
+  this->spread = spread;
+  this->state = State::kWaiting;
+  this->alone_at = now;
+  if (others_listed) {
+    this->alone_at +=
+        kHelpTime + std::chrono::milliseconds(spread % kSpreadMilliseconds);
+  }
+}
+
+void Announcement::OnLinked(VmHandle vm) {
+  const bool known = std::find(this->peers.begin(), this->peers.end(), vm) !=
+                     this->peers.end();
+  if (!known) {
+    this->peers.push_back(vm);
+  }
+}
+
+AnnouncementStep Announcement::Next(TimePoint now) {
+  const bool open =
+      this->state == State::kWaiting || this->state == State::kAsked;
+  if (open && now >= this->alone_at) {
+    this->state = State::kWriting;
+    return {AnnouncementStepKind::kWriteAlone, {}, 0};
+  }
+  if (this->state != State::kWaiting || this->turn >= this->peers.size()) {
+    return {};
+  }
+  this->state = State::kAsked;
+  this->asked = this->peers[this->turn++];
+  return {AnnouncementStepKind::kAskHelper, this->asked, ++this->number};
+}
+
+TimePoint Announcement::due() const {
+  const bool open =
+      this->state == State::kWaiting || this->state == State::kAsked;
+  return open ? this->alone_at : kNever;
+}
+
+void Announcement::OnHelperAnswer(TimePoint /*now*/,
+                                  VmHandle vm,
+                                  uint64_t answered,
+                                  bool written) {
+  if (this->state != State::kAsked || vm != this->asked ||
+      answered != this->number) {
+    return;
+  }
+  this->state = written ? State::kDone : State::kWaiting;
+}
+
+void Announcement::OnWroteAlone(TimePoint now, bool written) {
+  if (written) {
+    this->state = State::kDone;
+    return;
+  }
+  // The platform may serve a peer and refuse this VM, so all are asked again.
+  this->state = State::kWaiting;
+  this->turn = 0;
+  this->alone_at = now + kRetryInterval;
+}
+
+void Announcement::OnListed(TimePoint now, bool is_own_word) {
+  if (is_own_word && this->state != State::kWriting) {
+    this->state = State::kDone;
+  } else if (!is_own_word && this->state == State::kDone) {
+    this->turn = 0;
+    this->Begin(now, !this->peers.empty(), this->spread);
+  }
+}
+
+}  // namespace basilsill
--- /dev/null
+++ b/packages/decision/src/state_offers.cc
@@ -0,0 +1,39 @@
+#include "basilsill/decision/state_offers.h"
+
+#include <algorithm>
+#include <limits>
+
+namespace basilsill {
+namespace {
+
+// Of this VM's link in any second. The rest is for answers to callers, for work
+// of its peers and for its own calls, which must not wait behind it.
+constexpr double kLinkShare = 0.25;
+
+double RateOf(double link_bytes_per_second) {
+  return link_bytes_per_second > 0 ? link_bytes_per_second * kLinkShare
+                                   : std::numeric_limits<double>::infinity();
+}
+
+}  // namespace
+
+StateOffers::StateOffers(double link_bytes_per_second)
+    : rate(RateOf(link_bytes_per_second)), room(this->rate) {}
+
+bool StateOffers::HasRoom(TimePoint now, size_t bytes) {
+  const std::chrono::duration<double> since = now - this->filled_at;
+  this->filled_at = now;
+  const double gained = this->rate * std::max(0.0, since.count());
+  this->room = std::min(this->rate, this->room + gained);
+  return static_cast<double>(bytes) <= this->room;
+}
+
+bool StateOffers::Take(TimePoint now, size_t bytes) {
+  if (!this->HasRoom(now, bytes)) {
+    return false;
+  }
+  this->room -= static_cast<double>(bytes);
+  return true;
+}
+
+}  // namespace basilsill
--- a/packages/wire/include/basilsill/wire/link_mux.h
+++ b/packages/wire/include/basilsill/wire/link_mux.h
@@ -166,8 +166,8 @@
 
   // The link itself.
 
-  /// Queues a Summary (data links), Heartbeat, SnapshotRequest, SnapshotChunk
-  /// or StateNews (control links).
+  /// Queues a Summary (data links), or a message of control links: Heartbeat,
+  /// Snapshot..., State..., Write....
   /// @returns kLimitReached if the peer reads too slowly.
   Result<void> Post(PeerMessage message);
 
@@ -221,6 +221,10 @@
   Result<void> On(const SnapshotRequest& request);
   Result<void> On(SnapshotChunk chunk);
   Result<void> On(StateNews news);
+  Result<void> On(StateQuestion question);
+  Result<void> On(const StateDeclined& declined);
+  Result<void> On(WriteRequest request);
+  Result<void> On(const WriteAnswer& answer);
 
   Stream* Find(const StreamId& stream) const;
   Result<Stream*> FindForPeer(const StreamId& stream) const;
--- a/packages/wire/include/basilsill/wire/message.h
+++ b/packages/wire/include/basilsill/wire/message.h
@@ -24,7 +24,7 @@
 namespace basilsill::wire {
 
 /// Spoken version of the protocol; peers of another version are turned away.
-inline constexpr uint32_t kProtocolVersion = 3;
+inline constexpr uint32_t kProtocolVersion = 4;
 
 /// Octets of a body. Moved, never copied, on their way to the socket.
 using Bytes = std::string;
@@ -261,10 +261,56 @@
   uint64_t next = 0;  ///< Offset to read on from; all before it are here.
   Bytes records;
   bool whole = false;  ///< The newest record of each key, for a VM that starts.
+  /// More of the whole follows in the next message of this topic.
+  bool more = false;
 
   friend bool operator==(const StateNews&, const StateNews&) = default;
 };
 
+/// From where on a VM lacks a topic.
+struct TopicPosition {
+  uint8_t topic = 0;
+  uint64_t from = 0;  ///< 0: it has nothing of it.
+
+  friend bool operator==(const TopicPosition&, const TopicPosition&) = default;
+};
+
+/// The sender starts and asks to be told these topics. Answered by StateNews or
+/// StateDeclined.
+struct StateQuestion {
+  std::vector<TopicPosition> wanted;
+
+  friend bool operator==(const StateQuestion&, const StateQuestion&) = default;
+};
+
+/// The sender does not tell what it was asked for.
+struct StateDeclined {
+  /// It has nothing itself yet and tells as soon as it has. Otherwise its link
+  /// is taken by others that it tells.
+  bool later = false;
+
+  friend bool operator==(const StateDeclined&, const StateDeclined&) = default;
+};
+
+/// Asks the receiver to write a record at the platform, in one call with those
+/// of others.
+struct WriteRequest {
+  uint8_t topic = 0;
+  uint64_t number = 0;  ///< Names the request on its link.
+  Bytes record;         ///< As in StateNews; its offset says nothing.
+
+  friend bool operator==(const WriteRequest&, const WriteRequest&) = default;
+};
+
+/// What came of a WriteRequest.
+struct WriteAnswer {
+  uint64_t number = 0;
+  /// False: it was not written as far as the sender knows. It may have been.
+  bool written = false;
+
+  friend bool operator==(const WriteAnswer&, const WriteAnswer&) = default;
+};
+
 /// Any message of a link.
 using PeerMessage = std::variant<Hello,
                                  Open,
@@ -280,7 +326,11 @@
                                  Heartbeat,
                                  SnapshotRequest,
                                  SnapshotChunk,
-                                 StateNews>;
+                                 StateNews,
+                                 StateQuestion,
+                                 StateDeclined,
+                                 WriteRequest,
+                                 WriteAnswer>;
 
 }  // namespace basilsill::wire
 
--- a/packages/wire/schema/peer.capnp
+++ b/packages/wire/schema/peer.capnp
@@ -188,6 +188,31 @@
   next @2 :UInt64;
   records @3 :Data;
   whole @4 :Bool;
+  more @5 :Bool;
+}
+
+struct TopicPosition {
+  topic @0 :UInt8;
+  from @1 :UInt64;
+}
+
+struct StateQuestion {
+  wanted @0 :List(TopicPosition);
+}
+
+struct StateDeclined {
+  later @0 :Bool;
+}
+
+struct WriteRequest {
+  topic @0 :UInt8;
+  number @1 :UInt64;
+  record @2 :Data;
+}
+
+struct WriteAnswer {
+  number @0 :UInt64;
+  written @1 :Bool;
 }
 
 struct PeerMessage {
@@ -207,5 +232,9 @@
     snapshotRequest @12 :SnapshotRequest;
     snapshotChunk @13 :SnapshotChunk;
     stateNews @14 :StateNews;
+    stateQuestion @15 :StateQuestion;
+    stateDeclined @16 :StateDeclined;
+    writeRequest @17 :WriteRequest;
+    writeAnswer @18 :WriteAnswer;
   }
 }
--- a/packages/wire/src/link_mux.cc
+++ b/packages/wire/src/link_mux.cc
@@ -31,7 +31,11 @@
   const bool of_control = std::holds_alternative<Heartbeat>(message) ||
                           std::holds_alternative<SnapshotRequest>(message) ||
                           std::holds_alternative<SnapshotChunk>(message) ||
-                          std::holds_alternative<StateNews>(message);
+                          std::holds_alternative<StateNews>(message) ||
+                          std::holds_alternative<StateQuestion>(message) ||
+                          std::holds_alternative<StateDeclined>(message) ||
+                          std::holds_alternative<WriteRequest>(message) ||
+                          std::holds_alternative<WriteAnswer>(message);
   return of_control && role == LinkRole::kControl;
 }
 
--- a/packages/wire/src/link_mux_receive.cc
+++ b/packages/wire/src/link_mux_receive.cc
@@ -325,4 +325,20 @@
   return this->OnPosted(std::move(news), LinkRole::kControl);
 }
 
+Result<void> LinkMux::On(StateQuestion question) {
+  return this->OnPosted(std::move(question), LinkRole::kControl);
+}
+
+Result<void> LinkMux::On(const StateDeclined& declined) {
+  return this->OnPosted(declined, LinkRole::kControl);
+}
+
+Result<void> LinkMux::On(WriteRequest request) {
+  return this->OnPosted(std::move(request), LinkRole::kControl);
+}
+
+Result<void> LinkMux::On(const WriteAnswer& answer) {
+  return this->OnPosted(answer, LinkRole::kControl);
+}
+
 }  // namespace basilsill::wire
--- a/packages/wire/src/message_check.cc
+++ b/packages/wire/src/message_check.cc
@@ -208,7 +208,19 @@
                 "too long");
 }
 
+void Check(Checker& check, const StateQuestion& question) {
+  check.Require(question.wanted.size() <= limits::kMaxTopics, "/wanted",
+                "too many entries");
+}
+
+void Check(Checker& check, const WriteRequest& request) {
+  check.Require(request.record.size() <= limits::kMaxWriteBytes, "/record",
+                "too long");
+}
+
 void Check(Checker& /*check*/, const Summary& /*summary*/) {}
+void Check(Checker& /*check*/, const StateDeclined& /*declined*/) {}
+void Check(Checker& /*check*/, const WriteAnswer& /*answer*/) {}
 void Check(Checker& /*check*/, const GoAway& /*go_away*/) {}
 void Check(Checker& /*check*/, const SnapshotRequest& /*request*/) {}
 
--- a/packages/wire/src/message_reader.cc
+++ b/packages/wire/src/message_reader.cc
@@ -225,12 +225,34 @@
   news.from = reader.getFrom();
   news.next = reader.getNext();
   news.whole = reader.getWhole();
+  news.more = reader.getMore();
   const capnp::Data::Reader records = reader.getRecords();
   CheckedSize(records.size(), limits::kMaxNewsBytes, "/records");
   news.records.assign(records.asChars().begin(), records.asChars().end());
   return news;
 }
 
+StateQuestion ReadStateQuestion(schema::StateQuestion::Reader reader) {
+  StateQuestion question;
+  const auto wanted = reader.getWanted();
+  question.wanted.reserve(
+      CheckedSize(wanted.size(), limits::kMaxTopics, "/wanted"));
+  for (const schema::TopicPosition::Reader position : wanted) {
+    question.wanted.push_back({position.getTopic(), position.getFrom()});
+  }
+  return question;
+}
+
+WriteRequest ReadWriteRequest(schema::WriteRequest::Reader reader) {
+  WriteRequest request;
+  request.topic = reader.getTopic();
+  request.number = reader.getNumber();
+  const capnp::Data::Reader record = reader.getRecord();
+  CheckedSize(record.size(), limits::kMaxWriteBytes, "/record");
+  request.record.assign(record.asChars().begin(), record.asChars().end());
+  return request;
+}
+
 Reset ReadReset(schema::Reset::Reader reader) {
   return {UnpackStreamId(reader.getStream()),
           ReadEnum<Refusal>(reader.getReason())};
@@ -272,6 +294,15 @@
       return ReadSnapshotChunk(reader.getSnapshotChunk());
     case schema::PeerMessage::STATE_NEWS:
       return ReadStateNews(reader.getStateNews());
+    case schema::PeerMessage::STATE_QUESTION:
+      return ReadStateQuestion(reader.getStateQuestion());
+    case schema::PeerMessage::STATE_DECLINED:
+      return StateDeclined{reader.getStateDeclined().getLater()};
+    case schema::PeerMessage::WRITE_REQUEST:
+      return ReadWriteRequest(reader.getWriteRequest());
+    case schema::PeerMessage::WRITE_ANSWER:
+      return WriteAnswer{reader.getWriteAnswer().getNumber(),
+                         reader.getWriteAnswer().getWritten()};
   }
   Reject("/", "a message of an unknown kind");
 }
--- a/packages/wire/src/message_writer.cc
+++ b/packages/wire/src/message_writer.cc
@@ -226,12 +226,44 @@
   builder.setFrom(news.from);
   builder.setNext(news.next);
   builder.setWhole(news.whole);
+  builder.setMore(news.more);
   auto records =
       builder.initRecords(static_cast<unsigned>(news.records.size()));
   std::copy(news.records.begin(), news.records.end(),
             records.asChars().begin());
 }
 
+void Write(const StateQuestion& question,
+           schema::PeerMessage::Builder message) {
+  auto wanted = message.initStateQuestion().initWanted(
+      static_cast<unsigned>(question.wanted.size()));
+  for (unsigned i = 0; i < question.wanted.size(); ++i) {
+    wanted[i].setTopic(question.wanted[i].topic);
+    wanted[i].setFrom(question.wanted[i].from);
+  }
+}
+
+void Write(const StateDeclined& declined,
+           schema::PeerMessage::Builder message) {
+  message.initStateDeclined().setLater(declined.later);
+}
+
+void Write(const WriteRequest& request, schema::PeerMessage::Builder message) {
+  auto builder = message.initWriteRequest();
+  builder.setTopic(request.topic);
+  builder.setNumber(request.number);
+  auto record =
+      builder.initRecord(static_cast<unsigned>(request.record.size()));
+  std::copy(request.record.begin(), request.record.end(),
+            record.asChars().begin());
+}
+
+void Write(const WriteAnswer& answer, schema::PeerMessage::Builder message) {
+  auto builder = message.initWriteAnswer();
+  builder.setNumber(answer.number);
+  builder.setWritten(answer.written);
+}
+
 }  // namespace
 
 void WriteMessage(const PeerMessage& message,
--- a/packages/wire/test/samples.cc
+++ b/packages/wire/test/samples.cc
@@ -137,8 +137,14 @@
       SampleHeartbeat(),
       SnapshotRequest{10, 20},
       SnapshotChunk{10, 20, limits::kBodyChunkBytes + 20, chunk},
-      StateNews{1, 7, 9, "some bytes", false},
-      StateNews{2, 0, 9, {}, true},
+      StateNews{1, 7, 9, "some bytes", false, false},
+      StateNews{2, 0, 9, {}, true, false},
+      StateNews{2, 0, 9, "a part", true, true},
+      StateQuestion{{{0, 0}, {2, 17}}},
+      StateQuestion{},
+      StateDeclined{true},
+      WriteRequest{2, 3, "a record"},
+      WriteAnswer{3, true},
   };
 }
 
