--- a/packages/decision/include/basilsill/decision/mechanism.h
+++ b/packages/decision/include/basilsill/decision/mechanism.h
@@ -22,6 +22,8 @@
   EntryFeatures entry;
   bool quarantine = true;    ///< What killed upstreams is refused for a while.
   bool hold_answers = true;  ///< Answers are held until they are whole.
+  /// VMs that start are announced and told by others.
+  bool shared_start = true;
 };
 
 /// One mechanism.
--- a/packages/decision/include/basilsill/decision/membership.h
+++ b/packages/decision/include/basilsill/decision/membership.h
@@ -61,6 +61,7 @@
 
 /// Why a link to a peer is kept, most important first.
 enum class PeerUse : uint8_t {
+  kNews,        ///< One tells the other what it reads at the platform.
   kShard,       ///< One dispatches what the other's callers ask for.
   kPartition,   ///< One works for claims of the other's callers.
   kDataCentre,  ///< Same data centre: snapshots, quarantine.
--- a/packages/decision/include/basilsill/decision/topic_follower.h
+++ b/packages/decision/include/basilsill/decision/topic_follower.h
@@ -38,6 +38,10 @@
 struct TopicFollowerOptions {
   /// Between two reads of the VM that reads for all.
   Duration interval{0};
+  /// The same while new records keep coming; 0: no shorter.
+  Duration busy_interval{0};
+  /// The same while the topic has no record; 0: no shorter.
+  Duration empty_interval{0};
   /// The longest that any VM waits without news.
   Duration max_silence{0};
   /// The same while the store is in trouble, as own calls show it, and the
@@ -49,27 +53,6 @@
   Duration retry_max = std::chrono::milliseconds(400);
 };
 
-/// @returns true if VMs that start wait for others to tell them all, in a fleet
-/// of `known` VMs. In a small one each lists for itself at once, and telling it
-/// all as well would only cost octets: 1.5 MB of 17 on a day with 35 restarts.
-bool StartsWait(size_t known);
-
-/// @returns how long a VM that starts waits for another one to tell it all,
-/// before it lists a topic for itself.
-/// @param rank Its place in the common order.
-/// @param known VMs that it knows of.
-Duration StartPatience(size_t rank, size_t known);
-
-/// VMs, from the first in the common order on, that tell all to one that
-/// starts.
-inline constexpr size_t kStartHelpers = 2;
-
-/// VMs, from the first in the common order on, that tell the others what they
-/// read, and that all others have links with. With so many gone at once, those
-/// behind them step in as they are suspected, and until then each VM reads for
-/// itself.
-inline constexpr size_t kNewsTellers = 6;
-
 class TopicFollower {
  public:
   explicit TopicFollower(const TopicFollowerOptions& options);
@@ -124,20 +107,13 @@
   /// costs each record four to five times, on the links to all VMs.
   uint64_t BeginNews();
 
-  /// @returns true if this VM tells the others what it reads. Failure: news are
-  /// late by a clogged link, so VMs read for themselves, and each tells all its
-  /// peers what they know by then, which clogs more links. It shows as most VMs
-  /// calling the store, and traffic between VMs that is many times the
-  /// callers'. With few that tell, reading for oneself costs one call and no
-  /// more.
-  bool TellsOthers() const { return this->rank < kNewsTellers; }
-
   /// @returns an offset before which every VM knows all records that heard
   /// anything of late.
   uint64_t settled() const { return this->settled_offset; }
 
  private:
   Duration Patience(TimePoint now) const;
+  Duration Interval(TimePoint now) const;
   Duration RetryPause() const;
   /// @returns a part of the way from `first` to `last`, by the VM's place.
   Duration ByPlace(Duration first, Duration last) const;
@@ -158,6 +134,7 @@
   size_t rank = 0;
   uint32_t failures = 0;
   TimePoint trouble_until{};
+  TimePoint busy_until{};
   TimePoint next_at{};
 };
 
--- a/packages/decision/include/basilsill/decision/topic_records.h
+++ b/packages/decision/include/basilsill/decision/topic_records.h
@@ -39,8 +39,9 @@
   /// key the last record.
   std::vector<KeyedRecord> UntoldFrom(uint64_t start) const;
 
-  /// @returns the newest record of each key.
-  std::vector<KeyedRecord> All() const;
+  /// @returns the newest record of each key, of those at offset `start` or
+  /// later, in the order of their offsets.
+  std::vector<KeyedRecord> From(uint64_t start) const;
 
  private:
   std::map<std::string, KeyedRecord> newest;
--- a/packages/decision/include/basilsill/decision/view.h
+++ b/packages/decision/include/basilsill/decision/view.h
@@ -243,6 +243,16 @@
 /// one VM does for all.
 std::vector<VmHandle> WorkOrder(const std::vector<VmRow>& vms);
 
+/// @returns the VMs that `self` asks for help while it starts: two of the
+/// largest, near ones before others, by hash, so that they share those that
+/// start. Only those before `self` in the order of work are asked, so that of a
+/// fleet that starts no two wait for each other.
+/// @remarks A list of VMs may be partial while a whole fleet starts. Small ones
+/// that are known before any larger one share those that start as well, and are
+/// asked no more once two larger ones are known.
+std::vector<VmHandle> StartHelpers(const std::vector<VmRow>& vms,
+                                   VmHandle self);
+
 /// @returns the live VM after `self` in a ring of all VMs by name, the same on
 /// every VM; invalid if there is no other. So each VM has one that looks after
 /// it, however few know of it otherwise.
--- a/packages/decision/src/mechanism.cc
+++ b/packages/decision/src/mechanism.cc
@@ -75,6 +75,8 @@
               InPolicy<&PolicyFeatures::quarantine>},
     Mechanism{"hold-answers", "Answers are held until they are whole.",
               InPolicy<&PolicyFeatures::hold_answers>},
+    Mechanism{"shared-start", "VMs that start are announced, told by others.",
+              InPolicy<&PolicyFeatures::shared_start>},
 };
 
 const Mechanism* Find(std::string_view name) {
--- a/packages/decision/src/topic_follower.cc
+++ b/packages/decision/src/topic_follower.cc
@@ -23,26 +23,12 @@
 // be informed in time again (three seconds), and one call.
 constexpr Duration kTroubleLasts = std::chrono::milliseconds(1800);
 
-// Below this number of VMs each lists for itself: it is ready sooner, and all
-// of them together make few calls. Above, a start of the whole fleet would make
-// some ten calls a VM.
-constexpr size_t kSmallFleet = 32;
-
-// A VM that tells all does so within a tick of its control thread after the
-// link is up.
-constexpr Duration kHelpTime = std::chrono::milliseconds(400);
+// After the last new record, others may follow for about as long as the VMs of
+// a fleet take to start.
+constexpr Duration kBusyLasts = std::chrono::milliseconds(1000);
 
 }  // namespace
 
-bool StartsWait(size_t known) {
-  return known >= kSmallFleet;
-}
-
-Duration StartPatience(size_t rank, size_t known) {
-  const bool lists = rank < kStartHelpers || !StartsWait(known);
-  return lists ? Duration(0) : kHelpTime;
-}
-
 TopicFollower::TopicFollower(const TopicFollowerOptions& options)
     : options(options) {}
 
@@ -66,6 +52,7 @@
                            std::string last_key) {
   this->failures = 0;
   const bool is_snapshot = this->first_page && !more;
+  this->busy_until = now + kBusyLasts;
   if (this->first_page) {
     this->from = end;
     this->settled_offset = end;
@@ -99,6 +86,9 @@
     this->settling_offset = this->from;
     this->settling_since = now;
   }
+  if (next > this->from) {
+    this->busy_until = now + kBusyLasts;
+  }
   this->from = std::max(this->from, next);
 }
 
@@ -123,7 +113,17 @@
   const Duration longest = now < this->trouble_until
                                ? this->options.trouble_silence
                                : this->options.max_silence;
-  return this->ByPlace(this->options.interval, longest);
+  return this->ByPlace(this->Interval(now), longest);
+}
+
+Duration TopicFollower::Interval(TimePoint now) const {
+  const TopicFollowerOptions& given = this->options;
+  if (given.empty_interval > Duration(0) && this->from == 0) {
+    return given.empty_interval;
+  }
+  const bool is_busy =
+      given.busy_interval > Duration(0) && now < this->busy_until;
+  return is_busy ? given.busy_interval : given.interval;
 }
 
 // Old news, as a VM sends that was paused in between, says nothing of what is
--- a/packages/decision/src/topic_records.cc
+++ b/packages/decision/src/topic_records.cc
@@ -61,11 +61,17 @@
   return records;
 }
 
-std::vector<KeyedRecord> TopicRecords::All() const {
+std::vector<KeyedRecord> TopicRecords::From(uint64_t start) const {
   std::vector<KeyedRecord> records;
   for (const auto& [key, record] : this->newest) {
-    records.push_back(record);
+    if (record.offset >= start) {
+      records.push_back(record);
+    }
   }
+  std::sort(records.begin(), records.end(),
+            [](const KeyedRecord& a, const KeyedRecord& b) {
+              return a.offset < b.offset;
+            });
   return records;
 }
 
--- a/packages/decision/src/view.cc
+++ b/packages/decision/src/view.cc
@@ -62,12 +62,30 @@
   return &rows[handle.index];
 }
 
+// Two, so that a VM that starts does not depend on one other.
+constexpr size_t kHelpersAsked = 2;
+
 struct RankedVm {
   int group = 0;  ///< Lower ones first.
   uint64_t score = 0;
   const VmRow* vm = nullptr;
 };
 
+// Leaves, of VMs in the order of work, those of the first one's size, or more
+// if these are too few.
+void DropSmaller(const std::vector<VmRow>& vms, std::vector<VmHandle>& order) {
+  const auto size_of = [&vms](VmHandle vm) {
+    return std::bit_width(vms.at(vm.index).capacity);
+  };
+  const auto is_smaller = [&](VmHandle vm) {
+    return size_of(vm) < size_of(order.front());
+  };
+  const auto smaller = std::find_if(order.begin(), order.end(), is_smaller);
+  if (smaller - order.begin() >= static_cast<ptrdiff_t>(kHelpersAsked)) {
+    order.erase(smaller, order.end());
+  }
+}
+
 std::vector<VmHandle> RankOwners(const RoutingView& view,
                                  const ShardRow& shard) {
   std::vector<RankedVm> ranked;
@@ -126,6 +144,34 @@
   return order;
 }
 
+std::vector<VmHandle> StartHelpers(const std::vector<VmRow>& vms,
+                                   VmHandle self) {
+  std::vector<VmHandle> order = WorkOrder(vms);
+  const auto own_place = std::find(order.begin(), order.end(), self);
+  const auto before = static_cast<size_t>(own_place - order.begin());
+  std::erase(order, self);
+  order.resize(std::min(order.size(), std::max(before, kHelpersAsked)));
+  DropSmaller(vms, order);
+  const VmRow& own = vms.at(self.index);
+  std::vector<RankedVm> ranked;
+  for (const VmHandle vm : order) {
+    const VmRow& row = vms.at(vm.index);
+    const bool near = row.data_centre == own.data_centre;
+    ranked.push_back(
+        {near ? 0 : 1, HashText(row.name, HashText(own.name, 0)), &row});
+  }
+  std::sort(ranked.begin(), ranked.end(),
+            [](const RankedVm& a, const RankedVm& b) {
+              return a.group != b.group ? a.group < b.group : a.score > b.score;
+            });
+  ranked.resize(std::min(ranked.size(), kHelpersAsked));
+  std::vector<VmHandle> chosen;
+  for (const RankedVm& vm : ranked) {
+    chosen.push_back(vm.vm->handle);
+  }
+  return chosen;
+}
+
 VmHandle NextInRing(const std::vector<VmRow>& vms, VmHandle self) {
   const std::string& own = vms.at(self.index).name;
   const VmRow* first = nullptr;
--- a/packages/node/include/basilsill/node/installation.h
+++ b/packages/node/include/basilsill/node/installation.h
@@ -72,7 +72,7 @@
   /// Makes the source of state; empty: the log of basilsill's own platform,
   /// with the resource API on the admin port.
   std::function<std::unique_ptr<StateSource>(boost::asio::io_context& context,
-                                             uint64_t incarnation,
+                                             const PolicyFeatures& features,
                                              const Endpoint& control)>
       make_source;
 };
--- a/packages/node/include/basilsill/node/state_source.h
+++ b/packages/node/include/basilsill/node/state_source.h
@@ -2,6 +2,7 @@
 #define BASILSILL_NODE_STATE_SOURCE_H_
 
 #include <cstdint>
+#include <string_view>
 #include <vector>
 
 #include "basilsill/decision/configuration.h"
@@ -15,6 +16,19 @@
 
 namespace basilsill {
 
+/// What a call to the platform is for.
+enum class PlatformCall : uint8_t {
+  kList,      ///< The newest records of a topic.
+  kRead,      ///< What came since.
+  kAnnounce,  ///< To write what VMs say of themselves.
+  kRenew,     ///< The same, where another word had taken its place.
+  kRetry,     ///< Any of these, since the one before it failed.
+  kCount
+};
+
+/// @returns the name of `purpose` as metrics carry it.
+std::string_view NameOf(PlatformCall purpose);
+
 /// What a source may ask of the control side.
 class StateSourceHost {
  public:
@@ -38,6 +52,9 @@
 
   virtual const Membership& membership() const = 0;
 
+  /// A call to the platform begins.
+  virtual void OnPlatformCall(PlatformCall purpose) = 0;
+
   /// A record of the platform names nothing that could be used.
   virtual void OnRecordIgnored(FailureKind reason) = 0;
 };
@@ -61,8 +78,8 @@
     static_cast<void>(message);
   }
 
-  /// `vm` says that it has no configuration yet.
-  virtual void OnStarting(VmHandle vm) { static_cast<void>(vm); }
+  /// A control link with `vm` works.
+  virtual void OnLinked(VmHandle vm) { static_cast<void>(vm); }
 
   /// A view with new VMs was published.
   virtual void OnFleetChanged() {}
--- a/packages/node/src/control.cc
+++ b/packages/node/src/control.cc
@@ -9,16 +9,12 @@
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
-#include "basilsill/decision/topic_follower.h"
+#include "basilsill/decision/news_plan.h"
 #include "basilsill/node/log.h"
 
 namespace basilsill {
 namespace {
 
-// A start takes some 50 ms where the platform answers. One that takes longer
-// asks others for what they know, so often until it has it.
-constexpr Duration kQuestionInterval = std::chrono::milliseconds(200);
-
 VmHello SelfHello(const Settings& settings,
                   const ControlOptions& options,
                   const Endpoint& control) {
@@ -89,7 +85,6 @@
     : context(context),
       settings(settings),
       incarnation(options.incarnation),
-      next_question(MonotonicClock::now() + kQuestionInterval),
       handlers(std::move(handlers)),
       counts(counts),
       source(std::move(source)),
@@ -165,6 +160,7 @@
   if (this->leaving) {
     this->links.Send(vm, this->MakeHeartbeat(false));
   }
+  this->source->OnLinked(vm);
 }
 
 void Control::OnStateChanged() {
@@ -202,7 +198,6 @@
 
 // The systems of the control side, in the order in which they run.
 void Control::Tick(TimePoint now) {
-  this->AskForState(now);
   this->SetNeeds(now);
   this->members->Tick(now);
   this->PumpMembership();
@@ -227,28 +222,6 @@
   }
 }
 
-// Failure: the platform refuses a VM that starts, for seconds, while it serves
-// the others. The VM refuses all that callers ask of it, though all it lacks is
-// known next door. It shows as refusals for want of a configuration while other
-// VMs are ready. So it asks them: a heartbeat that has nothing in force, to one
-// linked VM after the other, as any of them may be as ignorant. What it is told
-// is as true as what the others serve by. It knows nobody, but they know it by
-// its announcement of before: whoever comes before it in the ring keeps a link
-// to it, and once told, it is the one who tells the next. Of a fleet
-// of 18 that starts with five refused for 6 s, 209 requests were refused for
-// want of a configuration before, 26 after.
-void Control::AskForState(TimePoint now) {
-  if (this->current_view || now < this->next_question) {
-    return;
-  }
-  this->next_question = now + kQuestionInterval;
-  const std::vector<VmHandle> linked = this->links.Linked();
-  const size_t turn = this->questions++;
-  if (!linked.empty()) {
-    this->links.Send(linked[turn % linked.size()], this->MakeHeartbeat(true));
-  }
-}
-
 void Control::PumpMembership() {
   while (!this->members->actions().empty()) {
     const std::vector<MembershipAction> round = this->members->actions();
@@ -280,9 +253,10 @@
 }
 
 // Links are kept with the VMs that work for others: those that dispatch for a
-// shard or would do so next, and the first in the order in which VMs read the
-// platform for all. Where all are of one size these are nearly all VMs of a
-// small fleet; in a large one the small VMs have none among themselves.
+// shard or would do so next, and those that tell this data centre what they
+// read at the platform. Where all are of one size these are nearly all VMs of a
+// small fleet; in a large one the small VMs have none among themselves. A VM
+// that has no view yet needs two more, which help it to start.
 //
 // They change with the view and with membership only, and to collect them costs
 // an order of all VMs, so that isn't done at every tick.
@@ -299,27 +273,28 @@
 
 void Control::CollectNeeds() {
   this->needs.clear();
+  const std::vector<VmRow>& rows = this->members->rows();
+  for (const VmHandle vm : PlanNews(rows, this->members->self()).links) {
+    this->needs.push_back({vm, PeerUse::kNews});
+  }
   for (const VmHandle vm : this->CollectWorkers()) {
     if (vm != this->members->self()) {
       this->needs.push_back({vm, PeerUse::kShard});
     }
   }
-  const VmHandle next =
-      NextInRing(this->members->rows(), this->members->self());
+  const VmHandle next = NextInRing(rows, this->members->self());
   if (IsValid(next)) {
     this->needs.push_back({next, PeerUse::kDataCentre});
   }
 }
 
 std::set<VmHandle> Control::CollectWorkers() const {
-  std::set<VmHandle> workers;
-  const std::vector<VmHandle> order = WorkOrder(this->members->rows());
-  for (size_t i = 0; i < order.size() && i < kNewsTellers; ++i) {
-    workers.insert(order[i]);
-  }
   if (!this->current_view) {
-    return workers;
+    const std::vector<VmHandle> helpers =
+        StartHelpers(this->members->rows(), this->members->self());
+    return {helpers.begin(), helpers.end()};
   }
+  std::set<VmHandle> workers;
   for (const auto& service : this->current_view->services) {
     for (size_t i = 0; service != nullptr && i < service->shards.size(); ++i) {
       const std::vector<VmHandle>& owners = service->shards[i].owners;
@@ -336,9 +311,6 @@
                              heartbeat.incarnation);
     this->PumpMembership();
   }
-  if (heartbeat.applied_offset == 0 && this->current_view) {
-    this->source->OnStarting(from);
-  }
   if (heartbeat.answer_wanted) {
     this->links.Send(from, this->MakeHeartbeat(false));
   }
--- a/packages/node/src/control.h
+++ b/packages/node/src/control.h
@@ -87,6 +87,9 @@
   std::vector<VmHandle> LinkedPeers() const override {
     return this->links.Linked();
   }
+  void OnPlatformCall(PlatformCall purpose) override {
+    this->counts.platform_calls[static_cast<size_t>(purpose)].Add();
+  }
   void OnRecordIgnored(FailureKind reason) override {
     this->counts.records_ignored[static_cast<size_t>(reason)].Add();
   }
@@ -94,7 +97,6 @@
   ControlLinkHandlers MakeLinkHandlers();
   boost::asio::awaitable<void> TickLoop();
   void Tick(TimePoint now);
-  void AskForState(TimePoint now);
   void CountVms();
   void PumpMembership();
   void Perform(const MembershipAction& action);
@@ -109,8 +111,6 @@
   IoContext& context;
   const Settings& settings;
   uint64_t incarnation;
-  size_t questions = 0;  ///< Asked for state so often.
-  TimePoint next_question{};
   ControlHandlers handlers;
   ControlMetrics& counts;
   std::unique_ptr<StateSource> source;
--- a/packages/node/src/metrics.cc
+++ b/packages/node/src/metrics.cc
@@ -10,9 +10,15 @@
     "answered", "refused", "broken", "caller-gone"};
 constexpr PerEnum<std::string_view, VmState> kVmStateNames = {
     "live", "suspected", "leaving"};
+constexpr PerEnum<std::string_view, PlatformCall> kPlatformCallNames = {
+    "list", "read", "announce", "renew", "retry"};
 
 }  // namespace
 
+std::string_view NameOf(PlatformCall purpose) {
+  return kPlatformCallNames.at(static_cast<size_t>(purpose));
+}
+
 std::string_view NameOf(Outcome outcome) {
   return kOutcomeNames[static_cast<size_t>(outcome)];
 }
--- a/packages/node/src/metrics.h
+++ b/packages/node/src/metrics.h
@@ -10,6 +10,7 @@
 #include "basilsill/base/reason.h"
 #include "basilsill/base/time.h"
 #include "basilsill/decision/view.h"
+#include "basilsill/node/state_source.h"
 #include "metrics_latency.h"
 
 /// What a node counts. Each worker has one `WorkerMetrics` that it alone
@@ -137,6 +138,7 @@
   Counter log_reads;
   Counter log_appends;
   Counter platform_failures;
+  PerEnum<Counter, PlatformCall> platform_calls;
   PerEnum<Counter, FailureKind> records_ignored;
 };
 
--- a/packages/node/src/metrics_table.cc
+++ b/packages/node/src/metrics_table.cc
@@ -149,6 +149,14 @@
   });
 }
 
+void PlatformCalls(const MetricsPage& page, MetricsWriter& writer) {
+  ForEachValue<PlatformCall>([&](PlatformCall purpose) {
+    writer.Sample(
+        {{"purpose", NameOf(purpose)}},
+        page.control.platform_calls[static_cast<size_t>(purpose)].value());
+  });
+}
+
 void RecordsIgnored(const MetricsPage& page, MetricsWriter& writer) {
   ForEachValue<FailureKind>([&](FailureKind reason) {
     writer.Sample(
@@ -357,6 +365,11 @@
                "",
                "Calls to the platform that failed or were lost.",
                ControlValue<&Control::platform_failures>),
+    CounterRow("basilsill_platform_calls_total",
+               "purpose",
+               "Calls to a platform with a record store, by what they are "
+               "for.",
+               PlatformCalls),
     CounterRow("basilsill_records_ignored_total",
                "reason",
                "Records of the platform that name nothing to be used.",
--- a/packages/node/src/node.cc
+++ b/packages/node/src/node.cc
@@ -137,8 +137,8 @@
 
 Result<std::unique_ptr<StateSource>> Node::MakeSource(const Endpoint& control) {
   if (this->installation.make_source) {
-    return this->installation.make_source(this->context, this->incarnation,
-                                          control);
+    return this->installation.make_source(this->context,
+                                          this->installation.features, control);
   }
   auto created = LogSource::Create(this->context, this->settings,
                                    this->incarnation, this->metrics.control);
