--- a/packages/decision/include/basilsill/decision/state_quest.h
+++ b/packages/decision/include/basilsill/decision/state_quest.h
@@ -8,9 +8,10 @@
 #include "basilsill/decision/view.h"
 
 /// Whom a VM that starts asks for all that others know: one linked VM at a
-/// time, since the answer is long, in the order in which the links came up, so
-/// that near ones come first. Any of them may be as ignorant or have no room;
-/// it says so at once, and the next is asked. Pure.
+/// time, since the answer is long. First its helpers (StartHelpers), as their
+/// links come up; any other one only if these have not told in time, since of
+/// two that start each could wait for the other. One that has no room says so
+/// at once, and the next is asked. Pure.
 ///
 /// Failure: the platform refuses a VM that starts, for seconds, while it serves
 /// the others. The VM refuses all that callers ask of it, though all it lacks
@@ -24,7 +25,7 @@
 class StateQuest {
  public:
   /// A link with `vm` works.
-  void OnLinked(VmHandle vm);
+  void OnLinked(TimePoint now, VmHandle vm, bool is_helper);
 
   /// `vm` does not tell. @param later It has nothing yet and will tell.
   void OnDeclined(TimePoint now, VmHandle vm, bool later);
@@ -34,8 +35,10 @@
   VmHandle Next(TimePoint now);
 
  private:
-  std::vector<VmHandle> peers;
+  std::vector<VmHandle> peers;  ///< To be asked now, by turns.
+  std::vector<VmHandle> others;
   size_t turn = 0;
+  TimePoint others_at = kNever;  ///< From then on others are asked too.
   VmHandle asked;
   TimePoint next_at{};  ///< When another one is asked, if nothing comes.
 };
--- a/packages/decision/include/basilsill/decision/view.h
+++ b/packages/decision/include/basilsill/decision/view.h
@@ -243,13 +243,14 @@
 /// one VM does for all.
 std::vector<VmHandle> WorkOrder(const std::vector<VmRow>& vms);
 
-/// @returns the VMs that `self` asks for help while it starts: two of the
-/// largest, near ones before others, by hash, so that they share those that
-/// start. Only those before `self` in the order of work are asked, so that of a
-/// fleet that starts no two wait for each other.
-/// @remarks A list of VMs may be partial while a whole fleet starts. Small ones
-/// that are known before any larger one share those that start as well, and are
-/// asked no more once two larger ones are known.
+/// @returns the VMs that `self` asks for help while it starts, two: a small VM
+/// asks large ones, near ones before others, by hash, so that they share those
+/// that start; a large one asks the very first; where all are of one size, each
+/// asks some of those before it in the order of work. So no two wait for each
+/// other, and what the first know reaches all in a few steps.
+/// @remarks A list of VMs may be partial while a whole fleet starts. One that
+/// is small, and first only since larger ones are not listed yet, is asked no
+/// more once two larger ones are.
 std::vector<VmHandle> StartHelpers(const std::vector<VmRow>& vms,
                                    VmHandle self);
 
--- a/packages/decision/src/state_quest.cc
+++ b/packages/decision/src/state_quest.cc
@@ -16,12 +16,13 @@
 
 }  // namespace
 
-void StateQuest::OnLinked(VmHandle vm) {
-  const bool known = std::find(this->peers.begin(), this->peers.end(), vm) !=
-                     this->peers.end();
+void StateQuest::OnLinked(TimePoint now, VmHandle vm, bool is_helper) {
+  std::vector<VmHandle>& list = is_helper ? this->peers : this->others;
+  const bool known = std::find(list.begin(), list.end(), vm) != list.end();
   if (!known) {
-    this->peers.push_back(vm);
+    list.push_back(vm);
   }
+  this->others_at = std::min(this->others_at, now + kAnswerTime);
 }
 
 void StateQuest::OnDeclined(TimePoint now, VmHandle vm, bool later) {
@@ -33,6 +34,11 @@
 }
 
 VmHandle StateQuest::Next(TimePoint now) {
+  if (now >= this->others_at) {
+    this->peers.insert(this->peers.end(), this->others.begin(),
+                       this->others.end());
+    this->others.clear();
+  }
   const bool waits = IsValid(this->asked) || this->turn == this->peers.size();
   if (this->peers.empty() || (waits && now < this->next_at)) {
     return VmHandle{};
--- a/packages/decision/src/view.cc
+++ b/packages/decision/src/view.cc
@@ -149,10 +149,14 @@
   std::vector<VmHandle> order = WorkOrder(vms);
   const auto own_place = std::find(order.begin(), order.end(), self);
   const auto before = static_cast<size_t>(own_place - order.begin());
+  const VmRow& own = vms.at(self.index);
+  const bool is_large =
+      !order.empty() && std::bit_width(own.capacity) >
+                            std::bit_width(vms.at(order.back().index).capacity);
   std::erase(order, self);
-  order.resize(std::min(order.size(), std::max(before, kHelpersAsked)));
+  const size_t asked_of = is_large ? kHelpersAsked : before;
+  order.resize(std::min(order.size(), std::max(asked_of, kHelpersAsked)));
   DropSmaller(vms, order);
-  const VmRow& own = vms.at(self.index);
   std::vector<RankedVm> ranked;
   for (const VmHandle vm : order) {
     const VmRow& row = vms.at(vm.index);
--- a/packages/decision/test/start_test.cc
+++ b/packages/decision/test/start_test.cc
@@ -120,8 +120,8 @@
 };
 
 TEST(StateQuest, TwoLinked_OneIsAskedAtATime) {
-  this->quest.OnLinked(kFirst);
-  this->quest.OnLinked(kSecond);
+  this->quest.OnLinked(this->now, kFirst, true);
+  this->quest.OnLinked(this->now, kSecond, true);
   CHECK(this->quest.Next(this->now) == kFirst);
   CHECK_FALSE(IsValid(this->quest.Next(this->now + 1ms)));
 }
@@ -132,8 +132,8 @@
 
 // The one that is asked has a narrow link and no room left on it.
 TEST(StateQuest, Declined_NextIsAskedAtOnce) {
-  this->quest.OnLinked(kFirst);
-  this->quest.OnLinked(kSecond);
+  this->quest.OnLinked(this->now, kFirst, true);
+  this->quest.OnLinked(this->now, kSecond, true);
   this->quest.Next(this->now);
   this->quest.OnDeclined(this->now, kFirst, false);
   CHECK(this->quest.Next(this->now) == kSecond);
@@ -142,8 +142,8 @@
 // All start at once: the one that is asked waits for the platform itself. If
 // each asked everybody, each would be told by everybody.
 TEST(StateQuest, KnowsNothingYet_WaitedForAWhile) {
-  this->quest.OnLinked(kFirst);
-  this->quest.OnLinked(kSecond);
+  this->quest.OnLinked(this->now, kFirst, true);
+  this->quest.OnLinked(this->now, kSecond, true);
   this->quest.Next(this->now);
   this->quest.OnDeclined(this->now, kFirst, true);
   CHECK_FALSE(IsValid(this->quest.Next(this->now + 10ms)));
@@ -152,14 +152,24 @@
 
 // The one that is asked was killed a moment ago, and its link stays open.
 TEST(StateQuest, Silent_NextIsAskedSoon) {
-  this->quest.OnLinked(kFirst);
-  this->quest.OnLinked(kSecond);
+  this->quest.OnLinked(this->now, kFirst, true);
+  this->quest.OnLinked(this->now, kSecond, true);
   this->quest.Next(this->now);
   CHECK(this->quest.Next(this->now + 200ms) == kSecond);
 }
 
+// All start at once, and those that come after this one in the order link with
+// it first. If it asked one of them, that one would ask back.
+TEST(StateQuest, OtherThanAHelper_AskedOnlyIfHelpersDoNotTell) {
+  this->quest.OnLinked(this->now, kThird, false);
+  CHECK_FALSE(IsValid(this->quest.Next(this->now)));
+  this->quest.OnLinked(this->now, kFirst, true);
+  CHECK(this->quest.Next(this->now) == kFirst);
+  CHECK(this->quest.Next(this->now + 200ms) == kThird);
+}
+
 TEST(StateQuest, AllDeclined_AskedAgainAfterAPause) {
-  this->quest.OnLinked(kFirst);
+  this->quest.OnLinked(this->now, kFirst, true);
   this->quest.Next(this->now);
   this->quest.OnDeclined(this->now, kFirst, false);
   CHECK_FALSE(IsValid(this->quest.Next(this->now)));
