--- a/packages/decision/include/basilsill/decision/announcement.h
+++ b/packages/decision/include/basilsill/decision/announcement.h
@@ -8,15 +8,15 @@
 #include "basilsill/base/time.h"
 #include "basilsill/decision/view.h"
 
-/// How a VM gets its word of itself written at the platform: by a VM that
+/// How a VM gets its entry written to the platform's list of VMs: by a VM that
 /// already runs, which writes many at a time, or by itself if none does so in
 /// time. Pure; the shell sends and calls.
 ///
-/// Whose word: only the VM that is named says what is written. A helper that
-/// dies between its call and its answer leaves the word written, or not; the VM
-/// writes it itself then, and the same word twice is one entry. A late write
-/// of an earlier start's word may replace a later one's. The VM finds that out
-/// as it reads the list that it is on (OnListed), and says its word again.
+/// Only the VM that an entry names says what it holds. A helper that dies
+/// between its call and its answer leaves the entry written, or not; the VM
+/// writes it itself then, and the same record twice is one entry. A late write
+/// of an earlier start's entry may replace a later one's. The VM finds that out
+/// as it reads the list that it is on (OnListed), and writes its entry again.
 
 namespace basilsill {
 
@@ -35,7 +35,7 @@
 
 class Announcement {
  public:
-  /// The word is to be written.
+  /// The entry is to be written.
   /// @param others_listed Others are there who may help. A VM that knows nobody
   /// does not wait for any.
   /// @param spread A number of this VM's own, the same for the whole process:
@@ -60,9 +60,9 @@
   /// The call of kWriteAlone has ended.
   void OnWroteAlone(TimePoint now, bool written);
 
-  /// The list shows an entry of this VM. @param is_own_word It says what this
-  /// VM says.
-  void OnListed(TimePoint now, bool is_own_word);
+  /// The list shows an entry of this VM. @param is_current It holds what this
+  /// start of the VM says.
+  void OnListed(TimePoint now, bool is_current);
 
   /// @returns true if nothing is left to be written.
   bool done() const { return this->state == State::kDone; }
--- a/packages/decision/include/basilsill/decision/news_plan.h
+++ b/packages/decision/include/basilsill/decision/news_plan.h
@@ -22,7 +22,7 @@
 
 /// VMs of each data centre that tell its others. Two, so that one that dies or
 /// freezes is missed by nobody.
-inline constexpr size_t kTellersPerDataCentre = 2;
+inline constexpr size_t kRelaysPerDataCentre = 2;
 
 struct NewsPlan {
   /// Place of this VM in the order in which VMs read for all; the number of VMs
@@ -41,17 +41,17 @@
 
 /// @returns whom `self` tells what it has read itself, of those that it is
 /// linked with.
-std::vector<VmHandle> ReadersOf(const NewsPlan& plan,
-                                const std::vector<VmRow>& vms,
-                                VmHandle self,
-                                const std::vector<VmHandle>& linked);
+std::vector<VmHandle> ReadTargets(const NewsPlan& plan,
+                                  const std::vector<VmRow>& vms,
+                                  VmHandle self,
+                                  const std::vector<VmHandle>& linked);
 
 /// @returns to whom `self` hands on what `teller` told it.
-std::vector<VmHandle> HandsOnTo(const NewsPlan& plan,
-                                const std::vector<VmRow>& vms,
-                                VmHandle self,
-                                VmHandle teller,
-                                const std::vector<VmHandle>& linked);
+std::vector<VmHandle> RelayTargets(const NewsPlan& plan,
+                                   const std::vector<VmRow>& vms,
+                                   VmHandle self,
+                                   VmHandle teller,
+                                   const std::vector<VmHandle>& linked);
 
 }  // namespace basilsill
 
--- a/packages/decision/include/basilsill/decision/state_quest.h
+++ b/packages/decision/include/basilsill/decision/state_fetch.h
@@ -1,5 +1,5 @@
-#ifndef BASILSILL_DECISION_STATE_QUEST_H_
-#define BASILSILL_DECISION_STATE_QUEST_H_
+#ifndef BASILSILL_DECISION_STATE_FETCH_H_
+#define BASILSILL_DECISION_STATE_FETCH_H_
 
 #include <cstddef>
 #include <vector>
@@ -22,7 +22,7 @@
 
 namespace basilsill {
 
-class StateQuest {
+class StateFetch {
  public:
   /// A link with `vm` works.
   void OnLinked(TimePoint now, VmHandle vm, bool is_helper);
@@ -45,4 +45,4 @@
 
 }  // namespace basilsill
 
-#endif  // BASILSILL_DECISION_STATE_QUEST_H_
+#endif  // BASILSILL_DECISION_STATE_FETCH_H_
--- a/packages/decision/include/basilsill/decision/state_offers.h
+++ b/packages/decision/include/basilsill/decision/state_send_budget.h
@@ -1,5 +1,5 @@
-#ifndef BASILSILL_DECISION_STATE_OFFERS_H_
-#define BASILSILL_DECISION_STATE_OFFERS_H_
+#ifndef BASILSILL_DECISION_STATE_SEND_BUDGET_H_
+#define BASILSILL_DECISION_STATE_SEND_BUDGET_H_
 
 #include <cstddef>
 
@@ -17,10 +17,10 @@
 
 namespace basilsill {
 
-class StateOffers {
+class StateSendBudget {
  public:
   /// @param link_bytes_per_second Of this VM's link; 0: not known, no bound.
-  explicit StateOffers(double link_bytes_per_second);
+  explicit StateSendBudget(double link_bytes_per_second);
 
   /// @returns true if so many octets may be told now.
   bool HasRoom(TimePoint now, size_t bytes);
@@ -36,4 +36,4 @@
 
 }  // namespace basilsill
 
-#endif  // BASILSILL_DECISION_STATE_OFFERS_H_
+#endif  // BASILSILL_DECISION_STATE_SEND_BUDGET_H_
--- a/packages/decision/src/announcement.cc
+++ b/packages/decision/src/announcement.cc
@@ -79,10 +79,10 @@
   this->alone_at = now + kRetryInterval;
 }
 
-void Announcement::OnListed(TimePoint now, bool is_own_word) {
-  if (is_own_word && this->state != State::kWriting) {
+void Announcement::OnListed(TimePoint now, bool is_current) {
+  if (is_current && this->state != State::kWriting) {
     this->state = State::kDone;
-  } else if (!is_own_word && this->state == State::kDone) {
+  } else if (!is_current && this->state == State::kDone) {
     this->turn = 0;
     this->Begin(now, !this->peers.empty(), this->spread);
   }
--- a/packages/decision/src/news_plan.cc
+++ b/packages/decision/src/news_plan.cc
@@ -21,7 +21,7 @@
   for (const VmHandle vm : WorkOrder(vms)) {
     size_t& count = found[vms.at(vm.index).data_centre];
     std::vector<VmHandle>& part =
-        count < kTellersPerDataCentre ? tellers : others;
+        count < kRelaysPerDataCentre ? tellers : others;
     part.push_back(vm);
     ++count;
   }
@@ -51,10 +51,10 @@
   return plan;
 }
 
-std::vector<VmHandle> ReadersOf(const NewsPlan& plan,
-                                const std::vector<VmRow>& vms,
-                                VmHandle self,
-                                const std::vector<VmHandle>& linked) {
+std::vector<VmHandle> ReadTargets(const NewsPlan& plan,
+                                  const std::vector<VmRow>& vms,
+                                  VmHandle self,
+                                  const std::vector<VmHandle>& linked) {
   std::vector<VmHandle> told;
   for (const VmHandle vm : linked) {
     const bool tells_there = Contains(plan.links, vm);
@@ -65,11 +65,11 @@
   return told;
 }
 
-std::vector<VmHandle> HandsOnTo(const NewsPlan& plan,
-                                const std::vector<VmRow>& vms,
-                                VmHandle self,
-                                VmHandle teller,
-                                const std::vector<VmHandle>& linked) {
+std::vector<VmHandle> RelayTargets(const NewsPlan& plan,
+                                   const std::vector<VmRow>& vms,
+                                   VmHandle self,
+                                   VmHandle teller,
+                                   const std::vector<VmHandle>& linked) {
   std::vector<VmHandle> told;
   if (!plan.tells || !IsValid(teller) || IsNear(vms, teller, self)) {
     return told;
--- a/packages/decision/src/state_quest.cc
+++ b/packages/decision/src/state_fetch.cc
@@ -1,4 +1,4 @@
-#include "basilsill/decision/state_quest.h"
+#include "basilsill/decision/state_fetch.h"
 
 #include <algorithm>
 
@@ -16,7 +16,7 @@
 
 }  // namespace
 
-void StateQuest::OnLinked(TimePoint now, VmHandle vm, bool is_helper) {
+void StateFetch::OnLinked(TimePoint now, VmHandle vm, bool is_helper) {
   std::vector<VmHandle>& list = is_helper ? this->peers : this->others;
   const bool known = std::find(list.begin(), list.end(), vm) != list.end();
   if (!known) {
@@ -25,7 +25,7 @@
   this->others_at = std::min(this->others_at, now + kAnswerTime);
 }
 
-void StateQuest::OnDeclined(TimePoint now, VmHandle vm, bool later) {
+void StateFetch::OnDeclined(TimePoint now, VmHandle vm, bool later) {
   if (vm != this->asked || later) {
     return;
   }
@@ -33,7 +33,7 @@
   this->next_at = this->turn < this->peers.size() ? now : now + kRoundPause;
 }
 
-VmHandle StateQuest::Next(TimePoint now) {
+VmHandle StateFetch::Next(TimePoint now) {
   if (now >= this->others_at) {
     this->peers.insert(this->peers.end(), this->others.begin(),
                        this->others.end());
--- a/packages/decision/src/state_offers.cc
+++ b/packages/decision/src/state_send_budget.cc
@@ -1,4 +1,4 @@
-#include "basilsill/decision/state_offers.h"
+#include "basilsill/decision/state_send_budget.h"
 
 #include <algorithm>
 #include <limits>
@@ -17,10 +17,10 @@
 
 }  // namespace
 
-StateOffers::StateOffers(double link_bytes_per_second)
+StateSendBudget::StateSendBudget(double link_bytes_per_second)
     : rate(RateOf(link_bytes_per_second)), room(this->rate) {}
 
-bool StateOffers::HasRoom(TimePoint now, size_t bytes) {
+bool StateSendBudget::HasRoom(TimePoint now, size_t bytes) {
   const std::chrono::duration<double> since = now - this->filled_at;
   this->filled_at = now;
   const double gained = this->rate * std::max(0.0, since.count());
@@ -28,7 +28,7 @@
   return static_cast<double>(bytes) <= this->room;
 }
 
-bool StateOffers::Take(TimePoint now, size_t bytes) {
+bool StateSendBudget::Take(TimePoint now, size_t bytes) {
   if (!this->HasRoom(now, bytes)) {
     return false;
   }
--- a/packages/decision/test/news_plan_test.cc
+++ b/packages/decision/test/news_plan_test.cc
@@ -90,8 +90,8 @@
         on_the_way.push_back({from, to});
       }
     };
-    send(reader, ReadersOf(this->plans.at(reader.index), this->rows, reader,
-                           this->LinkedWith(reader)));
+    send(reader, ReadTargets(this->plans.at(reader.index), this->rows, reader,
+                             this->LinkedWith(reader)));
     while (!on_the_way.empty()) {
       const Message message = on_the_way.front();
       on_the_way.pop_front();
@@ -99,9 +99,9 @@
         continue;
       }
       sent.heard.insert(message.to);
-      send(message.to,
-           HandsOnTo(this->plans.at(message.to.index), this->rows, message.to,
-                     message.from, this->LinkedWith(message.to)));
+      send(message.to, RelayTargets(this->plans.at(message.to.index),
+                                    this->rows, message.to, message.from,
+                                    this->LinkedWith(message.to)));
     }
     return sent;
   }
--- a/packages/decision/test/start_fleet_test.cc
+++ b/packages/decision/test/start_fleet_test.cc
@@ -15,7 +15,7 @@
 #include "basilsill/decision/membership.h"
 #include "basilsill/decision/news_plan.h"
 #include "basilsill/decision/start_plan.h"
-#include "basilsill/decision/state_offers.h"
+#include "basilsill/decision/state_send_budget.h"
 #include "vm_rows.h"
 
 #include <CppUTest/TestHarness.h>
--- a/packages/decision/test/start_test.cc
+++ b/packages/decision/test/start_test.cc
@@ -10,8 +10,8 @@
 #include "basilsill/decision/announcement.h"
 #include "basilsill/decision/group_append.h"
 #include "basilsill/decision/start_plan.h"
-#include "basilsill/decision/state_offers.h"
-#include "basilsill/decision/state_quest.h"
+#include "basilsill/decision/state_fetch.h"
+#include "basilsill/decision/state_send_budget.h"
 
 #include <CppUTest/TestHarness.h>
 
@@ -23,8 +23,8 @@
 using basilsill::GroupAppend;
 using basilsill::KeyedRecord;
 using basilsill::kNever;
-using basilsill::StateOffers;
-using basilsill::StateQuest;
+using basilsill::StateFetch;
+using basilsill::StateSendBudget;
 using basilsill::TimePoint;
 using basilsill::VmHandle;
 
@@ -81,99 +81,99 @@
   CHECK(delays.size() > 200);
 }
 
-TEST_GROUP(StateOffers) {
+TEST_GROUP(StateSendBudget) {
   TimePoint now{100s};
 };
 
 // A small VM is asked by all the others of a fleet that starts. If it told them
 // all, its own calls would wait behind 30 MB.
-TEST(StateOffers, NarrowLink_ManyAsk_KeepsToAPartOfItsLink) {
-  StateOffers offers(kNarrowLink);
+TEST(StateSendBudget, NarrowLink_ManyAsk_KeepsToAPartOfItsLink) {
+  StateSendBudget budget(kNarrowLink);
   size_t told = 0;
   for (int i = 0; i < 300; ++i) {
-    told += offers.Take(this->now, kStateBytes) ? kStateBytes : 0;
+    told += budget.Take(this->now, kStateBytes) ? kStateBytes : 0;
     this->now += 3ms;
   }
   CHECK(told > 0);
   CHECK(told <= kNarrowLink / 2);
 }
 
-TEST(StateOffers, NarrowLink_ASecondLater_TellsAgain) {
-  StateOffers offers(kNarrowLink);
-  while (offers.Take(this->now, kStateBytes)) {
+TEST(StateSendBudget, NarrowLink_ASecondLater_TellsAgain) {
+  StateSendBudget budget(kNarrowLink);
+  while (budget.Take(this->now, kStateBytes)) {
   }
-  CHECK_FALSE(offers.HasRoom(this->now, kStateBytes));
+  CHECK_FALSE(budget.HasRoom(this->now, kStateBytes));
   this->now += 1s;
-  CHECK(offers.Take(this->now, kStateBytes));
+  CHECK(budget.Take(this->now, kStateBytes));
 }
 
-TEST(StateOffers, LinkNotKnown_TellsAll) {
-  StateOffers offers(0);
+TEST(StateSendBudget, LinkNotKnown_TellsAll) {
+  StateSendBudget budget(0);
   for (int i = 0; i < 300; ++i) {
-    CHECK(offers.Take(this->now, kStateBytes));
+    CHECK(budget.Take(this->now, kStateBytes));
   }
 }
 
-TEST_GROUP(StateQuest) {
+TEST_GROUP(StateFetch) {
   TimePoint now{100s};
-  StateQuest quest;
+  StateFetch fetch;
 };
 
-TEST(StateQuest, TwoLinked_OneIsAskedAtATime) {
-  this->quest.OnLinked(this->now, kFirst, true);
-  this->quest.OnLinked(this->now, kSecond, true);
-  CHECK(this->quest.Next(this->now) == kFirst);
-  CHECK_FALSE(IsValid(this->quest.Next(this->now + 1ms)));
+TEST(StateFetch, TwoLinked_OneIsAskedAtATime) {
+  this->fetch.OnLinked(this->now, kFirst, true);
+  this->fetch.OnLinked(this->now, kSecond, true);
+  CHECK(this->fetch.Next(this->now) == kFirst);
+  CHECK_FALSE(IsValid(this->fetch.Next(this->now + 1ms)));
 }
 
-TEST(StateQuest, NobodyLinked_NobodyAsked) {
-  CHECK_FALSE(IsValid(this->quest.Next(this->now)));
+TEST(StateFetch, NobodyLinked_NobodyAsked) {
+  CHECK_FALSE(IsValid(this->fetch.Next(this->now)));
 }
 
 // The one that is asked has a narrow link and no room left on it.
-TEST(StateQuest, Declined_NextIsAskedAtOnce) {
-  this->quest.OnLinked(this->now, kFirst, true);
-  this->quest.OnLinked(this->now, kSecond, true);
-  this->quest.Next(this->now);
-  this->quest.OnDeclined(this->now, kFirst, false);
-  CHECK(this->quest.Next(this->now) == kSecond);
+TEST(StateFetch, Declined_NextIsAskedAtOnce) {
+  this->fetch.OnLinked(this->now, kFirst, true);
+  this->fetch.OnLinked(this->now, kSecond, true);
+  this->fetch.Next(this->now);
+  this->fetch.OnDeclined(this->now, kFirst, false);
+  CHECK(this->fetch.Next(this->now) == kSecond);
 }
 
 // All start at once: the one that is asked waits for the platform itself. If
 // each asked everybody, each would be told by everybody.
-TEST(StateQuest, KnowsNothingYet_WaitedForAWhile) {
-  this->quest.OnLinked(this->now, kFirst, true);
-  this->quest.OnLinked(this->now, kSecond, true);
-  this->quest.Next(this->now);
-  this->quest.OnDeclined(this->now, kFirst, true);
-  CHECK_FALSE(IsValid(this->quest.Next(this->now + 10ms)));
-  CHECK(this->quest.Next(this->now + 200ms) == kSecond);
+TEST(StateFetch, KnowsNothingYet_WaitedForAWhile) {
+  this->fetch.OnLinked(this->now, kFirst, true);
+  this->fetch.OnLinked(this->now, kSecond, true);
+  this->fetch.Next(this->now);
+  this->fetch.OnDeclined(this->now, kFirst, true);
+  CHECK_FALSE(IsValid(this->fetch.Next(this->now + 10ms)));
+  CHECK(this->fetch.Next(this->now + 200ms) == kSecond);
 }
 
 // The one that is asked was killed a moment ago, and its link stays open.
-TEST(StateQuest, Silent_NextIsAskedSoon) {
-  this->quest.OnLinked(this->now, kFirst, true);
-  this->quest.OnLinked(this->now, kSecond, true);
-  this->quest.Next(this->now);
-  CHECK(this->quest.Next(this->now + 200ms) == kSecond);
+TEST(StateFetch, Silent_NextIsAskedSoon) {
+  this->fetch.OnLinked(this->now, kFirst, true);
+  this->fetch.OnLinked(this->now, kSecond, true);
+  this->fetch.Next(this->now);
+  CHECK(this->fetch.Next(this->now + 200ms) == kSecond);
 }
 
 // All start at once, and those that come after this one in the order link with
 // it first. If it asked one of them, that one would ask back.
-TEST(StateQuest, OtherThanAHelper_AskedOnlyIfHelpersDoNotTell) {
-  this->quest.OnLinked(this->now, kThird, false);
-  CHECK_FALSE(IsValid(this->quest.Next(this->now)));
-  this->quest.OnLinked(this->now, kFirst, true);
-  CHECK(this->quest.Next(this->now) == kFirst);
-  CHECK(this->quest.Next(this->now + 200ms) == kThird);
+TEST(StateFetch, OtherThanAHelper_AskedOnlyIfHelpersDoNotTell) {
+  this->fetch.OnLinked(this->now, kThird, false);
+  CHECK_FALSE(IsValid(this->fetch.Next(this->now)));
+  this->fetch.OnLinked(this->now, kFirst, true);
+  CHECK(this->fetch.Next(this->now) == kFirst);
+  CHECK(this->fetch.Next(this->now + 200ms) == kThird);
 }
 
-TEST(StateQuest, AllDeclined_AskedAgainAfterAPause) {
-  this->quest.OnLinked(this->now, kFirst, true);
-  this->quest.Next(this->now);
-  this->quest.OnDeclined(this->now, kFirst, false);
-  CHECK_FALSE(IsValid(this->quest.Next(this->now)));
-  CHECK(this->quest.Next(this->now + 100ms) == kFirst);
+TEST(StateFetch, AllDeclined_AskedAgainAfterAPause) {
+  this->fetch.OnLinked(this->now, kFirst, true);
+  this->fetch.Next(this->now);
+  this->fetch.OnDeclined(this->now, kFirst, false);
+  CHECK_FALSE(IsValid(this->fetch.Next(this->now)));
+  CHECK(this->fetch.Next(this->now + 100ms) == kFirst);
 }
 
 TEST_GROUP(GroupAppend) {
--- a/packages/node/include/basilsill/node/state_source.h
+++ b/packages/node/include/basilsill/node/state_source.h
@@ -20,8 +20,8 @@
 enum class PlatformCall : uint8_t {
   kList,      ///< The newest records of a topic.
   kRead,      ///< What came since.
-  kAnnounce,  ///< To write what VMs say of themselves.
-  kRenew,     ///< The same, where another word had taken its place.
+  kAnnounce,  ///< To write entries of the list of VMs.
+  kRenew,     ///< The same, where an older entry had taken its place.
   kRetry,     ///< Any of these, since the one before it failed.
   kCount
 };
