--- a/packages/decision/src/group_append.cc
+++ b/packages/decision/src/group_append.cc
@@ -44,6 +44,7 @@
     last[this->on_the_way[i].record.key] = i;
   }
   std::vector<KeyedRecord> records;
+  records.reserve(last.size());
   for (const auto& [key, index] : last) {
     records.push_back(this->on_the_way[index].record);
   }
--- a/packages/decision/src/view.cc
+++ b/packages/decision/src/view.cc
@@ -170,6 +170,7 @@
             });
   ranked.resize(std::min(ranked.size(), kHelpersAsked));
   std::vector<VmHandle> chosen;
+  chosen.reserve(ranked.size());
   for (const RankedVm& vm : ranked) {
     chosen.push_back(vm.vm->handle);
   }
