--- a/packages/decision/include/basilsill/decision/state_fetch.h
+++ b/packages/decision/include/basilsill/decision/state_fetch.h
@@ -25,6 +25,7 @@
 class StateFetch {
  public:
   /// A link with `vm` works.
+  /// @param is_helper It is one of this VM's StartHelpers.
   void OnLinked(TimePoint now, VmHandle vm, bool is_helper);
 
   /// `vm` does not tell. @param later It has nothing yet and will tell.
