Drained data centres: a resource, kept by every way that work takes

Change: a data centre is a resource with a desired state and, like others, its VMs in force; `basilsillctl drain` and `undrain`, events 316 and 317, a gauge, refusal `drained`. Views mark its upstreams and shards; dispatchers, hedges, repeats, stale connections, the path past dispatchers and the choice of shards all keep away from them. The adapter translates the platform's records; which of them counts decides DataCentreDrains, by the order of the store, and by whole lists where history was cut. What a list does not have is not told to VMs that start any more.

The first VM's read of the operator's topic is held by the store, so a record is heard of at once; by intervals of 0.75 s it would be 0.4 s late on average.

Ruled out: a mark on each upstream's entry as if it left (it would be removed later, and entries that come meanwhile would not have it).

--- a/packages/base/include/basilsill/base/event.h
+++ b/packages/base/include/basilsill/base/event.h
@@ -46,6 +46,8 @@
   kUpstreamBack = 313,
   kUpstreamGone = 314,
   kUpstreamStartedAgain = 315,
+  kDataCentreDrained = 316,
+  kDataCentreTakenBack = 317,
   kFingerprintQuarantined = 320,
   // 400: links between nodes
   kLinkOpened = 400,
--- a/packages/base/include/basilsill/base/reason.h
+++ b/packages/base/include/basilsill/base/reason.h
@@ -52,6 +52,7 @@
   kShuttingDown,
   kCallerGone,
   kMemoryLimit,
+  kDrained,
   kCount
 };
 
--- a/packages/base/src/event.cc
+++ b/packages/base/src/event.cc
@@ -41,6 +41,8 @@
     EventInfo{Event::kUpstreamBack, kInfo, "upstream-back"},
     EventInfo{Event::kUpstreamGone, kInfo, "upstream-gone"},
     EventInfo{Event::kUpstreamStartedAgain, kInfo, "upstream-started-again"},
+    EventInfo{Event::kDataCentreDrained, kWarning, "data-centre-drained"},
+    EventInfo{Event::kDataCentreTakenBack, kInfo, "data-centre-taken-back"},
     EventInfo{Event::kFingerprintQuarantined, kWarning,
               "fingerprint-quarantined"},
     EventInfo{Event::kLinkOpened, kInfo, "link-opened"},
--- a/packages/base/src/reason.cc
+++ b/packages/base/src/reason.cc
@@ -45,6 +45,7 @@
         {"shutting-down", 503, kNotRun, true, true},
         {"caller-gone", 499, kUnknown, false, false},
         {"memory-limit", 503, kNotRun, true, false},
+        {"drained", 503, kNotRun, true, false},
     }};
 
 constexpr std::array<std::string_view, static_cast<size_t>(Retry::kCount)>
--- a/packages/ctl/src/command_table.cc
+++ b/packages/ctl/src/command_table.cc
@@ -15,6 +15,8 @@
     Command{"get", "show a resource", RunGet},
     Command{"list", "show resources", RunList},
     Command{"delete", "delete a resource", RunDelete},
+    Command{"drain", "keep new work away from a data centre", RunDrain},
+    Command{"undrain", "take a drained data centre back", RunUndrain},
     Command{"watch", "follow changes of resources", RunWatch},
     Command{"status", "show the state of an installation", RunStatus},
     Command{"explain", "what became of one request, from logs", RunExplain},
--- a/packages/ctl/src/resource_answer.h
+++ b/packages/ctl/src/resource_answer.h
@@ -44,7 +44,7 @@
 
 /// Kinds in the order that lists show them, as paths have them.
 inline constexpr std::string_view kResourceKinds[] = {
-    "teams", "services", "upstream-sets", "rules", "limits"};
+    "teams", "services", "upstream-sets", "rules", "limits", "data-centres"};
 
 /// @returns the kind that `text` names in the plural or the singular.
 std::optional<std::string_view> ResourceKindNamed(std::string_view text);
--- a/packages/ctl/src/resource_apply.cc
+++ b/packages/ctl/src/resource_apply.cc
@@ -25,6 +25,8 @@
 namespace asio = boost::asio;
 using StatusAwaitable = asio::awaitable<ExitStatus>;
 
+constexpr std::string_view kDataCentreKind = "data-centres";
+
 /// How often --wait asks whether a change is in force.
 constexpr std::chrono::milliseconds kWaitPeriod{100};
 
@@ -138,8 +140,49 @@
   co_return ExitStatus::kOk;
 }
 
+// Makes a data centre be drained, or not.
+ExitStatus RunDrainAs(bool drained,
+                      const std::string& help,
+                      const CommandArguments& arguments) {
+  TCLAP::CmdLine line(
+      help +
+          " Exit status: 0 accepted, 2 usage, 3 conflict, 4 rejected, 5 "
+          "unavailable or unresolved.",
+      ' ', BASILSILL_VERSION);
+  ResourceOptions options(line);
+  TCLAP::SwitchArg wait("w", "wait", "Wait until in force on every live VM.",
+                        line);
+  TCLAP::UnlabeledValueArg<std::string> name("name", "Data centre.", true, "",
+                                             "DATA-CENTRE", line);
+  if (const auto status = options.Parse(line, arguments)) {
+    return *status;
+  }
+  const auto path = CheckPath(std::string(kDataCentreKind), name.getValue());
+  if (!path) {
+    return ExitStatus::kUsage;
+  }
+  const Resource wanted{path->name, DataCentreSpec{drained}};
+  DeclaredResource declared;
+  declared.path = *path;
+  declared.spec = WriteResource(wanted);
+  asio::io_context io;
+  ResourceClient client = options.MakeClient(io);
+  return RunCommand(io, Apply(client, {declared}, options, wait.getValue()));
+}
+
 }  // namespace
 
+ExitStatus RunDrain(const CommandArguments& arguments) {
+  return RunDrainAs(true,
+                    "Keeps new work away from the upstreams of a data centre; "
+                    "what they run goes on.",
+                    arguments);
+}
+
+ExitStatus RunUndrain(const CommandArguments& arguments) {
+  return RunDrainAs(false, "Takes a drained data centre back.", arguments);
+}
+
 ExitStatus RunApply(const CommandArguments& arguments) {
   TCLAP::CmdLine line(
       "Makes resources be as a JSON file says (comments allowed): one object "
--- a/packages/ctl/src/resource_commands.h
+++ b/packages/ctl/src/resource_commands.h
@@ -15,6 +15,10 @@
 ExitStatus RunList(const CommandArguments& arguments);
 /// `delete KIND NAME`: deletes one resource.
 ExitStatus RunDelete(const CommandArguments& arguments);
+/// `drain DATA-CENTRE`: keeps new work away from it.
+ExitStatus RunDrain(const CommandArguments& arguments);
+/// `undrain DATA-CENTRE`: takes it back.
+ExitStatus RunUndrain(const CommandArguments& arguments);
 /// `status`: shows what a node knows of the installation.
 ExitStatus RunStatus(const CommandArguments& arguments);
 /// `watch`: follows changes from an offset on.
--- a/packages/ctl/test/resource_commands_test.cc
+++ b/packages/ctl/test/resource_commands_test.cc
@@ -208,6 +208,15 @@
   CHECK(Complained("in-use: service 'bank' needs it"));
 }
 
+TEST(ResourceCommands, Drain_ThenUndrain_ReplacesTheDataCentre) {
+  CHECK(Run(RunDrain, {"lyulin"}) == ExitStatus::kOk);
+  CHECK(Printed("created data-centres/lyulin"));
+  CHECK(Run(RunDrain, {"lyulin"}) == ExitStatus::kOk);
+  CHECK(Printed("unchanged data-centres/lyulin"));
+  CHECK(Run(RunUndrain, {"lyulin"}) == ExitStatus::kOk);
+  CHECK(Printed("replaced data-centres/lyulin"));
+}
+
 TEST(ResourceCommands, Get_Missing_Rejected) {
   CHECK(Run(RunGet, {"team", "nobody"}) == ExitStatus::kRejected);
   CHECK(Complained("not-found at teams/nobody"));
--- a/packages/decision/include/basilsill/decision/declared_configuration.h
+++ b/packages/decision/include/basilsill/decision/declared_configuration.h
@@ -10,6 +10,7 @@
 
 #include "basilsill/base/error.h"
 #include "basilsill/decision/configuration.h"
+#include "basilsill/decision/data_centre_drains.h"
 #include "basilsill/decision/upstream_registry.h"
 
 /// Configuration of installations whose platform holds it whole: one document
@@ -42,6 +43,7 @@
 struct DeclaredService {
   std::string name;
   std::string health_path;
+  ColdTerms cold{};
 };
 
 struct DeclaredConfiguration {
@@ -51,6 +53,13 @@
   CallerLimits callers;
 };
 
+/// What all of an installation is declared by.
+struct DeclaredSources {
+  const DeclaredConfiguration& configuration;  ///< Passed CheckDeclared.
+  UpstreamRegistry& upstreams;
+  const DataCentreDrains& drains;
+};
+
 /// @returns what stands against serving by `configuration`: a reference to a
 /// service that it does not have, or a name that stands twice.
 std::vector<Failure> CheckDeclared(const DeclaredConfiguration& configuration);
@@ -61,15 +70,12 @@
 class DeclaredState {
  public:
   /// Brings the state up to date.
-  /// @param configuration Passed CheckDeclared.
-  /// @param upstreams The same registry at each call. Entries of services that
-  /// `configuration` does not have are left out.
-  void Update(const DeclaredConfiguration& configuration,
-              UpstreamRegistry& upstreams);
+  /// @param sources The same registry and drains at each call. Entries of
+  /// services that the configuration does not have are left out.
+  void Update(const DeclaredSources& sources);
 
   /// @returns true if an update would change nothing.
-  bool IsCurrent(const DeclaredConfiguration& configuration,
-                 const UpstreamRegistry& upstreams) const;
+  bool IsCurrent(const DeclaredSources& sources) const;
 
   const ConfigurationState& state() const { return this->current; }
 
@@ -78,8 +84,10 @@
                   const UpstreamRegistry& upstreams);
   void DeclareSets(const std::set<UpstreamSetKey>& touched,
                    const UpstreamRegistry& upstreams);
+  void DeclareDrains(const DataCentreDrains& drains);
 
   std::optional<uint64_t> configuration_version;
+  uint64_t drains_version = 0;
   uint64_t upstreams_version = 0;
   std::set<std::string, std::less<>> services;
   uint64_t updates = 0;
--- a/packages/decision/include/basilsill/decision/resource.h
+++ b/packages/decision/include/basilsill/decision/resource.h
@@ -26,6 +26,7 @@
   kUpstreamSet,
   kRule,
   kLimits,
+  kDataCentre,
   kCount
 };
 
@@ -49,6 +50,7 @@
   std::string team;
   /// Where an upstream says whether it is well; empty: it is not asked.
   std::string health_path{};
+  ColdTerms cold{};
 
   friend bool operator==(const ServiceSpec&, const ServiceSpec&) = default;
 };
@@ -132,9 +134,22 @@
   friend bool operator==(const TrafficRatios&, const TrafficRatios&) = default;
 };
 
+/// What operators want of a data centre. One without a resource is in use.
+struct DataCentreSpec {
+  /// Its upstreams end what they have and get nothing new.
+  bool drained = false;
+
+  friend bool operator==(const DataCentreSpec&,
+                         const DataCentreSpec&) = default;
+};
+
 /// Alternatives stand in the order of ResourceKind.
-using ResourceSpec =
-    std::variant<TeamSpec, ServiceSpec, UpstreamSetSpec, RuleSpec, LimitsSpec>;
+using ResourceSpec = std::variant<TeamSpec,
+                                  ServiceSpec,
+                                  UpstreamSetSpec,
+                                  RuleSpec,
+                                  LimitsSpec,
+                                  DataCentreSpec>;
 
 /// Names a resource; names are unique within a kind.
 struct ResourceId {
--- a/packages/decision/include/basilsill/decision/topic_follower.h
+++ b/packages/decision/include/basilsill/decision/topic_follower.h
@@ -30,6 +30,8 @@
 
 /// The next call to make.
 struct TopicCall {
+  /// A read may be held by the store so long, until there is a record.
+  Duration hold{0};
   TopicCallKind kind = TopicCallKind::kListNewest;
   std::string after;
   uint64_t from = 0;
@@ -42,6 +44,10 @@
   Duration busy_interval{0};
   /// The same while the topic has no record; 0: no shorter.
   Duration empty_interval{0};
+  /// How long the store holds a read of the VM that reads for all, so that it
+  /// hears of a record at once; 0: not at all. That VM then reads without a
+  /// break.
+  Duration hold{0};
   /// The longest that any VM waits without news.
   Duration max_silence{0};
   /// The same while the store is in trouble, as own calls show it, and the
@@ -114,6 +120,7 @@
  private:
   Duration Patience(TimePoint now) const;
   Duration Interval(TimePoint now) const;
+  bool Holds() const;
   Duration RetryPause() const;
   /// @returns a part of the way from `first` to `last`, by the VM's place.
   Duration ByPlace(Duration first, Duration last) const;
--- a/packages/decision/include/basilsill/decision/topic_records.h
+++ b/packages/decision/include/basilsill/decision/topic_records.h
@@ -4,6 +4,7 @@
 #include <cstdint>
 #include <deque>
 #include <map>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -29,6 +30,12 @@
   /// Keeps a newer record in the place of the one known of its key.
   void Keep(const KeyedRecord& record);
 
+  /// The whole topic is being listed anew. A key that OnListed does not name
+  /// between these two calls is gone: the record that took it away is lost.
+  void BeginListing();
+  void OnListed(const std::string& key);
+  void EndListing();
+
   /// `record` said something new, and other VMs may not know it.
   void AddUntold(const KeyedRecord& record);
 
@@ -46,6 +53,8 @@
  private:
   std::map<std::string, KeyedRecord> newest;
   std::deque<KeyedRecord> recent;
+  std::set<std::string> listed;
+  bool listing = false;
 };
 
 }  // namespace basilsill
--- a/packages/decision/include/basilsill/decision/view.h
+++ b/packages/decision/include/basilsill/decision/view.h
@@ -88,6 +88,18 @@
                          const UpstreamIncarnation&) = default;
 };
 
+/// How a service's upstreams are spared while they are cold: just started, or
+/// back after a time without work.
+struct ColdTerms {
+  /// How long one is taken for cold that says nothing of it; 0: not at all.
+  std::chrono::milliseconds time{0};
+  /// Requests that one may get in any second while it is cold, from all VMs
+  /// together; 0: any number.
+  uint32_t requests_per_second = 0;
+
+  friend bool operator==(const ColdTerms&, const ColdTerms&) = default;
+};
+
 struct UpstreamRow {
   UpstreamHandle handle;
   Endpoint endpoint;
@@ -95,6 +107,7 @@
   uint16_t slots = limits::kDefaultSlotsPerUpstream;
   bool leaving = false;  ///< Gets no new work.
   bool cold = false;     ///< Slow, because it started a moment ago.
+  bool drained = false;  ///< Gets no new work until its data centre does.
 };
 
 /// A part of a service's upstreams in one data centre, dispatched by one VM.
@@ -105,6 +118,7 @@
   ShardKey key = 0;
   DataCentreHandle data_centre;
   uint16_t number = 0;
+  bool drained = false;             ///< Its data centre is.
   std::vector<uint32_t> upstreams;  ///< Positions in ServiceRow::upstreams.
   std::vector<VmHandle> owners;     ///< In rendezvous order, best first.
 };
@@ -114,6 +128,7 @@
   std::string name;
   TeamHandle team;
   std::string health_path;  ///< Empty: upstreams are not asked.
+  ColdTerms cold;
   std::vector<UpstreamRow> upstreams;
   /// Of `upstreams`, in their order; empty where they have no ids.
   std::vector<UpstreamIncarnation> incarnations;
@@ -185,6 +200,7 @@
 struct DataCentreRow {
   DataCentreHandle handle;
   std::string name;
+  bool drained = false;  ///< The operator keeps new work away from it.
 };
 
 /// Immutable once published. Tables are indexed by `handle.index`; a row
--- a/packages/decision/src/configuration_check.cc
+++ b/packages/decision/src/configuration_check.cc
@@ -14,9 +14,9 @@
 constexpr size_t kMaxReferrersNamed = 32;
 
 constexpr std::array<size_t, static_cast<size_t>(ResourceKind::kCount)>
-    kCapacities = {limits::kMaxTeams, limits::kMaxServices,
+    kCapacities = {limits::kMaxTeams,        limits::kMaxServices,
                    limits::kMaxUpstreamSets, limits::kMaxRules,
-                   limits::kMaxTeams + 1};
+                   limits::kMaxTeams + 1,    limits::kMaxDataCentres};
 
 std::string VersionText(const std::optional<uint64_t>& version) {
   return version ? std::to_string(*version) : "none";
@@ -136,6 +136,10 @@
   } else if (std::holds_alternative<LimitsSpec>(spec) &&
              id.name != kInstallationLimits) {
     CheckReference(*this, ResourceKind::kTeam, id.name, "/name", out);
+  } else if (std::holds_alternative<DataCentreSpec>(spec) &&
+             !this->sets_of_data_centre.contains(id.name)) {
+    out.push_back({FailureKind::kDanglingReference, "/name",
+                   "no upstream set is in a data centre '" + id.name + "'"});
   }
 }
 
--- a/packages/decision/src/declared_configuration.cc
+++ b/packages/decision/src/declared_configuration.cc
@@ -79,6 +79,7 @@
       ServiceSpec spec;
       spec.team = kOnlyTeam;
       spec.health_path = service.health_path;
+      spec.cold = service.cold;
       this->Add(service.name, spec, this->configuration.version);
     }
   }
@@ -136,22 +137,37 @@
   return failures;
 }
 
-void DeclaredState::Update(const DeclaredConfiguration& configuration,
-                           UpstreamRegistry& upstreams) {
+void DeclaredState::Update(const DeclaredSources& sources) {
   ++this->updates;
-  this->upstreams_version = upstreams.version();
-  const std::set<UpstreamSetKey> touched = upstreams.TakeTouched();
-  if (this->configuration_version == configuration.version) {
-    this->DeclareSets(touched, upstreams);
+  this->upstreams_version = sources.upstreams.version();
+  const std::set<UpstreamSetKey> touched = sources.upstreams.TakeTouched();
+  if (this->configuration_version == sources.configuration.version) {
+    this->DeclareSets(touched, sources.upstreams);
   } else {
-    this->DeclareAll(configuration, upstreams);
+    this->DeclareAll(sources.configuration, sources.upstreams);
   }
+  this->DeclareDrains(sources.drains);
 }
 
-bool DeclaredState::IsCurrent(const DeclaredConfiguration& configuration,
-                              const UpstreamRegistry& upstreams) const {
-  return this->configuration_version == configuration.version &&
-         this->upstreams_version == upstreams.version();
+bool DeclaredState::IsCurrent(const DeclaredSources& sources) const {
+  return this->configuration_version == sources.configuration.version &&
+         this->upstreams_version == sources.upstreams.version() &&
+         this->drains_version == sources.drains.version();
+}
+
+void DeclaredState::DeclareDrains(const DataCentreDrains& drains) {
+  this->drains_version = drains.version();
+  std::vector<ResourceId> dropped;
+  for (const auto& [name, entry] :
+       this->current.Table(ResourceKind::kDataCentre)) {
+    dropped.push_back({ResourceKind::kDataCentre, name});
+  }
+  std::vector<ResourceEntry> entries;
+  for (const std::string& name : drains.drained()) {
+    entries.push_back(MakeEntry(name, DataCentreSpec{true}, this->updates));
+  }
+  this->current.Declare(*this->configuration_version, dropped,
+                        std::move(entries));
 }
 
 // A new configuration may name other services, so all sets are made anew too.
--- a/packages/decision/src/direct_path.cc
+++ b/packages/decision/src/direct_path.cc
@@ -49,7 +49,7 @@
 }
 
 bool DirectPath::Takes(TimePoint now, const UpstreamRow& row) {
-  return !row.leaving && row.slots > 0 &&
+  return !row.leaving && !row.drained && row.slots > 0 &&
          this->StateOf(row.handle).paused_until <= now;
 }
 
--- a/packages/decision/src/dispatch_tables.h
+++ b/packages/decision/src/dispatch_tables.h
@@ -90,6 +90,7 @@
   bool superseded = false;    ///< It has started again: what it ran has died.
   bool leaving = false;       ///< As the view says.
   bool cold = false;          ///< As the view says.
+  bool drained = false;       ///< As the view says.
   bool isolated = false;      ///< Runs, or is emptied for, a suspect request.
   bool recovering = false;    ///< Marked, but its last answer was good.
   uint8_t failures = 0;       ///< In a row, for the length of the next pause.
--- a/packages/decision/src/dispatcher_end.cc
+++ b/packages/decision/src/dispatcher_end.cc
@@ -176,7 +176,9 @@
   if (attempt == nullptr) {
     return false;
   }
-  return this->TakeRepeat(now, this->shards.at(attempt->shard));
+  ShardState& shard = this->shards.at(attempt->shard);
+  return TakesWork(now, shard.upstreams[attempt->upstream]) &&
+         this->TakeRepeat(now, shard);
 }
 
 // @returns how many more upstreams may run the request.
--- a/packages/decision/src/dispatcher_learn.cc
+++ b/packages/decision/src/dispatcher_learn.cc
@@ -70,7 +70,8 @@
   size_t marked = 0;
   for (const UpstreamSlots& upstream : shard.upstreams) {
     const UpstreamGrade other = upstream.health.grade();
-    usable += upstream.present && !upstream.leaving ? 1 : 0;
+    const bool is_out = upstream.leaving || upstream.drained;
+    usable += upstream.present && !is_out ? 1 : 0;
     marked += other == grade || other == UpstreamGrade::kFailing ? 1 : 0;
   }
   return 2 * (marked + 1) <= usable;
--- a/packages/decision/src/entry_choice.cc
+++ b/packages/decision/src/entry_choice.cc
@@ -18,13 +18,31 @@
 
 constexpr Duration kRetryAfter = std::chrono::milliseconds(100);
 
+// A data centre that is drained stays so for seconds at least.
+constexpr Duration kDrainedRetryAfter = std::chrono::seconds(1);
+
+// Callers that were refused for one reason come back over half as long again,
+// and not all at once.
+constexpr uint32_t kSpreadPercent = 50;
+
 template <typename T>
 bool Contains(const std::array<T, kMaxChoices>& all, T value) {
   return std::find(all.begin(), all.end(), value) != all.end();
 }
 
+bool IsDrained(const ServiceRow& service) {
+  return !service.shards.empty() &&
+         std::all_of(service.shards.begin(), service.shards.end(),
+                     [](const ShardRow& shard) { return shard.drained; });
+}
+
 }  // namespace
 
+Duration EntryCore::Spread(Duration duration) {
+  const uint32_t percent = 100 + this->random(kSpreadPercent + 1);
+  return duration * percent / 100;
+}
+
 bool EntryCore::IsUsable(TimePoint now, VmHandle handle) const {
   const VmRow* vm = FindVm(*this->view, handle);
   if (vm == nullptr || vm->state != VmState::kLive) {
@@ -58,11 +76,12 @@
 }
 
 // A first choice may try a shard that seems to have no upstream, a later one
-// may not: it would only be refused for the same reason.
+// may not: it would only be refused for the same reason. One in a drained data
+// centre is none, whatever its last summary said: it was told before.
 bool EntryCore::MayGo(TimePoint now,
                       const EntryRow& entry,
                       const ShardRow& shard) const {
-  return !Contains(entry.tried_shards, shard.key) &&
+  return !shard.drained && !Contains(entry.tried_shards, shard.key) &&
          (entry.choices == 0 || this->beliefs.IsUsable(now, shard.key));
 }
 
@@ -207,9 +226,12 @@
   }
   if (target.kind == TargetKind::kCount) {
     target.kind = TargetKind::kRefuse;
+    const bool drained = service != nullptr && IsDrained(*service);
     const bool unknown = entry != nullptr && entry->unknown != Refusal::kNone;
-    target.refusal = unknown ? entry->unknown : Refusal::kNoUpstream;
-    target.retry_after = kRetryAfter;
+    const Refusal own = drained ? Refusal::kDrained : Refusal::kNoUpstream;
+    target.refusal = unknown ? entry->unknown : own;
+    target.retry_after =
+        this->Spread(drained ? kDrainedRetryAfter : kRetryAfter);
     ++this->counts.refusals[static_cast<size_t>(target.refusal)];
     return target;
   }
--- a/packages/decision/src/entry_core.h
+++ b/packages/decision/src/entry_core.h
@@ -108,6 +108,7 @@
   Target ToDispatcher(TimePoint now,
                       const ServiceRow& service,
                       const EntryRow& entry);
+  Duration Spread(Duration duration);
   Duration MaxWait(TimePoint now,
                    const EntryRow& entry,
                    const Candidate& other) const;
--- a/packages/decision/src/resource.cc
+++ b/packages/decision/src/resource.cc
@@ -8,7 +8,8 @@
 
 constexpr std::array<std::string_view,
                      static_cast<size_t>(ResourceKind::kCount)>
-    kKindNames = {"team", "service", "upstream-set", "rule", "limits"};
+    kKindNames = {"team", "service", "upstream-set",
+                  "rule", "limits",  "data-centre"};
 
 bool IsNameCharacter(char c) {
   return (c >= 'a' && c <= 'z') || (c >= '0' && c <= '9') || c == '-';
--- a/packages/decision/src/resource_reader.cc
+++ b/packages/decision/src/resource_reader.cc
@@ -255,6 +255,16 @@
   ReadRatio(reader, "bulk_slot_share", spec.bulk_slot_share);
 }
 
+void ReadService(JsonObjectReader& reader, ServiceSpec& spec) {
+  ReadName(reader, "team", spec.team);
+  auto cold_time = static_cast<uint64_t>(spec.cold.time.count());
+  reader.Read("cold_time_ms", kOptional, 0, limits::kMaxColdTime.count(),
+              cold_time);
+  spec.cold.time = std::chrono::milliseconds(cold_time);
+  reader.Read("cold_requests_per_second", kOptional, 0, limits::kMaxColdRate,
+              spec.cold.requests_per_second);
+}
+
 ResourceSpec ReadSpec(ResourceKind kind,
                       JsonObjectReader& reader,
                       std::vector<Failure>& failures) {
@@ -266,7 +276,7 @@
     }
     case ResourceKind::kService: {
       ServiceSpec spec;
-      ReadName(reader, "team", spec.team);
+      ReadService(reader, spec);
       return spec;
     }
     case ResourceKind::kUpstreamSet: {
@@ -279,6 +289,11 @@
       ReadRule(reader, spec, failures);
       return spec;
     }
+    case ResourceKind::kDataCentre: {
+      DataCentreSpec spec;
+      reader.Read("drained", kOptional, spec.drained);
+      return spec;
+    }
     default: {
       LimitsSpec spec;
       ReadLimits(reader, spec);
--- a/packages/decision/src/resource_writer.cc
+++ b/packages/decision/src/resource_writer.cc
@@ -25,7 +25,9 @@
 }
 
 json::object WriteSpec(const ServiceSpec& spec) {
-  return {{"team", spec.team}};
+  return {{"team", spec.team},
+          {"cold_time_ms", spec.cold.time.count()},
+          {"cold_requests_per_second", spec.cold.requests_per_second}};
 }
 
 json::object WriteSpec(const UpstreamSetSpec& spec) {
@@ -77,6 +79,10 @@
   return object;
 }
 
+json::object WriteSpec(const DataCentreSpec& spec) {
+  return {{"drained", spec.drained}};
+}
+
 }  // namespace
 
 json::object ToJson(const Resource& resource) {
--- a/packages/decision/src/service_rows.cc
+++ b/packages/decision/src/service_rows.cc
@@ -44,15 +44,15 @@
   return assigned;
 }
 
-std::map<std::string_view, DataCentreHandle> IndexDataCentres(
+std::map<std::string_view, const DataCentreRow*> IndexDataCentres(
     const RoutingView& view) {
-  std::map<std::string_view, DataCentreHandle> handles;
+  std::map<std::string_view, const DataCentreRow*> rows;
   for (const DataCentreRow& row : view.data_centres) {
     if (IsValid(row.handle)) {
-      handles.emplace(row.name, row.handle);
+      rows.emplace(row.name, &row);
     }
   }
-  return handles;
+  return rows;
 }
 
 }  // namespace
@@ -104,13 +104,14 @@
        configuration.Table(ResourceKind::kUpstreamSet)) {
     const auto& spec = ConfigurationState::SpecOf<UpstreamSetSpec>(entry);
     const auto place = data_centres.find(spec.data_centre);
-    const DataCentreHandle data_centre =
-        place == data_centres.end() ? DataCentreHandle{} : place->second;
+    const DataCentreRow data_centre =
+        place == data_centres.end() ? DataCentreRow{} : *place->second;
     Plan& plan = plans.at(spec.service);
-    plan.sets.push_back({&spec, data_centre});
+    plan.sets.push_back({&spec, data_centre.handle, data_centre.drained});
     plan.signature = Combine(plan.signature, entry.digest);
-    plan.signature = Combine(plan.signature, data_centre.index);
-    plan.signature = Combine(plan.signature, data_centre.generation);
+    plan.signature = Combine(plan.signature, data_centre.handle.index);
+    plan.signature = Combine(plan.signature, data_centre.handle.generation);
+    plan.signature = Combine(plan.signature, data_centre.drained ? 1 : 0);
   }
   for (auto& [name, plan] : plans) {
     const auto known = this->memories.find(name);
@@ -169,6 +170,7 @@
                                    return candidate.name == spec.team;
                                  });
   row->health_path = spec.health_path;
+  row->cold = spec.cold;
   row->team = team == view.teams.end() ? TeamHandle{} : team->handle;
   for (const PlacedSet& set : plan.sets) {
     this->AddSet(set, memory, *row);
@@ -191,7 +193,8 @@
       handle = this->upstreams.Create(this->round);
     }
     row.upstreams.push_back({handle, instance.endpoint, set.data_centre,
-                             instance.slots, instance.leaving, instance.cold});
+                             instance.slots, instance.leaving, instance.cold,
+                             set.drained});
     if (i < spec.incarnations.size()) {
       row.incarnations.push_back(spec.incarnations[i]);
     }
--- a/packages/decision/src/service_rows.h
+++ b/packages/decision/src/service_rows.h
@@ -42,6 +42,7 @@
   struct PlacedSet {
     const UpstreamSetSpec* spec = nullptr;
     DataCentreHandle data_centre;
+    bool drained = false;
   };
 
   // What is kept of a service from one view to the next.
--- a/packages/decision/src/shard_table.cc
+++ b/packages/decision/src/shard_table.cc
@@ -193,12 +193,14 @@
     // anybody knows; only one that comes later is taken for a cold start.
     place->ramp_left = this->ramp && !fresh ? kRampAnswers : 0;
   }
-  if (place->leaving && !row.leaving) {
+  const bool was_out = place->leaving || place->drained;
+  if (was_out && !row.leaving && !row.drained) {
     Return(now, *place, this->ramp);
   }
   place->present = true;
   place->leaving = row.leaving;
   place->cold = row.cold;
+  place->drained = row.drained;
   place->slots = row.slots;
 }
 
--- a/packages/decision/src/topic_follower.cc
+++ b/packages/decision/src/topic_follower.cc
@@ -15,6 +15,10 @@
 // Place in the order whose patience is half-way to the longest.
 constexpr int64_t kHalfWay = 5;
 
+// Between two reads that the store holds: records that come in quick succession
+// are then read several at a time.
+constexpr Duration kHoldPause = std::chrono::milliseconds(20);
+
 // An answer of the store takes some milliseconds; one that takes this long
 // comes from a store in trouble.
 constexpr Duration kSlowCall = std::chrono::milliseconds(100);
@@ -38,9 +42,19 @@
       this->listing ? TopicCallKind::kListNewest : TopicCallKind::kReadOn;
   call.after = this->after;
   call.from = this->from;
+  if (call.kind == TopicCallKind::kReadOn && this->Holds()) {
+    call.hold = this->options.hold;
+  }
   return call;
 }
 
+// A call whose answer is lost is found out no later than without: it takes the
+// time that the VM would have waited before it.
+bool TopicFollower::Holds() const {
+  return this->options.hold > Duration(0) && this->rank == 0 &&
+         this->available();
+}
+
 // Pages are not a snapshot: what is appended while they are read may be in
 // none of them. So reading goes on at once from the end as the first page had
 // it. A list of one page has missed nothing, and what comes after it is read or
@@ -68,7 +82,7 @@
   this->after.clear();
   this->listing = false;
   this->whole = true;
-  if (is_snapshot) {
+  if (is_snapshot && !this->Holds()) {
     this->next_at = now + this->Patience(now);
   }
   return true;
@@ -77,7 +91,7 @@
 void TopicFollower::OnRecords(TimePoint now, uint64_t next) {
   this->failures = 0;
   this->Advance(now, next);
-  this->next_at = now + this->Patience(now);
+  this->next_at = now + (this->Holds() ? kHoldPause : this->Patience(now));
 }
 
 void TopicFollower::Advance(TimePoint now, uint64_t next) {
--- a/packages/decision/src/topic_records.cc
+++ b/packages/decision/src/topic_records.cc
@@ -28,6 +28,28 @@
   }
 }
 
+void TopicRecords::BeginListing() {
+  this->listing = true;
+  this->listed.clear();
+}
+
+void TopicRecords::OnListed(const std::string& key) {
+  if (this->listing) {
+    this->listed.insert(key);
+  }
+}
+
+// Failure: the store drops its history, and with it the record that took a key
+// away. This VM lists the topic and learns that it is gone, but keeps the key's
+// last record and tells it to every VM that starts. It shows as new VMs that
+// serve by what was taken away.
+void TopicRecords::EndListing() {
+  this->listing = false;
+  std::erase_if(this->newest, [this](const auto& record) {
+    return !this->listed.contains(record.first);
+  });
+}
+
 void TopicRecords::AddUntold(const KeyedRecord& record) {
   if (this->recent.size() == kMaxUntold) {
     this->recent.pop_front();
--- a/packages/decision/src/upstream_choice.cc
+++ b/packages/decision/src/upstream_choice.cc
@@ -120,8 +120,8 @@
 }  // namespace
 
 bool TakesWork(TimePoint now, const UpstreamSlots& upstream) {
-  return upstream.present && !upstream.leaving && upstream.slots > 0 &&
-         upstream.draining_until <= now;
+  return upstream.present && !upstream.leaving && !upstream.drained &&
+         upstream.slots > 0 && upstream.draining_until <= now;
 }
 
 bool AcceptsNow(TimePoint now, const UpstreamSlots& upstream) {
--- a/packages/decision/src/view.cc
+++ b/packages/decision/src/view.cc
@@ -279,6 +279,7 @@
       shard.key = MakeShardKey(service.name, data_centre.name, number);
       shard.data_centre = data_centre.handle;
       shard.number = number;
+      shard.drained = data_centre.drained;
       for (size_t i = number; i < positions.size(); i += count) {
         shard.upstreams.push_back(positions[i]);
       }
--- a/packages/decision/src/view_builder.cc
+++ b/packages/decision/src/view_builder.cc
@@ -52,6 +52,8 @@
 
  private:
   bool UpdateStandings(const std::vector<VmRow>& vms);
+  static void MarkDrained(const ConfigurationState& configuration,
+                          RoutingView& view);
   void BuildTeams(const ConfigurationState& configuration, RoutingView& view);
   void BuildRules(const ConfigurationState& configuration, RoutingView& view);
   void MakeRules(const ResourceTable& table);
@@ -75,6 +77,7 @@
   view->applied_offset = configuration.next_offset();
   view->vms = membership.vms;
   view->data_centres = membership.data_centres;
+  MarkDrained(configuration, *view);
   view->self = membership.self;
   const VmRow* own = FindVm(*view, view->self);
   if (own != nullptr) {
@@ -93,6 +96,17 @@
   return view;
 }
 
+void ViewBuilderImpl::MarkDrained(const ConfigurationState& configuration,
+                                  RoutingView& view) {
+  const ResourceTable& table = configuration.Table(ResourceKind::kDataCentre);
+  for (DataCentreRow& row : view.data_centres) {
+    const auto found = table.find(row.name);
+    row.drained =
+        found != table.end() &&
+        ConfigurationState::SpecOf<DataCentreSpec>(found->second).drained;
+  }
+}
+
 // Returns true if shards may have other owners than in the view before.
 bool ViewBuilderImpl::UpdateStandings(const std::vector<VmRow>& vms) {
   std::vector<VmStanding> now;
--- a/packages/decision/test/configuration_test.cc
+++ b/packages/decision/test/configuration_test.cc
@@ -54,6 +54,18 @@
   STRCMP_EQUAL("/service", rule.failures.front().path.c_str());
 }
 
+// An operator mistypes the data centre that is to be drained. Accepted, the
+// slip would drain nothing and seem to be in force everywhere.
+TEST(ConfigurationFold, Apply_DrainOfUnknownDataCentre_Rejected) {
+  this->Append(PutOf("a", TeamOf("t")));
+  this->Append(PutOf("b", ServiceOf("s", "t")));
+  this->Append(PutOf("c", SetOf("u", "s", "lyulin", {80})));
+  const Resource mistyped{"lyuln", DataCentreSpec{true}};
+  CheckVerdict(RecordVerdict::kRejected, this->Append(PutOf("d", mistyped)));
+  const Resource meant{"lyulin", DataCentreSpec{true}};
+  CheckVerdict(RecordVerdict::kAccepted, this->Append(PutOf("e", meant)));
+}
+
 TEST(ConfigurationFold, Apply_DeleteOfWhatIsReferredTo_NamesEachReferrer) {
   this->Append(PutOf("a", TeamOf("t")));
   this->Append(PutOf("b", ServiceOf("s", "t")));
--- a/packages/decision/test/declared_configuration_test.cc
+++ b/packages/decision/test/declared_configuration_test.cc
@@ -11,8 +11,10 @@
 #include <CppUTest/TestHarness.h>
 
 using namespace std::chrono_literals;
+using basilsill::DataCentreDrains;
 using basilsill::DeclaredConfiguration;
 using basilsill::DeclaredRoute;
+using basilsill::DeclaredSources;
 using basilsill::DeclaredState;
 using basilsill::FailureKind;
 using basilsill::RegisteredUpstream;
@@ -28,6 +30,7 @@
 TEST_GROUP(DeclaredConfiguration) {
   DeclaredConfiguration configuration;
   UpstreamRegistry registry;
+  DataCentreDrains drains;
   std::unique_ptr<ViewBuilder> builder = ViewBuilder::Create();
   std::vector<basilsill::VmRow> vms;
   std::vector<basilsill::DataCentreRow> data_centres{{{0, 0}, "lyulin"}};
@@ -71,9 +74,13 @@
     this->registry.OnEntry(TimePoint(1s), port, entry);
   }
 
+  DeclaredSources Sources() {
+    return {this->configuration, this->registry, this->drains};
+  }
+
   RoutingViewPtr Build() {
     DeclaredState declared;
-    declared.Update(this->configuration, this->registry);
+    declared.Update(this->Sources());
     return this->builder->Build(declared.state(),
                                 {this->vms, this->data_centres, {0, 0}});
   }
@@ -148,6 +155,46 @@
 namespace {
 
 /// All sets as text, without their versions.
+// The operator drains a data centre, and then takes it back: upstreams there
+// show it, and others that came meanwhile as well.
+TEST(DeclaredConfiguration, Drains_OfADataCentre_ShownByItsUpstreams) {
+  DeclaredState declared;
+  this->AddUpstream("i-1", 1);
+  declared.Update(this->Sources());
+  this->drains.OnRecord(3, "lyulin", true);
+  CHECK_FALSE(declared.IsCurrent(this->Sources()));
+  this->AddUpstream("i-2", 2);
+  declared.Update(this->Sources());
+  const auto build = [&] {
+    return this->builder->Build(declared.state(),
+                                {this->vms, this->data_centres, {0, 0}});
+  };
+  RoutingViewPtr view = build();
+  CHECK(view->data_centres[0].drained);
+  CHECK(view->services[0]->shards[0].drained);
+  CHECK(view->services[0]->upstreams[0].drained);
+  CHECK(view->services[0]->upstreams[1].drained);
+  this->drains.OnRecord(4, "lyulin", false);
+  declared.Update(this->Sources());
+  view = build();
+  CHECK_FALSE(view->data_centres[0].drained);
+  CHECK_FALSE(view->services[0]->shards[0].drained);
+  CHECK_FALSE(view->services[0]->upstreams[0].drained);
+}
+
+// A new version of the configuration comes while a data centre is drained.
+TEST(DeclaredConfiguration, Drains_BesideANewConfiguration_StayInForce) {
+  DeclaredState declared;
+  this->AddUpstream("i-1", 1);
+  this->drains.OnRecord(3, "lyulin", true);
+  declared.Update(this->Sources());
+  this->configuration.version += 1;
+  declared.Update(this->Sources());
+  const RoutingViewPtr view = this->builder->Build(
+      declared.state(), {this->vms, this->data_centres, {0, 0}});
+  CHECK(view->services[0]->upstreams[0].drained);
+}
+
 std::string SetsOf(const DeclaredState& declared) {
   std::string text;
   for (const auto& [name, entry] :
@@ -190,10 +237,10 @@
     }
     this->configuration.version += random() % 50 == 0 ? 1 : 0;
     if (random() % 3 == 0) {
-      declared.Update(this->configuration, this->registry);
+      declared.Update(this->Sources());
       UpstreamRegistry same = this->registry;
       DeclaredState at_once;
-      at_once.Update(this->configuration, same);
+      at_once.Update({this->configuration, same, this->drains});
       STRCMP_EQUAL(SetsOf(at_once).c_str(), SetsOf(declared).c_str());
     }
   }
@@ -210,14 +257,14 @@
   other.data_centre = "lyulin";
   other.endpoint = {"10.0.0.2", 1};
   this->registry.OnEntry(TimePoint(1s), 5, other);
-  declared.Update(this->configuration, this->registry);
+  declared.Update(this->Sources());
   const auto version = [&declared](const std::string& name) {
     return declared.state().Find({ResourceKind::kUpstreamSet, name})->version;
   };
   const uint64_t before = version("pickupbook in lyulin");
   const uint64_t changed = version("banklevel in lyulin");
   this->AddUpstream("c", 3);
-  declared.Update(this->configuration, this->registry);
+  declared.Update(this->Sources());
   CHECK_EQUAL(before, version("pickupbook in lyulin"));
   CHECK(changed != version("banklevel in lyulin"));
 }
--- a/packages/decision/test/resource_test.cc
+++ b/packages/decision/test/resource_test.cc
@@ -36,7 +36,9 @@
 TEST(Resource, Write_EachKind_ReadsBackEqual) {
   CheckWrittenAsRead(ResourceKind::kTeam,
                      R"({"name":"x","limits":{"requests_per_second":2.5}})");
-  CheckWrittenAsRead(ResourceKind::kService, R"({"name":"x","team":"t"})");
+  CheckWrittenAsRead(ResourceKind::kService,
+                     R"({"name":"x","team":"t","cold_time_ms":3000,
+          "cold_requests_per_second":16})");
   CheckWrittenAsRead(
       ResourceKind::kUpstreamSet,
       R"({"name":"x","service":"s","data_centre":"lyulin","instances":[
@@ -49,6 +51,8 @@
           "headers":[{"name":"x-a","value":"B"}]}})");
   CheckWrittenAsRead(ResourceKind::kLimits,
                      R"({"name":"x","retry_ratio":0.25})");
+  CheckWrittenAsRead(ResourceKind::kDataCentre,
+                     R"({"name":"x","drained":true})");
 }
 
 TEST(Resource, Read_ManyFaults_ReportsAllWithPathAndKind) {
--- a/packages/decision/test/topic_follower_test.cc
+++ b/packages/decision/test/topic_follower_test.cc
@@ -62,6 +62,42 @@
   CHECK(fresh.due() <= this->now + 1050ms);
 }
 
+// What the operator writes is to be in force soon, also if nobody reads at that
+// moment. The store holds the read of the one VM that reads for all.
+TEST(TopicFollower, Read_OfTheFirstVm_HeldWithoutABreak) {
+  TopicFollowerOptions options = Shared();
+  options.hold = 600ms;
+  TopicFollower first(options);
+  first.OnPage(this->now, 10, false, "k");
+  CHECK(first.due() <= this->now);
+  CHECK(first.NextCall().hold == 600ms);
+  first.OnRecords(this->now, 11);
+  CHECK(first.due() <= this->now + 50ms);
+}
+
+TEST(TopicFollower, Read_OfAVmFurtherBack_NotHeld) {
+  TopicFollowerOptions options = Shared();
+  options.hold = 600ms;
+  TopicFollower second(options);
+  second.SetRank(1);
+  second.OnPage(this->now, 10, false, "k");
+  CHECK(second.NextCall().hold == 0ms);
+  CHECK(second.due() >= this->now + 600ms);
+}
+
+// A held read got no answer. Until one is answered again, reads are short, so
+// that the next loss shows sooner.
+TEST(TopicFollower, Read_AfterAFailure_NotHeld) {
+  TopicFollowerOptions options = Shared();
+  options.hold = 600ms;
+  TopicFollower first(options);
+  first.OnPage(this->now, 10, false, "k");
+  first.OnFailed(this->now);
+  CHECK(first.NextCall().hold == 0ms);
+  first.OnRecords(this->now, 11);
+  CHECK(first.NextCall().hold == 600ms);
+}
+
 TEST(TopicFollower, Page_WholeListInTwo_ReadOnAtOnce) {
   TopicFollower fresh(Shared());
   fresh.OnPage(this->now, 10, true, "m");
--- a/packages/decision/test/topic_records_test.cc
+++ b/packages/decision/test/topic_records_test.cc
@@ -37,6 +37,19 @@
   CHECK_EQUAL(9, untold[0].offset);
 }
 
+// The store drops its history, and with it the record that took a key away.
+// Told to a VM that starts, the key's last record would be served by there.
+TEST(TopicRecords, Listing_WithoutAKey_NotToldToThoseThatStart) {
+  this->records.Keep(Record("a", 5));
+  this->records.Keep(Record("b", 6));
+  this->records.BeginListing();
+  this->records.OnListed("b");
+  this->records.EndListing();
+  const auto told = this->records.From(0);
+  CHECK_EQUAL(1, told.size());
+  STRCMP_EQUAL("b", told[0].key.c_str());
+}
+
 // A removal is the last word of its key like any other.
 TEST(TopicRecords, Untold_ChangedThenRemoved_RemovalIsTold) {
   this->records.AddUntold(Record("a", 1));
--- a/packages/node/src/control.cc
+++ b/packages/node/src/control.cc
@@ -51,6 +51,26 @@
   return links;
 }
 
+bool IsDrainedIn(const RoutingView* view, DataCentreHandle handle) {
+  return view != nullptr && handle.index < view->data_centres.size() &&
+         view->data_centres[handle.index].drained;
+}
+
+// Tells of data centres that the operator drains, or has taken back.
+void NoteDrains(const RoutingView* before,
+                const RoutingView& after,
+                ControlMetrics& counts) {
+  int64_t drained = 0;
+  for (const DataCentreRow& row : after.data_centres) {
+    drained += row.drained ? 1 : 0;
+    if (row.drained != IsDrainedIn(before, row.handle)) {
+      Log(row.drained ? Event::kDataCentreDrained : Event::kDataCentreTakenBack,
+          {{"data_centre", row.name}, {"view", after.version}});
+    }
+  }
+  counts.drained_data_centres.Set(drained);
+}
+
 }  // namespace
 
 Result<std::unique_ptr<Control>> Control::Create(
@@ -345,9 +365,11 @@
   for (const std::string& name : state.DataCentres()) {
     this->members->InternDataCentre(name);
   }
-  this->current_view = this->builder->Build(
-      state, {this->members->rows(), this->members->data_centres(),
-              this->members->self()});
+  const RoutingViewPtr before =
+      std::exchange(this->current_view,
+                    this->builder->Build(state, {this->members->rows(),
+                                                 this->members->data_centres(),
+                                                 this->members->self()}));
   const bool is_news = this->configuration_changed;
   const bool is_first = this->built_views++ == 0;
   this->configuration_changed = false;
@@ -365,6 +387,7 @@
   if (is_first) {
     Log(Event::kNodeReady, {{"vm", this->settings.vm.name}});
   }
+  NoteDrains(before.get(), *this->current_view, this->counts);
   this->source->OnFleetChanged();
   this->handlers.publish(this->current_view);
   if (is_news) {
--- a/packages/node/src/metrics.h
+++ b/packages/node/src/metrics.h
@@ -134,6 +134,7 @@
   Gauge view_version;
   Gauge applied_offset;
   PerEnum<Gauge, VmState> vms;
+  Gauge drained_data_centres;
   LinkCounters links;
   Counter log_reads;
   Counter log_appends;
--- a/packages/node/src/metrics_table.cc
+++ b/packages/node/src/metrics_table.cc
@@ -341,6 +341,11 @@
              "",
              "Next record of the configuration to be read from the log.",
              ControlValue<&Control::applied_offset>),
+    GaugeRow("basilsill_drained_data_centres",
+             "",
+             "Data centres whose upstreams get nothing new, as the operator "
+             "wants it.",
+             ControlValue<&Control::drained_data_centres>),
     GaugeRow("basilsill_control_links",
              "",
              "Open control links to other VMs.",
