Cold upstreams: a bound in requests a second, over all VMs that may dispatch

Cause: slow start counts good answers. An upstream with short work and many slots gets some hundred requests a second once it had eight, also while it is cold; nothing bounds it when it becomes cold without a new start, after a restart of its dispatcher, or while two VMs dispatch for it.

Change: cold_quota.h. Each VM sends a third of the service's bound in any 1.2 s; each word of the upstream that it is warm is good for one share more. A VM that begins to dispatch counts a share as spent. The word comes with the answer to the question for its load, so one that gets little is never asked. Service fields cold_time_ms and cold_requests_per_second.

Ruled out: the whole bound for whoever stands first (two VMs may believe that they do); quotas by the entry's cold time alone (it is seconds late).

--- a/packages/decision/include/basilsill/decision/dispatch.h
+++ b/packages/decision/include/basilsill/decision/dispatch.h
@@ -109,6 +109,8 @@
   bool answered = false;  ///< Something that is HTTP came.
   bool foreign = false;   ///< Another upstream answers at its address.
   UpstreamLoad load;      ///< Not known if it gave no answer.
+  /// How long it stays cold, 0 if it is warm; absent if it did not say.
+  std::optional<Duration> cold_for{};
 };
 
 struct AttemptReport {
@@ -162,6 +164,8 @@
   /// Bound on repeats of the whole fleet, if there is one; its slack is shared
   /// by the dispatchers of a service.
   std::optional<RepeatBudgetOptions> repeats;
+  /// Upstreams say whether they are cold when they are asked.
+  bool cold_is_told = false;
   /// Shared with the EntryRouter of the same worker; null: no quarantine.
   std::shared_ptr<Quarantine> quarantine;
 };
--- a/packages/decision/src/direct_path.cc
+++ b/packages/decision/src/direct_path.cc
@@ -10,6 +10,9 @@
 constexpr Duration kDrainTime = std::chrono::minutes(2);
 constexpr uint8_t kMaxFailures = 8;
 
+// Requests a second to an upstream that may be cold.
+constexpr uint32_t kShare = 1;
+
 }  // namespace
 
 UpstreamHandle DirectPath::Choose(TimePoint now,
@@ -31,7 +34,7 @@
   uint32_t seen = 0;
   for (const UpstreamRow& row : service.upstreams) {
     const bool wanted = !only_near || row.data_centre == near;
-    if (!wanted || row.handle == avoid || !this->Takes(now, row)) {
+    if (!wanted || row.handle == avoid || !this->Takes(now, service, row)) {
       continue;
     }
     ++seen;
@@ -48,9 +51,18 @@
   return first ? drawn[0] : drawn[1];
 }
 
-bool DirectPath::Takes(TimePoint now, const UpstreamRow& row) {
+// Any number of VMs may send past the dispatchers at one time, and none of them
+// can ask. So where cold upstreams are bounded, one that is known to be cold
+// gets nothing, and any other as little as is of use.
+bool DirectPath::Takes(TimePoint now,
+                       const ServiceRow& service,
+                       const UpstreamRow& row) {
+  UpstreamState& state = this->StateOf(row.handle);
+  const bool is_bounded = service.cold.requests_per_second > 0;
+  state.cold_quota.SetShare(is_bounded ? kShare : 0);
   return !row.leaving && !row.drained && row.slots > 0 &&
-         this->StateOf(row.handle).paused_until <= now;
+         state.paused_until <= now && !(is_bounded && row.cold) &&
+         state.cold_quota.MayStart(now, true);
 }
 
 DirectPath::UpstreamState& DirectPath::StateOf(UpstreamHandle handle) {
@@ -65,8 +77,10 @@
   return state;
 }
 
-void DirectPath::Begin(UpstreamHandle upstream) {
-  ++this->StateOf(upstream).in_flight;
+void DirectPath::Begin(TimePoint now, UpstreamHandle upstream) {
+  UpstreamState& state = this->StateOf(upstream);
+  ++state.in_flight;
+  state.cold_quota.OnStart(now);
 }
 
 void DirectPath::End(TimePoint now, UpstreamHandle upstream, Refusal refusal) {
--- a/packages/decision/src/direct_path.h
+++ b/packages/decision/src/direct_path.h
@@ -7,6 +7,7 @@
 #include <pcg_random.hpp>
 
 #include "basilsill/decision/dispatch.h"
+#include "cold_quota.h"
 
 /// The way to upstreams while no dispatcher of a service can be reached: two
 /// choices among its upstreams by what this worker itself has in flight there.
@@ -27,7 +28,7 @@
                         UpstreamHandle avoid);
 
   /// A request goes to `upstream`, until its End.
-  void Begin(UpstreamHandle upstream);
+  void Begin(TimePoint now, UpstreamHandle upstream);
   /// @param refusal How it ended, kNone for an answer.
   void End(TimePoint now, UpstreamHandle upstream, Refusal refusal);
   void OnDrainSign(TimePoint now, UpstreamHandle upstream);
@@ -38,10 +39,11 @@
     uint32_t in_flight = 0;
     uint8_t failures = 0;
     TimePoint paused_until{};
+    ColdQuota cold_quota;
   };
 
   UpstreamState& StateOf(UpstreamHandle handle);
-  bool Takes(TimePoint now, const UpstreamRow& row);
+  bool Takes(TimePoint now, const ServiceRow& service, const UpstreamRow& row);
   UpstreamHandle Draw(TimePoint now,
                       const ServiceRow& service,
                       DataCentreHandle near,
--- a/packages/decision/src/dispatch_tables.h
+++ b/packages/decision/src/dispatch_tables.h
@@ -8,6 +8,7 @@
 
 #include "basilsill/decision/dispatch.h"
 #include "basilsill/decision/ratio_budget.h"
+#include "cold_quota.h"
 #include "indexed_heap.h"
 #include "latency_stats.h"
 #include "upstream_health.h"
@@ -155,6 +156,8 @@
   std::vector<UpstreamSlots> upstreams;
   /// Of `upstreams`, in their order; empty where they can't be asked.
   std::vector<SpeedBelief> speeds;
+  /// Of `upstreams`, in their order; empty where cold ones are not bounded.
+  std::vector<ColdQuota> cold_quotas;
   std::array<Ring, kRings> rings;
   std::array<LatencyStats, kClasses> stats;
   Chain suspects;
@@ -169,7 +172,9 @@
   /// How long requests are held until an upstream is fast again; before any
   /// was, about what a spell of slowness has left when it is met.
   Duration hold_time = std::chrono::milliseconds(50);
-  bool can_be_asked = false;    ///< The service has a health check.
+  bool can_be_asked = false;  ///< The service has a health check.
+  /// When asked, its upstreams also say whether they are cold.
+  bool tells_cold = false;
   bool any_superseded = false;  ///< Of `upstreams`, with work to be ended.
   uint32_t siblings = 1;        ///< Shards of the service, this one included.
   std::unique_ptr<RepeatBudget> repeats;  ///< If the fleet has a bound.
--- a/packages/decision/src/dispatcher.cc
+++ b/packages/decision/src/dispatcher.cc
@@ -36,7 +36,8 @@
       attempts(RequestRow::kMaxRunning * options.max_requests),
       shards(limits::kMaxShardsPerWorker,
              options.features.ramp,
-             options.repeats.has_value()),
+             options.repeats.has_value(),
+             options.cold_is_told),
       queue(this->requests, options.max_requests + 1),
       random(options.seed) {
   this->timers.Reserve(options.max_requests);
--- a/packages/decision/src/dispatcher_speed.cc
+++ b/packages/decision/src/dispatcher_speed.cc
@@ -137,12 +137,41 @@
 
 void DispatcherCore::Ask(TimePoint now, ShardState& shard, uint32_t place) {
   shard.speeds[place].OnAsk(now);
+  if (place < shard.cold_quotas.size()) {
+    shard.cold_quotas[place].OnAsk(now);
+  }
   DispatchAction action;
   action.kind = DispatchActionKind::kAsk;
   action.upstream = shard.upstreams[place].handle;
   this->pending.push_back(action);
 }
 
+// @returns true if the upstream is asked now.
+bool DispatcherCore::AskIfWarm(TimePoint now,
+                               ShardState& shard,
+                               uint32_t place) {
+  if (!shard.tells_cold || !shard.cold_quotas[place].IsWorthAsking(now)) {
+    return false;
+  }
+  this->Ask(now, shard, place);
+  return true;
+}
+
+// A request waits, and upstreams that have slots may only not get it since they
+// could be cold: one that says that it is warm gets it.
+void DispatcherCore::AskWhetherWarm(TimePoint now, ShardState& shard) {
+  uint32_t asked = 0;
+  const auto count = static_cast<uint32_t>(shard.cold_quotas.size());
+  for (uint32_t place = 0; place < count && asked < kAskAtOnce; ++place) {
+    const UpstreamSlots& upstream = shard.upstreams[place];
+    const bool has_room = upstream.busy < OpenSlots(now, upstream);
+    asked += has_room && this->AskIfWarm(now, shard, place) ? 1 : 0;
+  }
+  if (asked > 0) {
+    shard.next_scan = std::min(shard.next_scan, now + kHoldScan);
+  }
+}
+
 void DispatcherCore::LearnLoad(TimePoint now,
                                ShardState& shard,
                                uint32_t place,
@@ -169,6 +198,10 @@
       this->Drain(now, shard, *found);
     }
     const auto place = static_cast<uint32_t>(found - shard.upstreams.begin());
+    if (report.cold_for && !report.foreign &&
+        place < shard.cold_quotas.size()) {
+      shard.cold_quotas[place].OnTold(now, *report.cold_for);
+    }
     if (report.load.known) {
       this->LearnLoad(now, shard, place, report.load);
     } else if (place < shard.speeds.size()) {
--- a/packages/decision/src/dispatcher_start.cc
+++ b/packages/decision/src/dispatcher_start.cc
@@ -76,6 +76,7 @@
   this->SetSpeedTerms(now, shard, this->Request(request), choice);
   const uint32_t upstream = PickUpstream(now, shard, choice);
   if (upstream == kNoRow) {
+    this->AskWhetherWarm(now, shard);
     if (choice.speed != SpeedRule::kIgnore) {
       this->Hold(now, shard, request, choice);
     }
@@ -275,7 +276,8 @@
       this->BeginIsolation(now, shard);
     }
     if (shard.isolating == kNoRow ||
-        shard.upstreams[shard.isolating].busy > 0) {
+        shard.upstreams[shard.isolating].busy > 0 ||
+        !HasQuota(now, shard, shard.isolating)) {
       return;
     }
     this->RemoveSuspect(shard, row);
@@ -328,6 +330,10 @@
   ++shard.busy;
   ++shard.running[static_cast<size_t>(attempt.traffic_class)];
   upstream.bulk += attempt.traffic_class == TrafficClass::kBulk ? 1 : 0;
+  if (place < shard.cold_quotas.size()) {
+    shard.cold_quotas[place].OnStart(now);
+    this->AskIfWarm(now, shard, place);
+  }
   ++shard.starts_since_trickle;
   if (upstream.health.grade() != UpstreamGrade::kFull) {
     shard.starts_since_trickle = 0;
--- a/packages/decision/src/entry_choice.cc
+++ b/packages/decision/src/entry_choice.cc
@@ -246,7 +246,7 @@
   const Target& target = entry.target;
   const TrafficClass traffic_class = entry.request.traffic_class;
   if (target.kind == TargetKind::kDirect) {
-    this->direct.Begin(target.upstream);
+    this->direct.Begin(now, target.upstream);
     return;
   }
   entry.watched = target.vm != this->view->self &&
--- a/packages/decision/src/shard_table.cc
+++ b/packages/decision/src/shard_table.cc
@@ -58,10 +58,33 @@
   }
 }
 
+// @returns the quota of the upstream at `index`, or nullptr if its service has
+// no bound.
+ColdQuota* RefreshQuota(ShardState& shard,
+                        size_t index,
+                        const ColdTerms& cold) {
+  const uint32_t share = ColdShareOf(cold);
+  if (share == 0) {
+    shard.cold_quotas.clear();
+    return nullptr;
+  }
+  if (index >= shard.cold_quotas.size()) {
+    shard.cold_quotas.resize(index + 1);
+  }
+  shard.cold_quotas[index].SetShare(share);
+  return &shard.cold_quotas[index];
+}
+
 }  // namespace
 
-ShardTable::ShardTable(size_t capacity, bool ramp, bool count_repeats)
-    : capacity(capacity), ramp(ramp), count_repeats(count_repeats) {
+ShardTable::ShardTable(size_t capacity,
+                       bool ramp,
+                       bool count_repeats,
+                       bool cold_is_told)
+    : capacity(capacity),
+      ramp(ramp),
+      count_repeats(count_repeats),
+      cold_is_told(cold_is_told) {
   this->shards.reserve(capacity);
 }
 
@@ -156,10 +179,12 @@
     const ServiceRow& service = *this->current->services[found->second.service];
     const ShardRow& row = service.shards[found->second.shard];
     shard.can_be_asked = !service.health_path.empty();
+    shard.tells_cold = shard.can_be_asked && this->cold_is_told;
     shard.siblings = static_cast<uint32_t>(service.shards.size());
     shard.upstreams.reserve(row.upstreams.size());
     for (const uint32_t position : row.upstreams) {
-      this->RefreshUpstream(now, shard, service.upstreams[position], fresh);
+      this->RefreshUpstream(now, shard, service.upstreams[position],
+                            service.cold, fresh);
     }
     shard.speeds.resize(shard.can_be_asked ? shard.upstreams.size() : 0);
   }
@@ -169,12 +194,14 @@
 void ShardTable::RefreshUpstream(TimePoint now,
                                  ShardState& shard,
                                  const UpstreamRow& row,
+                                 const ColdTerms& cold,
                                  bool fresh) {
   auto& known = shard.upstreams;
   auto place = std::find_if(
       known.begin(), known.end(),
       [&row](const UpstreamSlots& up) { return up.handle == row.handle; });
-  if (place == known.end()) {
+  const bool is_new = place == known.end();
+  if (is_new) {
     place =
         std::find_if(known.begin(), known.end(), [](const UpstreamSlots& up) {
           return !up.present && up.busy == 0 && !up.isolated;
@@ -183,7 +210,9 @@
       place = known.emplace(known.end());
     }
     *place = UpstreamSlots();
-    const auto index = static_cast<size_t>(place - known.begin());
+  }
+  const auto index = static_cast<size_t>(place - known.begin());
+  if (is_new) {
     if (index < shard.speeds.size()) {
       shard.speeds[index] = SpeedBelief();
     }
@@ -197,6 +226,15 @@
   if (was_out && !row.leaving && !row.drained) {
     Return(now, *place, this->ramp);
   }
+  const bool may_be_cold = is_new ? !fresh : was_out;
+  if (ColdQuota* quota = RefreshQuota(shard, index, cold)) {
+    if (is_new) {
+      quota->BeginDispatch(now);
+    }
+    if (may_be_cold) {
+      quota->AssumeCold(now + cold.time);
+    }
+  }
   place->present = true;
   place->leaving = row.leaving;
   place->cold = row.cold;
--- a/packages/decision/src/shard_table.h
+++ b/packages/decision/src/shard_table.h
@@ -17,7 +17,7 @@
 class ShardTable {
  public:
   /// @param count_repeats The fleet has a bound on repeats.
-  ShardTable(size_t capacity, bool ramp, bool count_repeats);
+  ShardTable(size_t capacity, bool ramp, bool count_repeats, bool cold_is_told);
 
   /// Adopts `view`. Upstreams keep their position in their shard for as long
   /// as attempts run there.
@@ -47,12 +47,14 @@
   void RefreshUpstream(TimePoint now,
                        ShardState& shard,
                        const UpstreamRow& row,
+                       const ColdTerms& cold,
                        bool fresh);
   uint32_t TakeRow();
 
   size_t capacity;
   bool ramp;
   bool count_repeats;
+  bool cold_is_told;
   uint32_t next_serial = 0;
   RoutingViewPtr current;
   std::vector<ShardState> shards;
--- a/packages/decision/src/upstream_choice.cc
+++ b/packages/decision/src/upstream_choice.cc
@@ -104,6 +104,9 @@
                 uint32_t place,
                 const ChoiceOptions& options) {
   const UpstreamSlots& upstream = shard.upstreams[place];
+  if (!HasQuota(now, shard, place)) {
+    return kNotFree;
+  }
   const uint32_t avoided = place == options.avoid ? kAvoided : 0;
   const uint16_t open = OpenSlots(now, upstream);
   if (BusySlots(now, shard, place) < open && FitsBulk(upstream, options)) {
@@ -128,6 +131,11 @@
   return TakesWork(now, upstream) && upstream.paused_until <= now;
 }
 
+bool HasQuota(TimePoint now, const ShardState& shard, uint32_t place) {
+  return place >= shard.cold_quotas.size() ||
+         shard.cold_quotas[place].MayStart(now, shard.tells_cold);
+}
+
 uint16_t OpenSlots(TimePoint now, const UpstreamSlots& upstream) {
   if (!AcceptsNow(now, upstream) || upstream.isolated) {
     return 0;
@@ -198,7 +206,7 @@
   uint32_t best = kNoRow;
   for (uint32_t i = 0; i < shard.upstreams.size(); ++i) {
     const UpstreamSlots& upstream = shard.upstreams[i];
-    if (OpenSlots(now, upstream) > 0 &&
+    if (OpenSlots(now, upstream) > 0 && HasQuota(now, shard, i) &&
         (best == kNoRow || upstream.busy < shard.upstreams[best].busy)) {
       best = i;
     }
--- a/packages/decision/src/upstream_choice.h
+++ b/packages/decision/src/upstream_choice.h
@@ -18,6 +18,10 @@
 /// @returns true if it takes work and is not paused.
 bool AcceptsNow(TimePoint now, const UpstreamSlots& upstream);
 
+/// @returns true if the upstream may get a request now, as far as it is cold or
+/// could be.
+bool HasQuota(TimePoint now, const ShardState& shard, uint32_t place);
+
 /// @returns the slots of `upstream` that may be occupied now, leaving grades
 /// aside.
 uint16_t OpenSlots(TimePoint now, const UpstreamSlots& upstream);
--- a/packages/decision/test/dispatch_drain_test.cc
+++ b/packages/decision/test/dispatch_drain_test.cc
@@ -123,6 +123,29 @@
   CHECK_EQUAL(1, this->harness.RunningOn(this->second));
 }
 
+// Taken back, upstreams may have become cold: before one gets a request it is
+// asked, and one that says that it is warm gets its share at once.
+TEST(DispatchDrain, View_TakenBackWithColdBound_AskedFirst) {
+  basilsill::DispatcherOptions options;
+  options.cold_is_told = true;
+  options.features.ramp = false;
+  DispatchHarness cold(options);
+  const UpstreamHandle only = cold.fixture.AddUpstream(0, 8);
+  cold.fixture.service.health_path = "/health";
+  cold.fixture.service.cold = {3s, 16};
+  cold.Apply();
+  cold.Offer();
+  CHECK_EQUAL(0, cold.running.size());
+  CHECK_EQUAL(1, cold.asked.size());
+  basilsill::AskReport report;
+  report.answered = true;
+  report.load = {true, true, 0, 0, 8, 1};
+  report.cold_for = 0ms;
+  cold.dispatcher->OnAsked(cold.now, only, report);
+  cold.Collect();
+  CHECK_EQUAL(1, cold.running.size());
+}
+
 // Drained, taken back and drained again before the next request comes.
 TEST(DispatchDrain, View_DrainedAgain_NothingStarts) {
   this->Drain(true);
--- a/packages/node/include/basilsill/node/installation.h
+++ b/packages/node/include/basilsill/node/installation.h
@@ -40,6 +40,8 @@
   std::string served_by;
   /// Of an upstream: running, waiting, slots, and speed.
   std::string load;
+  /// Of an upstream, on health checks: for how many milliseconds it is cold.
+  std::string cold;
   bool via = true;  ///< Whether `Via` is added to requests.
   /// Whether `Retry-After` may have a fraction.
   bool fractional_retry_after = false;
--- a/packages/node/src/upstream_question.cc
+++ b/packages/node/src/upstream_question.cc
@@ -1,11 +1,16 @@
 #include "upstream_question.h"
 
+#include <algorithm>
+#include <chrono>
+#include <optional>
 #include <utility>
 #include <vector>
 
 #include <boost/asio/buffer.hpp>
 #include <boost/asio/write.hpp>
 
+#include "basilsill/base/text.h"
+
 namespace basilsill {
 namespace {
 
@@ -23,6 +28,24 @@
   return !said.empty() && said != id;
 }
 
+// An upstream that is warm says nothing of it. What is no number says nothing
+// either way.
+std::optional<Duration> ReadColdTime(const HttpFields& answer,
+                                     const std::string& header) {
+  if (header.empty()) {
+    return std::nullopt;
+  }
+  const std::string_view said = HeaderValue(answer, header);
+  if (said.empty()) {
+    return Duration(0);
+  }
+  const std::optional<uint32_t> time = ParseNumber<uint32_t>(said);
+  if (!time) {
+    return std::nullopt;
+  }
+  return std::chrono::milliseconds(*time);
+}
+
 }  // namespace
 
 Task<AskReport> AskForLoad(UpstreamPool& pool,
@@ -63,6 +86,7 @@
     report.load = ParseLoad(HeaderValue(answer, pool.names().load));
     report.foreign =
         IsForeign(answer, pool.names().served_by, target.incarnation.id);
+    report.cold_for = ReadColdTime(answer, pool.names().cold);
     keep = connection->reader.message().keep_alive();
     const bool whole = co_await DropBody(*connection, kMaxAnswerBytes);
     keep = keep && whole && !connection->reader.has_more();
--- a/packages/node/src/worker.cc
+++ b/packages/node/src/worker.cc
@@ -91,6 +91,7 @@
     dispatcher.features.reserve = false;
     dispatcher.features.send_ahead = false;
   }
+  dispatcher.cold_is_told = !installation.headers.cold.empty();
   dispatcher.seed = options.seed;
   dispatcher.quarantine =
       installation.features.quarantine ? quarantine : nullptr;
