Spread: idle upstreams are asked before busy ones fill up

Cause: only upstreams that were fast within 25 ms are chosen. With six slots each, what comes is stacked on the few of which that is known, until they are full and slow, beside others that have nothing to do.

Change: a request that would take a slot beyond the half of an upstream's first has up to three idle ones asked, and waits for their answers, 20 ms at most. Below three slots nothing changes. Mechanism spread.

--- a/packages/decision/include/basilsill/decision/dispatch.h
+++ b/packages/decision/include/basilsill/decision/dispatch.h
@@ -149,6 +149,7 @@
   bool retry = true;           ///< Retries inside the shard.
   bool hedge = true;           ///< A slow attempt may be doubled.
   bool speed = true;           ///< Slow moments of upstreams are waited out.
+  bool spread = true;          ///< Idle upstreams before crowded ones.
   bool slowness_limit = true;  ///< Nothing starts where it ends too late.
   bool leave_slow = true;      ///< From slow upstreams to another data centre.
   bool late_behind = true;     ///< What would be late lets others pass.
--- a/packages/decision/src/dispatch_tables.h
+++ b/packages/decision/src/dispatch_tables.h
@@ -59,6 +59,7 @@
   uint8_t sends = 0;       ///< Of those, that reached or may reach an upstream.
   bool maybe_ran = false;  ///< Then no refusal may promise `not-run`.
   bool answer_started = false;
+  bool asked_idle = false;          ///< Idle upstreams were asked for its sake.
   Retry next_retry = Retry::kNone;  ///< Reason of the attempt to come.
   TimePoint offered;
   TimePoint hedge_at = kNever;
--- a/packages/decision/src/dispatcher_core.h
+++ b/packages/decision/src/dispatcher_core.h
@@ -123,6 +123,11 @@
                         const RequestRow& request);
   bool MovesFromSlow(const ShardState& shard, const RequestRow& request) const;
   void Ask(TimePoint now, ShardState& shard, uint32_t place);
+  bool WaitsForIdle(TimePoint now,
+                    ShardState& shard,
+                    uint32_t row,
+                    uint32_t chosen,
+                    const ChoiceOptions& choice);
   bool AskIfWarm(TimePoint now, ShardState& shard, uint32_t place);
   void AskWhetherWarm(TimePoint now, ShardState& shard);
   void LearnLoad(TimePoint now,
--- a/packages/decision/src/dispatcher_speed.cc
+++ b/packages/decision/src/dispatcher_speed.cc
@@ -1,6 +1,7 @@
 #include <algorithm>
 #include <chrono>
 #include <limits>
+#include <utility>
 
 #include "dispatcher_core.h"
 #include "upstream_choice.h"
@@ -18,9 +19,18 @@
 // Requests in the moving mean of how long one is held.
 constexpr int kHoldWeight = 16;
 
+// With fewer slots than this, one request more is never one of many.
+constexpr uint16_t kManySlots = 3;
+
 // Typical time of a request of which nothing is known.
 constexpr Duration kTypicalTime = std::chrono::milliseconds(100);
 
+// With one request more, over half of its slots are taken.
+bool IsCrowded(const UpstreamSlots& upstream) {
+  return upstream.slots >= kManySlots &&
+         2 * (upstream.busy + 1) > upstream.slots + 1;
+}
+
 }  // namespace
 
 SpeedRule DispatcherCore::SpeedRuleOf(TimePoint now,
@@ -146,6 +156,42 @@
   this->pending.push_back(action);
 }
 
+// Failure: of many upstreams some few were fast a moment ago, and of the others
+// nothing is known. All that comes goes to these few, until they are full and
+// slow, beside others that have nothing to do. It shows as run times that rise
+// long before the service has no free slots. So a request that would be one of
+// many somewhere first has idle upstreams asked, which takes a round trip, and
+// goes to one of them if it says that it is fast.
+bool DispatcherCore::WaitsForIdle(TimePoint now,
+                                  ShardState& shard,
+                                  uint32_t row,
+                                  uint32_t chosen,
+                                  const ChoiceOptions& choice) {
+  if (!this->options.features.spread || choice.speed != SpeedRule::kFastOnly ||
+      !IsCrowded(shard.upstreams[chosen])) {
+    return false;
+  }
+  RequestRow& request = this->Request(row);
+  const bool may_ask = !std::exchange(request.asked_idle, true);
+  const auto count = static_cast<uint32_t>(shard.upstreams.size());
+  uint32_t asked = 0;
+  uint32_t place = shard.first_pick < count ? shard.first_pick : 0;
+  for (uint32_t i = 0; i < count && asked < kAskAtOnce; ++i) {
+    const SpeedBelief& speed = shard.speeds[place];
+    const bool is_idle = !IsCrowded(shard.upstreams[place]) &&
+                         IsCandidate(now, shard, place, choice);
+    if (is_idle && may_ask && speed.IsWorthAsking(now)) {
+      this->Ask(now, shard, place);
+    }
+    asked += is_idle && speed.IsAsked(now) ? 1 : 0;
+    place = place + 1 < count ? place + 1 : 0;
+  }
+  if (asked > 0) {
+    shard.next_scan = std::min(shard.next_scan, now + kHoldScan);
+  }
+  return asked > 0;
+}
+
 // @returns true if the upstream is asked now.
 bool DispatcherCore::AskIfWarm(TimePoint now,
                                ShardState& shard,
--- a/packages/decision/src/dispatcher_start.cc
+++ b/packages/decision/src/dispatcher_start.cc
@@ -82,6 +82,9 @@
     }
     return false;
   }
+  if (this->WaitsForIdle(now, shard, request, upstream, choice)) {
+    return false;
+  }
   this->queue.Pop(shard, ring);
   for (size_t i = 0; i < kRings; ++i) {
     Ring& other = shard.rings[i];
--- a/packages/decision/src/mechanism.cc
+++ b/packages/decision/src/mechanism.cc
@@ -55,6 +55,8 @@
               InDispatcher<&Dispatch::hedge>},
     Mechanism{"speed", "Slow moments of upstreams are asked for, waited out.",
               InDispatcher<&Dispatch::speed>},
+    Mechanism{"spread", "Idle upstreams are asked before busy ones fill up.",
+              InDispatcher<&Dispatch::spread>},
     Mechanism{"leave-slow", "Requests leave a data centre that is slow now.",
               InDispatcher<&Dispatch::leave_slow>},
     Mechanism{"slowness-limit", "Nothing starts where it ends too late.",
--- a/packages/decision/test/dispatch_speed_test.cc
+++ b/packages/decision/test/dispatch_speed_test.cc
@@ -309,3 +309,53 @@
   looking.Run(34, 20s);
   CHECK(looking.questions() <= 3.5 * 34 * 20);
 }
+
+// Many slots, and only one upstream has told of late that it is fast. What
+// comes would go there until it is full, beside others that have nothing to do.
+TEST(DispatchSpeed, Offer_FewKnownToBeFast_IdleOnesAskedBeforeTheyFillUp) {
+  DispatchHarness many;
+  many.fixture.service.health_path = "/health";
+  std::vector<UpstreamHandle> upstreams;
+  for (int i = 0; i < 4; ++i) {
+    upstreams.push_back(many.fixture.AddUpstream(0, 6));
+  }
+  many.Apply();
+  many.Offer();
+  const std::vector<UpstreamHandle> asked = many.asked;
+  many.asked.clear();
+  many.Tell(asked.front(), kUsual);
+  for (int i = 0; i < 2; ++i) {
+    many.Offer();
+  }
+  CHECK_EQUAL(3, many.RunningOn(asked.front()));
+  many.Advance(21ms);
+  many.Tell(asked.front(), kUsual);
+  many.asked.clear();
+  many.Offer();
+  CHECK_EQUAL(3, many.RunningOn(asked.front()));
+  CHECK(!many.asked.empty());
+  const UpstreamHandle idle = many.asked.front();
+  many.Tell(idle, kUsual);
+  CHECK(many.RunningOn(idle) > 0);
+  CHECK_EQUAL(3, many.RunningOn(asked.front()));
+}
+
+// The idle ones do not answer: nobody waits for longer than a question takes.
+TEST(DispatchSpeed, Offer_IdleOnesDoNotAnswer_StartsOnTheBusyOne) {
+  DispatchHarness many;
+  many.fixture.service.health_path = "/health";
+  for (int i = 0; i < 4; ++i) {
+    many.fixture.AddUpstream(0, 6);
+  }
+  many.Apply();
+  many.Offer();
+  const UpstreamHandle fast = many.asked.front();
+  many.Tell(fast, kUsual);
+  for (int i = 0; i < 3; ++i) {
+    many.Offer();
+  }
+  many.Advance(19ms);
+  many.Tell(fast, kUsual);
+  many.Advance(5ms);
+  CHECK_EQUAL(4, many.running.size());
+}
