--- a/soak/observations.h
+++ b/soak/observations.h
@@ -61,6 +61,29 @@
   TimePoint accepted{};
 };
 
+/// A request reached an upstream.
+struct ArrivalRow {
+  std::string id;
+  size_t upstream = 0;
+  size_t data_centre = 0;
+  TimePoint at{};
+};
+
+/// The platform accepted that a data centre is drained, and the operator then
+/// took it back.
+struct DrainRow {
+  size_t data_centre = 0;
+  TimePoint accepted{};
+  TimePoint taken_back = TimePoint::max();
+};
+
+/// An upstream was cold.
+struct ColdRow {
+  size_t upstream = 0;
+  TimePoint from{};
+  TimePoint to{};
+};
+
 /// The platform accepted a configuration that adds or drops a route.
 struct RouteRow {
   std::string route;
@@ -104,7 +127,10 @@
 
   std::vector<RequestRow> requests;
   std::vector<RunRow> runs;
+  std::vector<ArrivalRow> arrivals;
   std::vector<LeavingRow> leaving;
+  std::vector<DrainRow> drains;
+  std::vector<ColdRow> colds;
   std::vector<RouteRow> routes;
   std::vector<Disturbance> disturbances;
   std::vector<UnaskedEnd> unasked_ends;
--- a/soak/plan.cc
+++ b/soak/plan.cc
@@ -12,13 +12,13 @@
 using std::chrono::milliseconds;
 
 constexpr std::array<std::string_view, static_cast<size_t>(Fault::kCount)>
-    kNames = {"node-kill",     "node-end",       "node-pause",
-              "node-reload",   "all-kill",       "store-down",
-              "store-busy",    "store-silent",   "store-slow",
-              "store-refuses", "upstream-crash", "upstream-leave",
-              "upstream-slow", "upstream-fails", "answers-lost",
-              "answers-cut",   "link-slow",      "link-reset",
-              "link-one-way",  "link-silent",    "route-change"};
+    kNames = {
+        "node-kill",     "node-end",       "node-pause",     "node-reload",
+        "all-kill",      "store-down",     "store-busy",     "store-silent",
+        "store-slow",    "store-refuses",  "upstream-crash", "upstream-leave",
+        "upstream-slow", "upstream-fails", "answers-lost",   "answers-cut",
+        "link-slow",     "link-reset",     "link-one-way",   "link-silent",
+        "route-change",  "drain",          "upstream-cold"};
 
 constexpr milliseconds kShortest{200};
 constexpr milliseconds kLongest{3000};
@@ -31,10 +31,11 @@
 
 // A seed has few kinds of faults. Promises that hold for nodes in touch alone
 // could hardly ever be judged if all kinds came in all seeds.
-constexpr uint32_t kMostKinds = 5;
+constexpr uint32_t kMostKinds = 7;
 // What is to be in force in time comes in all of them.
-constexpr std::array<Fault, 2> kAlways = {Fault::kRouteChange,
-                                          Fault::kUpstreamLeave};
+constexpr std::array<Fault, 4> kAlways = {
+    Fault::kRouteChange, Fault::kUpstreamLeave, Fault::kDataCentreDrain,
+    Fault::kUpstreamCold};
 
 uint32_t Draw(pcg32& random, uint32_t below) {
   return std::uniform_int_distribution<uint32_t>(0, below - 1)(random);
@@ -48,9 +49,15 @@
 
 std::vector<Fault> DrawKinds(pcg32& random) {
   std::vector<Fault> kinds(kAlways.begin(), kAlways.end());
+  std::vector<Fault> others;
+  for (uint32_t i = 0; i < static_cast<uint32_t>(Fault::kCount); ++i) {
+    const auto kind = static_cast<Fault>(i);
+    if (std::find(kinds.begin(), kinds.end(), kind) == kinds.end()) {
+      others.push_back(kind);
+    }
+  }
   for (uint32_t left = Draw(random, kMostKinds + 1); left > 0; --left) {
-    kinds.push_back(
-        static_cast<Fault>(Draw(random, static_cast<uint32_t>(Fault::kCount))));
+    kinds.push_back(others[Draw(random, static_cast<uint32_t>(others.size()))]);
   }
   return kinds;
 }
--- a/soak/plan.h
+++ b/soak/plan.h
@@ -32,6 +32,8 @@
   kLinkOneWay,  ///< Nothing comes back.
   kLinkSilent,  ///< Open, and nothing goes either way.
   kRouteChange,
+  kDataCentreDrain,  ///< Drained, and taken back.
+  kUpstreamCold,     ///< Cold for a while, without a new start.
   kCount
 };
 
--- a/soak/promises.cc
+++ b/soak/promises.cc
@@ -16,7 +16,8 @@
 constexpr std::array<std::string_view, static_cast<size_t>(Promise::kCount)>
     kNames = {"own-answer", "once",          "not-run",   "leaving",
               "shutdown",   "configuration", "no-return", "repeats",
-              "recovery",   "caller-gone",   "timeout",   "stays-up"};
+              "recovery",   "caller-gone",   "timeout",   "stays-up",
+              "drained",    "cold"};
 
 // Promises with a bound in time allow for single requests that fell between
 // two moments of observation.
@@ -67,7 +68,8 @@
         &Judgement::CheckShutdown,  &Judgement::CheckConfiguration,
         &Judgement::CheckNoReturn,  &Judgement::CheckRepeats,
         &Judgement::CheckRecovery,  &Judgement::CheckCallerGone,
-        &Judgement::CheckTimeout,   &Judgement::CheckStaysUp};
+        &Judgement::CheckTimeout,   &Judgement::CheckStaysUp,
+        &Judgement::CheckDrained,   &Judgement::CheckCold};
     for (const Check check : checks) {
       (this->*check)();
     }
@@ -424,6 +426,46 @@
     }
   }
 
+  void CheckDrained() {
+    for (const DrainRow& drain : this->seen.drains) {
+      const TimePoint bound =
+          drain.accepted + this->bounds.drained + this->slack;
+      for (const ArrivalRow& row : this->seen.arrivals) {
+        const bool counts = row.data_centre == drain.data_centre &&
+                            row.at > bound && row.at < drain.taken_back &&
+                            this->AreAllInTouch(drain.accepted, row.at);
+        if (counts) {
+          this->Add(Promise::kDrained, {row.id}, row.at,
+                    "data centre " + std::to_string(row.data_centre));
+        }
+      }
+    }
+  }
+
+  // Connections that were held up hand over at once what was sent in seconds.
+  void CheckCold() {
+    for (const ColdRow& cold : this->seen.colds) {
+      std::vector<TimePoint> recent;
+      for (const ArrivalRow& row : this->seen.arrivals) {
+        if (row.upstream != cold.upstream || row.at < cold.from ||
+            row.at >= cold.to) {
+          continue;
+        }
+        recent.push_back(row.at);
+        std::erase_if(recent, [&row](TimePoint at) {
+          return row.at - at >= std::chrono::seconds(1);
+        });
+        if (recent.size() > this->bounds.cold_requests &&
+            this->IsCalm({DisturbanceKind::kUpstream}, std::nullopt,
+                         recent.front(), row.at)) {
+          this->Add(Promise::kCold, {row.id}, row.at,
+                    "upstream " + std::to_string(row.upstream) + ", " +
+                        std::to_string(recent.size()) + " in a second");
+        }
+      }
+    }
+  }
+
   const Observations& seen;
   const Bounds& bounds;
   const Duration slack;
--- a/soak/promises.h
+++ b/soak/promises.h
@@ -26,6 +26,8 @@
   kCallerGone,     ///< Nothing is begun for a caller that left.
   kTimeout,        ///< What is open at its timeout is answered then.
   kStaysUp,        ///< No node ends by itself.
+  kDrained,        ///< A drained data centre gets nothing new.
+  kCold,           ///< A cold upstream gets no more a second than its bound.
   kCount
 };
 
@@ -37,6 +39,10 @@
   std::chrono::milliseconds stability{3000};
   std::chrono::milliseconds drain{2000};
   std::chrono::milliseconds apply{2000};
+  /// A drained data centre gets nothing new so long after it was accepted.
+  std::chrono::milliseconds drained{300};
+  /// Requests to a cold upstream in any second, from all nodes.
+  size_t cold_requests = 16;
   std::chrono::milliseconds grace{6000};
   std::chrono::milliseconds loss_slack{200};
   std::chrono::milliseconds caller_gone{500};
--- a/soak/rig.cc
+++ b/soak/rig.cc
@@ -33,6 +33,8 @@
 constexpr milliseconds kMeterInterval{20};
 // What is open when traffic ends has this long to be answered.
 constexpr milliseconds kLastAnswers{3000};
+// With the settings' factor and slack, sixteen requests in any second.
+constexpr double kColdRate = 5.6;
 constexpr char kMovingRoute[] = "extra";
 
 class Rig {
@@ -86,10 +88,12 @@
       routes.push_back(make(kMovingRoute, "safe", 0));
     }
     const TimePoint sent = MonotonicClock::now();
-    this->store.Put(adapter::test::kOperatorTopic,
-                    adapter::test::kConfigurationKey,
-                    adapter::test::ConfigurationText(
-                        VersionText(++this->version), routes, ServiceNames()));
+    this->store.Put(
+        adapter::test::kOperatorTopic, adapter::test::kConfigurationKey,
+        adapter::test::WithColdUpstreams(
+            adapter::test::ConfigurationText(VersionText(++this->version),
+                                             routes, ServiceNames()),
+            kColdRate));
     this->seen.routes.push_back(
         {kMovingRoute, this->has_moving_route, sent, MonotonicClock::now()});
   }
@@ -147,11 +151,32 @@
     } else if (step.fault == Fault::kRouteChange) {
       this->has_moving_route = !this->has_moving_route;
       this->Configure();
+    } else if (step.fault == Fault::kDataCentreDrain) {
+      co_await this->Drain(step);
     } else {
       co_await this->upstreams.Harm(step);
     }
   }
 
+  // Several may overlap; one that is drained already is left alone.
+  asio::awaitable<void> Drain(Step step) {
+    const size_t data_centre = step.target % DataCentreNames().size();
+    if (!this->drained.insert(data_centre).second) {
+      co_return;
+    }
+    const std::string key =
+        adapter::test::DrainKey(DataCentreNames()[data_centre]);
+    this->store.Put(adapter::test::kOperatorTopic, key, "{}");
+    const size_t row = this->seen.drains.size();
+    this->seen.drains.push_back({data_centre, MonotonicClock::now()});
+    co_await Sleep(step.lasts);
+    if (!this->over) {
+      this->seen.drains[row].taken_back = MonotonicClock::now();
+      this->store.Remove(adapter::test::kOperatorTopic, key);
+      this->drained.erase(data_centre);
+    }
+  }
+
   asio::awaitable<void> HarmStore(const Step& step) {
     if (this->store_is_harmed) {
       co_return;
@@ -194,6 +219,7 @@
   Callers callers;
   uint64_t version = 0;
   bool has_moving_route = true;
+  std::set<size_t> drained;  ///< Data centres, now.
   bool store_is_harmed = false;
   bool over = false;
 };
--- a/soak/test/promises_test.cc
+++ b/soak/test/promises_test.cc
@@ -55,6 +55,10 @@
     this->seen.runs.push_back({id, upstream, 0, kStart + at});
   }
 
+  void AddArrival(const std::string& id, Duration at) {
+    this->seen.arrivals.push_back({id, 0, 1, kStart + at});
+  }
+
   void Disturb(DisturbanceKind kind, Duration from, Duration to) {
     this->seen.disturbances.push_back({kind, 0, kStart + from, kStart + to});
   }
@@ -277,3 +281,42 @@
   }
   CHECK(std::find(counts.begin(), counts.end(), 0U) == counts.end());
 }
+
+// The operator drains a data centre, and a request reaches an upstream there a
+// second later.
+TEST(Promises, Drained_ArrivalAfterTheBound_Broken) {
+  this->seen.drains.push_back({1, kStart + 10s, kStart + 13s});
+  this->AddArrival("in-time", 10100ms);
+  this->AddArrival("late", 11s);
+  this->AddArrival("back", 13100ms);
+  const auto broken = Judge(this->seen, this->bounds);
+  CHECK_EQUAL(1, broken.size());
+  CHECK(Promise::kDrained == broken[0].promise);
+  STRCMP_EQUAL("late", broken[0].ids[0].c_str());
+}
+
+TEST(Promises, Drained_NodePausedMeanwhile_NotJudged) {
+  this->seen.drains.push_back({1, kStart + 10s, kStart + 13s});
+  this->AddArrival("late", 11s);
+  this->Disturb(DisturbanceKind::kNode, 10s, 11s);
+  CHECK(Judge(this->seen, this->bounds).empty());
+}
+
+// A cold upstream gets a request more in a second than it may.
+TEST(Promises, Cold_OneMoreThanTheBound_Broken) {
+  this->seen.colds.push_back({0, kStart + 10s, kStart + 12s});
+  for (int i = 0; i < 17; ++i) {
+    this->AddArrival(std::to_string(i), 10s + i * 50ms);
+  }
+  const auto broken = Judge(this->seen, this->bounds);
+  CHECK_EQUAL(1, broken.size());
+  CHECK(Promise::kCold == broken[0].promise);
+}
+
+TEST(Promises, Cold_AsManyAsItMayGet_Kept) {
+  this->seen.colds.push_back({0, kStart + 10s, kStart + 12s});
+  for (int i = 0; i < 32; ++i) {
+    this->AddArrival(std::to_string(i), 10s + i * 63ms);
+  }
+  CHECK(Judge(this->seen, this->bounds).empty());
+}
--- a/soak/upstreams.cc
+++ b/soak/upstreams.cc
@@ -33,6 +33,11 @@
   return names;
 }
 
+const std::vector<std::string>& DataCentreNames() {
+  static const std::vector<std::string> names = {"lyulin", "druzhba"};
+  return names;
+}
+
 Upstreams::Upstreams(boost::asio::io_context& io,
                      adapter::test::FakeStore& store,
                      Observations& seen,
@@ -43,6 +48,7 @@
       this->places.push_back(std::make_unique<Place>());
       Place& place = *this->places.back();
       place.service = service;
+      place.data_centre = i % DataCentreNames().size();
       place.proxy = std::make_unique<Proxy>(io, Endpoint{});
       this->StartInstance(place);
     }
@@ -58,11 +64,18 @@
   const size_t number = this->started++;
   place.number = number;
   const size_t service = place.service;
+  const size_t data_centre = place.data_centre;
+  adapter::test::UpstreamHooks hooks;
+  hooks.on_arrival = [this, number, data_centre](const std::string& id) {
+    this->seen.arrivals.push_back(
+        {id, number, data_centre, MonotonicClock::now()});
+  };
+  hooks.on_run = [this, number, service](const std::string& id) {
+    this->seen.runs.push_back({id, number, service, MonotonicClock::now()});
+  };
   place.instance = std::make_unique<adapter::test::FakeUpstream>(
       this->io, "i-" + std::to_string(number), this->seed + number,
-      [this, number, service](const std::string& id) {
-        this->seen.runs.push_back({id, number, service, MonotonicClock::now()});
-      });
+      std::move(hooks));
   place.proxy->SetTarget(place.instance->endpoint());
   this->Write(place, "ready");
 }
@@ -71,6 +84,7 @@
   adapter::test::EntryText entry;
   entry.address = ToString(place.proxy->endpoint());
   entry.service = ServiceNames()[place.service];
+  entry.data_centre = DataCentreNames()[place.data_centre];
   entry.state = state;
   this->store.Put(adapter::test::kUpstreamTopic, place.instance->id(),
                   ToText(entry));
@@ -82,9 +96,10 @@
     co_return;
   }
   place.is_busy = true;
-  // One that leaves as it should is no disturbance.
+  // One that leaves as it should, or is cold, is no disturbance.
   std::optional<size_t> row;
-  if (step.fault != Fault::kUpstreamLeave) {
+  if (step.fault != Fault::kUpstreamLeave &&
+      step.fault != Fault::kUpstreamCold) {
     row = this->seen.BeginDisturbance(DisturbanceKind::kUpstream, std::nullopt);
   }
   switch (step.fault) {
@@ -94,6 +109,9 @@
     case Fault::kUpstreamLeave:
       co_await this->Leave(place);
       break;
+    case Fault::kUpstreamCold:
+      co_await this->BeCold(place, step);
+      break;
     case Fault::kLinkSlow:
     case Fault::kLinkReset:
     case Fault::kLinkOneWay:
@@ -145,6 +163,15 @@
   }
 }
 
+// Its entry says nothing of it, only its answer when it is asked.
+boost::asio::awaitable<void> Upstreams::BeCold(Place& place, const Step& step) {
+  const TimePoint from = MonotonicClock::now();
+  const TimePoint to = from + step.lasts;
+  place.instance->conduct().cold_until = to;
+  this->seen.colds.push_back({place.number, from, to});
+  co_await Sleep(step.lasts);
+}
+
 boost::asio::awaitable<void> Upstreams::Misbehave(Place& place,
                                                   const Step& step) {
   adapter::test::UpstreamConduct faulty;
--- a/soak/upstreams.h
+++ b/soak/upstreams.h
@@ -23,6 +23,9 @@
 /// Services by number, as observations have them.
 const std::vector<std::string>& ServiceNames();
 
+/// The same of data centres.
+const std::vector<std::string>& DataCentreNames();
+
 class Upstreams {
  public:
   Upstreams(boost::asio::io_context& io,
@@ -39,6 +42,7 @@
   /// A place that one instance after the other stands at, behind one proxy.
   struct Place {
     size_t service = 0;
+    size_t data_centre = 0;
     size_t number = 0;  ///< Of the instance that stands there now.
     std::unique_ptr<adapter::test::FakeUpstream> instance;
     std::unique_ptr<Proxy> proxy;
@@ -51,6 +55,7 @@
   boost::asio::awaitable<void> Leave(Place& place);
   boost::asio::awaitable<void> Misbehave(Place& place, const Step& step);
   boost::asio::awaitable<void> HarmLink(Place& place, const Step& step);
+  boost::asio::awaitable<void> BeCold(Place& place, const Step& step);
 
   boost::asio::io_context& io;
   adapter::test::FakeStore& store;
