--- a/packages/decision/include/basilsill/decision/dispatch.h
+++ b/packages/decision/include/basilsill/decision/dispatch.h
@@ -143,7 +143,6 @@
   bool running_age = true;     ///< Evidence from what still runs.
   bool fail_fast = true;       ///< Upstreams that answer errors get less.
   bool send_ahead = true;      ///< Long queues fill the gaps between answers.
-  bool learned_limit = true;   ///< Upstreams are filled as far as it pays.
   bool ramp = true;            ///< New and returned upstreams start slowly.
   bool shed_backoff = true;    ///< Pause after a shed answer.
   bool retry = true;           ///< Retries inside the shard.
--- a/packages/decision/src/dispatch_tables.h
+++ b/packages/decision/src/dispatch_tables.h
@@ -9,7 +9,6 @@
 #include "basilsill/decision/dispatch.h"
 #include "basilsill/decision/ratio_budget.h"
 #include "cold_quota.h"
-#include "concurrency_limit.h"
 #include "indexed_heap.h"
 #include "latency_stats.h"
 #include "upstream_health.h"
@@ -80,10 +79,6 @@
   bool ahead = false;       ///< Sent before a slot was free, to wait there.
   bool typical = false;     ///< Its time counts among its siblings'.
   bool crash_told = false;  ///< Its upstream's death is on record.
-  /// For ConcurrencyLimit::Run, as it started; the most that a byte holds if
-  /// more ran.
-  uint8_t busy_before = 0;
-  uint16_t used_before = 0;
 };
 
 /// An upstream as its shard's dispatcher sees it.
@@ -92,18 +87,17 @@
   UpstreamKey key = 0;
   uint16_t slots = 0;
   uint16_t busy = 0;
-  uint16_t bulk = 0;            ///< Of those, with bulk requests.
-  uint16_t limit = UINT16_MAX;  ///< Of requests at once, as of the scan.
-  bool present = false;         ///< In the view.
-  bool superseded = false;      ///< It has started again: what it ran has died.
-  bool leaving = false;         ///< As the view says.
-  bool cold = false;            ///< As the view says.
-  bool drained = false;         ///< As the view says.
-  bool isolated = false;        ///< Runs, or is emptied for, a suspect request.
-  bool recovering = false;      ///< Marked, but its last answer was good.
-  uint8_t failures = 0;         ///< In a row, for the length of the next pause.
-  uint16_t ramp_left = 0;       ///< Good answers until it gets its full share.
-  uint32_t running = kNoRow;    ///< First attempt that runs there.
+  uint16_t bulk = 0;          ///< Of those, with bulk requests.
+  bool present = false;       ///< In the view.
+  bool superseded = false;    ///< It has started again: what it ran has died.
+  bool leaving = false;       ///< As the view says.
+  bool cold = false;          ///< As the view says.
+  bool drained = false;       ///< As the view says.
+  bool isolated = false;      ///< Runs, or is emptied for, a suspect request.
+  bool recovering = false;    ///< Marked, but its last answer was good.
+  uint8_t failures = 0;       ///< In a row, for the length of the next pause.
+  uint16_t ramp_left = 0;     ///< Good answers until it gets its full share.
+  uint32_t running = kNoRow;  ///< First attempt that runs there.
   TimePoint paused_until{};
   TimePoint draining_until{};  ///< By a sign of its own.
   TimePoint no_ahead_until{};  ///< It shed what was sent ahead.
@@ -185,8 +179,6 @@
   bool any_superseded = false;  ///< Of `upstreams`, with work to be ended.
   uint32_t siblings = 1;        ///< Shards of the service, this one included.
   std::unique_ptr<RepeatBudget> repeats;  ///< If the fleet has a bound.
-  /// If its upstreams have so many slots that a limit may pay.
-  std::unique_ptr<ConcurrencyLimit> concurrency;
   uint32_t open_slots = 0;  ///< Of upstreams that take work, as of the scan.
   uint32_t starts_since_trickle = 0;
   uint32_t first_pick = 0;      ///< Where the next search for a slot begins.
--- a/packages/decision/src/dispatcher_core.h
+++ b/packages/decision/src/dispatcher_core.h
@@ -149,9 +149,6 @@
                       uint32_t upstream,
                       Retry reason);
   void TrackLoad(TimePoint now, ShardState& shard);
-  static void TrackConcurrency(TimePoint now,
-                               ShardState& shard,
-                               uint32_t place);
 
   // dispatcher_end.cc
   void Settle(TimePoint now,
@@ -178,7 +175,6 @@
              const AttemptRow& attempt,
              const AttemptReport& report);
   void LearnAnswer(TimePoint now, const AttemptRow& attempt);
-  void LearnConcurrency(TimePoint now, const AttemptRow& attempt);
   void LearnError(TimePoint now, const AttemptRow& attempt, AttemptEnd end);
   void LearnShed(TimePoint now, const AttemptRow& attempt);
   void NoteTrickle(TimePoint now, UpstreamSlots& upstream, bool good);
@@ -195,7 +191,6 @@
                       const ShardState& shard,
                       const RequestRow& request) const;
   void Scan(TimePoint now, uint32_t shard);
-  void SetLimit(TimePoint now, ShardState& shard, uint32_t place) const;
   void RescueFrom(TimePoint now, const UpstreamSlots& upstream);
   double RunningEvidence(TimePoint now,
                          const ShardState& shard,
--- a/packages/decision/src/dispatcher_end.cc
+++ b/packages/decision/src/dispatcher_end.cc
@@ -273,7 +273,6 @@
   UpstreamSlots& upstream = shard.upstreams[attempt.upstream];
   RequestRow& request = this->Request(attempt.request.index);
   this->TrackLoad(now, shard);
-  this->TrackConcurrency(now, shard, attempt.upstream);
   uint32_t& before = attempt.previous != kNoRow
                          ? this->Attempt(attempt.previous).next
                          : upstream.running;
--- a/packages/decision/src/dispatcher_learn.cc
+++ b/packages/decision/src/dispatcher_learn.cc
@@ -137,7 +137,6 @@
   UpstreamSlots& upstream = shard.upstreams[attempt.upstream];
   LatencyStats& stats = shard.stats[static_cast<size_t>(attempt.traffic_class)];
   const Duration took = now - attempt.start;
-  this->LearnConcurrency(now, attempt);
   bool good = true;
   if (stats.known()) {
     const double ratio = static_cast<double>(took.count() + 1) /
@@ -164,30 +163,6 @@
   this->NoteTrickle(now, upstream, good);
 }
 
-// Only from upstreams that were as good as their siblings when the request
-// began, and are not slow for another reason as it ends.
-void DispatcherCore::LearnConcurrency(TimePoint now,
-                                      const AttemptRow& attempt) {
-  ShardState& shard = this->shards.at(attempt.shard);
-  const LatencyStats& stats =
-      shard.stats[static_cast<size_t>(attempt.traffic_class)];
-  const uint32_t place = attempt.upstream;
-  const bool is_slow_now =
-      place < shard.speeds.size() &&
-      shard.speeds[place].GradeAt(now) == SpeedGrade::kSlow;
-  const Duration took = now - attempt.start;
-  if (!shard.concurrency || !attempt.typical || attempt.ahead || is_slow_now ||
-      shard.upstreams[place].cold || !stats.known() || took <= Duration(0)) {
-    return;
-  }
-  this->TrackConcurrency(now, shard, place);
-  const double ratio = static_cast<double>(took.count()) /
-                       static_cast<double>(stats.median().count() + 1);
-  shard.concurrency->Learn(
-      place, {std::log(ratio), took, attempt.used_before, attempt.busy_before,
-              shard.upstreams[place].busy});
-}
-
 // An error is no fast answer: its time does not count, whatever it was, and
 // an upstream that fails beside healthy siblings is marked.
 void DispatcherCore::LearnError(TimePoint now,
--- a/packages/decision/src/dispatcher_start.cc
+++ b/packages/decision/src/dispatcher_start.cc
@@ -325,13 +325,6 @@
   attempt.typical = upstream.health.grade() == UpstreamGrade::kFull &&
                     upstream.ramp_left == 0;
   const AttemptHandle handle = this->attempts.Create(attempt);
-  this->TrackConcurrency(now, shard, place);
-  if (shard.concurrency) {
-    AttemptRow& begun = this->Attempt(handle.index);
-    begun.used_before = shard.concurrency->UsedAt(place);
-    begun.busy_before =
-        static_cast<uint8_t>(std::min<uint16_t>(upstream.busy + 1, UINT8_MAX));
-  }
   if (upstream.running != kNoRow) {
     this->Attempt(upstream.running).previous = handle.index;
   }
@@ -380,16 +373,6 @@
   return handle;
 }
 
-// The number of requests that run at the upstream is about to change, or is to
-// be known up to now.
-void DispatcherCore::TrackConcurrency(TimePoint now,
-                                      ShardState& shard,
-                                      uint32_t place) {
-  if (shard.concurrency) {
-    shard.concurrency->OnChange(now, place, shard.upstreams[place].busy);
-  }
-}
-
 void DispatcherCore::TrackLoad(TimePoint now, ShardState& shard) {
   const Ring& waiting =
       shard.rings[static_cast<size_t>(RingKind::kInteractive)];
--- a/packages/decision/src/dispatcher_tick.cc
+++ b/packages/decision/src/dispatcher_tick.cc
@@ -181,7 +181,6 @@
   shard.next_scan = now + std::clamp(slot_time / 2, kMinScan, kMaxScan);
   RecountSlots(now, shard);
   for (uint32_t i = 0; i < shard.upstreams.size(); ++i) {
-    this->SetLimit(now, shard, i);
     shard.upstreams[i].health.Fade(kept);
     this->JudgeUpstream(now, shard, i);
   }
@@ -194,17 +193,6 @@
   this->Pump(now, row);
 }
 
-void DispatcherCore::SetLimit(TimePoint now,
-                              ShardState& shard,
-                              uint32_t place) const {
-  UpstreamSlots& upstream = shard.upstreams[place];
-  const bool is_limited =
-      shard.concurrency && this->options.features.learned_limit;
-  upstream.limit = is_limited
-                       ? shard.concurrency->LimitOf(now, place, upstream.slots)
-                       : upstream.slots;
-}
-
 double DispatcherCore::RunningEvidence(TimePoint now,
                                        const ShardState& shard,
                                        const UpstreamSlots& upstream) const {
--- a/packages/decision/src/mechanism.cc
+++ b/packages/decision/src/mechanism.cc
@@ -43,8 +43,6 @@
               InDispatcher<&Dispatch::fail_fast>},
     Mechanism{"send-ahead", "Long queues fill the gaps between answers.",
               InDispatcher<&Dispatch::send_ahead>},
-    Mechanism{"concurrency-limit", "Upstreams are filled as far as it pays.",
-              InDispatcher<&Dispatch::learned_limit>},
     Mechanism{"ramp", "New and returned upstreams start slowly.",
               InDispatcher<&Dispatch::ramp>},
     Mechanism{"shed-backoff", "An upstream that sheds is paused.",
--- a/packages/decision/src/shard_table.cc
+++ b/packages/decision/src/shard_table.cc
@@ -58,20 +58,6 @@
   }
 }
 
-void ReserveConcurrency(ShardState& shard) {
-  uint16_t most = 0;
-  for (const UpstreamSlots& upstream : shard.upstreams) {
-    most = std::max(most, upstream.slots);
-  }
-  if (most < ConcurrencyLimit::kMinSlots) {
-    return;
-  }
-  if (!shard.concurrency) {
-    shard.concurrency = std::make_unique<ConcurrencyLimit>();
-  }
-  shard.concurrency->Reserve(shard.upstreams.size(), most);
-}
-
 // @returns the quota of the upstream at `index`, or nullptr if its service has
 // no bound.
 ColdQuota* RefreshQuota(ShardState& shard,
@@ -202,7 +188,6 @@
     }
     shard.speeds.resize(shard.can_be_asked ? shard.upstreams.size() : 0);
   }
-  ReserveConcurrency(shard);
   RecountSlots(now, shard);
 }
 
@@ -231,9 +216,6 @@
     if (index < shard.speeds.size()) {
       shard.speeds[index] = SpeedBelief();
     }
-    if (shard.concurrency) {
-      shard.concurrency->Reset(index);
-    }
     place->handle = row.handle;
     place->key = KeyOf(row.endpoint);
     // Those that were there when the shard was opened are warm as far as
--- a/packages/decision/src/upstream_choice.cc
+++ b/packages/decision/src/upstream_choice.cc
@@ -140,7 +140,7 @@
   if (!AcceptsNow(now, upstream) || upstream.isolated) {
     return 0;
   }
-  return upstream.ramp_left > 0 ? 1 : std::min(upstream.slots, upstream.limit);
+  return upstream.ramp_left > 0 ? 1 : upstream.slots;
 }
 
 void RecountSlots(TimePoint now, ShardState& shard) {
--- a/packages/decision/test/dispatch_drain_test.cc
+++ b/packages/decision/test/dispatch_drain_test.cc
@@ -54,6 +54,7 @@
 // must not begin there; what runs is not cut.
 TEST(DispatchDrain, View_Drained_WaitingGoElsewhereAndRunningEnd) {
   std::vector<uint64_t> cookies;
+  cookies.reserve(8);
   for (int i = 0; i < 8; ++i) {
     cookies.push_back(this->harness.Offer());
   }
--- a/packages/decision/test/dispatch_speed_test.cc
+++ b/packages/decision/test/dispatch_speed_test.cc
@@ -315,9 +315,8 @@
 TEST(DispatchSpeed, Offer_FewKnownToBeFast_IdleOnesAskedBeforeTheyFillUp) {
   DispatchHarness many;
   many.fixture.service.health_path = "/health";
-  std::vector<UpstreamHandle> upstreams;
   for (int i = 0; i < 4; ++i) {
-    upstreams.push_back(many.fixture.AddUpstream(0, 6));
+    many.fixture.AddUpstream(0, 6);
   }
   many.Apply();
   many.Offer();
