--- a/packages/decision/include/basilsill/decision/news_plan.h
+++ b/packages/decision/include/basilsill/decision/news_plan.h
@@ -11,12 +11,12 @@
 /// from these to all of theirs. Pure, made of the VMs that a VM sees live; if
 /// two see different ones, some are told twice and some read for themselves.
 ///
-/// Failure: six VMs told everybody, whoever was where. It shows in a fleet of
-/// 300 as a link that sends 14 MB for a change of 44 KB, half a second long, so
-/// that those at its end take it for silent and read for themselves, and as
-/// octets between data centres that grow with the square of the fleet. By data
-/// centre a change crosses twice, whatever the number of VMs, and no VM sends
-/// it to more than those of its own.
+/// Failure: a few VMs tell everybody, whoever is where. It shows in a large
+/// fleet as a link that is busy for so long with one change that those at its
+/// end take it for silent and read for themselves, and as octets between data
+/// centres that grow with the square of the fleet. By data centre a change
+/// crosses twice, whatever the number of VMs, and no VM sends it to more than
+/// those of its own.
 
 namespace basilsill {
 
--- a/packages/decision/src/dispatcher_speed.cc
+++ b/packages/decision/src/dispatcher_speed.cc
@@ -90,10 +90,7 @@
 // good part of the aim while upstreams elsewhere are idle, and as starts on
 // slow ones once such a wait was too long. So a request that may still move
 // goes back to its entry VM at once, if what that expects elsewhere is less
-// than the usual length of such a wait here. With two upstreams a data centre
-// that are seven times slower for a quarter of the time, 99.2 in 100 are within
-// an aim of three times their work instead of 97.2 (test/leave_slow_test.cc),
-// for the octets of one request in twenty.
+// than the usual length of such a wait here.
 bool DispatcherCore::MovesFromSlow(const ShardState& shard,
                                    const RequestRow& request) const {
   return this->options.features.leave_slow &&
--- a/packages/decision/src/topic_follower.cc
+++ b/packages/decision/src/topic_follower.cc
@@ -58,8 +58,7 @@
 // Pages are not a snapshot: what is appended while they are read may be in
 // none of them. So reading goes on at once from the end as the first page had
 // it. A list of one page has missed nothing, and what comes after it is read or
-// heard of like anything else: of the calls of a start that is three of
-// seven, and on a day with 35 restarts of 18 VMs a fifth of all.
+// heard of like anything else: a VM that starts makes no call for it.
 bool TopicFollower::OnPage(TimePoint now,
                            uint64_t end,
                            bool more,
--- a/packages/decision/src/topic_records.cc
+++ b/packages/decision/src/topic_records.cc
@@ -66,8 +66,7 @@
 // Failure: a key changes ten times between two news, each time by 15 KB, and
 // all ten go to every VM, though the last is all that counts. It shows as
 // octets between data centres that rise tenfold while configurations come in
-// quick succession: 3.8 MB in two seconds in a fleet of 18, of 17 MB in the
-// whole day.
+// quick succession.
 std::vector<KeyedRecord> TopicRecords::UntoldFrom(uint64_t start) const {
   std::map<std::string_view, uint64_t> last;
   for (const KeyedRecord& record : this->recent) {
--- a/packages/node/include/basilsill/node/state_source.h
+++ b/packages/node/include/basilsill/node/state_source.h
@@ -44,9 +44,6 @@
   /// @returns false if there is none, or it is clogged.
   virtual bool SendToPeer(VmHandle vm, const wire::PeerMessage& message) = 0;
 
-  /// Sends `message` to all VMs that a link stands with.
-  virtual void Broadcast(const wire::PeerMessage& message) = 0;
-
   /// @returns the VMs that a link stands with.
   virtual std::vector<VmHandle> LinkedPeers() const = 0;
 
--- a/packages/node/src/control.h
+++ b/packages/node/src/control.h
@@ -81,9 +81,6 @@
   void OnStateChanged() override;
   void OnVmList(uint64_t version, const std::vector<ListedVm>& vms) override;
   bool SendToPeer(VmHandle vm, const wire::PeerMessage& message) override;
-  void Broadcast(const wire::PeerMessage& message) override {
-    this->links.Broadcast(message);
-  }
   std::vector<VmHandle> LinkedPeers() const override {
     return this->links.Linked();
   }
