--- a/packages/decision/test/dispatch_speed_test.cc
+++ b/packages/decision/test/dispatch_speed_test.cc
@@ -64,6 +64,15 @@
     return cookie;
   }
 
+  /// Four upstreams of six slots each.
+  static void ApplyManySlots(DispatchHarness & many) {
+    many.fixture.service.health_path = "/health";
+    for (int i = 0; i < 4; ++i) {
+      many.fixture.AddUpstream(0, 6);
+    }
+    many.Apply();
+  }
+
   /// Typical times are known.
   void WarmUp() {
     for (int i = 0; i < 40; ++i) {
@@ -314,11 +323,7 @@
 // comes would go there until it is full, beside others that have nothing to do.
 TEST(DispatchSpeed, Offer_FewKnownToBeFast_IdleOnesAskedBeforeTheyFillUp) {
   DispatchHarness many;
-  many.fixture.service.health_path = "/health";
-  for (int i = 0; i < 4; ++i) {
-    many.fixture.AddUpstream(0, 6);
-  }
-  many.Apply();
+  ApplyManySlots(many);
   many.Offer();
   const std::vector<UpstreamHandle> asked = many.asked;
   many.asked.clear();
@@ -342,11 +347,7 @@
 // The idle ones do not answer: nobody waits for longer than a question takes.
 TEST(DispatchSpeed, Offer_IdleOnesDoNotAnswer_StartsOnTheBusyOne) {
   DispatchHarness many;
-  many.fixture.service.health_path = "/health";
-  for (int i = 0; i < 4; ++i) {
-    many.fixture.AddUpstream(0, 6);
-  }
-  many.Apply();
+  ApplyManySlots(many);
   many.Offer();
   const UpstreamHandle fast = many.asked.front();
   many.Tell(fast, kUsual);
