Listings: one that has ended takes nothing away again

Cause: a VM that starts is told a topic whole by another VM while its own list is on its way. The telling ends the listing; the list then comes, perhaps with a record more, and ended it a second time, by keys of the first. A data centre drained in between was taken back on that VM, where no later record would drain it; a key was not told to others; an upstream was gone until it renewed itself.

Change: EndListing does nothing where no listing is open, in drains, topic records and the registry, whose own fault is older.

Before: tests of the drains and the records failed (the drain was lost, one key of two was told); the registry's test was not run before its mend.

--- a/packages/decision/src/data_centre_drains.cc
+++ b/packages/decision/src/data_centre_drains.cc
@@ -1,6 +1,7 @@
 #include "basilsill/decision/data_centre_drains.h"
 
 #include <algorithm>
+#include <utility>
 
 #include "basilsill/base/limits.h"
 
@@ -43,8 +44,12 @@
   this->listed.clear();
 }
 
+// A VM may be told the whole topic while its own list is on its way: then the
+// listing has ended, and what came since is no part of it.
 void DataCentreDrains::EndListing() {
-  this->listing = false;
+  if (!std::exchange(this->listing, false)) {
+    return;
+  }
   for (auto& [data_centre, row] : this->rows) {
     if (row.drained && !this->listed.contains(data_centre)) {
       row.drained = false;
--- a/packages/decision/src/topic_records.cc
+++ b/packages/decision/src/topic_records.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <string_view>
+#include <utility>
 
 namespace basilsill {
 namespace {
@@ -42,9 +43,12 @@
 // Failure: the store drops its history, and with it the record that took a key
 // away. This VM lists the topic and learns that it is gone, but keeps the key's
 // last record and tells it to every VM that starts. It shows as new VMs that
-// serve by what was taken away.
+// serve by what was taken away. A listing that has ended already, as one does
+// when another VM told the whole topic meanwhile, takes nothing away again.
 void TopicRecords::EndListing() {
-  this->listing = false;
+  if (!std::exchange(this->listing, false)) {
+    return;
+  }
   std::erase_if(this->newest, [this](const auto& record) {
     return !this->listed.contains(record.first);
   });
--- a/packages/decision/src/upstream_registry.cc
+++ b/packages/decision/src/upstream_registry.cc
@@ -161,8 +161,12 @@
   this->listed.clear();
 }
 
+// One that has ended already, as when another VM told the whole topic while
+// this VM's own list was on its way, takes nothing away again.
 void UpstreamRegistry::EndListing(TimePoint now) {
-  this->listing = false;
+  if (!std::exchange(this->listing, false)) {
+    return;
+  }
   std::vector<std::string> missing;
   for (const auto& [id, row] : this->entries) {
     if (!this->listed.contains(id)) {
--- a/packages/decision/test/data_centre_drains_test.cc
+++ b/packages/decision/test/data_centre_drains_test.cc
@@ -74,6 +74,21 @@
   CHECK(this->IsDrained("lyulin"));
 }
 
+// A VM that starts lists the topic, and is told it whole by another VM before
+// its own list comes. That list has a record more, and ends a listing that has
+// ended already: taken back then, work would go to a drained data centre.
+TEST(DataCentreDrains, Listing_EndedTwice_LaterRecordStays) {
+  this->drains.BeginListing();
+  this->drains.BeginListing();
+  this->drains.OnRecord(4, "lyulin", true);
+  this->drains.EndListing();
+  this->drains.OnRecord(4, "lyulin", true);
+  this->drains.OnRecord(9, "druzhba", true);
+  this->drains.EndListing();
+  CHECK(this->IsDrained("lyulin"));
+  CHECK(this->IsDrained("druzhba"));
+}
+
 TEST(DataCentreDrains, Version_SaysWhatIsKnown_Unchanged) {
   this->drains.OnRecord(4, "lyulin", true);
   const uint64_t version = this->drains.version();
--- a/packages/decision/test/declared_configuration_test.cc
+++ b/packages/decision/test/declared_configuration_test.cc
@@ -268,3 +268,14 @@
   CHECK_EQUAL(before, version("pickupbook in lyulin"));
   CHECK(changed != version("banklevel in lyulin"));
 }
+
+// A VM is told all upstreams by another one while its own list is on its way,
+// which has one more and ends the listing a second time.
+TEST(DeclaredConfiguration, Listing_EndedTwice_LaterUpstreamStays) {
+  this->registry.BeginListing();
+  this->AddUpstream("i-1", 1);
+  this->registry.EndListing(TimePoint(1s));
+  this->AddUpstream("i-2", 2);
+  this->registry.EndListing(TimePoint(1s));
+  CHECK_EQUAL(2, this->registry.rows().size());
+}
--- a/packages/decision/test/topic_records_test.cc
+++ b/packages/decision/test/topic_records_test.cc
@@ -50,6 +50,19 @@
   STRCMP_EQUAL("b", told[0].key.c_str());
 }
 
+// A VM is told the topic whole while its own list is on its way, which has a
+// record more and ends the listing a second time.
+TEST(TopicRecords, Listing_EndedTwice_LaterRecordIsTold) {
+  this->records.BeginListing();
+  this->records.OnListed("a");
+  this->records.Keep(Record("a", 5));
+  this->records.EndListing();
+  this->records.OnListed("b");
+  this->records.Keep(Record("b", 6));
+  this->records.EndListing();
+  CHECK_EQUAL(2, this->records.From(0).size());
+}
+
 // A removal is the last word of its key like any other.
 TEST(TopicRecords, Untold_ChangedThenRemoved_RemovalIsTold) {
   this->records.AddUntold(Record("a", 1));
