Rate limits of upstreams: read, logged and counted

Now the header is read (name in the adapter), events 305 and 306 say when an upstream names a limit, names another one or none, 307 that one can't be read (typed fault, nothing else lost), and two counters tell requests and questions sent to such upstreams. No decision looks at it yet.

--- a/packages/decision/include/basilsill/decision/dispatch.h
+++ b/packages/decision/include/basilsill/decision/dispatch.h
@@ -71,6 +71,8 @@
   /// knowledge was; negative if nothing was known.
   double slowness = 1;
   Duration slowness_age{-1};
+  /// For kStart and kAsk: the upstream names a rate limit.
+  bool rate_limited = false;
 };
 
 /// How an attempt at an upstream ended.
@@ -104,6 +106,23 @@
   double slowness = 1;
 };
 
+/// What an answer says of a rate limit of its upstream.
+enum class RateLimitWord : uint8_t {
+  kUnknown,  ///< There was no answer, or it can't be read.
+  kNone,     ///< The answer names no limit.
+  kNamed,
+  kCount
+};
+
+/// A rate limit as an upstream tells it: it is the upstream's own, for all VMs
+/// together, and holds for as long as its answers name it.
+struct ToldRateLimit {
+  RateLimitWord word = RateLimitWord::kUnknown;
+  double requests_per_second = 0;  ///< Not negative; for kNamed alone.
+
+  friend bool operator==(const ToldRateLimit&, const ToldRateLimit&) = default;
+};
+
 /// What came of asking an upstream for its load.
 struct AskReport {
   bool answered = false;  ///< Something that is HTTP came.
@@ -111,6 +130,7 @@
   UpstreamLoad load;      ///< Not known if it gave no answer.
   /// How long it stays cold, 0 if it is warm; absent if it did not say.
   std::optional<Duration> cold_for{};
+  ToldRateLimit rate_limit{};
 };
 
 struct AttemptReport {
@@ -119,6 +139,7 @@
   bool drain_sign = false;      ///< The upstream said that it is leaving.
   bool answer_started = false;  ///< Part of an answer reached the caller.
   UpstreamLoad load{};          ///< As the answer had it.
+  ToldRateLimit rate_limit{};   ///< As the answer had it.
 };
 
 /// What a dispatcher says of a shard to entry VMs, on answers.
@@ -180,6 +201,8 @@
   kBackedOff,    ///< Refused a connection or shed; paused.
   kDied,         ///< Closed while it ran requests.
   kQuarantined,  ///< `fingerprint` was condemned by its death.
+  kRateLimited,  ///< It names a rate limit, or another one than before.
+  kRateLimitEnded,
   kCount
 };
 
@@ -188,6 +211,7 @@
   ShardKey shard = 0;
   UpstreamHandle upstream;
   Fingerprint fingerprint = 0;
+  double requests_per_second = 0;  ///< For kRateLimited: the limit.
 };
 
 /// Totals since the start, by reason.
--- a/packages/decision/src/dispatch_tables.h
+++ b/packages/decision/src/dispatch_tables.h
@@ -11,6 +11,7 @@
 #include "cold_quota.h"
 #include "indexed_heap.h"
 #include "latency_stats.h"
+#include "rate_limit_quota.h"
 #include "upstream_health.h"
 #include "upstream_speed.h"
 
@@ -150,6 +151,12 @@
   uint32_t passed_over = 0;  ///< Starts of other rings while this one waited.
 };
 
+/// An upstream of a shard that names a rate limit. Few do.
+struct RateLimitedUpstream {
+  uint32_t place = kNoRow;  ///< Among the shard's upstreams.
+  RateLimitQuota quota;
+};
+
 struct ShardState {
   ShardKey key = 0;
   uint32_t serial = 0;  ///< Names it to lanes, also after its row is reused.
@@ -159,6 +166,7 @@
   std::vector<SpeedBelief> speeds;
   /// Of `upstreams`, in their order; empty where cold ones are not bounded.
   std::vector<ColdQuota> cold_quotas;
+  std::vector<RateLimitedUpstream> rate_limited;
   std::array<Ring, kRings> rings;
   std::array<LatencyStats, kClasses> stats;
   Chain suspects;
@@ -194,6 +202,17 @@
   TimePoint last_used{};
 };
 
+/// @returns the quota of the upstream at `place`, nullptr if it names no limit.
+inline const RateLimitQuota* FindRateLimit(const ShardState& shard,
+                                           uint32_t place) {
+  for (const RateLimitedUpstream& limited : shard.rate_limited) {
+    if (limited.place == place) {
+      return &limited.quota;
+    }
+  }
+  return nullptr;
+}
+
 /// @returns the ring in which requests of `queue` wait.
 constexpr RingKind RingOf(TrafficClass queue) {
   switch (queue) {
--- a/packages/decision/src/dispatcher_core.h
+++ b/packages/decision/src/dispatcher_core.h
@@ -177,6 +177,11 @@
   void LearnAnswer(TimePoint now, const AttemptRow& attempt);
   void LearnError(TimePoint now, const AttemptRow& attempt, AttemptEnd end);
   void LearnShed(TimePoint now, const AttemptRow& attempt);
+  void LearnRateLimit(TimePoint now,
+                      TimePoint asked_at,
+                      ShardState& shard,
+                      uint32_t place,
+                      const ToldRateLimit& told);
   void NoteTrickle(TimePoint now, UpstreamSlots& upstream, bool good);
   void Drain(TimePoint now, ShardState& shard, UpstreamSlots& upstream);
   void TellCrash(TimePoint now, uint32_t shard, UpstreamSlots& upstream);
--- a/packages/decision/src/dispatcher_speed.cc
+++ b/packages/decision/src/dispatcher_speed.cc
@@ -150,6 +150,7 @@
   DispatchAction action;
   action.kind = DispatchActionKind::kAsk;
   action.upstream = shard.upstreams[place].handle;
+  action.rate_limited = FindRateLimit(shard, place) != nullptr;
   this->pending.push_back(action);
 }
 
@@ -245,6 +246,11 @@
         place < shard.cold_quotas.size()) {
       shard.cold_quotas[place].OnTold(now, *report.cold_for);
     }
+    // A health check that is silent about a limit says nothing: requests get
+    // other answers.
+    if (report.rate_limit.word == RateLimitWord::kNamed && !report.foreign) {
+      this->LearnRateLimit(now, now, shard, place, report.rate_limit);
+    }
     if (report.load.known) {
       this->LearnLoad(now, shard, place, report.load);
     } else if (place < shard.speeds.size()) {
--- a/packages/decision/src/dispatcher_start.cc
+++ b/packages/decision/src/dispatcher_start.cc
@@ -366,6 +366,7 @@
   action.attempt = handle;
   action.upstream = upstream.handle;
   action.retry = reason;
+  action.rate_limited = FindRateLimit(shard, place) != nullptr;
   if (place < shard.speeds.size()) {
     action.slowness = shard.speeds[place].slowness();
     action.slowness_age = shard.speeds[place].AgeAt(now);
--- a/packages/decision/src/shard_table.cc
+++ b/packages/decision/src/shard_table.cc
@@ -213,6 +213,9 @@
   }
   const auto index = static_cast<size_t>(place - known.begin());
   if (is_new) {
+    std::erase_if(shard.rate_limited, [index](const auto& limited) {
+      return limited.place == index;
+    });
     if (index < shard.speeds.size()) {
       shard.speeds[index] = SpeedBelief();
     }
--- a/packages/node/include/basilsill/node/installation.h
+++ b/packages/node/include/basilsill/node/installation.h
@@ -42,6 +42,8 @@
   std::string load;
   /// Of an upstream, on health checks: for how many milliseconds it is cold.
   std::string cold;
+  /// Of an upstream: requests a second that it takes from all VMs together.
+  std::string rate_limit = "Basilsill-Rate-Limit";
   bool via = true;  ///< Whether `Via` is added to requests.
   /// Whether `Retry-After` may have a fraction.
   bool fractional_retry_after = false;
--- a/packages/node/src/attempt_log.cc
+++ b/packages/node/src/attempt_log.cc
@@ -27,6 +27,10 @@
       return Event::kUpstreamDied;
     case UpstreamEventKind::kQuarantined:
       return Event::kFingerprintQuarantined;
+    case UpstreamEventKind::kRateLimited:
+      return Event::kUpstreamRateLimited;
+    case UpstreamEventKind::kRateLimitEnded:
+      return Event::kUpstreamRateLimitEnded;
     default:
       return std::nullopt;
   }
@@ -60,6 +64,9 @@
   const std::string endpoint = ToString(upstream);
   if (event.kind == UpstreamEventKind::kQuarantined) {
     Log(*logged, {{"upstream", endpoint}, {"fingerprint", event.fingerprint}});
+  } else if (event.kind == UpstreamEventKind::kRateLimited) {
+    Log(*logged,
+        {{"upstream", endpoint}, {"limit", event.requests_per_second}});
   } else {
     Log(*logged, {{"upstream", endpoint}});
   }
--- a/packages/node/src/dispatch_host.cc
+++ b/packages/node/src/dispatch_host.cc
@@ -289,6 +289,7 @@
 void DispatchHost::StartAsking(const DispatchAction& action) {
   const FoundUpstream found = LocateAnywhere(*this->view, action.upstream);
   if (found.row != nullptr && !found.service->health_path.empty()) {
+    this->pool.metrics().rate_limited_probes.Add(action.rate_limited ? 1 : 0);
     boost::asio::co_spawn(this->pool.executor(),
                           this->AskUpstream(action.upstream, found.target(),
                                             found.service->health_path),
@@ -334,6 +335,7 @@
   WorkerMetrics& metrics = this->pool.metrics();
   metrics.attempts.Add();
   metrics.attempts_in_flight.Add(1);
+  metrics.rate_limited_requests.Add(action.rate_limited ? 1 : 0);
   if (!job->was_started) {
     job->was_started = true;
     metrics.queue_latency.Record(job->request.entry.traffic_class,
--- a/packages/node/src/metrics.h
+++ b/packages/node/src/metrics.h
@@ -102,6 +102,9 @@
   // Cost of measuring.
   Counter probes;
   Counter probe_bytes;
+  /// Sent to upstreams that name a rate limit.
+  Counter rate_limited_requests;
+  Counter rate_limited_probes;
 
   // Links to other workers.
   LinkCounters links;
--- a/packages/node/src/metrics_table.cc
+++ b/packages/node/src/metrics_table.cc
@@ -304,6 +304,14 @@
                "",
                "Bytes of those, both ways.",
                WorkerCounter<&Worker::probe_bytes>),
+    CounterRow("basilsill_rate_limited_requests_total",
+               "",
+               "Attempts at upstreams that name a rate limit.",
+               WorkerCounter<&Worker::rate_limited_requests>),
+    CounterRow("basilsill_rate_limited_probes_total",
+               "",
+               "Requests sent to such upstreams only to measure them.",
+               WorkerCounter<&Worker::rate_limited_probes>),
 
     // Other nodes.
     GaugeRow("basilsill_links",
--- /dev/null
+++ b/packages/node/src/rate_limit_header.cc
@@ -0,0 +1,50 @@
+#include "rate_limit_header.h"
+
+#include <cmath>
+#include <optional>
+#include <string_view>
+
+#include "basilsill/base/text.h"
+#include "basilsill/node/log.h"
+
+namespace basilsill {
+
+Result<ToldRateLimit> ParseRateLimit(const HttpFields& answer,
+                                     const std::string& name) {
+  if (name.empty()) {
+    return ToldRateLimit{RateLimitWord::kNone, 0};
+  }
+  const auto found = answer.find(name);
+  if (found == answer.end()) {
+    return ToldRateLimit{RateLimitWord::kNone, 0};
+  }
+  if (answer.count(name) > 1) {
+    return Failure{FailureKind::kDuplicate, name, "stands there twice"};
+  }
+  const std::string_view text(found->value().data(), found->value().size());
+  const std::optional<double> limit =
+      ParseNumber<double>(text, std::chars_format::fixed);
+  if (!limit) {
+    return Failure{FailureKind::kSyntax, name, "no decimal number"};
+  }
+  if (!std::isfinite(*limit) || *limit < 0) {
+    return Failure{FailureKind::kOutOfRange, name, "negative or not finite"};
+  }
+  return ToldRateLimit{RateLimitWord::kNamed, *limit};
+}
+
+ToldRateLimit ReadRateLimit(const HttpFields& answer,
+                            const std::string& name,
+                            const Endpoint& upstream) {
+  const Result<ToldRateLimit> told = ParseRateLimit(answer, name);
+  if (told) {
+    return told.value();
+  }
+  const std::string endpoint = ToString(upstream);
+  Log(Event::kRateLimitMalformed, {{"upstream", endpoint},
+                                   {"fault", told.error().kind},
+                                   {"detail", told.error().detail}});
+  return {};
+}
+
+}  // namespace basilsill
--- a/packages/node/src/upstream_attempt.cc
+++ b/packages/node/src/upstream_attempt.cc
@@ -13,6 +13,8 @@
 #include <boost/asio/write.hpp>
 #include <boost/beast/http/chunk_encode.hpp>
 
+#include "rate_limit_header.h"
+
 namespace basilsill {
 namespace {
 
@@ -103,6 +105,7 @@
   report.answer_started = this->has_started;
   report.drain_sign = this->drain_sign;
   report.load = this->load;
+  report.rate_limit = this->rate_limit;
   return report;
 }
 
@@ -174,6 +177,9 @@
     co_return this->Failed(AttemptEnd::kDied);
   }
   this->load = this->ReadLoad();
+  this->rate_limit =
+      ReadRateLimit(this->connection->reader.message().get(),
+                    this->pool.names().rate_limit, this->target.endpoint);
   this->drain_sign = !this->AnswerHeader(this->pool.names().draining).empty();
   const AttemptEnd end = this->Classify();
   if (end == AttemptEnd::kShed || end == AttemptEnd::kMisdirected) {
--- a/packages/node/src/upstream_question.cc
+++ b/packages/node/src/upstream_question.cc
@@ -10,6 +10,7 @@
 #include <boost/asio/write.hpp>
 
 #include "basilsill/base/text.h"
+#include "rate_limit_header.h"
 
 namespace basilsill {
 namespace {
@@ -86,6 +87,8 @@
     report.load = ParseLoad(HeaderValue(answer, pool.names().load));
     report.foreign =
         IsForeign(answer, pool.names().served_by, target.incarnation.id);
+    report.rate_limit =
+        ReadRateLimit(answer, pool.names().rate_limit, target.endpoint);
     report.cold_for = ReadColdTime(answer, pool.names().cold);
     keep = connection->reader.message().keep_alive();
     const bool whole = co_await DropBody(*connection, kMaxAnswerBytes);
--- /dev/null
+++ b/packages/node/test/rate_limit_header_test.cc
@@ -0,0 +1,79 @@
+// Tests of how the rate limit of an upstream is read from its answers.
+
+#include "rate_limit_header.h"
+
+#include <string>
+
+#include <CppUTest/TestHarness.h>
+
+using basilsill::FailureKind;
+using basilsill::HttpFields;
+using basilsill::ParseRateLimit;
+using basilsill::RateLimitWord;
+using basilsill::ReadRateLimit;
+
+TEST_GROUP(RateLimitHeader) {
+  HttpFields answer;
+  const std::string name = "Rate-Limit";
+
+  void Set(const std::string& value) {
+    this->answer.set(this->name, value);
+  }
+  auto Parse() {
+    return ParseRateLimit(this->answer, this->name);
+  }
+
+  void CheckNamed(const std::string& value, double expected) {
+    this->Set(value);
+    CHECK(RateLimitWord::kNamed == this->Parse().value().word);
+    DOUBLES_EQUAL(expected, this->Parse().value().requests_per_second, 1e-9);
+  }
+  void CheckFault(const std::string& value, FailureKind fault) {
+    this->Set(value);
+    CHECK(this->Parse().has_error());
+    CHECK(fault == this->Parse().error().kind);
+  }
+};
+
+TEST(RateLimitHeader, Parse_Absent_NamesNone) {
+  CHECK(RateLimitWord::kNone == this->Parse().value().word);
+}
+
+TEST(RateLimitHeader, Parse_UpstreamsHaveNone_NamesNone) {
+  this->Set("3");
+  CHECK(RateLimitWord::kNone == ParseRateLimit(this->answer, "").value().word);
+}
+
+TEST(RateLimitHeader, Parse_DecimalNumbers_Named) {
+  this->CheckNamed("1.7", 1.7);
+  this->CheckNamed("0", 0);
+  this->CheckNamed("0.1", 0.1);
+  this->CheckNamed("1000000", 1e6);
+}
+
+TEST(RateLimitHeader, Parse_NoNumber_Syntax) {
+  this->CheckFault("", FailureKind::kSyntax);
+  this->CheckFault("many", FailureKind::kSyntax);
+  this->CheckFault("1,7", FailureKind::kSyntax);
+  this->CheckFault("1.7/s", FailureKind::kSyntax);
+  this->CheckFault("1e400", FailureKind::kSyntax);
+}
+
+TEST(RateLimitHeader, Parse_NegativeOrNotFinite_OutOfRange) {
+  this->CheckFault("-1", FailureKind::kOutOfRange);
+  this->CheckFault("inf", FailureKind::kOutOfRange);
+  this->CheckFault("nan", FailureKind::kOutOfRange);
+}
+
+TEST(RateLimitHeader, Parse_StandsTwice_Duplicate) {
+  this->Set("1.7");
+  this->answer.insert(this->name, "2");
+  CHECK(FailureKind::kDuplicate == this->Parse().error().kind);
+}
+
+// A header that can't be read must neither name a limit nor end one.
+TEST(RateLimitHeader, Read_Malformed_SaysNothing) {
+  this->Set("many");
+  const auto told = ReadRateLimit(this->answer, this->name, {"10.0.0.1", 80});
+  CHECK(RateLimitWord::kUnknown == told.word);
+}
