--- /dev/null
+++ b/packages/decision/test/rate_limit_world.cc
@@ -0,0 +1,219 @@
+#include "rate_limit_world.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace basilsill {
+namespace {
+
+using namespace std::chrono_literals;
+
+constexpr Duration kStep = 1ms;
+constexpr Duration kWindow = 4s;
+// Of one that the users judge, beginning after the limit was first named.
+constexpr Duration kJudgedAfter = 3s;
+// A VM that has passed on an answer is told this much later.
+constexpr Duration kToldAfter = 500ms;
+constexpr double kExcess = 1.5;
+constexpr double kSlack = 5;
+
+}  // namespace
+
+RateLimitWorld::RateLimitWorld(uint64_t seed,
+                               const RateLimitWorldOptions& options)
+    : options(options), random(seed), upstreams(options.upstreams) {
+  for (uint32_t i = 0; i < options.vms; ++i) {
+    this->vms.push_back(this->MakeVm(i));
+  }
+}
+
+// The VMs of the world are the first owners of the shard, in their order.
+std::unique_ptr<RateLimitWorld::Vm> RateLimitWorld::MakeVm(uint32_t number) {
+  auto vm = std::make_unique<Vm>(DispatcherOptions{});
+  DispatchHarness& harness = vm->harness;
+  harness.now = this->now;
+  for (uint32_t i = 0; i < this->options.upstreams; ++i) {
+    harness.fixture.AddUpstream(0, this->options.slots);
+  }
+  harness.fixture.service.health_path = "/health";
+  harness.Apply();
+  const RoutingViewPtr view = harness.fixture.Build();
+  harness.fixture.view.self =
+      view->services.at(0)->shards.at(0).owners.at(number);
+  harness.Apply();
+  vm->told.assign(this->options.upstreams, kNever);
+  return vm;
+}
+
+void RateLimitWorld::SetLimit(uint32_t upstream,
+                              std::optional<double> per_second) {
+  Upstream& row = this->upstreams.at(upstream);
+  if (!row.limit && per_second) {
+    row.first_named = this->now;
+  }
+  row.limit = per_second;
+}
+
+void RateLimitWorld::SetDispatches(uint32_t vm, bool dispatches) {
+  this->vms.at(vm)->dispatches = dispatches;
+}
+
+void RateLimitWorld::Restart(uint32_t vm) {
+  const bool dispatches = this->vms.at(vm)->dispatches;
+  this->vms.at(vm) = this->MakeVm(vm);
+  this->vms.at(vm)->dispatches = dispatches;
+}
+
+void RateLimitWorld::Run(Duration time) {
+  for (const TimePoint end = this->now + time; this->now < end;) {
+    this->now += kStep;
+    for (uint32_t i = 0; i < this->vms.size(); ++i) {
+      this->Step(i);
+    }
+    for (Upstream& upstream : this->upstreams) {
+      this->Judge(upstream);
+    }
+  }
+}
+
+void RateLimitWorld::Step(uint32_t number) {
+  Vm& vm = *this->vms[number];
+  vm.harness.now = this->now;
+  vm.harness.dispatcher->Tick(this->now);
+  vm.harness.Collect();
+  this->EndWork(number, vm);
+  this->Answer(number, vm);
+  const auto offers =
+      static_cast<uint32_t>(1e6 / 1e3 * this->options.requests_per_second);
+  if (vm.dispatches && this->random(1'000'000) < offers) {
+    vm.harness.Offer();
+  }
+  this->TakeSends(number, vm);
+  this->TakeQuestions(number, vm);
+}
+
+void RateLimitWorld::EndWork(uint32_t number, Vm& vm) {
+  for (const Work& work : std::exchange(vm.works, {})) {
+    if (work.ends > this->now) {
+      vm.works.push_back(work);
+    } else {
+      this->EndOne(number, vm, work);
+    }
+  }
+}
+
+void RateLimitWorld::EndOne(uint32_t number, Vm& vm, const Work& work) {
+  const auto& running = vm.harness.running;
+  const auto found = std::find_if(
+      running.begin(), running.end(),
+      [&work](const auto& run) { return run.attempt == work.attempt; });
+  if (found == running.end()) {
+    return;
+  }
+  AttemptReport report = DispatchHarness::Report(AttemptEnd::kAnswered);
+  if (this->Chance(this->options.died_percent)) {
+    report.end = AttemptEnd::kDied;
+  } else {
+    const bool is_shed = this->Chance(this->options.shed_percent);
+    report.end = is_shed ? AttemptEnd::kShed : AttemptEnd::kAnswered;
+    report.rate_limit = this->Say(number, work.upstream);
+    this->answers += is_shed ? 0 : 1;
+  }
+  vm.harness.EndAt(static_cast<size_t>(found - running.begin()), report);
+}
+
+ToldRateLimit RateLimitWorld::Say(uint32_t number, UpstreamHandle upstream) {
+  const std::optional<double>& limit = this->upstreams.at(upstream.index).limit;
+  if (!limit) {
+    return {RateLimitWord::kNone, 0};
+  }
+  TimePoint& told = this->vms[number]->told.at(upstream.index);
+  told = std::min(told, this->now);
+  return {RateLimitWord::kNamed, *limit};
+}
+
+void RateLimitWorld::TakeSends(uint32_t number, Vm& vm) {
+  for (const DispatchAction& action :
+       std::vector<DispatchAction>(vm.harness.running)) {
+    const bool known = std::any_of(
+        vm.works.begin(), vm.works.end(),
+        [&](const Work& work) { return work.attempt == action.attempt; });
+    if (known) {
+      continue;
+    }
+    this->Arrive(number, action.upstream);
+    if (this->Chance(this->options.stale_percent) &&
+        vm.harness.dispatcher->MaySendAgain(this->now, action.attempt)) {
+      this->Arrive(number, action.upstream);
+    }
+    const auto half = static_cast<uint32_t>(this->options.work.count() / 2);
+    const std::chrono::milliseconds work(half + this->random(2 * half + 1));
+    vm.works.push_back({action.attempt, action.upstream, this->now + work});
+  }
+}
+
+void RateLimitWorld::TakeQuestions(uint32_t number, Vm& vm) {
+  for (const UpstreamHandle upstream : std::exchange(vm.harness.asked, {})) {
+    this->Arrive(number, upstream);
+    ++this->upstreams.at(upstream.index).questions;
+    vm.questions.push_back({this->now + 1ms, upstream});
+  }
+}
+
+// A health check names no limit: what must not hang on it does not.
+void RateLimitWorld::Answer(uint32_t, Vm& vm) {
+  while (!vm.questions.empty() && vm.questions.front().due <= this->now) {
+    const UpstreamHandle upstream = vm.questions.front().upstream;
+    vm.questions.pop_front();
+    AskReport report;
+    report.answered = true;
+    report.load = {true, true, 0, 0, this->options.slots, 1};
+    report.rate_limit = {RateLimitWord::kNone, 0};
+    vm.harness.dispatcher->OnAsked(this->now, upstream, report);
+    vm.harness.Collect();
+  }
+}
+
+void RateLimitWorld::Arrive(uint32_t number, UpstreamHandle upstream) {
+  Upstream& row = this->upstreams.at(upstream.index);
+  ++row.arrivals;
+  const TimePoint told = this->vms[number]->told.at(upstream.index);
+  if (told != kNever && this->now - told >= kToldAfter) {
+    row.recent.push_back({this->now, number});
+  }
+}
+
+void RateLimitWorld::Judge(Upstream& upstream) {
+  const double step = std::chrono::duration<double>(kStep).count();
+  const double allowed = upstream.limit.value_or(1e9) * step;
+  upstream.allowed.push_back(allowed);
+  upstream.allowed_sum += allowed;
+  if (upstream.allowed.size() > static_cast<size_t>(kWindow / kStep)) {
+    upstream.allowed_sum -= upstream.allowed.front();
+    upstream.allowed.pop_front();
+  }
+  while (!upstream.recent.empty() &&
+         this->now - upstream.recent.front().at >= kWindow) {
+    upstream.recent.pop_front();
+  }
+  if (!upstream.limit || this->now - upstream.first_named < kJudgedAfter) {
+    return;
+  }
+  const double bound = kExcess * upstream.allowed_sum + kSlack;
+  const auto got = static_cast<double>(upstream.recent.size());
+  this->worst = std::max(this->worst, got - bound);
+}
+
+size_t RateLimitWorld::arrivals(uint32_t upstream) const {
+  return this->upstreams.at(upstream).arrivals;
+}
+
+size_t RateLimitWorld::questions(uint32_t upstream) const {
+  return this->upstreams.at(upstream).questions;
+}
+
+const std::vector<DispatchAction>& RateLimitWorld::refused(uint32_t vm) const {
+  return this->vms.at(vm)->harness.refused;
+}
+
+}  // namespace basilsill
