Rate limits of upstreams are kept, by every way that work takes

Callers saw nothing; upstreams in need got 20 requests in four seconds where their word allowed 15.8 and 14, and would have failed of it.

Cause: no part of the system read what an upstream says of its rate; the limit went to the caller among other headers.

Now each VM has a token bucket for each upstream that names a limit, filled at its share: all of it for the shard's first owner once that has stood for 4 s with no silent VM before it, a fifth for any other. Queue, held, ahead, hedge, repeat, given again, isolation and a stale connection pass one check (HasQuota), a second send on a stale connection now counts against the bound of cold upstreams too. No question goes to an upstream whose limit its slots could use up; unasked it counts as fast and comes after others, but for one request in two seconds that finds out whether the limit still holds. Limits count as slots only as far as they go; where all bind, waits follow from the rates, and what can't be served is refused at once (upstream-rate-limit, with Retry-After), also when a limit falls while requests wait.

Ruled out: questions with a token of their own; beside a limit that a successor shares they took every token, and no request went out.

Not yet: the path past dispatchers, and what VMs tell each other.

--- a/packages/base/include/basilsill/base/reason.h
+++ b/packages/base/include/basilsill/base/reason.h
@@ -53,6 +53,7 @@
   kCallerGone,
   kMemoryLimit,
   kDrained,
+  kUpstreamRateLimit,
   kCount
 };
 
--- a/packages/base/src/reason.cc
+++ b/packages/base/src/reason.cc
@@ -46,6 +46,7 @@
         {"caller-gone", 499, kUnknown, false, false},
         {"memory-limit", 503, kNotRun, true, false},
         {"drained", 503, kNotRun, true, false},
+        {"upstream-rate-limit", 503, kNotRun, true, true},
     }};
 
 constexpr std::array<std::string_view, static_cast<size_t>(Retry::kCount)>
--- a/packages/decision/include/basilsill/decision/view.h
+++ b/packages/decision/include/basilsill/decision/view.h
@@ -118,7 +118,10 @@
   ShardKey key = 0;
   DataCentreHandle data_centre;
   uint16_t number = 0;
-  bool drained = false;             ///< Its data centre is.
+  bool drained = false;  ///< Its data centre is.
+  /// A VM that does not answer would be its first owner if it did; it may be
+  /// cut off and work on.
+  bool contested = false;
   std::vector<uint32_t> upstreams;  ///< Positions in ServiceRow::upstreams.
   std::vector<VmHandle> owners;     ///< In rendezvous order, best first.
 };
--- a/packages/decision/src/dispatch_tables.h
+++ b/packages/decision/src/dispatch_tables.h
@@ -167,6 +167,9 @@
   /// Of `upstreams`, in their order; empty where cold ones are not bounded.
   std::vector<ColdQuota> cold_quotas;
   std::vector<RateLimitedUpstream> rate_limited;
+  /// Since when this VM has been its first owner, with nobody that may be cut
+  /// off before it; kNever: it is not.
+  TimePoint first_since = kNever;
   std::array<Ring, kRings> rings;
   std::array<LatencyStats, kClasses> stats;
   Chain suspects;
@@ -202,17 +205,6 @@
   TimePoint last_used{};
 };
 
-/// @returns the quota of the upstream at `place`, nullptr if it names no limit.
-inline const RateLimitQuota* FindRateLimit(const ShardState& shard,
-                                           uint32_t place) {
-  for (const RateLimitedUpstream& limited : shard.rate_limited) {
-    if (limited.place == place) {
-      return &limited.quota;
-    }
-  }
-  return nullptr;
-}
-
 /// @returns the ring in which requests of `queue` wait.
 constexpr RingKind RingOf(TrafficClass queue) {
   switch (queue) {
--- a/packages/decision/src/dispatcher.cc
+++ b/packages/decision/src/dispatcher.cc
@@ -1,6 +1,7 @@
 #include <algorithm>
 
 #include "dispatcher_core.h"
+#include "shard_rate.h"
 #include "upstream_choice.h"
 
 namespace basilsill {
@@ -81,7 +82,8 @@
   ShardState& shard = this->shards.at(shard_row);
   const uint32_t lane = this->OpenLane(shard, request);
   Verdict verdict = this->Check(now, shard, lane, request);
-  if (this->MakeRoom(shard, lane, request.traffic_class, verdict.refusal)) {
+  if (this->MakeRoom(now, shard, lane, request.traffic_class,
+                     verdict.refusal)) {
     verdict = {};
   }
   if (verdict.refusal != Refusal::kNone) {
@@ -152,7 +154,7 @@
   }
 }
 
-ShardSummary DispatcherCore::Summarize(TimePoint, ShardKey key) const {
+ShardSummary DispatcherCore::Summarize(TimePoint now, ShardKey key) const {
   ShardSummary summary;
   summary.shard = key;
   const uint32_t row = this->shards.Find(key);
@@ -163,13 +165,15 @@
   const Ring& interactive =
       shard.rings[static_cast<size_t>(RingKind::kInteractive)];
   const Ring& bulk = shard.rings[static_cast<size_t>(RingKind::kBulk)];
-  summary.slots = static_cast<uint16_t>(shard.open_slots);
+  summary.slots =
+      static_cast<uint16_t>(IsRateBound(shard) ? 1 : shard.open_slots);
   summary.busy = static_cast<uint16_t>(shard.busy);
   summary.queued = shard.queued;
   summary.service_time = interactive.slot_time;
-  summary.wait =
-      this->ExpectedWait(shard, RingKind::kInteractive, interactive.queued);
-  summary.bulk_wait = this->ExpectedWait(shard, RingKind::kBulk, bulk.queued);
+  summary.wait = this->ExpectedWait(now, shard, RingKind::kInteractive,
+                                    interactive.queued);
+  summary.bulk_wait =
+      this->ExpectedWait(now, shard, RingKind::kBulk, bulk.queued);
   return summary;
 }
 
--- a/packages/decision/src/dispatcher_admit.cc
+++ b/packages/decision/src/dispatcher_admit.cc
@@ -1,6 +1,7 @@
 #include <algorithm>
 
 #include "dispatcher_core.h"
+#include "shard_rate.h"
 #include "upstream_choice.h"
 
 namespace basilsill {
@@ -68,7 +69,7 @@
     verdict = this->CheckWait(now, shard, lane, request);
   }
   if (verdict.refusal == Refusal::kNone) {
-    verdict = this->CheckQueue(shard, lane, request.team);
+    verdict = this->CheckQueue(now, shard, lane, request.team);
   }
   return verdict;
 }
@@ -99,12 +100,13 @@
   return {Refusal::kNoUpstream, this->WithJitter(retry_after)};
 }
 
-DispatcherCore::Verdict DispatcherCore::CheckQueue(const ShardState& shard,
+DispatcherCore::Verdict DispatcherCore::CheckQueue(TimePoint now,
+                                                   const ShardState& shard,
                                                    uint32_t lane_row,
                                                    TeamHandle team) {
   const LaneRow& lane = this->queue.lane(lane_row);
   const Duration wait =
-      this->ExpectedWait(shard, RingKind::kInteractive, shard.queued);
+      this->ExpectedWait(now, shard, RingKind::kInteractive, shard.queued);
   const Duration retry_after = this->WithJitter(wait);
   const TeamRow* row = FindTeam(*this->shards.view(), team);
   if (row != nullptr && lane.queued >= row->limits.queue) {
@@ -130,10 +132,15 @@
   const TrafficClass traffic_class = request.traffic_class;
   const RingKind ring = RingOf(traffic_class);
   const uint32_t ahead = this->queue.Ahead(shard, lane, ring);
-  const Duration wait = this->ExpectedWait(shard, ring, ahead);
+  const Duration wait = this->ExpectedWait(now, shard, ring, ahead);
   if (wait > request.max_wait) {
     return {Refusal::kQueueFull, this->WithJitter(wait)};
   }
+  // Upstreams that take one request in some seconds leave no hope that others
+  // end sooner than thought.
+  if (IsRateBound(shard) && wait > request.deadline - now) {
+    return {Refusal::kUpstreamRateLimit, this->WithJitter(wait)};
+  }
   if (!this->options.features.early_refusal || wait == Duration(0) ||
       traffic_class == TrafficClass::kBackground) {
     return {};
@@ -141,7 +148,9 @@
   const LatencyStats& stats = shard.stats[static_cast<size_t>(traffic_class)];
   const Duration needed = wait * kWaitPercent / 100 + stats.p95();
   if (stats.known() && needed > request.deadline - now) {
-    return {Refusal::kDeadlineUnmeetable, this->WithJitter(wait)};
+    return {IsRateBound(shard) ? Refusal::kUpstreamRateLimit
+                               : Refusal::kDeadlineUnmeetable,
+            this->WithJitter(wait)};
   }
   return {};
 }
@@ -149,7 +158,8 @@
 // A queue filled by one team must not shut another out, nor a team's patient
 // requests its urgent ones: the newest request of the longest lane, or of the
 // most patient, makes room. Its caller is told at once.
-bool DispatcherCore::MakeRoom(ShardState& shard,
+bool DispatcherCore::MakeRoom(TimePoint now,
+                              ShardState& shard,
                               uint32_t lane,
                               TrafficClass traffic_class,
                               Refusal refusal) {
@@ -165,14 +175,18 @@
     return false;
   }
   const Duration wait =
-      this->ExpectedWait(shard, RingKind::kInteractive, shard.queued);
+      this->ExpectedWait(now, shard, RingKind::kInteractive, shard.queued);
   this->Refuse(victim, {refusal, this->WithJitter(wait)});
   return true;
 }
 
-Duration DispatcherCore::ExpectedWait(const ShardState& shard,
+Duration DispatcherCore::ExpectedWait(TimePoint now,
+                                      const ShardState& shard,
                                       RingKind ring,
                                       uint32_t ahead) const {
+  if (IsRateBound(shard)) {
+    return WaitWithinRate(now, shard, ahead);
+  }
   const bool bulk = ring == RingKind::kBulk;
   const uint32_t slots = bulk ? this->CapOf(shard, ring) : shard.open_slots;
   const uint32_t busy =
--- a/packages/decision/src/dispatcher_core.h
+++ b/packages/decision/src/dispatcher_core.h
@@ -15,7 +15,8 @@
 /// takes requests in and lets them go, dispatcher_admit.cc decides which are
 /// refused at once, dispatcher_start.cc binds them to slots, dispatcher_end.cc
 /// settles what an end of an attempt means, dispatcher_learn.cc what it says
-/// of the upstream, and dispatcher_tick.cc has what time does.
+/// of the upstream, dispatcher_rate_limit.cc what it says of a rate limit, and
+/// dispatcher_tick.cc has what time does.
 
 namespace basilsill {
 
@@ -63,13 +64,18 @@
                     const ShardState& shard,
                     uint32_t lane,
                     const DispatchRequest& request);
-  Verdict CheckQueue(const ShardState& shard, uint32_t lane, TeamHandle team);
-  bool MakeRoom(ShardState& shard,
+  Verdict CheckQueue(TimePoint now,
+                     const ShardState& shard,
+                     uint32_t lane,
+                     TeamHandle team);
+  bool MakeRoom(TimePoint now,
+                ShardState& shard,
                 uint32_t lane,
                 TrafficClass traffic_class,
                 Refusal refusal);
   uint32_t OpenLane(const ShardState& shard, const DispatchRequest& request);
-  Duration ExpectedWait(const ShardState& shard,
+  Duration ExpectedWait(TimePoint now,
+                        const ShardState& shard,
                         RingKind ring,
                         uint32_t ahead) const;
   Duration WithJitter(Duration duration);
@@ -177,15 +183,19 @@
   void LearnAnswer(TimePoint now, const AttemptRow& attempt);
   void LearnError(TimePoint now, const AttemptRow& attempt, AttemptEnd end);
   void LearnShed(TimePoint now, const AttemptRow& attempt);
+  void NoteTrickle(TimePoint now, UpstreamSlots& upstream, bool good);
+  void Drain(TimePoint now, ShardState& shard, UpstreamSlots& upstream);
+  void TellCrash(TimePoint now, uint32_t shard, UpstreamSlots& upstream);
+  void JudgeUpstream(TimePoint now, ShardState& shard, uint32_t upstream);
+
+  // dispatcher_rate_limit.cc
   void LearnRateLimit(TimePoint now,
                       TimePoint asked_at,
                       ShardState& shard,
                       uint32_t place,
                       const ToldRateLimit& told);
-  void NoteTrickle(TimePoint now, UpstreamSlots& upstream, bool good);
-  void Drain(TimePoint now, ShardState& shard, UpstreamSlots& upstream);
-  void TellCrash(TimePoint now, uint32_t shard, UpstreamSlots& upstream);
-  void JudgeUpstream(TimePoint now, ShardState& shard, uint32_t upstream);
+  static void WakeForRate(TimePoint now, ShardState& shard);
+  void RefuseBeyondRate(TimePoint now, ShardState& shard);
 
   // dispatcher_tick.cc
   void EndSuperseded(TimePoint now, uint32_t shard);
--- a/packages/decision/src/dispatcher_end.cc
+++ b/packages/decision/src/dispatcher_end.cc
@@ -2,6 +2,7 @@
 #include <cmath>
 
 #include "dispatcher_core.h"
+#include "shard_rate.h"
 #include "upstream_choice.h"
 
 namespace basilsill {
@@ -177,8 +178,13 @@
     return false;
   }
   ShardState& shard = this->shards.at(attempt->shard);
-  return TakesWork(now, shard.upstreams[attempt->upstream]) &&
-         this->TakeRepeat(now, shard);
+  const uint32_t place = attempt->upstream;
+  if (!TakesWork(now, shard.upstreams[place]) || !HasQuota(now, shard, place) ||
+      !this->TakeRepeat(now, shard)) {
+    return false;
+  }
+  CountSend(now, shard, place);
+  return true;
 }
 
 // @returns how many more upstreams may run the request.
--- a/packages/decision/src/dispatcher_learn.cc
+++ b/packages/decision/src/dispatcher_learn.cc
@@ -237,32 +237,6 @@
   RecountSlots(now, shard);
 }
 
-void DispatcherCore::LearnRateLimit(TimePoint now,
-                                    TimePoint asked_at,
-                                    ShardState& shard,
-                                    uint32_t place,
-                                    const ToldRateLimit& told) {
-  auto& all = shard.rate_limited;
-  auto found = std::find_if(
-      all.begin(), all.end(),
-      [place](const auto& limited) { return limited.place == place; });
-  if (found == all.end()) {
-    if (told.word != RateLimitWord::kNamed) {
-      return;
-    }
-    found = all.insert(all.end(), {place, {}});
-  }
-  const RateLimitChange change = found->quota.OnTold(now, asked_at, told);
-  if (change == RateLimitChange::kNamed) {
-    this->Note(UpstreamEventKind::kRateLimited, shard, shard.upstreams[place]);
-    this->noticed.back().requests_per_second = found->quota.limit();
-  } else if (change == RateLimitChange::kEnded) {
-    this->Note(UpstreamEventKind::kRateLimitEnded, shard,
-               shard.upstreams[place]);
-    all.erase(found);
-  }
-}
-
 // All that ran there is suspect alike. Their own ends will be reported as
 // deaths too, and are the same crash. An upstream that is leaving and cuts
 // connections did not crash.
--- a/packages/decision/src/dispatcher_speed.cc
+++ b/packages/decision/src/dispatcher_speed.cc
@@ -4,6 +4,7 @@
 #include <utility>
 
 #include "dispatcher_core.h"
+#include "shard_rate.h"
 #include "upstream_choice.h"
 
 namespace basilsill {
@@ -114,7 +115,7 @@
   for (uint32_t i = 0; i < count && asked < kAskAtOnce; ++i) {
     if (IsCandidate(now, shard, place, choice)) {
       any = true;
-      if (shard.speeds[place].IsWorthAsking(now)) {
+      if (shard.speeds[place].IsWorthAsking(now) && MayAsk(now, shard, place)) {
         this->Ask(now, shard, place);
         ++asked;
       }
@@ -144,6 +145,7 @@
 
 void DispatcherCore::Ask(TimePoint now, ShardState& shard, uint32_t place) {
   shard.speeds[place].OnAsk(now);
+  CountRate(now, shard, place);
   if (place < shard.cold_quotas.size()) {
     shard.cold_quotas[place].OnAsk(now);
   }
@@ -178,7 +180,8 @@
     const SpeedBelief& speed = shard.speeds[place];
     const bool is_idle = !IsCrowded(shard.upstreams[place]) &&
                          IsCandidate(now, shard, place, choice);
-    if (is_idle && may_ask && speed.IsWorthAsking(now)) {
+    if (is_idle && may_ask && speed.IsWorthAsking(now) &&
+        MayAsk(now, shard, place)) {
       this->Ask(now, shard, place);
     }
     asked += is_idle && speed.IsAsked(now) ? 1 : 0;
@@ -194,7 +197,8 @@
 bool DispatcherCore::AskIfWarm(TimePoint now,
                                ShardState& shard,
                                uint32_t place) {
-  if (!shard.tells_cold || !shard.cold_quotas[place].IsWorthAsking(now)) {
+  if (!shard.tells_cold || !shard.cold_quotas[place].IsWorthAsking(now) ||
+      !MayAsk(now, shard, place)) {
     return false;
   }
   this->Ask(now, shard, place);
--- a/packages/decision/src/dispatcher_start.cc
+++ b/packages/decision/src/dispatcher_start.cc
@@ -2,6 +2,7 @@
 #include <cmath>
 
 #include "dispatcher_core.h"
+#include "shard_rate.h"
 #include "upstream_choice.h"
 
 namespace basilsill {
@@ -76,6 +77,7 @@
   this->SetSpeedTerms(now, shard, this->Request(request), choice);
   const uint32_t upstream = PickUpstream(now, shard, choice);
   if (upstream == kNoRow) {
+    WakeForRate(now, shard);
     this->AskWhetherWarm(now, shard);
     if (choice.speed != SpeedRule::kIgnore) {
       this->Hold(now, shard, request, choice);
@@ -155,7 +157,7 @@
                           spec.deadline - now < stats.median();
   if (passed || unmeetable) {
     const Duration wait =
-        this->ExpectedWait(shard, RingOf(request.queue), shard.queued);
+        this->ExpectedWait(now, shard, RingOf(request.queue), shard.queued);
     this->Refuse(row, {passed ? Refusal::kDeadlinePassedInQueue
                               : Refusal::kDeadlineUnmeetable,
                        this->WithJitter(wait)});
@@ -210,7 +212,7 @@
   }
   const Ring& behind = shard.rings[static_cast<size_t>(RingKind::kBackground)];
   const Duration wait =
-      this->ExpectedWait(shard, RingKind::kInteractive, behind.queued);
+      this->ExpectedWait(now, shard, RingKind::kInteractive, behind.queued);
   if (now + wait + typical > spec.deadline) {
     this->Refuse(row, {Refusal::kDeadlineUnmeetable, this->WithJitter(wait)});
     return true;
@@ -333,8 +335,8 @@
   ++shard.busy;
   ++shard.running[static_cast<size_t>(attempt.traffic_class)];
   upstream.bulk += attempt.traffic_class == TrafficClass::kBulk ? 1 : 0;
+  CountSend(now, shard, place);
   if (place < shard.cold_quotas.size()) {
-    shard.cold_quotas[place].OnStart(now);
     this->AskIfWarm(now, shard, place);
   }
   ++shard.starts_since_trickle;
--- a/packages/decision/src/dispatcher_tick.cc
+++ b/packages/decision/src/dispatcher_tick.cc
@@ -95,7 +95,7 @@
   const uint32_t shard = request.shard;
   const bool ran = request.state == RequestState::kRunning;
   const Duration wait =
-      this->ExpectedWait(this->shards.at(shard), RingOf(request.queue),
+      this->ExpectedWait(now, this->shards.at(shard), RingOf(request.queue),
                          this->shards.at(shard).queued);
   this->CancelAttempts(now, row, {});
   this->Refuse(
@@ -189,6 +189,7 @@
     if (verdict.refusal != Refusal::kNone) {
       this->FlushWaiting(shard, verdict);
     }
+    this->RefuseBeyondRate(now, shard);
   }
   this->Pump(now, row);
 }
--- a/packages/decision/src/entry_router.cc
+++ b/packages/decision/src/entry_router.cc
@@ -50,6 +50,7 @@
       return true;
     case Refusal::kQueueFull:
     case Refusal::kDeadlineUnmeetable:
+    case Refusal::kUpstreamRateLimit:
       return choices == 1;
     default:
       return false;
--- a/packages/decision/src/rate_limit_quota.h
+++ b/packages/decision/src/rate_limit_quota.h
@@ -4,7 +4,8 @@
 #include "basilsill/base/time.h"
 #include "basilsill/decision/dispatch.h"
 
-/// The rate limit that an upstream names, as one VM knows it. Pure.
+/// What one VM may send to an upstream that names a rate limit. Pure. A token
+/// bucket that is filled at this VM's share of the limit.
 
 namespace basilsill {
 
@@ -25,14 +26,36 @@
                          TimePoint asked_at,
                          const ToldRateLimit& told);
 
+  /// @param share Of the limit, that this VM may use.
+  bool MayStart(TimePoint now, double share) const;
+
+  /// @returns how long until the next request may be sent.
+  Duration UntilNext(TimePoint now, double share) const;
+
+  /// Something is sent there, a request or a question.
+  void OnStart(TimePoint now, double share);
+
+  /// @returns true if nothing was sent there for so long that the limit may
+  /// have ended without anybody noticing.
+  bool IsUnheard(TimePoint now) const;
+
+  /// @returns requests a second that this VM may send with `share`. Never
+  /// quite none: an upstream that gets nothing can't say that it takes more.
+  double RateOf(double share) const;
+
   /// @returns requests a second that the upstream takes from all VMs together.
   double limit() const { return this->per_second; }
 
  private:
+  double TokensAt(TimePoint now, double share) const;
+
   bool named = false;
   double per_second = 0;
-  double noted = 0;  ///< The limit as of the last kNamed.
+  double noted = 0;   ///< The limit as of the last kNamed.
+  double tokens = 0;  ///< As of `counted_at`.
   TimePoint named_at{};
+  TimePoint counted_at{};
+  TimePoint sent_at{};
 };
 
 }  // namespace basilsill
--- a/packages/decision/src/shard_table.cc
+++ b/packages/decision/src/shard_table.cc
@@ -180,6 +180,9 @@
     const ShardRow& row = service.shards[found->second.shard];
     shard.can_be_asked = !service.health_path.empty();
     shard.tells_cold = shard.can_be_asked && this->cold_is_told;
+    const bool is_first = !row.contested && !row.owners.empty() &&
+                          row.owners.front() == this->current->self;
+    shard.first_since = is_first ? std::min(shard.first_since, now) : kNever;
     shard.siblings = static_cast<uint32_t>(service.shards.size());
     shard.upstreams.reserve(row.upstreams.size());
     for (const uint32_t position : row.upstreams) {
--- a/packages/decision/src/upstream_choice.cc
+++ b/packages/decision/src/upstream_choice.cc
@@ -4,6 +4,8 @@
 
 #include <xxhash.h>
 
+#include "shard_rate.h"
+
 namespace basilsill {
 namespace {
 
@@ -20,6 +22,7 @@
 constexpr uint32_t kDoubtful = 512;
 constexpr uint32_t kRamping = 1024;
 constexpr uint32_t kCold = 1536;
+constexpr uint32_t kRateLimited = 1536;
 constexpr uint32_t kSlowNow = 3072;
 constexpr uint32_t kAvoided = 6144;
 constexpr uint32_t kSlow = 12288;
@@ -74,7 +77,10 @@
     return 0;
   }
   const SpeedBelief& speed = shard.speeds[place];
-  if (speed.GradeAt(now) == SpeedGrade::kFast) {
+  const SpeedGrade grade = speed.GradeAt(now);
+  const bool may_be_fast =
+      grade == SpeedGrade::kUnknown && IsRateScarce(now, shard, place);
+  if (grade == SpeedGrade::kFast || may_be_fast) {
     return 0;
   }
   const bool is_out = options.speed == SpeedRule::kFastOnly ||
@@ -82,11 +88,20 @@
   return is_out ? kNotFree : kSlowNow;
 }
 
+// An upstream whose rate is scarce comes after others, but is used often enough
+// to say when it takes more.
+bool SparesRate(TimePoint now, const ShardState& shard, uint32_t place) {
+  const RateLimitQuota* quota = FindRateLimit(shard, place);
+  return quota != nullptr && IsRateScarce(now, shard, place) &&
+         !quota->IsUnheard(now);
+}
+
 // @returns the cost of `upstream`, which has a free slot.
 uint32_t CostOfFree(TimePoint now, const ShardState& shard, uint32_t place) {
   const UpstreamSlots& upstream = shard.upstreams[place];
   uint32_t cost = kAllBusy * BusySlots(now, shard, place) / upstream.slots;
   cost += upstream.cold ? kCold : 0;
+  cost += SparesRate(now, shard, place) ? kRateLimited : 0;
   cost += upstream.health.doubtful() ? kDoubtful : 0;
   cost += upstream.ramp_left > 0 ? kRamping : 0;
   switch (upstream.health.grade()) {
@@ -115,7 +130,8 @@
     const bool free = cost != kNotFree && speed != kNotFree;
     return free ? cost + speed + avoided : kNotFree;
   }
-  return options.ahead && open > 0 && MaySendAhead(now, upstream)
+  return options.ahead && open > 0 && MaySendAhead(now, upstream) &&
+                 !IsRateScarce(now, shard, place)
              ? kAhead + avoided
              : kNotFree;
 }
@@ -132,8 +148,14 @@
 }
 
 bool HasQuota(TimePoint now, const ShardState& shard, uint32_t place) {
-  return place >= shard.cold_quotas.size() ||
-         shard.cold_quotas[place].MayStart(now, shard.tells_cold);
+  const bool may_be_cold = place < shard.cold_quotas.size();
+  return HasRateQuota(now, shard, place) &&
+         (!may_be_cold ||
+          shard.cold_quotas[place].MayStart(now, shard.tells_cold));
+}
+
+bool MayAsk(TimePoint now, const ShardState& shard, uint32_t place) {
+  return !IsRateScarce(now, shard, place) && HasRateQuota(now, shard, place);
 }
 
 uint16_t OpenSlots(TimePoint now, const UpstreamSlots& upstream) {
@@ -145,9 +167,11 @@
 
 void RecountSlots(TimePoint now, ShardState& shard) {
   shard.open_slots = 0;
-  for (const UpstreamSlots& upstream : shard.upstreams) {
+  for (uint32_t place = 0; place < shard.upstreams.size(); ++place) {
+    const UpstreamSlots& upstream = shard.upstreams[place];
     if (upstream.health.grade() == UpstreamGrade::kFull) {
-      shard.open_slots += OpenSlots(now, upstream);
+      shard.open_slots +=
+          SlotsWithinRate(now, shard, place, OpenSlots(now, upstream));
     }
   }
 }
@@ -163,8 +187,10 @@
 bool HasWithin(TimePoint now, const ShardState& shard, double limit) {
   for (size_t i = 0; i < shard.upstreams.size() && i < shard.speeds.size();
        ++i) {
-    if (TakesWork(now, shard.upstreams[i]) &&
-        !shard.speeds[i].IsSlowerThan(now, limit)) {
+    const auto place = static_cast<uint32_t>(i);
+    const bool takes =
+        TakesWork(now, shard.upstreams[i]) && HasRateQuota(now, shard, place);
+    if (takes && !shard.speeds[i].IsSlowerThan(now, limit)) {
       return true;
     }
   }
--- a/packages/decision/src/upstream_choice.h
+++ b/packages/decision/src/upstream_choice.h
@@ -19,9 +19,13 @@
 bool AcceptsNow(TimePoint now, const UpstreamSlots& upstream);
 
 /// @returns true if the upstream may get a request now, as far as it is cold or
-/// could be.
+/// could be, or names a rate limit.
 bool HasQuota(TimePoint now, const ShardState& shard, uint32_t place);
 
+/// @returns true if a question for its load costs the upstream no request that
+/// it could take.
+bool MayAsk(TimePoint now, const ShardState& shard, uint32_t place);
+
 /// @returns the slots of `upstream` that may be occupied now, leaving grades
 /// aside.
 uint16_t OpenSlots(TimePoint now, const UpstreamSlots& upstream);
--- a/packages/decision/src/view.cc
+++ b/packages/decision/src/view.cc
@@ -86,8 +86,8 @@
   }
 }
 
-std::vector<VmHandle> RankOwners(const RoutingView& view,
-                                 const ShardRow& shard) {
+// Fills the owners of `shard`, and whether they are contested.
+void RankOwners(const RoutingView& view, ShardRow& shard) {
   std::vector<RankedVm> ranked;
   for (const VmRow& vm : view.vms) {
     if (!IsValid(vm.handle)) {
@@ -98,17 +98,22 @@
     ranked.push_back({group, HashText(vm.name, shard.key), &vm});
   }
   const size_t kept = std::min(ShardRow::kOwners, ranked.size());
+  const auto goes_before = [](const RankedVm& a, const RankedVm& b) {
+    return a.group != b.group ? a.group < b.group
+                              : WorksBefore(*a.vm, a.score, *b.vm, b.score);
+  };
   std::partial_sort(ranked.begin(), ranked.begin() + kept, ranked.end(),
-                    [](const RankedVm& a, const RankedVm& b) {
-                      return a.group != b.group
-                                 ? a.group < b.group
-                                 : WorksBefore(*a.vm, a.score, *b.vm, b.score);
-                    });
-  std::vector<VmHandle> owners;
+                    goes_before);
   for (size_t i = 0; i < kept; ++i) {
-    owners.push_back(ranked[i].vm->handle);
+    shard.owners.push_back(ranked[i].vm->handle);
   }
-  return owners;
+  shard.contested =
+      std::any_of(ranked.begin(), ranked.end(), [&](const RankedVm& vm) {
+        RankedVm if_live = vm;
+        if_live.group = vm.vm->data_centre == shard.data_centre ? 0 : 1;
+        return vm.vm->state == VmState::kSuspected &&
+               goes_before(if_live, ranked.front());
+      });
 }
 
 }  // namespace
@@ -283,7 +288,7 @@
       for (size_t i = number; i < positions.size(); i += count) {
         shard.upstreams.push_back(positions[i]);
       }
-      shard.owners = RankOwners(view, shard);
+      RankOwners(view, shard);
       service.shards.push_back(std::move(shard));
     }
   }
--- a/packages/decision/test/rate_limit_world.h
+++ b/packages/decision/test/rate_limit_world.h
@@ -39,6 +39,8 @@
   void Run(Duration time);
 
   void SetDispatches(uint32_t vm, bool dispatches);
+  /// The VM and all others do not reach each other, and know that.
+  void SetCutOff(uint32_t vm, bool cut_off);
   /// The VM forgets all that it knew.
   void Restart(uint32_t vm);
 
@@ -73,6 +75,7 @@
     explicit Vm(const DispatcherOptions& options) : harness(options) {}
     DispatchHarness harness;
     bool dispatches = true;
+    bool cut_off = false;
     std::deque<Question> questions;
     std::vector<Work> works;
     /// By upstream: when it first passed on an answer that names a limit.
@@ -80,6 +83,9 @@
   };
   struct Upstream {
     std::optional<double> limit;
+    /// Before it fell, and since when; a VM has a moment to learn of that.
+    double limit_before = 0;
+    TimePoint fell_at{};
     TimePoint first_named = kNever;
     std::deque<Arrival> recent;
     std::deque<double> allowed;  ///< For each step of the window.
@@ -89,6 +95,7 @@
   };
 
   std::unique_ptr<Vm> MakeVm(uint32_t number);
+  void TellWhoAnswers(uint32_t number);
   void Step(uint32_t number);
   void EndWork(uint32_t number, Vm& vm);
   void EndOne(uint32_t number, Vm& vm, const Work& work);
