Rate limits of upstreams: owners of a shard tell each other

Cause: a VM that begins to dispatch for a limited upstream, after a restart or in another's place, knows nothing of the limit until its own first answer, and sends as much as its slots take. Now a dispatcher tells the shard's other owners what it heard itself, on control links: at once when a limit changes or ends, and every two seconds while it is named; a VM keeps that for 30 s, for the moment at which it opens the shard. What is told names one start of an upstream, so that a successor at the same address is not bound by it. Heartbeat carries the reports; the protocol's version is 5.

Ruled out: to tell all VMs, as deaths of upstreams are: at hundreds of VMs it costs hundreds of messages for two that can act on it.

--- a/packages/base/include/basilsill/base/limits.h
+++ b/packages/base/include/basilsill/base/limits.h
@@ -65,6 +65,7 @@
 /// Longest time that a message may carry.
 inline constexpr milliseconds kMaxPeerDuration = std::chrono::hours(24);
 inline constexpr size_t kMaxCrashReports = 256;
+inline constexpr size_t kMaxRateLimitReports = 256;
 
 /// Records of the platform that one VM hands on to others in a message; more
 /// are read by each for itself.
--- a/packages/decision/include/basilsill/decision.h
+++ b/packages/decision/include/basilsill/decision.h
@@ -7,6 +7,7 @@
 #include "basilsill/decision/dispatch.h"
 #include "basilsill/decision/entry.h"
 #include "basilsill/decision/quarantine.h"
+#include "basilsill/decision/rate_limit.h"
 #include "basilsill/decision/view.h"
 
 #endif  // BASILSILL_DECISION_H_
--- a/packages/decision/include/basilsill/decision/dispatch.h
+++ b/packages/decision/include/basilsill/decision/dispatch.h
@@ -11,6 +11,7 @@
 #include "basilsill/base/reason.h"
 #include "basilsill/base/time.h"
 #include "basilsill/decision/quarantine.h"
+#include "basilsill/decision/rate_limit.h"
 #include "basilsill/decision/ratio_budget.h"
 #include "basilsill/decision/repeat_budget.h"
 #include "basilsill/decision/view.h"
@@ -106,23 +107,6 @@
   double slowness = 1;
 };
 
-/// What an answer says of a rate limit of its upstream.
-enum class RateLimitWord : uint8_t {
-  kUnknown,  ///< There was no answer, or it can't be read.
-  kNone,     ///< The answer names no limit.
-  kNamed,
-  kCount
-};
-
-/// A rate limit as an upstream tells it: it is the upstream's own, for all VMs
-/// together, and holds for as long as its answers name it.
-struct ToldRateLimit {
-  RateLimitWord word = RateLimitWord::kUnknown;
-  double requests_per_second = 0;  ///< Not negative; for kNamed alone.
-
-  friend bool operator==(const ToldRateLimit&, const ToldRateLimit&) = default;
-};
-
 /// What came of asking an upstream for its load.
 struct AskReport {
   bool answered = false;  ///< Something that is HTTP came.
@@ -267,6 +251,14 @@
   /// An upstream is leaving, as another way than an attempt's report told.
   virtual void OnDrainSign(TimePoint now, UpstreamHandle upstream) = 0;
 
+  /// Takes in what another VM heard of a rate limit.
+  virtual void OnRateLimitReport(TimePoint now,
+                                 const RateLimitReport& report) = 0;
+
+  /// @returns what those VMs that would dispatch in this one's place have to be
+  /// told of rate limits. Call some times a second.
+  virtual std::vector<RateLimitNews> TakeRateLimitNews(TimePoint now) = 0;
+
   /// Timers: deadlines, hedges, evidence from running attempts, ramps.
   /// A request whose deadline passes while it waits ends with kRefuse and
   /// kDeadlinePassedInQueue. One that runs and has no first byte by then ends
--- a/packages/decision/src/dispatch_tables.h
+++ b/packages/decision/src/dispatch_tables.h
@@ -4,6 +4,7 @@
 #include <array>
 #include <cstdint>
 #include <memory>
+#include <optional>
 #include <vector>
 
 #include "basilsill/decision/dispatch.h"
@@ -155,6 +156,9 @@
 struct RateLimitedUpstream {
   uint32_t place = kNoRow;  ///< Among the shard's upstreams.
   RateLimitQuota quota;
+  bool is_news = false;  ///< It named its limit since others were told.
+  TimePoint told_at{};   ///< When others were told.
+  std::optional<double> told_limit;
 };
 
 struct ShardState {
--- a/packages/decision/src/dispatcher.cc
+++ b/packages/decision/src/dispatcher.cc
@@ -66,6 +66,9 @@
 
 void DispatcherCore::ApplyView(TimePoint now, const RoutingViewPtr& view) {
   this->shards.ApplyView(now, view);
+  for (uint32_t i = 0; i < this->shards.size(); ++i) {
+    this->TakeHeardLimits(now, this->shards.at(i));
+  }
   for (size_t i = this->active.size(); i > 0; --i) {
     this->Pump(now, this->active[i - 1]);
   }
@@ -74,12 +77,16 @@
 DispatchHandle DispatcherCore::Offer(TimePoint now,
                                      const DispatchRequest& request) {
   ++this->counts.offered;
+  const bool is_new = this->shards.Find(request.shard) == kNoRow;
   const uint32_t shard_row = this->shards.Open(now, request.shard);
   if (shard_row == kNoRow) {
     this->RefuseOffer(request, {Refusal::kNoUpstream, kNoUpstreamRetryAfter});
     return {};
   }
   ShardState& shard = this->shards.at(shard_row);
+  if (is_new) {
+    this->TakeHeardLimits(now, shard);
+  }
   const uint32_t lane = this->OpenLane(shard, request);
   Verdict verdict = this->Check(now, shard, lane, request);
   if (this->MakeRoom(now, shard, lane, request.traffic_class,
--- a/packages/decision/src/dispatcher_core.h
+++ b/packages/decision/src/dispatcher_core.h
@@ -8,6 +8,7 @@
 #include "basilsill/decision/dispatch.h"
 #include "dispatch_tables.h"
 #include "fair_queue.h"
+#include "rate_limit_memory.h"
 #include "shard_table.h"
 #include "upstream_choice.h"
 
@@ -37,6 +38,8 @@
   void OnAsked(TimePoint now,
                UpstreamHandle upstream,
                const AskReport& report) override;
+  void OnRateLimitReport(TimePoint now, const RateLimitReport& report) override;
+  std::vector<RateLimitNews> TakeRateLimitNews(TimePoint now) override;
   void Cancel(TimePoint now, DispatchHandle request) override;
   void OnDrainSign(TimePoint now, UpstreamHandle upstream) override;
   void Tick(TimePoint now) override;
@@ -194,6 +197,12 @@
                       ShardState& shard,
                       uint32_t place,
                       const ToldRateLimit& told);
+  void ForgetRateLimit(TimePoint now, ShardState& shard, uint32_t place);
+  void TakeHeardLimits(TimePoint now, ShardState& shard);
+  uint32_t PlaceOfStart(const RateLimitReport& report) const;
+  void TellOwners(const RateLimitReport& report,
+                  std::vector<RateLimitNews>& news) const;
+  RateLimitReport ReportOf(const ShardState& shard, uint32_t place) const;
   static void WakeForRate(TimePoint now, ShardState& shard);
   void RefuseBeyondRate(TimePoint now, ShardState& shard);
 
@@ -222,6 +231,8 @@
   FairQueue queue;
   IndexedHeap<TimePoint> timers;  ///< Of requests.
   std::vector<uint32_t> active;   ///< Shards with something to do.
+  RateLimitMemory heard_limits;
+  std::vector<RateLimitReport> ended_limits;  ///< Others are not told yet.
   bool handing_back = false;
   pcg32 random;  ///< For jitter.
   std::vector<DispatchAction> pending;
--- a/packages/decision/src/dispatcher_rate_limit.cc
+++ b/packages/decision/src/dispatcher_rate_limit.cc
@@ -1,36 +1,188 @@
 #include <algorithm>
+#include <utility>
 
 #include "dispatcher_core.h"
 #include "shard_rate.h"
 
 namespace basilsill {
+namespace {
+
+// Others are told of a limit so often while it is named, so that a VM that
+// comes, or begins to dispatch, knows it soon.
+constexpr Duration kTellInterval = std::chrono::seconds(2);
+
+std::vector<RateLimitedUpstream>::iterator FindLimited(ShardState& shard,
+                                                       uint32_t place) {
+  return std::find_if(
+      shard.rate_limited.begin(), shard.rate_limited.end(),
+      [place](const auto& limited) { return limited.place == place; });
+}
+
+// @returns the row of the upstream's limit, made if there is none.
+RateLimitedUpstream& LimitOf(ShardState& shard, uint32_t place) {
+  const auto found = FindLimited(shard, place);
+  if (found != shard.rate_limited.end()) {
+    return *found;
+  }
+  RateLimitedUpstream limited;
+  limited.place = place;
+  return shard.rate_limited.emplace_back(limited);
+}
+
+uint32_t PlaceOf(const ShardState& shard, UpstreamHandle handle) {
+  const auto found = std::find_if(
+      shard.upstreams.begin(), shard.upstreams.end(),
+      [handle](const UpstreamSlots& up) { return up.handle == handle; });
+  return found == shard.upstreams.end()
+             ? kNoRow
+             : static_cast<uint32_t>(found - shard.upstreams.begin());
+}
+
+}  // namespace
 
 void DispatcherCore::LearnRateLimit(TimePoint now,
                                     TimePoint asked_at,
                                     ShardState& shard,
                                     uint32_t place,
                                     const ToldRateLimit& told) {
-  auto& all = shard.rate_limited;
-  auto found = std::find_if(
-      all.begin(), all.end(),
-      [place](const auto& limited) { return limited.place == place; });
-  if (found == all.end()) {
-    if (told.word != RateLimitWord::kNamed) {
-      return;
-    }
-    found = all.insert(all.end(), {place, {}});
+  const bool is_named = told.word == RateLimitWord::kNamed;
+  if (!is_named && FindLimited(shard, place) == shard.rate_limited.end()) {
+    return;
   }
+  RateLimitedUpstream& limited = LimitOf(shard, place);
+  const RateLimitChange change = limited.quota.OnTold(now, asked_at, told);
+  limited.is_news |= is_named;
   const UpstreamSlots& upstream = shard.upstreams[place];
-  const RateLimitChange change = found->quota.OnTold(now, asked_at, told);
   if (change == RateLimitChange::kNamed) {
     this->Note(UpstreamEventKind::kRateLimited, shard, upstream);
-    this->noticed.back().requests_per_second = found->quota.limit();
+    this->noticed.back().requests_per_second = limited.quota.limit();
     RecountSlots(now, shard);
   } else if (change == RateLimitChange::kEnded) {
     this->Note(UpstreamEventKind::kRateLimitEnded, shard, upstream);
-    all.erase(found);
+    this->ended_limits.push_back(this->ReportOf(shard, place));
+    this->ForgetRateLimit(now, shard, place);
+  }
+}
+
+void DispatcherCore::ForgetRateLimit(TimePoint now,
+                                     ShardState& shard,
+                                     uint32_t place) {
+  const auto found = FindLimited(shard, place);
+  if (found != shard.rate_limited.end()) {
+    this->heard_limits.Forget(this->ReportOf(shard, place).upstream);
+    shard.rate_limited.erase(found);
+    RecountSlots(now, shard);
+  }
+}
+
+// Failure: a VM begins to dispatch, after a restart or in another's place, and
+// sends a limited upstream as much as any until its first answer.
+void DispatcherCore::TakeHeardLimits(TimePoint now, ShardState& shard) {
+  const ShardTable::InView found = this->shards.Locate(shard.key);
+  if (this->heard_limits.empty() || !shard.in_use || found.shard == nullptr) {
+    return;
+  }
+  for (const uint32_t position : found.shard->upstreams) {
+    const UpstreamRow& upstream = found.service->upstreams[position];
+    const std::optional<double> limit =
+        this->heard_limits.Find(now, KeyOfStart(*found.service, upstream));
+    const uint32_t place = PlaceOf(shard, upstream.handle);
+    if (limit && FindRateLimit(shard, place) == nullptr) {
+      LimitOf(shard, place)
+          .quota.OnTold(now, now, {RateLimitWord::kNamed, *limit});
+    }
+  }
+  RecountSlots(now, shard);
+}
+
+void DispatcherCore::OnRateLimitReport(TimePoint now,
+                                       const RateLimitReport& report) {
+  this->heard_limits.OnReport(now, report);
+  const uint32_t row = this->shards.Find(report.shard);
+  const uint32_t place = row != kNoRow ? this->PlaceOfStart(report) : kNoRow;
+  if (place == kNoRow) {
+    return;
+  }
+  ShardState& shard = this->shards.at(row);
+  if (report.named) {
+    LimitOf(shard, place)
+        .quota.OnTold(now, now,
+                      {RateLimitWord::kNamed, report.requests_per_second});
     RecountSlots(now, shard);
+  } else {
+    this->ForgetRateLimit(now, shard, place);
+  }
+  this->Pump(now, row);
+}
+
+// @returns the upstream of `report` in its shard, which is open.
+uint32_t DispatcherCore::PlaceOfStart(const RateLimitReport& report) const {
+  const ShardTable::InView found = this->shards.Locate(report.shard);
+  if (found.shard == nullptr) {
+    return kNoRow;
+  }
+  for (const uint32_t position : found.shard->upstreams) {
+    const UpstreamRow& upstream = found.service->upstreams[position];
+    if (KeyOfStart(*found.service, upstream) == report.upstream) {
+      return PlaceOf(this->shards.at(this->shards.Find(report.shard)),
+                     upstream.handle);
+    }
+  }
+  return kNoRow;
+}
+
+std::vector<RateLimitNews> DispatcherCore::TakeRateLimitNews(TimePoint now) {
+  std::vector<RateLimitNews> news;
+  for (const RateLimitReport& report : std::exchange(this->ended_limits, {})) {
+    this->TellOwners(report, news);
+  }
+  for (uint32_t row = 0; row < this->shards.size(); ++row) {
+    ShardState& shard = this->shards.at(row);
+    for (RateLimitedUpstream& limited : shard.rate_limited) {
+      const bool is_due = limited.told_limit != limited.quota.limit() ||
+                          now - limited.told_at >= kTellInterval;
+      if (!limited.is_news || !is_due) {
+        continue;
+      }
+      limited.is_news = false;
+      limited.told_at = now;
+      limited.told_limit = limited.quota.limit();
+      RateLimitReport report = this->ReportOf(shard, limited.place);
+      report.named = true;
+      report.requests_per_second = limited.quota.limit();
+      this->TellOwners(report, news);
+    }
+  }
+  return news;
+}
+
+void DispatcherCore::TellOwners(const RateLimitReport& report,
+                                std::vector<RateLimitNews>& news) const {
+  const ShardTable::InView found = this->shards.Locate(report.shard);
+  if (found.shard == nullptr) {
+    return;
+  }
+  for (const VmHandle owner : found.shard->owners) {
+    if (owner != this->shards.view()->self) {
+      news.push_back({owner, report});
+    }
+  }
+}
+
+// @returns a report without limit; of no upstream if the view has it no more.
+RateLimitReport DispatcherCore::ReportOf(const ShardState& shard,
+                                         uint32_t place) const {
+  RateLimitReport report;
+  report.shard = shard.key;
+  const ShardTable::InView found = this->shards.Locate(shard.key);
+  const UpstreamRow* upstream =
+      found.service != nullptr
+          ? FindUpstream(*found.service, shard.upstreams[place].handle)
+          : nullptr;
+  if (upstream != nullptr) {
+    report.upstream = KeyOfStart(*found.service, *upstream);
   }
+  return report;
 }
 
 // Nothing else wakes a queue whose next request waits for an upstream's rate.
--- /dev/null
+++ b/packages/decision/src/rate_limit_memory.cc
@@ -0,0 +1,59 @@
+#include "rate_limit_memory.h"
+
+#include <algorithm>
+
+#include <xxhash.h>
+
+#include "upstream_choice.h"
+
+namespace basilsill {
+namespace {
+
+// A limit is told again every few seconds while the upstream is heard; one that
+// gets a request in ten seconds is heard no more often.
+constexpr Duration kKeptFor = std::chrono::seconds(30);
+
+}  // namespace
+
+uint64_t KeyOfStart(const ServiceRow& service, const UpstreamRow& upstream) {
+  const UpstreamIncarnation start = IncarnationOf(service, upstream);
+  const uint64_t seed =
+      KeyOf(upstream.endpoint) + static_cast<uint64_t>(start.started.count());
+  return XXH3_64bits_withSeed(start.id.data(), start.id.size(), seed);
+}
+
+void RateLimitMemory::OnReport(TimePoint now, const RateLimitReport& report) {
+  if (!report.named) {
+    this->rows.erase(report.upstream);
+    return;
+  }
+  this->MakeRoom(now);
+  this->rows[report.upstream] = {report.requests_per_second, now};
+}
+
+std::optional<double> RateLimitMemory::Find(TimePoint now,
+                                            uint64_t upstream) const {
+  const auto found = this->rows.find(upstream);
+  if (found == this->rows.end() || now - found->second.heard_at > kKeptFor) {
+    return std::nullopt;
+  }
+  return found->second.requests_per_second;
+}
+
+void RateLimitMemory::MakeRoom(TimePoint now) {
+  if (this->rows.size() < limits::kMaxRateLimitReports) {
+    return;
+  }
+  boost::unordered::erase_if(this->rows, [now](const auto& row) {
+    return now - row.second.heard_at > kKeptFor;
+  });
+  if (this->rows.size() < limits::kMaxRateLimitReports) {
+    return;
+  }
+  this->rows.erase(std::min_element(
+      this->rows.begin(), this->rows.end(), [](const auto& a, const auto& b) {
+        return a.second.heard_at < b.second.heard_at;
+      }));
+}
+
+}  // namespace basilsill
--- a/packages/decision/src/shard_table.cc
+++ b/packages/decision/src/shard_table.cc
@@ -125,6 +125,15 @@
   return found == this->rows.end() ? kNoRow : found->second;
 }
 
+ShardTable::InView ShardTable::Locate(ShardKey key) const {
+  const auto found = this->places.find(key);
+  if (found == this->places.end()) {
+    return {};
+  }
+  const ServiceRow& service = *this->current->services[found->second.service];
+  return {&service, &service.shards[found->second.shard]};
+}
+
 uint32_t ShardTable::Open(TimePoint now, ShardKey key) {
   const uint32_t known = this->Find(key);
   if (known != kNoRow || !this->places.contains(key)) {
@@ -174,10 +183,10 @@
   for (UpstreamSlots& upstream : shard.upstreams) {
     upstream.present = false;
   }
-  const auto found = this->places.find(shard.key);
-  if (found != this->places.end()) {
-    const ServiceRow& service = *this->current->services[found->second.service];
-    const ShardRow& row = service.shards[found->second.shard];
+  const InView found = this->Locate(shard.key);
+  if (found.shard != nullptr) {
+    const ServiceRow& service = *found.service;
+    const ShardRow& row = *found.shard;
     shard.can_be_asked = !service.health_path.empty();
     shard.tells_cold = shard.can_be_asked && this->cold_is_told;
     const bool is_first = !row.contested && !row.owners.empty() &&
--- a/packages/decision/src/shard_table.h
+++ b/packages/decision/src/shard_table.h
@@ -30,6 +30,13 @@
   /// @returns the row of shard `key`, or kNoRow.
   uint32_t Find(ShardKey key) const;
 
+  /// A shard as the view has it; null if it has not.
+  struct InView {
+    const ServiceRow* service = nullptr;
+    const ShardRow* shard = nullptr;
+  };
+  InView Locate(ShardKey key) const;
+
   ShardState& at(uint32_t row) { return this->shards[row]; }
   const ShardState& at(uint32_t row) const { return this->shards[row]; }
   size_t size() const { return this->shards.size(); }
--- a/packages/decision/test/rate_limit_test.cc
+++ b/packages/decision/test/rate_limit_test.cc
@@ -133,6 +133,46 @@
   CHECK(answered > 20 * 20 * 10);
 }
 
+// A VM starts, or begins to dispatch in another's place, and sends a limited
+// upstream as much as any until its first answer.
+TEST(RateLimit, Vm_ThatStarts_IsToldByTheOneThatDispatched) {
+  RateLimitWorldOptions options;
+  options.vms = 2;
+  RateLimitWorld world(1, options);
+  world.SetDispatches(1, false);
+  world.SetLimit(0, 0.5);
+  world.Run(5s);
+  world.Restart(1);
+  world.Run(5s);
+  const size_t before = world.arrivals(0);
+  world.SetDispatches(0, false);
+  world.SetDispatches(1, true);
+  world.Run(1s);
+  CHECK(world.arrivals(0) - before <= 1);
+}
+
+// What was told of one start of an upstream must not bind the next.
+TEST(RateLimit, Report_OfAnEarlierStart_BindsNobody) {
+  DispatchHarness first;
+  DispatchHarness second;
+  for (DispatchHarness* harness : {&first, &second}) {
+    harness->fixture.AddUpstream(0);
+    harness->fixture.NameUpstreams();
+    harness->Apply();
+  }
+  second.fixture.StartAgain({0, 0});
+  second.Apply();
+  const uint64_t cookie = first.Offer();
+  AttemptReport report = DispatchHarness::Report(AttemptEnd::kAnswered);
+  report.rate_limit = {RateLimitWord::kNamed, 0};
+  first.End(cookie, report);
+  const auto news = first.dispatcher->TakeRateLimitNews(first.now);
+  CHECK(!news.empty());
+  second.dispatcher->OnRateLimitReport(second.now, news.front().report);
+  second.Offer();
+  CHECK_EQUAL(1, second.running.size());
+}
+
 /// One upstream of two names a limit that leaves it nothing for seconds.
 TEST_GROUP(RateLimitWays) {
   std::unique_ptr<DispatchHarness> harness;
--- a/packages/decision/test/rate_limit_world.cc
+++ b/packages/decision/test/rate_limit_world.cc
@@ -14,6 +14,7 @@
 constexpr Duration kJudgedAfter = 3s;
 // A VM that has passed on an answer is told this much later.
 constexpr Duration kToldAfter = 500ms;
+constexpr Duration kTellInterval = 250ms;
 constexpr double kExcess = 1.5;
 constexpr double kSlack = 5;
 constexpr double kNoLimit = 1e9;
@@ -100,6 +101,9 @@
     for (uint32_t i = 0; i < this->vms.size(); ++i) {
       this->Step(i);
     }
+    for (uint32_t i = 0; i < this->vms.size(); ++i) {
+      this->TellOthers(i);
+    }
     for (Upstream& upstream : this->upstreams) {
       this->Judge(upstream);
     }
@@ -122,6 +126,25 @@
   this->TakeQuestions(number, vm);
 }
 
+// Some times a second, to those that it reaches.
+void RateLimitWorld::TellOthers(uint32_t number) {
+  Vm& vm = *this->vms[number];
+  if (this->now < vm.tells_at) {
+    return;
+  }
+  vm.tells_at = this->now + kTellInterval;
+  for (const RateLimitNews& news :
+       vm.harness.dispatcher->TakeRateLimitNews(this->now)) {
+    for (const auto& other : this->vms) {
+      const bool is_meant = other->harness.fixture.view.self == news.to;
+      if (is_meant && !vm.cut_off && !other->cut_off) {
+        other->harness.dispatcher->OnRateLimitReport(this->now, news.report);
+        other->harness.Collect();
+      }
+    }
+  }
+}
+
 void RateLimitWorld::EndWork(uint32_t number, Vm& vm) {
   for (const Work& work : std::exchange(vm.works, {})) {
     if (work.ends > this->now) {
--- a/packages/decision/test/rate_limit_world.h
+++ b/packages/decision/test/rate_limit_world.h
@@ -78,6 +78,7 @@
     bool cut_off = false;
     std::deque<Question> questions;
     std::vector<Work> works;
+    TimePoint tells_at{};
     /// By upstream: when it first passed on an answer that names a limit.
     std::vector<TimePoint> told;
   };
@@ -105,6 +106,7 @@
   void Arrive(uint32_t number, UpstreamHandle upstream);
   ToldRateLimit Say(uint32_t number, UpstreamHandle upstream);
   void Judge(Upstream& upstream);
+  void TellOthers(uint32_t number);
   bool Chance(uint32_t percent) { return this->random(100) < percent; }
 
   RateLimitWorldOptions options;
--- a/packages/node/src/control.cc
+++ b/packages/node/src/control.cc
@@ -337,6 +337,9 @@
   if (!heartbeat.crashes.empty()) {
     this->handlers.on_crashes(heartbeat.crashes);
   }
+  if (!heartbeat.rate_limits.empty()) {
+    this->handlers.on_rate_limits(heartbeat.rate_limits);
+  }
 }
 
 wire::Heartbeat Control::MakeHeartbeat(bool answer_wanted) const {
@@ -355,6 +358,22 @@
   this->links.Broadcast(heartbeat);
 }
 
+// What a VM without a link misses comes again soon.
+void Control::SendRateLimits(const std::vector<RateLimitNews>& news) {
+  std::map<VmHandle, wire::Heartbeat> messages;
+  for (const RateLimitNews& item : news) {
+    const auto [place, is_new] =
+        messages.try_emplace(item.to, this->MakeHeartbeat(false));
+    std::vector<RateLimitReport>& reports = place->second.rate_limits;
+    if (reports.size() < limits::kMaxRateLimitReports) {
+      reports.push_back(item.report);
+    }
+  }
+  for (auto& [vm, message] : messages) {
+    this->links.Send(vm, std::move(message));
+  }
+}
+
 void Control::RebuildIfChanged() {
   const bool changed = this->configuration_changed ||
                        this->members->version() != this->built_membership;
--- a/packages/node/src/control.h
+++ b/packages/node/src/control.h
@@ -32,6 +32,8 @@
   std::function<void(RoutingViewPtr)> publish;
   /// Deaths of upstreams that peers saw.
   std::function<void(const std::vector<CrashReport>&)> on_crashes;
+  /// Other VMs heard of rate limits.
+  std::function<void(const std::vector<RateLimitReport>&)> on_rate_limits;
 };
 
 /// Makes the source of state, once the endpoint of control links is known.
@@ -58,6 +60,9 @@
   /// Tells peers of deaths of upstreams that this node's workers saw.
   void SendCrashes(std::vector<CrashReport> crashes);
 
+  /// Tells each VM what it has to know of rate limits.
+  void SendRateLimits(const std::vector<RateLimitNews>& news);
+
   /// @returns true once there is a view that callers can be served by.
   bool ready() const {
     return this->current_view != nullptr && this->source->ready();
--- a/packages/node/src/dispatch_host.cc
+++ b/packages/node/src/dispatch_host.cc
@@ -207,7 +207,8 @@
   }
   const bool answered =
       report.end == AttemptEnd::kAnswered || report.answer_started;
-  co_return ServeOutcome{answered, RefusalOf(report.end), Duration(0)};
+  co_return ServeOutcome{answered, RefusalOf(report.end), Duration(0),
+                         report.rate_limit, report.drain_sign};
 }
 
 void DispatchHost::Tick(TimePoint now) {
@@ -221,6 +222,12 @@
   this->Pump();
 }
 
+void DispatchHost::ImportRateLimit(TimePoint now,
+                                   const RateLimitReport& report) {
+  this->dispatcher->OnRateLimitReport(now, report);
+  this->Pump();
+}
+
 ShardSummary DispatchHost::Summarize(ShardKey shard) const {
   return this->dispatcher->Summarize(MonotonicClock::now(), shard);
 }
--- a/packages/node/src/dispatch_host.h
+++ b/packages/node/src/dispatch_host.h
@@ -40,6 +40,14 @@
   /// Hands all waiting requests back, for a graceful shutdown.
   void HandBack(TimePoint now);
 
+  /// Takes in what another VM heard of a rate limit.
+  void ImportRateLimit(TimePoint now, const RateLimitReport& report);
+
+  /// @returns what other VMs have to be told of rate limits.
+  std::vector<RateLimitNews> TakeRateLimitNews(TimePoint now) {
+    return this->dispatcher->TakeRateLimitNews(now);
+  }
+
   ShardSummary Summarize(ShardKey shard) const;
 
   const DispatchCounters& counters() const {
--- a/packages/node/src/http_message.h
+++ b/packages/node/src/http_message.h
@@ -113,6 +113,9 @@
   bool answered = false;
   Refusal refusal = Refusal::kNone;
   Duration retry_after{0};
+  // What the upstream said, where the request was sent to it past dispatchers.
+  ToldRateLimit rate_limit{};
+  bool drain_sign = false;  ///< It is leaving.
 };
 
 /// Removes hop-by-hop headers, those that `Connection` names among them.
--- a/packages/node/src/node.cc
+++ b/packages/node/src/node.cc
@@ -86,6 +86,11 @@
     options.on_crashes = [this, i](std::vector<CrashReport> crashes) {
       this->SpreadCrashes(i, std::move(crashes));
     };
+    options.on_rate_limits = [this](std::vector<RateLimitNews> news) {
+      boost::asio::post(this->context, [this, news = std::move(news)] {
+        this->control_side->SendRateLimits(news);
+      });
+    };
     const uint16_t base = this->settings.listen.links;
     const Endpoint links{this->settings.vm.address,
                          static_cast<uint16_t>(base == 0 ? 0 : base + i)};
@@ -114,6 +119,11 @@
       worker->ImportCrashes(crashes);
     }
   };
+  handlers.on_rate_limits = [this](const std::vector<RateLimitReport>& told) {
+    for (const auto& worker : this->traffic) {
+      worker->ImportRateLimits(told);
+    }
+  };
   ControlOptions options;
   options.incarnation = this->incarnation;
   for (const auto& worker : this->traffic) {
--- a/packages/node/src/worker.cc
+++ b/packages/node/src/worker.cc
@@ -335,6 +335,21 @@
   });
 }
 
+void Worker::ImportRateLimits(std::vector<RateLimitReport> reports) {
+  boost::asio::post(*this->context, [this, reports = std::move(reports)] {
+    for (const RateLimitReport& report : reports) {
+      this->dispatch_host.ImportRateLimit(MonotonicClock::now(), report);
+    }
+  });
+}
+
+void Worker::ReportRateLimits(TimePoint now) {
+  std::vector<RateLimitNews> news = this->dispatch_host.TakeRateLimitNews(now);
+  if (!news.empty() && this->options.on_rate_limits) {
+    this->options.on_rate_limits(std::move(news));
+  }
+}
+
 void Worker::ReportCrashes(TimePoint now) {
   std::vector<CrashReport> crashes = this->quarantine->TakeNewReports(now);
   if (!crashes.empty() && this->options.on_crashes) {
@@ -406,8 +421,9 @@
   }
 }
 
-// Closes what nothing has used for long. The limits are seconds, so walking
-// all links and connections at each tick would be work for nothing.
+// Closes what nothing has used for long, and tells what may be told a moment
+// later. The limits are seconds, so walking all links and connections at each
+// tick would be work for nothing.
 void Worker::TickIdle(TimePoint now) {
   if (now - this->idle_ticked < kIdleTick) {
     return;
@@ -415,6 +431,7 @@
   this->idle_ticked = now;
   this->links.Tick(now);
   this->pool.Tick(now);
+  this->ReportRateLimits(now);
 }
 
 // Retries are granted and denied at both places.
--- a/packages/node/src/worker.h
+++ b/packages/node/src/worker.h
@@ -33,6 +33,8 @@
   uint64_t incarnation = 0;
   /// Called on the worker's thread with deaths of upstreams that it saw.
   std::function<void(std::vector<CrashReport>)> on_crashes;
+  /// Called there with what other VMs have to be told of rate limits.
+  std::function<void(std::vector<RateLimitNews>)> on_rate_limits;
 };
 
 class Worker final : private CallerHost, private RemoteDispatch {
@@ -61,6 +63,9 @@
   /// Takes in deaths of upstreams that other workers saw.
   void ImportCrashes(std::vector<CrashReport> crashes);
 
+  /// Takes in what other VMs heard of rate limits.
+  void ImportRateLimits(std::vector<RateLimitReport> reports);
+
   /// From here on answers ask callers to use another connection next time.
   void Announce();
 
@@ -97,6 +102,7 @@
   LinkTableHandlers MakeLinkHandlers();
   void OnStream(const PeerLinkPtr& link, LinkStreamPtr stream, wire::Open open);
   void ReportCrashes(TimePoint now);
+  void ReportRateLimits(TimePoint now);
   void WakeTick();
   Task<void> TickLoop();
   std::chrono::milliseconds TickInterval() const;
--- a/packages/wire/include/basilsill/wire/message.h
+++ b/packages/wire/include/basilsill/wire/message.h
@@ -24,7 +24,7 @@
 namespace basilsill::wire {
 
 /// Spoken version of the protocol; peers of another version are turned away.
-inline constexpr uint32_t kProtocolVersion = 4;
+inline constexpr uint32_t kProtocolVersion = 5;
 
 /// Octets of a body. Moved, never copied, on their way to the socket.
 using Bytes = std::string;
@@ -230,6 +230,8 @@
   uint64_t vm_list_version = 0;
   std::vector<CrashReport> crashes;  ///< Deaths of upstreams since the last.
   bool answer_wanted = false;        ///< The sender asks for a sign of life.
+  /// Of upstreams that the receiver may come to dispatch for.
+  std::vector<RateLimitReport> rate_limits;
 };
 bool operator==(const Heartbeat& left, const Heartbeat& right);
 
--- a/packages/wire/schema/peer.capnp
+++ b/packages/wire/schema/peer.capnp
@@ -162,6 +162,13 @@
   suspects @3 :List(UInt64);
 }
 
+struct RateLimitReport {
+  shard @0 :UInt64;
+  upstream @1 :UInt64;
+  named @2 :Bool;
+  requestsPerSecond @3 :Float64;
+}
+
 struct Heartbeat {
   incarnation @0 :UInt64;
   appliedOffset @1 :UInt64;
@@ -169,6 +176,7 @@
   vmListVersion @3 :UInt64;
   crashes @4 :List(CrashReport);
   answerWanted @5 :Bool;
+  rateLimits @6 :List(RateLimitReport);
 }
 
 struct SnapshotRequest {
--- a/packages/wire/src/message.cc
+++ b/packages/wire/src/message.cc
@@ -19,7 +19,7 @@
 auto Fields(const Heartbeat& heartbeat) {
   return std::tie(heartbeat.incarnation, heartbeat.applied_offset,
                   heartbeat.state, heartbeat.vm_list_version,
-                  heartbeat.answer_wanted);
+                  heartbeat.answer_wanted, heartbeat.rate_limits);
 }
 
 bool AreEqual(const CrashReport& left, const CrashReport& right) {
--- a/packages/wire/src/message_check.cc
+++ b/packages/wire/src/message_check.cc
@@ -1,5 +1,6 @@
 #include "message_check.h"
 
+#include <cmath>
 #include <string>
 #include <string_view>
 #include <type_traits>
@@ -193,6 +194,13 @@
   check.Require(heartbeat.state < VmState::kCount, "/state", "unknown state");
   check.Require(heartbeat.crashes.size() <= limits::kMaxCrashReports,
                 "/crashes", "too many entries");
+  check.Require(heartbeat.rate_limits.size() <= limits::kMaxRateLimitReports,
+                "/rate_limits", "too many entries");
+  for (const RateLimitReport& report : heartbeat.rate_limits) {
+    check.Require(std::isfinite(report.requests_per_second) &&
+                      report.requests_per_second >= 0,
+                  "/rate_limits", "no rate");
+  }
 }
 
 void Check(Checker& check, const SnapshotChunk& chunk) {
--- a/packages/wire/src/message_reader.cc
+++ b/packages/wire/src/message_reader.cc
@@ -195,6 +195,15 @@
   return crash;
 }
 
+RateLimitReport ReadRateLimit(schema::RateLimitReport::Reader reader) {
+  RateLimitReport report;
+  report.shard = reader.getShard();
+  report.upstream = reader.getUpstream();
+  report.named = reader.getNamed();
+  report.requests_per_second = reader.getRequestsPerSecond();
+  return report;
+}
+
 Heartbeat ReadHeartbeat(schema::Heartbeat::Reader reader) {
   Heartbeat heartbeat;
   heartbeat.incarnation = reader.getIncarnation();
@@ -208,6 +217,12 @@
   for (const schema::CrashReport::Reader crash : crashes) {
     heartbeat.crashes.push_back(ReadCrash(crash));
   }
+  const auto rate_limits = reader.getRateLimits();
+  heartbeat.rate_limits.reserve(CheckedSize(
+      rate_limits.size(), limits::kMaxRateLimitReports, "/rate_limits"));
+  for (const schema::RateLimitReport::Reader report : rate_limits) {
+    heartbeat.rate_limits.push_back(ReadRateLimit(report));
+  }
   return heartbeat;
 }
 
--- a/packages/wire/src/message_writer.cc
+++ b/packages/wire/src/message_writer.cc
@@ -192,6 +192,14 @@
   }
 }
 
+void WriteRateLimit(const RateLimitReport& report,
+                    schema::RateLimitReport::Builder builder) {
+  builder.setShard(report.shard);
+  builder.setUpstream(report.upstream);
+  builder.setNamed(report.named);
+  builder.setRequestsPerSecond(report.requests_per_second);
+}
+
 void Write(const Heartbeat& heartbeat, schema::PeerMessage::Builder message) {
   auto builder = message.initHeartbeat();
   builder.setIncarnation(heartbeat.incarnation);
@@ -204,6 +212,11 @@
   for (unsigned i = 0; i < heartbeat.crashes.size(); ++i) {
     WriteCrash(heartbeat.crashes[i], crashes[i]);
   }
+  auto rate_limits = builder.initRateLimits(
+      static_cast<unsigned>(heartbeat.rate_limits.size()));
+  for (unsigned i = 0; i < heartbeat.rate_limits.size(); ++i) {
+    WriteRateLimit(heartbeat.rate_limits[i], rate_limits[i]);
+  }
 }
 
 void Write(const SnapshotRequest& request,
