Direct path: an upstream that names a rate limit, or that it leaves, gets no more

Any number of VMs may send past dispatchers at one time, so no part of a limit is safe for all of them: one that names a limit gets nothing this way for a minute.

Now EntryHost hands both on. Test: Entry, OnRateLimit_DirectPath_UpstreamGetsNoMoreForAMinute; the one for the sign of leaving stood, at the router, which is why it did not find it.

--- a/packages/decision/include/basilsill/decision/entry.h
+++ b/packages/decision/include/basilsill/decision/entry.h
@@ -135,6 +135,11 @@
   /// An upstream is leaving, as an answer on the direct path told.
   virtual void OnDrainSign(TimePoint now, UpstreamHandle upstream) = 0;
 
+  /// What an answer on the direct path says of a rate limit.
+  virtual void OnRateLimit(TimePoint now,
+                           UpstreamHandle upstream,
+                           const ToldRateLimit& told) = 0;
+
   virtual void Tick(TimePoint now) = 0;
 
   virtual const EntryCounters& counters() const = 0;
--- a/packages/decision/src/direct_path.cc
+++ b/packages/decision/src/direct_path.cc
@@ -10,6 +10,9 @@
 constexpr Duration kDrainTime = std::chrono::minutes(2);
 constexpr uint8_t kMaxFailures = 8;
 
+// How long one that names a rate limit gets nothing this way.
+constexpr Duration kRateLimitTime = std::chrono::minutes(1);
+
 // Requests a second to an upstream that may be cold.
 constexpr uint32_t kShare = 1;
 
@@ -53,7 +56,8 @@
 
 // Any number of VMs may send past the dispatchers at one time, and none of them
 // can ask. So where cold upstreams are bounded, one that is known to be cold
-// gets nothing, and any other as little as is of use.
+// gets nothing, and any other as little as is of use. One that names a rate
+// limit gets nothing either: no part of the limit is safe for all.
 bool DirectPath::Takes(TimePoint now,
                        const ServiceRow& service,
                        const UpstreamRow& row) {
@@ -61,8 +65,8 @@
   const bool is_bounded = service.cold.requests_per_second > 0;
   state.cold_quota.SetShare(is_bounded ? kShare : 0);
   return !row.leaving && !row.drained && row.slots > 0 &&
-         state.paused_until <= now && !(is_bounded && row.cold) &&
-         state.cold_quota.MayStart(now, true);
+         state.paused_until <= now && state.rate_limited_until <= now &&
+         !(is_bounded && row.cold) && state.cold_quota.MayStart(now, true);
 }
 
 DirectPath::UpstreamState& DirectPath::StateOf(UpstreamHandle handle) {
@@ -103,4 +107,12 @@
   this->StateOf(upstream).paused_until = now + kDrainTime;
 }
 
+void DirectPath::OnRateLimit(TimePoint now,
+                             UpstreamHandle upstream,
+                             const ToldRateLimit& told) {
+  if (told.word == RateLimitWord::kNamed) {
+    this->StateOf(upstream).rate_limited_until = now + kRateLimitTime;
+  }
+}
+
 }  // namespace basilsill
--- a/packages/decision/src/direct_path.h
+++ b/packages/decision/src/direct_path.h
@@ -32,6 +32,10 @@
   /// @param refusal How it ended, kNone for an answer.
   void End(TimePoint now, UpstreamHandle upstream, Refusal refusal);
   void OnDrainSign(TimePoint now, UpstreamHandle upstream);
+  /// What an answer on this way says of a rate limit.
+  void OnRateLimit(TimePoint now,
+                   UpstreamHandle upstream,
+                   const ToldRateLimit& told);
 
  private:
   struct UpstreamState {
@@ -39,6 +43,7 @@
     uint32_t in_flight = 0;
     uint8_t failures = 0;
     TimePoint paused_until{};
+    TimePoint rate_limited_until{};
     ColdQuota cold_quota;
   };
 
--- a/packages/decision/src/entry_core.h
+++ b/packages/decision/src/entry_core.h
@@ -62,6 +62,9 @@
                  const ShardSummary& summary) override;
   void OnLink(TimePoint now, VmHandle vm, bool usable) override;
   void OnDrainSign(TimePoint now, UpstreamHandle upstream) override;
+  void OnRateLimit(TimePoint now,
+                   UpstreamHandle upstream,
+                   const ToldRateLimit& told) override;
   void Tick(TimePoint now) override;
   const EntryCounters& counters() const override;
 
--- a/packages/decision/src/entry_router.cc
+++ b/packages/decision/src/entry_router.cc
@@ -132,6 +132,12 @@
   this->direct.OnDrainSign(now, upstream);
 }
 
+void EntryCore::OnRateLimit(TimePoint now,
+                            UpstreamHandle upstream,
+                            const ToldRateLimit& told) {
+  this->direct.OnRateLimit(now, upstream, told);
+}
+
 void EntryCore::Tick(TimePoint now) {
   this->beliefs.Tick(now);
 }
--- a/packages/decision/test/entry_test.cc
+++ b/packages/decision/test/entry_test.cc
@@ -13,6 +13,7 @@
 using basilsill::EntryOptions;
 using basilsill::EntryRequest;
 using basilsill::EntryRouter;
+using basilsill::RateLimitWord;
 using basilsill::Refusal;
 using basilsill::Retry;
 using basilsill::RetryDecision;
@@ -22,6 +23,7 @@
 using basilsill::Target;
 using basilsill::TargetKind;
 using basilsill::TeamLimits;
+using basilsill::UpstreamHandle;
 using basilsill::VmHandle;
 
 TEST_GROUP(Entry) {
@@ -71,6 +73,15 @@
     return this->router->OnRefused(this->now, entry, refusal);
   }
 
+  // The network between the VMs is gone; only upstreams can be reached.
+  void LoseAllVms() {
+    this->fixture.view.self = {9, 0};
+    this->Apply();
+    for (uint32_t i = 0; i < 4; ++i) {
+      this->router->OnLink(this->now, {i, 0}, false);
+    }
+  }
+
   void Tell(const ShardRow& shard, Duration wait, uint16_t slots = 4) {
     ShardSummary summary;
     summary.shard = shard.key;
@@ -203,12 +214,7 @@
 }
 
 TEST(Entry, Choose_NoDispatcherReachable_DirectToNearUpstream) {
-  // The network between the VMs is gone; only upstreams can be reached.
-  this->fixture.view.self = {9, 0};
-  this->Apply();
-  for (uint32_t i = 0; i < 4; ++i) {
-    this->router->OnLink(this->now, {i, 0}, false);
-  }
+  this->LoseAllVms();
   size_t on_first = 0;
   for (int i = 0; i < 20; ++i) {
     const Target target = this->Choose(this->Admit());
@@ -219,12 +225,23 @@
   CHECK_EQUAL(10, on_first);
 }
 
-TEST(Entry, OnDrainSign_DirectPath_UpstreamGetsNoNewWork) {
-  this->fixture.view.self = {9, 0};
-  this->Apply();
-  for (uint32_t i = 0; i < 4; ++i) {
-    this->router->OnLink(this->now, {i, 0}, false);
+// Any number of VMs may send past the dispatchers: each would have the limit.
+TEST(Entry, OnRateLimit_DirectPath_UpstreamGetsNoMoreForAMinute) {
+  this->LoseAllVms();
+  this->router->OnRateLimit(this->now, {0, 0}, {RateLimitWord::kNamed, 50});
+  for (int i = 0; i < 20; ++i) {
+    CHECK(UpstreamHandle(0, 0) != this->Choose(this->Admit()).upstream);
+  }
+  this->now += 61s;
+  bool used = false;
+  for (int i = 0; i < 20; ++i) {
+    used |= UpstreamHandle(0, 0) == this->Choose(this->Admit()).upstream;
   }
+  CHECK(used);
+}
+
+TEST(Entry, OnDrainSign_DirectPath_UpstreamGetsNoNewWork) {
+  this->LoseAllVms();
   this->router->OnDrainSign(this->now, {0, 0});
   for (int i = 0; i < 10; ++i) {
     CHECK_EQUAL(1, this->Choose(this->Admit()).upstream.index);
--- a/packages/node/src/entry_host.cc
+++ b/packages/node/src/entry_host.cc
@@ -49,8 +49,14 @@
                                       RequestMessage& request,
                                       AnswerSink& sink) {
   if (target.kind == TargetKind::kDirect) {
-    co_return co_await this->dispatch.ServeDirect(request, target.upstream,
-                                                  sink);
+    const ServeOutcome outcome =
+        co_await this->dispatch.ServeDirect(request, target.upstream, sink);
+    const TimePoint now = MonotonicClock::now();
+    this->router->OnRateLimit(now, target.upstream, outcome.rate_limit);
+    if (outcome.drain_sign) {
+      this->router->OnDrainSign(now, target.upstream);
+    }
+    co_return outcome;
   }
   if (!this->remote.IsLocal(target.vm, target.shard)) {
     co_return co_await this->remote.Serve(request, target, sink);
