Emulated upstreams name rate limits; the soak has them, and a promise

basilsillctl's upstream has rate_limit; the stand-in of the users' upstreams names one in all answers and reports questions. Fault upstream-limit comes in all seeds, promise rate-limit counts requests and questions of all nodes against one and a half times the limit and five in any four seconds; three tests with tables, one broken on purpose.

--- a/packages/ctl/include/basilsill/ctl/upstream.h
+++ b/packages/ctl/include/basilsill/ctl/upstream.h
@@ -49,6 +49,10 @@
   Duration cold_time{};          ///< How long a start is cold.
   double cold_factor = 4.0;      ///< Multiplies service times while cold.
 
+  /// Requests a second that it says it takes from all together; negative: it
+  /// says nothing of it.
+  double rate_limit = -1;
+
   Duration report_lag{};       ///< Age of what the load report shows.
   double report_factor = 1.0;  ///< Multiplies what it shows; 0 says idle.
 
--- a/packages/ctl/src/upstream_json.cc
+++ b/packages/ctl/src/upstream_json.cc
@@ -54,6 +54,8 @@
                   0, kMaxMilliseconds},
     UpstreamField{"cold_factor", "multiplies service times while cold",
                   &Behaviour::cold_factor, 0, kMaxFactor},
+    UpstreamField{"rate_limit", "requests a second it says it takes; -1: none",
+                  &Behaviour::rate_limit, -1, kMaxFactor},
     UpstreamField{"report_lag_ms", "age of the load report",
                   &Behaviour::report_lag, 0, kMaxMilliseconds},
     UpstreamField{"report_factor", "multiplies the load report",
--- a/packages/ctl/src/upstream_request.h
+++ b/packages/ctl/src/upstream_request.h
@@ -29,6 +29,7 @@
 inline constexpr std::string_view kKeyHeader = "Idempotency-Key";
 inline constexpr std::string_view kDeadlineHeader = "Basilsill-Deadline-Ms";
 inline constexpr std::string_view kDrainingHeader = "Basilsill-Draining";
+inline constexpr std::string_view kRateLimitHeader = "Basilsill-Rate-Limit";
 inline constexpr std::string_view kRefusedHeader = "Basilsill-Refused";
 
 inline constexpr std::string_view kBytesPath = "/bytes/";
--- a/packages/ctl/src/upstream_session.cc
+++ b/packages/ctl/src/upstream_session.cc
@@ -74,6 +74,10 @@
   if (instance.state().behaviour().draining) {
     answer.set(ToBeast(kDrainingHeader), "1");
   }
+  if (const double limit = instance.state().behaviour().rate_limit;
+      limit >= 0) {
+    answer.set(ToBeast(kRateLimitHeader), std::to_string(limit));
+  }
 }
 
 // The digest of a long pattern, computed in turns with other connections.
--- a/soak/observations.h
+++ b/soak/observations.h
@@ -84,6 +84,14 @@
   TimePoint to{};
 };
 
+/// An upstream named a rate limit.
+struct LimitRow {
+  size_t upstream = 0;
+  double requests_per_second = 0;
+  TimePoint from{};
+  TimePoint to{};
+};
+
 /// The platform accepted a configuration that adds or drops a route.
 struct RouteRow {
   std::string route;
@@ -128,9 +136,11 @@
   std::vector<RequestRow> requests;
   std::vector<RunRow> runs;
   std::vector<ArrivalRow> arrivals;
+  std::vector<ArrivalRow> questions;  ///< For their health; without ids.
   std::vector<LeavingRow> leaving;
   std::vector<DrainRow> drains;
   std::vector<ColdRow> colds;
+  std::vector<LimitRow> limits;
   std::vector<RouteRow> routes;
   std::vector<Disturbance> disturbances;
   std::vector<UnaskedEnd> unasked_ends;
--- a/soak/plan.cc
+++ b/soak/plan.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <array>
 #include <random>
+#include <span>
 
 #include <pcg_random.hpp>
 
@@ -18,7 +19,7 @@
         "store-slow",    "store-refuses",  "upstream-crash", "upstream-leave",
         "upstream-slow", "upstream-fails", "answers-lost",   "answers-cut",
         "link-slow",     "link-reset",     "link-one-way",   "link-silent",
-        "route-change",  "drain",          "upstream-cold"};
+        "route-change",  "drain",          "upstream-cold",  "upstream-limit"};
 
 constexpr milliseconds kShortest{200};
 constexpr milliseconds kLongest{3000};
@@ -33,9 +34,9 @@
 // could hardly ever be judged if all kinds came in all seeds.
 constexpr uint32_t kMostKinds = 7;
 // What is to be in force in time comes in all of them.
-constexpr std::array<Fault, 4> kAlways = {
+constexpr std::array<Fault, 5> kAlways = {
     Fault::kRouteChange, Fault::kUpstreamLeave, Fault::kDataCentreDrain,
-    Fault::kUpstreamCold};
+    Fault::kUpstreamCold, Fault::kUpstreamLimit};
 
 uint32_t Draw(pcg32& random, uint32_t below) {
   return std::uniform_int_distribution<uint32_t>(0, below - 1)(random);
@@ -47,24 +48,31 @@
       std::exponential_distribution<double>(1 / mean)(random)));
 }
 
+Fault DrawFrom(pcg32& random, std::span<const Fault> kinds) {
+  return kinds[Draw(random, static_cast<uint32_t>(kinds.size()))];
+}
+
+// Those that a seed has beside the ones that come in all of them.
 std::vector<Fault> DrawKinds(pcg32& random) {
-  std::vector<Fault> kinds(kAlways.begin(), kAlways.end());
   std::vector<Fault> others;
   for (uint32_t i = 0; i < static_cast<uint32_t>(Fault::kCount); ++i) {
     const auto kind = static_cast<Fault>(i);
-    if (std::find(kinds.begin(), kinds.end(), kind) == kinds.end()) {
+    if (std::find(kAlways.begin(), kAlways.end(), kind) == kAlways.end()) {
       others.push_back(kind);
     }
   }
+  std::vector<Fault> kinds;
   for (uint32_t left = Draw(random, kMostKinds + 1); left > 0; --left) {
-    kinds.push_back(others[Draw(random, static_cast<uint32_t>(others.size()))]);
+    kinds.push_back(DrawFrom(random, others));
   }
   return kinds;
 }
 
-Step DrawStep(pcg32& random, const std::vector<Fault>& kinds, milliseconds at) {
+// As many of the seed's own kinds as of those that come in all of them.
+Step DrawStep(pcg32& random, const std::vector<Fault>& own, milliseconds at) {
+  const bool is_own = Draw(random, 2) == 0 && !own.empty();
   Step step;
-  step.fault = kinds[Draw(random, static_cast<uint32_t>(kinds.size()))];
+  step.fault = is_own ? DrawFrom(random, own) : DrawFrom(random, kAlways);
   step.at = at;
   step.lasts =
       kShortest +
--- a/soak/plan.h
+++ b/soak/plan.h
@@ -34,6 +34,7 @@
   kRouteChange,
   kDataCentreDrain,  ///< Drained, and taken back.
   kUpstreamCold,     ///< Cold for a while, without a new start.
+  kUpstreamLimit,    ///< Names a rate limit for a while.
   kCount
 };
 
--- a/soak/promises.cc
+++ b/soak/promises.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <array>
+#include <deque>
 #include <map>
 #include <optional>
 #include <set>
@@ -17,7 +18,7 @@
     kNames = {"own-answer", "once",          "not-run",   "leaving",
               "shutdown",   "configuration", "no-return", "repeats",
               "recovery",   "caller-gone",   "timeout",   "stays-up",
-              "drained",    "cold"};
+              "drained",    "cold",          "rate-limit"};
 
 // Promises with a bound in time allow for single requests that fell between
 // two moments of observation.
@@ -69,7 +70,8 @@
         &Judgement::CheckNoReturn,  &Judgement::CheckRepeats,
         &Judgement::CheckRecovery,  &Judgement::CheckCallerGone,
         &Judgement::CheckTimeout,   &Judgement::CheckStaysUp,
-        &Judgement::CheckDrained,   &Judgement::CheckCold};
+        &Judgement::CheckDrained,   &Judgement::CheckCold,
+        &Judgement::CheckRateLimit};
     for (const Check check : checks) {
       (this->*check)();
     }
@@ -466,6 +468,49 @@
     }
   }
 
+  // Questions for its health count as well.
+  void CheckRateLimit() {
+    std::vector<ArrivalRow> sends = this->seen.arrivals;
+    sends.insert(sends.end(), this->seen.questions.begin(),
+                 this->seen.questions.end());
+    std::sort(sends.begin(), sends.end(),
+              [](const auto& a, const auto& b) { return a.at < b.at; });
+    for (const LimitRow& limit : this->seen.limits) {
+      this->CheckRateLimit(limit, sends);
+    }
+  }
+
+  void CheckRateLimit(const LimitRow& limit,
+                      const std::vector<ArrivalRow>& sends) {
+    const Duration window = this->bounds.rate_limit_window;
+    const double bound = this->bounds.rate_limit_slack +
+                         this->bounds.rate_limit_excess *
+                             limit.requests_per_second *
+                             std::chrono::duration<double>(window).count();
+    const TimePoint from =
+        limit.from + this->bounds.rate_limit_heard + this->slack;
+    std::deque<TimePoint> recent;
+    for (const ArrivalRow& row : sends) {
+      if (row.upstream != limit.upstream || row.at < from ||
+          row.at >= limit.to) {
+        continue;
+      }
+      recent.push_back(row.at);
+      while (row.at - recent.front() >= window) {
+        recent.pop_front();
+      }
+      if (static_cast<double>(recent.size()) > bound &&
+          this->IsCalm({DisturbanceKind::kUpstream, DisturbanceKind::kNode},
+                       std::nullopt, recent.front(), row.at)) {
+        this->Add(Promise::kRateLimit, {row.id}, row.at,
+                  "upstream " + std::to_string(row.upstream) + ", " +
+                      std::to_string(recent.size()) + ", bound " +
+                      std::to_string(bound));
+        return;
+      }
+    }
+  }
+
   const Observations& seen;
   const Bounds& bounds;
   const Duration slack;
--- a/soak/promises.h
+++ b/soak/promises.h
@@ -28,6 +28,7 @@
   kStaysUp,        ///< No node ends by itself.
   kDrained,        ///< A drained data centre gets nothing new.
   kCold,           ///< A cold upstream gets no more a second than its bound.
+  kRateLimit,      ///< One that names a rate limit gets about that.
   kCount
 };
 
@@ -43,6 +44,13 @@
   std::chrono::milliseconds drained{300};
   /// Requests to a cold upstream in any second, from all nodes.
   size_t cold_requests = 16;
+  /// An upstream that names a rate limit gets, so long after it began and from
+  /// all nodes, in any window no more than the excess times what it names for
+  /// that time, and the slack.
+  std::chrono::milliseconds rate_limit_heard{500};
+  std::chrono::milliseconds rate_limit_window{4000};
+  double rate_limit_excess = 1.5;
+  double rate_limit_slack = 5;
   std::chrono::milliseconds grace{6000};
   std::chrono::milliseconds loss_slack{200};
   std::chrono::milliseconds caller_gone{500};
--- a/soak/test/promises_test.cc
+++ b/soak/test/promises_test.cc
@@ -320,3 +320,33 @@
   }
   CHECK(Judge(this->seen, this->bounds).empty());
 }
+
+// An upstream that names a rate limit gets more requests and questions in four
+// seconds than one and a half times that, and five.
+TEST(Promises, RateLimit_OneMoreThanTheBound_Broken) {
+  this->seen.limits.push_back({0, 1, kStart + 10s, kStart + 16s});
+  for (int i = 0; i < 6; ++i) {
+    this->AddArrival(std::to_string(i), 12s + i * 100ms);
+    this->seen.questions.push_back({"", 0, 1, kStart + 12050ms + i * 100ms});
+  }
+  const auto broken = Judge(this->seen, this->bounds);
+  CHECK_EQUAL(1, broken.size());
+  CHECK(Promise::kRateLimit == broken[0].promise);
+}
+
+TEST(Promises, RateLimit_AsManyAsItMayGet_Kept) {
+  this->seen.limits.push_back({0, 1, kStart + 10s, kStart + 16s});
+  for (int i = 0; i < 11; ++i) {
+    this->AddArrival(std::to_string(i), 12s + i * 100ms);
+  }
+  CHECK(Judge(this->seen, this->bounds).empty());
+}
+
+// It has not said it yet, or not for long enough to be heard.
+TEST(Promises, RateLimit_BeforeItWasHeard_Kept) {
+  this->seen.limits.push_back({0, 1, kStart + 10s, kStart + 16s});
+  for (int i = 0; i < 30; ++i) {
+    this->AddArrival(std::to_string(i), 9700ms + i * 20ms);
+  }
+  CHECK(Judge(this->seen, this->bounds).empty());
+}
--- a/soak/upstreams.cc
+++ b/soak/upstreams.cc
@@ -1,6 +1,8 @@
 #include "upstreams.h"
 
+#include <array>
 #include <map>
+#include <optional>
 #include <utility>
 
 #include <boost/asio/as_tuple.hpp>
@@ -25,6 +27,9 @@
 constexpr milliseconds kEntryLapses{4500};
 constexpr milliseconds kSlowWork{200};
 constexpr double kFaultyShare = 0.5;
+constexpr std::array<double, 4> kLimits = {0, 0.5, 1.7, 6};
+// Beyond the fault's own time: the bound is one of four seconds.
+constexpr milliseconds kLimitLasts{4000};
 
 }  // namespace
 
@@ -73,6 +78,10 @@
   hooks.on_run = [this, number, service](const std::string& id) {
     this->seen.runs.push_back({id, number, service, MonotonicClock::now()});
   };
+  hooks.on_question = [this, number, data_centre] {
+    this->seen.questions.push_back(
+        {"", number, data_centre, MonotonicClock::now()});
+  };
   place.instance = std::make_unique<adapter::test::FakeUpstream>(
       this->io, "i-" + std::to_string(number), this->seed + number,
       std::move(hooks));
@@ -96,10 +105,12 @@
     co_return;
   }
   place.is_busy = true;
-  // One that leaves as it should, or is cold, is no disturbance.
+  // One that leaves as it should, is cold, or names a rate limit is no
+  // disturbance.
   std::optional<size_t> row;
   if (step.fault != Fault::kUpstreamLeave &&
-      step.fault != Fault::kUpstreamCold) {
+      step.fault != Fault::kUpstreamCold &&
+      step.fault != Fault::kUpstreamLimit) {
     row = this->seen.BeginDisturbance(DisturbanceKind::kUpstream, std::nullopt);
   }
   switch (step.fault) {
@@ -112,6 +123,9 @@
     case Fault::kUpstreamCold:
       co_await this->BeCold(place, step);
       break;
+    case Fault::kUpstreamLimit:
+      co_await this->NameLimit(place, step);
+      break;
     case Fault::kLinkSlow:
     case Fault::kLinkReset:
     case Fault::kLinkOneWay:
@@ -172,6 +186,20 @@
   co_await Sleep(step.lasts);
 }
 
+boost::asio::awaitable<void> Upstreams::NameLimit(Place& place,
+                                                  const Step& step) {
+  const double limit =
+      kLimits.at(step.target / this->places.size() % kLimits.size());
+  const TimePoint from = MonotonicClock::now();
+  const TimePoint to = from + step.lasts + kLimitLasts;
+  place.instance->conduct().rate_limit = limit;
+  this->seen.limits.push_back({place.number, limit, from, to});
+  co_await Sleep(to - from);
+  if (!this->stopped) {
+    place.instance->conduct().rate_limit = std::nullopt;
+  }
+}
+
 boost::asio::awaitable<void> Upstreams::Misbehave(Place& place,
                                                   const Step& step) {
   adapter::test::UpstreamConduct faulty;
--- a/soak/upstreams.h
+++ b/soak/upstreams.h
@@ -56,6 +56,7 @@
   boost::asio::awaitable<void> Misbehave(Place& place, const Step& step);
   boost::asio::awaitable<void> HarmLink(Place& place, const Step& step);
   boost::asio::awaitable<void> BeCold(Place& place, const Step& step);
+  boost::asio::awaitable<void> NameLimit(Place& place, const Step& step);
 
   boost::asio::io_context& io;
   adapter::test::FakeStore& store;
