Rate limits: a mechanism that can be switched off; upstreams limited and requests held are counted

Gauge of upstreams that name a limit, counter of requests that waited where limits bind all of a shard's; mechanism rate-limits, so that what keeps the promise can be shown.

--- a/packages/decision/include/basilsill/decision/dispatch.h
+++ b/packages/decision/include/basilsill/decision/dispatch.h
@@ -154,6 +154,7 @@
   bool hedge = true;           ///< A slow attempt may be doubled.
   bool speed = true;           ///< Slow moments of upstreams are waited out.
   bool spread = true;          ///< Idle upstreams before crowded ones.
+  bool rate_limits = true;     ///< What upstreams name is kept.
   bool slowness_limit = true;  ///< Nothing starts where it ends too late.
   bool leave_slow = true;      ///< From slow upstreams to another data centre.
   bool late_behind = true;     ///< What would be late lets others pass.
@@ -205,6 +206,8 @@
   uint64_t offered = 0;
   uint64_t attempts = 0;
   uint64_t hedges_won = 0;
+  /// Requests that waited where rate limits bind all upstreams.
+  uint64_t held_for_rate = 0;
 };
 
 /// State of all shards of one worker. Belongs to one thread.
@@ -269,6 +272,9 @@
   /// elsewhere; running attempts go on.
   virtual void HandBack(TimePoint now) = 0;
 
+  /// @returns upstreams that name a rate limit, as far as is known here.
+  virtual size_t CountRateLimited() const = 0;
+
   virtual ShardSummary Summarize(TimePoint now, ShardKey shard) const = 0;
 
   /// Actions since the last call of `ClearActions`, in order.
--- a/packages/decision/src/dispatch_tables.h
+++ b/packages/decision/src/dispatch_tables.h
@@ -57,9 +57,11 @@
   RequestState state = RequestState::kWaiting;
   TrafficClass queue = TrafficClass::kOrdinary;  ///< Where it waits.
   uint8_t starts = 0;
-  uint8_t sends = 0;       ///< Of those, that reached or may reach an upstream.
-  bool maybe_ran = false;  ///< Then no refusal may promise `not-run`.
-  bool answer_started = false;
+  uint8_t sends = 0;  ///< Of those, that reached or may reach an upstream.
+  // Bits: there are thousands of rows, and this fills one octet.
+  bool maybe_ran : 1 = false;  ///< Then no refusal may promise `not-run`.
+  bool answer_started : 1 = false;
+  bool held_for_rate : 1 = false;   ///< It waits where rate limits bind all.
   bool asked_idle = false;          ///< Idle upstreams were asked for its sake.
   Retry next_retry = Retry::kNone;  ///< Reason of the attempt to come.
   TimePoint offered;
--- a/packages/decision/src/dispatcher_core.h
+++ b/packages/decision/src/dispatcher_core.h
@@ -44,6 +44,7 @@
   void OnDrainSign(TimePoint now, UpstreamHandle upstream) override;
   void Tick(TimePoint now) override;
   void HandBack(TimePoint now) override;
+  size_t CountRateLimited() const override;
   ShardSummary Summarize(TimePoint now, ShardKey shard) const override;
   const std::vector<DispatchAction>& actions() const override;
   const std::vector<UpstreamEvent>& events() const override;
@@ -203,7 +204,7 @@
   void TellOwners(const RateLimitReport& report,
                   std::vector<RateLimitNews>& news) const;
   RateLimitReport ReportOf(const ShardState& shard, uint32_t place) const;
-  static void WakeForRate(TimePoint now, ShardState& shard);
+  void HoldForRate(TimePoint now, ShardState& shard, uint32_t request);
   void RefuseBeyondRate(TimePoint now, ShardState& shard);
 
   // dispatcher_tick.cc
--- a/packages/decision/src/dispatcher_rate_limit.cc
+++ b/packages/decision/src/dispatcher_rate_limit.cc
@@ -46,6 +46,9 @@
                                     uint32_t place,
                                     const ToldRateLimit& told) {
   const bool is_named = told.word == RateLimitWord::kNamed;
+  if (!this->options.features.rate_limits) {
+    return;
+  }
   if (!is_named && FindLimited(shard, place) == shard.rate_limited.end()) {
     return;
   }
@@ -131,6 +134,14 @@
   return kNoRow;
 }
 
+size_t DispatcherCore::CountRateLimited() const {
+  size_t count = 0;
+  for (uint32_t row = 0; row < this->shards.size(); ++row) {
+    count += this->shards.at(row).rate_limited.size();
+  }
+  return count;
+}
+
 std::vector<RateLimitNews> DispatcherCore::TakeRateLimitNews(TimePoint now) {
   std::vector<RateLimitNews> news;
   for (const RateLimitReport& report : std::exchange(this->ended_limits, {})) {
@@ -186,7 +197,14 @@
 }
 
 // Nothing else wakes a queue whose next request waits for an upstream's rate.
-void DispatcherCore::WakeForRate(TimePoint now, ShardState& shard) {
+void DispatcherCore::HoldForRate(TimePoint now,
+                                 ShardState& shard,
+                                 uint32_t row) {
+  RequestRow& request = this->Request(row);
+  if (IsRateBound(shard) && !request.held_for_rate) {
+    request.held_for_rate = true;
+    ++this->counts.held_for_rate;
+  }
   const double share = RateShareOf(now, shard);
   for (const RateLimitedUpstream& limited : shard.rate_limited) {
     const Duration wait = limited.quota.UntilNext(now, share);
--- a/packages/decision/src/dispatcher_start.cc
+++ b/packages/decision/src/dispatcher_start.cc
@@ -77,7 +77,7 @@
   this->SetSpeedTerms(now, shard, this->Request(request), choice);
   const uint32_t upstream = PickUpstream(now, shard, choice);
   if (upstream == kNoRow) {
-    WakeForRate(now, shard);
+    this->HoldForRate(now, shard, request);
     this->AskWhetherWarm(now, shard);
     if (choice.speed != SpeedRule::kIgnore) {
       this->Hold(now, shard, request, choice);
--- a/packages/decision/src/mechanism.cc
+++ b/packages/decision/src/mechanism.cc
@@ -53,6 +53,8 @@
               InDispatcher<&Dispatch::hedge>},
     Mechanism{"speed", "Slow moments of upstreams are asked for, waited out.",
               InDispatcher<&Dispatch::speed>},
+    Mechanism{"rate-limits", "Rate limits that upstreams name are kept.",
+              InDispatcher<&Dispatch::rate_limits>},
     Mechanism{"spread", "Idle upstreams are asked before busy ones fill up.",
               InDispatcher<&Dispatch::spread>},
     Mechanism{"leave-slow", "Requests leave a data centre that is slow now.",
--- a/packages/node/src/dispatch_host.h
+++ b/packages/node/src/dispatch_host.h
@@ -54,6 +54,10 @@
     return this->dispatcher->counters();
   }
 
+  size_t CountRateLimited() const {
+    return this->dispatcher->CountRateLimited();
+  }
+
   /// @returns requests that wait for a slot. Walks all requests.
   size_t CountQueued() const;
 
--- a/packages/node/src/metrics.h
+++ b/packages/node/src/metrics.h
@@ -103,8 +103,10 @@
   Counter probes;
   Counter probe_bytes;
   /// Sent to upstreams that name a rate limit.
+  Gauge rate_limited_upstreams;
   Counter rate_limited_requests;
   Counter rate_limited_probes;
+  Counter held_for_rate;
 
   // Links to other workers.
   LinkCounters links;
--- a/packages/node/src/metrics_table.cc
+++ b/packages/node/src/metrics_table.cc
@@ -304,6 +304,10 @@
                "",
                "Bytes of those, both ways.",
                WorkerCounter<&Worker::probe_bytes>),
+    GaugeRow("basilsill_rate_limited_upstreams",
+             "worker",
+             "Upstreams that name a rate limit, of those dispatched here.",
+             WorkerGauge<&Worker::rate_limited_upstreams>),
     CounterRow("basilsill_rate_limited_requests_total",
                "",
                "Attempts at upstreams that name a rate limit.",
@@ -312,6 +316,10 @@
                "",
                "Requests sent to such upstreams only to measure them.",
                WorkerCounter<&Worker::rate_limited_probes>),
+    CounterRow("basilsill_rate_limit_holds_total",
+               "",
+               "Requests that waited where rate limits bind all upstreams.",
+               WorkerCounter<&Worker::held_for_rate>),
 
     // Other nodes.
     GaugeRow("basilsill_links",
--- a/packages/node/src/worker.cc
+++ b/packages/node/src/worker.cc
@@ -444,6 +444,9 @@
       this->counts->retries[i].Set(dispatched[i] + entered[i]);
     }
   }
+  this->counts->held_for_rate.Set(this->dispatch_host.counters().held_for_rate);
+  this->counts->rate_limited_upstreams.Set(
+      static_cast<int64_t>(this->dispatch_host.CountRateLimited()));
   this->counts->queued.Set(
       static_cast<int64_t>(this->dispatch_host.CountQueued()));
 }
