Entry: what a dispatcher refuses does not go past it

Callers of a service with one shard whose upstreams name limits were served beyond these: the dispatcher refused within the limit (upstream-rate-limit), the entry VM found no other shard to try, and took the way past dispatchers, straight to the limited upstream. Seen by the first test with sockets, which had 200 where it expects 503: the dispatcher's own tests can't see it, and the direct path knew of no limit, as the answer that named it had come through the dispatcher.

Cause, and its class: the direct path is for VMs that reach no dispatcher, and was also taken after one had answered; a full queue or a deadline that can't be met went past the queue the same way where a service has one shard. Now a request that some dispatcher refused for its shard's sake never goes direct, and where no other shard is left its refusal stands, with its reason and Retry-After. What an answer on the direct path names is handed to the VM's own dispatcher.

--- a/packages/decision/include/basilsill/decision/rate_limit.h
+++ b/packages/decision/include/basilsill/decision/rate_limit.h
@@ -38,6 +38,12 @@
                          const RateLimitReport&) = default;
 };
 
+/// @param upstream A row of `service`.
+/// @returns the report of what it told; of no shard if no shard has it.
+RateLimitReport MakeRateLimitReport(const ServiceRow& service,
+                                    const UpstreamRow& upstream,
+                                    const ToldRateLimit& told);
+
 /// A report, and whom it is for.
 struct RateLimitNews {
   VmHandle to;
--- a/packages/decision/src/entry_choice.cc
+++ b/packages/decision/src/entry_choice.cc
@@ -30,6 +30,13 @@
   return std::find(all.begin(), all.end(), value) != all.end();
 }
 
+// A dispatcher was reached and said no. It knows more of its upstreams than
+// this VM: the way past it is for those that reach none.
+bool WasAnswered(const EntryRow& entry) {
+  return std::any_of(entry.tried_shards.begin(), entry.tried_shards.end(),
+                     [](ShardKey shard) { return shard != 0; });
+}
+
 bool IsDrained(const ServiceRow& service) {
   return !service.shards.empty() &&
          std::all_of(service.shards.begin(), service.shards.end(),
@@ -220,7 +227,8 @@
   Target target;
   if (service != nullptr && entry->choices < kMaxChoices) {
     target = this->ToDispatcher(now, *service, *entry);
-    if (target.kind == TargetKind::kCount && this->options.features.direct) {
+    if (target.kind == TargetKind::kCount && this->options.features.direct &&
+        !WasAnswered(*entry)) {
       target = this->ToUpstream(now, *service, *entry);
     }
   }
--- a/packages/decision/src/entry_router.cc
+++ b/packages/decision/src/entry_router.cc
@@ -57,6 +57,13 @@
   }
 }
 
+// The shard can't serve it; its dispatcher is well, and knows that.
+bool IsOfShard(Refusal refusal) {
+  return refusal == Refusal::kNoUpstream || refusal == Refusal::kQueueFull ||
+         refusal == Refusal::kDeadlineUnmeetable ||
+         refusal == Refusal::kUpstreamRateLimit;
+}
+
 // The dispatcher's VM is the trouble, not the shard: its successor may help.
 bool IsOfPeer(Refusal refusal) {
   return refusal == Refusal::kPeerUnreachable ||
@@ -310,7 +317,7 @@
   if (entry.request.deadline <= now) {
     return Retry::kDeniedDeadline;
   }
-  if (refusal == Refusal::kNoUpstream && !this->HasOtherPlace(now, entry)) {
+  if (IsOfShard(refusal) && !this->HasOtherPlace(now, entry)) {
     return Retry::kNone;
   }
   if (!IsFree(refusal, entry.choices) && !this->TakeRetry(now, entry.request)) {
--- a/packages/decision/src/rate_limit_memory.cc
+++ b/packages/decision/src/rate_limit_memory.cc
@@ -22,6 +22,24 @@
   return XXH3_64bits_withSeed(start.id.data(), start.id.size(), seed);
 }
 
+RateLimitReport MakeRateLimitReport(const ServiceRow& service,
+                                    const UpstreamRow& upstream,
+                                    const ToldRateLimit& told) {
+  RateLimitReport report;
+  report.upstream = KeyOfStart(service, upstream);
+  report.named = told.word == RateLimitWord::kNamed;
+  report.requests_per_second = told.requests_per_second;
+  const auto position =
+      static_cast<uint32_t>(&upstream - service.upstreams.data());
+  for (const ShardRow& shard : service.shards) {
+    const auto& all = shard.upstreams;
+    if (std::find(all.begin(), all.end(), position) != all.end()) {
+      report.shard = shard.key;
+    }
+  }
+  return report;
+}
+
 void RateLimitMemory::OnReport(TimePoint now, const RateLimitReport& report) {
   if (!report.named) {
     this->rows.erase(report.upstream);
--- a/packages/decision/test/entry_test.cc
+++ b/packages/decision/test/entry_test.cc
@@ -240,6 +240,20 @@
   CHECK(used);
 }
 
+// A dispatcher refuses within the limits of its upstreams, no other shard is
+// left, and the request goes past it to one of them.
+TEST(Entry, OnRefused_ForRateLimitsEverywhere_NotSentPastDispatchers) {
+  const EntryHandle entry = this->Admit();
+  for (int shard = 0; shard < 2; ++shard) {
+    CHECK(this->Choose(entry).kind == TargetKind::kDispatcher);
+    const RetryDecision decision =
+        this->Refuse(entry, Refusal::kUpstreamRateLimit);
+    CHECK_EQUAL(shard == 0, decision.retry);
+    CHECK(Refusal::kUpstreamRateLimit == decision.refusal);
+  }
+  CHECK(this->Choose(entry).kind == TargetKind::kRefuse);
+}
+
 TEST(Entry, OnDrainSign_DirectPath_UpstreamGetsNoNewWork) {
   this->LoseAllVms();
   this->router->OnDrainSign(this->now, {0, 0});
--- a/packages/node/src/dispatch_host.cc
+++ b/packages/node/src/dispatch_host.cc
@@ -189,6 +189,7 @@
   if (found.row == nullptr) {
     co_return ServeOutcome{false, Refusal::kNoUpstream, Duration(0)};
   }
+  const RoutingViewPtr held = this->view;  // Keeps `found` while it runs.
   AttemptTarget where = found.target();
   UpstreamAttempt attempt(this->pool, std::move(where), request, sink,
                           {[] { return true; }, [] { return false; }});
@@ -202,6 +203,12 @@
   metrics.attempts_in_flight.Add(-1);
   request.on_caller_gone = nullptr;
   this->direct_attempts.erase(place);
+  if (report.rate_limit.word == RateLimitWord::kNamed) {
+    // This VM may dispatch for it a moment later.
+    this->ImportRateLimit(
+        MonotonicClock::now(),
+        MakeRateLimitReport(*found.service, *found.row, report.rate_limit));
+  }
   if (attempt.held()) {
     co_await Deliver(*attempt.held(), sink);
   }
