Rate limits: a shard is bound by them only if all that take work name one

While siblings of a limited upstream paused for a moment, as after a shed answer, no slot counted as open, and requests were refused for the rate of the limited one, ten seconds for a limit of 0, though the siblings took work 0.2 s later. Found by reading. Now all upstreams that take work, now or after a pause, must name limits that bind them.

--- a/packages/decision/src/dispatch_tables.h
+++ b/packages/decision/src/dispatch_tables.h
@@ -194,7 +194,9 @@
   /// When asked, its upstreams also say whether they are cold.
   bool tells_cold = false;
   bool any_superseded = false;  ///< Of `upstreams`, with work to be ended.
-  uint32_t siblings = 1;        ///< Shards of the service, this one included.
+  /// Rate limits alone say how much its upstreams do, as of the scan.
+  bool rate_bound = false;
+  uint32_t siblings = 1;  ///< Shards of the service, this one included.
   std::unique_ptr<RepeatBudget> repeats;  ///< If the fleet has a bound.
   uint32_t open_slots = 0;  ///< Of upstreams that take work, as of the scan.
   uint32_t starts_since_trickle = 0;
--- a/packages/decision/src/dispatcher.cc
+++ b/packages/decision/src/dispatcher.cc
@@ -173,7 +173,7 @@
       shard.rings[static_cast<size_t>(RingKind::kInteractive)];
   const Ring& bulk = shard.rings[static_cast<size_t>(RingKind::kBulk)];
   summary.slots =
-      static_cast<uint16_t>(IsRateBound(shard) ? 1 : shard.open_slots);
+      static_cast<uint16_t>(shard.rate_bound ? 1 : shard.open_slots);
   summary.busy = static_cast<uint16_t>(shard.busy);
   summary.queued = shard.queued;
   summary.service_time = interactive.slot_time;
--- a/packages/decision/src/dispatcher_admit.cc
+++ b/packages/decision/src/dispatcher_admit.cc
@@ -138,7 +138,7 @@
   }
   // Upstreams that take one request in some seconds leave no hope that others
   // end sooner than thought.
-  if (IsRateBound(shard) && wait > request.deadline - now) {
+  if (shard.rate_bound && wait > request.deadline - now) {
     return {Refusal::kUpstreamRateLimit, this->WithJitter(wait)};
   }
   if (!this->options.features.early_refusal || wait == Duration(0) ||
@@ -148,8 +148,8 @@
   const LatencyStats& stats = shard.stats[static_cast<size_t>(traffic_class)];
   const Duration needed = wait * kWaitPercent / 100 + stats.p95();
   if (stats.known() && needed > request.deadline - now) {
-    return {IsRateBound(shard) ? Refusal::kUpstreamRateLimit
-                               : Refusal::kDeadlineUnmeetable,
+    return {shard.rate_bound ? Refusal::kUpstreamRateLimit
+                             : Refusal::kDeadlineUnmeetable,
             this->WithJitter(wait)};
   }
   return {};
@@ -184,7 +184,7 @@
                                       const ShardState& shard,
                                       RingKind ring,
                                       uint32_t ahead) const {
-  if (IsRateBound(shard)) {
+  if (shard.rate_bound) {
     return WaitWithinRate(now, shard, ahead);
   }
   const bool bulk = ring == RingKind::kBulk;
--- a/packages/decision/src/dispatcher_rate_limit.cc
+++ b/packages/decision/src/dispatcher_rate_limit.cc
@@ -100,6 +100,9 @@
 
 void DispatcherCore::OnRateLimitReport(TimePoint now,
                                        const RateLimitReport& report) {
+  if (!this->options.features.rate_limits) {
+    return;
+  }
   this->heard_limits.OnReport(now, report);
   const uint32_t row = this->shards.Find(report.shard);
   const uint32_t place = row != kNoRow ? this->PlaceOfStart(report) : kNoRow;
@@ -201,7 +204,7 @@
                                  ShardState& shard,
                                  uint32_t row) {
   RequestRow& request = this->Request(row);
-  if (IsRateBound(shard) && !request.held_for_rate) {
+  if (shard.rate_bound && !request.held_for_rate) {
     request.held_for_rate = true;
     ++this->counts.held_for_rate;
   }
@@ -217,7 +220,7 @@
 // Limits come and fall while requests wait. Those that they leave no time for
 // are told at once, the newest of whoever has most waiting first.
 void DispatcherCore::RefuseBeyondRate(TimePoint now, ShardState& shard) {
-  while (IsRateBound(shard)) {
+  while (shard.rate_bound) {
     const uint32_t last = this->queue.NewestOfLongest(shard, 0);
     if (last == kNoRow) {
       return;
--- a/packages/decision/src/shard_rate.cc
+++ b/packages/decision/src/shard_rate.cc
@@ -76,8 +76,21 @@
       std::min<double>(slots, SlotsAt(now, shard, *quota)));
 }
 
-bool IsRateBound(const ShardState& shard) {
-  return shard.open_slots == 0 && !shard.rate_limited.empty();
+bool IsRateBound(TimePoint now, const ShardState& shard) {
+  bool any_limited = false;
+  for (uint32_t place = 0;
+       place < shard.upstreams.size() && !shard.rate_limited.empty(); ++place) {
+    const UpstreamSlots& upstream = shard.upstreams[place];
+    if (!TakesWork(now, upstream) ||
+        upstream.health.grade() == UpstreamGrade::kFailing) {
+      continue;
+    }
+    if (SlotsWithinRate(now, shard, place, upstream.slots) > 0) {
+      return false;
+    }
+    any_limited = true;
+  }
+  return any_limited;
 }
 
 Duration WaitWithinRate(TimePoint now,
--- a/packages/decision/src/shard_rate.h
+++ b/packages/decision/src/shard_rate.h
@@ -31,8 +31,9 @@
                          uint32_t place,
                          uint16_t slots);
 
-/// @returns true if upstreams take work and rate limits alone say how much.
-bool IsRateBound(const ShardState& shard);
+/// @returns true if all upstreams that take work, now or after a pause, name
+/// limits that bind them: then these alone say how much the shard does.
+bool IsRateBound(TimePoint now, const ShardState& shard);
 
 /// @returns how long a request waits in a rate-bound shard behind `ahead`
 /// others.
--- a/packages/decision/src/upstream_choice.cc
+++ b/packages/decision/src/upstream_choice.cc
@@ -174,6 +174,7 @@
           SlotsWithinRate(now, shard, place, OpenSlots(now, upstream));
     }
   }
+  shard.rate_bound = IsRateBound(now, shard);
 }
 
 void Return(TimePoint now, UpstreamSlots& upstream, bool ramp) {
--- a/packages/decision/test/rate_limit_test.cc
+++ b/packages/decision/test/rate_limit_test.cc
@@ -433,6 +433,20 @@
   CHECK(this->CountRefused(Refusal::kUpstreamRateLimit) > 5);
 }
 
+// Siblings without a limit pause for a moment, and requests are refused for the
+// rate of the one that has one.
+TEST(RateLimitWays, Siblings_PauseForAMoment_WaitedFor) {
+  this->Name(0);
+  this->OfferMany(2);
+  while (!this->harness->running.empty()) {
+    this->harness->EndAt(0, DispatchHarness::Report(AttemptEnd::kShed));
+  }
+  this->OfferMany(4);
+  CHECK_EQUAL(0, this->CountRefused(Refusal::kUpstreamRateLimit));
+  this->harness->Advance(300ms);
+  CHECK_EQUAL(0, this->CountRefused(Refusal::kUpstreamRateLimit));
+}
+
 // A team that asks for much takes all that limited upstreams can do.
 TEST(RateLimitWays, TwoTeams_OneAsksForMuchMore_TheOtherIsServed) {
   const auto other = this->harness->fixture.AddTeam("fjellmagasin");
