--- a/bench/model/fleet.cc
+++ b/bench/model/fleet.cc
@@ -107,6 +107,9 @@
   Node& node = this->nodes[vm];
   const RoutingViewPtr view =
       MakeView(this->world.deployment(), vm, ++node.view_version, knowledge);
+  node.quotas.SetTeams(
+      LeaseTimeOf(this->world.now()), view->teams,
+      1.0 / static_cast<double>(this->world.deployment().vms.size()));
   node.router->ApplyView(this->world.now(), view);
   node.dispatcher->ApplyView(this->world.now(), view);
   this->RunActions(vm);
--- a/bench/model/fleet_core.h
+++ b/bench/model/fleet_core.h
@@ -6,6 +6,7 @@
 #include <vector>
 
 #include "basilsill/decision/quarantine.h"
+#include "basilsill/decision/quota_lender.h"
 #include "model/fleet.h"
 
 /// Internals of the fleet: what the shells of all VMs remember, and the
@@ -25,6 +26,7 @@
   std::shared_ptr<Quarantine> quarantine;
   std::unique_ptr<Dispatcher> dispatcher;
   std::unique_ptr<EntryRouter> router;
+  QuotaBuckets quotas;            ///< An equal share of each.
   std::vector<Attempt> attempts;  ///< By index of the handle.
   uint64_t view_version = 0;
   std::vector<bool> lost_links;  ///< By VM.
@@ -41,6 +43,11 @@
   uint32_t direct_attempt = UINT32_MAX;
 };
 
+/// VMs of the model are never suspended: their clocks are one.
+inline LeaseTime LeaseTimeOf(TimePoint time) {
+  return LeaseTime(time.time_since_epoch());
+}
+
 /// @returns the name of a request at its dispatcher.
 uint64_t CookieOf(RequestId id, uint32_t forwards);
 RequestId RequestOf(uint64_t cookie);
--- a/bench/model/fleet_entry.cc
+++ b/bench/model/fleet_entry.cc
@@ -8,6 +8,14 @@
 /// No request number comes near it.
 constexpr Fingerprint kDeadlyFingerprint = Fingerprint{1} << 40;
 
+// @returns how long `team` is beyond its quota; 0: it is not.
+Duration ClosedFor(const TeamSpec& team, QuotaBuckets& quotas, TimePoint now) {
+  if (team.limits.requests_per_second <= 0) {
+    return Duration(0);
+  }
+  return quotas.Take(LeaseTimeOf(now), MakeTeamKey(team.name), 1).retry_after;
+}
+
 }  // namespace
 
 Fingerprint Fleet::FingerprintOf(RequestId id) const {
@@ -31,8 +39,15 @@
   request.idempotent = flow.idempotent;
   request.replayable = true;
   request.fingerprint = this->FingerprintOf(id);
-  EntryRouter& router = *this->nodes[this->EntryVm(id)].router;
-  const Admission admission = router.Admit(this->world.now(), request);
+  Node& node = this->nodes[this->EntryVm(id)];
+  const Duration closed =
+      ClosedFor(this->world.deployment().teams.at(flow.team), node.quotas,
+                this->world.now());
+  if (closed > Duration(0)) {
+    this->world.Finish(id, RefusedWith(Refusal::kTeamRateLimit, closed));
+    return;
+  }
+  const Admission admission = node.router->Admit(this->world.now(), request);
   this->TicketOf(id).entry = admission.entry;
   if (!IsValid(admission.entry)) {
     this->world.Finish(id,
--- a/packages/base/include/basilsill/base/event.h
+++ b/packages/base/include/basilsill/base/event.h
@@ -52,6 +52,12 @@
   kDataCentreDrained = 316,
   kDataCentreTakenBack = 317,
   kFingerprintQuarantined = 320,
+  // 330: teams
+  kApiKeysUnverified = 330,
+  kApiKeysVerified = 331,
+  kQuotaLeaseTaken = 332,
+  kQuotaLeaseEnded = 333,
+  kQuotaLeaseFailed = 334,
   // 400: links between nodes
   kLinkOpened = 400,
   kLinkLost = 401,
--- a/packages/base/include/basilsill/base/limits.h
+++ b/packages/base/include/basilsill/base/limits.h
@@ -23,6 +23,10 @@
 inline constexpr size_t kMaxDataCentres = 64;
 inline constexpr size_t kMaxNameLength = 63;
 
+// API keys of teams.
+inline constexpr size_t kMaxApiKeyBytes = 256;
+inline constexpr size_t kMaxApiKeysPerTeam = 65536;
+
 // Requests at one worker (one traffic thread).
 inline constexpr size_t kMaxRequestsPerWorker = 16384;
 inline constexpr size_t kMaxQueuePerShard = 4096;
@@ -67,6 +71,9 @@
 inline constexpr size_t kMaxCrashReports = 256;
 inline constexpr size_t kMaxRateLimitReports = 256;
 
+/// Teams whose quota one message asks for or lends from.
+inline constexpr size_t kMaxQuotaTeams = 256;
+
 /// Records of the platform that one VM hands on to others in a message; more
 /// are read by each for itself.
 inline constexpr size_t kMaxNewsBytes = 128 * 1024;
--- a/packages/base/include/basilsill/base/reason.h
+++ b/packages/base/include/basilsill/base/reason.h
@@ -54,6 +54,10 @@
   kMemoryLimit,
   kDrained,
   kUpstreamRateLimit,
+  kApiKeyUnknown,
+  kApiKeyMalformed,
+  kApiKeysUnverified,
+  kQuotaUnavailable,
   kCount
 };
 
--- a/packages/base/include/basilsill/base/time.h
+++ b/packages/base/include/basilsill/base/time.h
@@ -4,8 +4,8 @@
 #include <chrono>
 #include <cstdint>
 
-/// The two clocks of the project. Decision code never reads a clock: it is
-/// handed a time point by the shell, or by a test in virtual time.
+/// The clocks of the project. Decision code never reads a clock: it is handed a
+/// time point by the shell, or by a test in virtual time.
 
 namespace basilsill {
 
@@ -26,6 +26,20 @@
 };
 using TimePoint = MonotonicClock::time_point;
 
+/// As MonotonicClock, but goes on while the VM is suspended: for what has to
+/// end in time however long the process stands still.
+struct LeaseClock {
+  using rep = int64_t;
+  using period = std::nano;
+  using duration = Duration;
+  using time_point = std::chrono::time_point<LeaseClock, Duration>;
+  static constexpr bool is_steady = true;  // NOLINT: the standard's name.
+
+  /// @returns the time now. For shells only.
+  static time_point now();
+};
+using LeaseTime = LeaseClock::time_point;
+
 /// Calendar time, as keys and records carry it. Never used for safety.
 using WallTime = std::chrono::sys_time<std::chrono::milliseconds>;
 
--- a/packages/base/src/reason.cc
+++ b/packages/base/src/reason.cc
@@ -47,6 +47,10 @@
         {"memory-limit", 503, kNotRun, true, false},
         {"drained", 503, kNotRun, true, false},
         {"upstream-rate-limit", 503, kNotRun, true, true},
+        {"api-key-unknown", 401, kNotRun, false, false},
+        {"api-key-malformed", 401, kNotRun, false, false},
+        {"api-keys-unverified", 503, kNotRun, true, false},
+        {"quota-unavailable", 503, kNotRun, true, false},
     }};
 
 constexpr std::array<std::string_view, static_cast<size_t>(Retry::kCount)>
--- a/packages/decision/include/basilsill/decision/claim_key.h
+++ b/packages/decision/include/basilsill/decision/claim_key.h
@@ -50,7 +50,7 @@
 /// counts. For the body of a request: method, target and body.
 Digest DigestOf(std::span<const std::string_view> parts);
 
-/// Names a team on every VM alike.
+/// Names a team on every VM alike: a hash of its name.
 using TeamKey = uint64_t;
 
 TeamKey MakeTeamKey(std::string_view team);
--- a/packages/decision/include/basilsill/decision/declared_configuration.h
+++ b/packages/decision/include/basilsill/decision/declared_configuration.h
@@ -38,6 +38,16 @@
   std::chrono::milliseconds target_latency{0};
   uint8_t max_attempts = 1;
   uint32_t priority = 0;  ///< 0 is the most urgent.
+  bool requires_api_key = false;
+};
+
+struct DeclaredTeam {
+  std::string name;
+  std::vector<ApiKeyDigest> api_keys;
+  /// Goes before the priority of the route; absent: the route's counts.
+  std::optional<uint32_t> priority;
+  double requests_per_second = 0;  ///< 0 is no limit.
+  double burst = 0;
 };
 
 struct DeclaredService {
@@ -50,6 +60,7 @@
   uint64_t version = 0;
   std::vector<DeclaredRoute> routes;
   std::vector<DeclaredService> services;
+  std::vector<DeclaredTeam> teams;
   CallerLimits callers;
 };
 
@@ -61,7 +72,8 @@
 };
 
 /// @returns what stands against serving by `configuration`: a reference to a
-/// service that it does not have, or a name that stands twice.
+/// service that it does not have, a name that stands twice, or a key of two
+/// teams.
 std::vector<Failure> CheckDeclared(const DeclaredConfiguration& configuration);
 
 /// The state that views are built from. A change of one upstream costs what its
--- a/packages/decision/include/basilsill/decision/news_plan.h
+++ b/packages/decision/include/basilsill/decision/news_plan.h
@@ -24,6 +24,10 @@
 /// freezes is missed by nobody.
 inline constexpr size_t kRelaysPerDataCentre = 2;
 
+/// @returns the VMs that tell `data_centre`, in the order of work.
+std::vector<VmHandle> TellersOf(const std::vector<VmRow>& vms,
+                                DataCentreHandle data_centre);
+
 struct NewsPlan {
   /// Place of this VM in the order in which VMs read for all; the number of VMs
   /// if it has none. Those that tell come first, by size.
--- a/packages/decision/include/basilsill/decision/resource.h
+++ b/packages/decision/include/basilsill/decision/resource.h
@@ -11,6 +11,7 @@
 #include <vector>
 
 #include "basilsill/base/error.h"
+#include "basilsill/decision/api_keys.h"
 #include "basilsill/decision/view.h"
 
 /// The resources that operators declare, and their JSON form. The codec is
@@ -42,6 +43,9 @@
 
 struct TeamSpec {
   TeamLimits limits;
+  std::vector<ApiKeyDigest> api_keys{};
+  /// Goes before the class of the rule; absent: the rule's counts.
+  std::optional<TrafficClass> traffic_class{};
 
   friend bool operator==(const TeamSpec&, const TeamSpec&) = default;
 };
@@ -107,6 +111,7 @@
   bool once = false;
   bool idempotent = false;
   bool hedge = false;
+  bool requires_api_key = false;
   std::chrono::milliseconds deadline = limits::kDefaultDeadline;
   std::shared_ptr<const RuleTerms> terms{};  ///< Null: none are declared.
 };
--- a/packages/decision/include/basilsill/decision/topic_follower.h
+++ b/packages/decision/include/basilsill/decision/topic_follower.h
@@ -101,6 +101,9 @@
   /// @returns true once the newest records were listed whole.
   bool is_whole() const { return this->whole; }
 
+  /// @returns true while nothing is known to be missing before `offset()`.
+  bool is_gapless() const { return this->whole && !this->listing; }
+
   /// @returns true while the store answers.
   bool available() const { return this->failures == 0; }
 
--- a/packages/decision/include/basilsill/decision/view.h
+++ b/packages/decision/include/basilsill/decision/view.h
@@ -21,6 +21,7 @@
 
 namespace basilsill {
 
+class ApiKeyTable;
 struct VmTag;
 struct DataCentreTag;
 struct TeamTag;
@@ -52,8 +53,9 @@
 struct TeamLimits {
   uint32_t concurrency = 1024;     ///< Requests in the system, per VM.
   uint32_t queue = 512;            ///< Requests waiting, per shard.
-  double requests_per_second = 0;  ///< Per VM; 0 is no limit.
+  double requests_per_second = 0;  ///< Of all VMs together; 0 is no limit.
   uint32_t weight = 1;             ///< Share in fair queueing.
+  double burst = 0;  ///< Requests that may come at once beyond the rate.
 
   friend bool operator==(const TeamLimits&, const TeamLimits&) = default;
 };
@@ -73,6 +75,8 @@
   TeamHandle handle;
   std::string name;
   TeamLimits limits;
+  /// Goes before the class of the rule; absent: the rule's counts.
+  std::optional<TrafficClass> traffic_class{};
 };
 
 /// One start of an upstream that says who it is. It may start again under the
@@ -167,6 +171,8 @@
   bool once = false;        ///< Must not repeat: needs a claim to run.
   bool idempotent = false;  ///< As declared; safe methods always are.
   bool hedge = false;       ///< A slow attempt may be doubled.
+  /// Only callers with a team's API key are let through.
+  bool requires_api_key = false;
   std::chrono::milliseconds deadline = limits::kDefaultDeadline;
   std::chrono::milliseconds timeout{0};         ///< 0: none but the deadline.
   std::chrono::milliseconds target_latency{0};  ///< 0: not known.
@@ -214,6 +220,8 @@
   VmHandle self;
   DataCentreHandle own_data_centre;
   std::vector<TeamRow> teams;
+  /// Of all teams; never null.
+  std::shared_ptr<const ApiKeyTable> api_keys;
   std::vector<std::shared_ptr<const ServiceRow>> services;
   std::vector<RuleRow> rules;          ///< By handle.
   std::vector<RuleHandle> rule_order;  ///< Most specific first.
--- a/packages/decision/src/configuration_check.cc
+++ b/packages/decision/src/configuration_check.cc
@@ -2,6 +2,7 @@
 // and addresses that are taken, capacities.
 
 #include <algorithm>
+#include <set>
 #include <string>
 #include <utility>
 
@@ -64,6 +65,28 @@
          a.methods == b.methods && SameHeaders(a, b);
 }
 
+// A key says for which team its caller asks, so no two may have it.
+void CheckApiKeys(const ConfigurationState& state,
+                  const std::string& name,
+                  const TeamSpec& team,
+                  std::vector<Failure>& out) {
+  if (team.api_keys.empty()) {
+    return;
+  }
+  const std::set<ApiKeyDigest> keys(team.api_keys.begin(), team.api_keys.end());
+  for (const auto& [other, entry] : state.Table(ResourceKind::kTeam)) {
+    const auto& spec = ConfigurationState::SpecOf<TeamSpec>(entry);
+    const bool is_shared =
+        other != name &&
+        std::any_of(spec.api_keys.begin(), spec.api_keys.end(),
+                    [&keys](const auto& key) { return keys.contains(key); });
+    if (is_shared) {
+      out.push_back({FailureKind::kDuplicate, "/api_keys",
+                     "team '" + other + "' has one of them"});
+    }
+  }
+}
+
 }  // namespace
 
 std::vector<Failure> ConfigurationState::Check(const Change& change) const {
@@ -123,7 +146,9 @@
 void ConfigurationState::CheckSpec(const ResourceId& id,
                                    const ResourceSpec& spec,
                                    std::vector<Failure>& out) const {
-  if (const auto* service = std::get_if<ServiceSpec>(&spec)) {
+  if (const auto* team = std::get_if<TeamSpec>(&spec)) {
+    CheckApiKeys(*this, id.name, *team, out);
+  } else if (const auto* service = std::get_if<ServiceSpec>(&spec)) {
     CheckReference(*this, ResourceKind::kTeam, service->team, "/team", out);
   } else if (const auto* set = std::get_if<UpstreamSetSpec>(&spec)) {
     CheckReference(*this, ResourceKind::kService, set->service, "/service",
--- a/packages/decision/src/declared_configuration.cc
+++ b/packages/decision/src/declared_configuration.cc
@@ -10,9 +10,12 @@
 namespace basilsill {
 namespace {
 
-// These installations do not tell teams apart. The one team has no limits of
-// its own: what bounds it is the room of the upstreams and the process.
-constexpr std::string_view kOnlyTeam = "all";
+// Who asks without a key is of one team that stands for all. No declared team
+// has its name, since a header can't carry it as a whole.
+constexpr std::string_view kCommonTeam = "all callers";
+
+// Teams have no limits but their quotas: what bounds them is the room of the
+// upstreams and the process.
 constexpr uint32_t kNoTeamLimit = limits::kMaxRequestsPerWorker;
 
 ResourceEntry MakeEntry(std::string name, ResourceSpec spec, uint64_t version) {
@@ -27,12 +30,44 @@
   return key.service + " in " + key.data_centre;
 }
 
-RuleSpec RuleOf(const DeclaredRoute& route, bool urgent) {
+// Where room is short, teams share it as their quotas say.
+uint32_t WeightOf(const DeclaredTeam& team) {
+  const double rate = team.requests_per_second;
+  if (rate <= 0) {
+    return limits::kMaxTeamWeight;
+  }
+  return static_cast<uint32_t>(
+      std::clamp(rate, 1.0, double{limits::kMaxTeamWeight}));
+}
+
+TrafficClass ClassOf(uint32_t priority, uint32_t most_urgent) {
+  return priority == most_urgent ? TrafficClass::kUrgent
+                                 : TrafficClass::kOrdinary;
+}
+
+// @returns the most urgent priority that requests can have.
+uint32_t MostUrgent(const DeclaredConfiguration& configuration) {
+  uint32_t most_urgent = UINT32_MAX;
+  bool routes_count = configuration.teams.empty();
+  for (const DeclaredTeam& team : configuration.teams) {
+    most_urgent = std::min(most_urgent, team.priority.value_or(UINT32_MAX));
+    routes_count = routes_count || !team.priority;
+  }
+  for (const DeclaredRoute& route : configuration.routes) {
+    if (routes_count || !route.requires_api_key) {
+      most_urgent = std::min(most_urgent, route.priority);
+    }
+  }
+  return most_urgent;
+}
+
+RuleSpec RuleOf(const DeclaredRoute& route, uint32_t most_urgent) {
   RuleSpec rule;
   rule.service = route.services.front().service;
   rule.match.host = route.host;
   rule.match.path_prefix = route.path_prefix;
-  rule.traffic_class = urgent ? TrafficClass::kUrgent : TrafficClass::kOrdinary;
+  rule.traffic_class = ClassOf(route.priority, most_urgent);
+  rule.requires_api_key = route.requires_api_key;
   rule.idempotent = route.kind != RouteKind::kUnsafe;
   rule.hedge = route.kind == RouteKind::kSafe;
   rule.deadline = route.timeout;
@@ -51,10 +86,10 @@
 class DeclaredResources {
  public:
   explicit DeclaredResources(const DeclaredConfiguration& configuration)
-      : configuration(configuration) {}
+      : configuration(configuration), most_urgent(MostUrgent(configuration)) {}
 
   std::vector<ResourceEntry> Make() {
-    this->AddTeam();
+    this->AddTeams();
     this->AddServices();
     this->AddRules();
     this->AddLimits();
@@ -67,17 +102,28 @@
         MakeEntry(std::move(name), std::move(spec), version));
   }
 
-  void AddTeam() {
-    TeamSpec team;
-    team.limits.concurrency = kNoTeamLimit;
-    team.limits.queue = kNoTeamLimit;
-    this->Add(std::string(kOnlyTeam), team, 0);
+  void AddTeams() {
+    TeamSpec common;
+    common.limits.concurrency = kNoTeamLimit;
+    common.limits.queue = kNoTeamLimit;
+    this->Add(std::string(kCommonTeam), common, 0);
+    for (const DeclaredTeam& team : this->configuration.teams) {
+      TeamSpec spec = common;
+      spec.api_keys = team.api_keys;
+      spec.limits.requests_per_second = team.requests_per_second;
+      spec.limits.burst = team.burst;
+      spec.limits.weight = WeightOf(team);
+      if (team.priority) {
+        spec.traffic_class = ClassOf(*team.priority, this->most_urgent);
+      }
+      this->Add(team.name, spec, this->configuration.version);
+    }
   }
 
   void AddServices() {
     for (const DeclaredService& service : this->configuration.services) {
       ServiceSpec spec;
-      spec.team = kOnlyTeam;
+      spec.team = kCommonTeam;
       spec.health_path = service.health_path;
       spec.cold = service.cold;
       this->Add(service.name, spec, this->configuration.version);
@@ -85,12 +131,8 @@
   }
 
   void AddRules() {
-    uint32_t most_urgent = UINT32_MAX;
-    for (const DeclaredRoute& route : this->configuration.routes) {
-      most_urgent = std::min(most_urgent, route.priority);
-    }
     for (const DeclaredRoute& route : this->configuration.routes) {
-      this->Add(route.name, RuleOf(route, route.priority == most_urgent),
+      this->Add(route.name, RuleOf(route, this->most_urgent),
                 this->configuration.version);
     }
   }
@@ -103,9 +145,31 @@
   }
 
   const DeclaredConfiguration& configuration;
+  uint32_t most_urgent;
   std::vector<ResourceEntry> entries;
 };
 
+// No key is named in a failure: failures are logged.
+void CheckTeams(const DeclaredConfiguration& configuration,
+                std::vector<Failure>& failures) {
+  std::set<std::string_view> names = {kCommonTeam};
+  std::map<ApiKeyDigest, std::string_view> holders;
+  for (const DeclaredTeam& team : configuration.teams) {
+    if (!names.insert(team.name).second) {
+      failures.push_back(
+          {FailureKind::kDuplicate, team.name, "team stands twice"});
+    }
+    for (const ApiKeyDigest& digest : team.api_keys) {
+      const auto [place, is_new] = holders.emplace(digest, team.name);
+      if (!is_new && place->second != team.name) {
+        failures.push_back(
+            {FailureKind::kDuplicate, team.name,
+             "holds a key of team " + std::string(place->second)});
+      }
+    }
+  }
+}
+
 }  // namespace
 
 std::vector<Failure> CheckDeclared(const DeclaredConfiguration& configuration) {
@@ -134,6 +198,7 @@
       }
     }
   }
+  CheckTeams(configuration, failures);
   return failures;
 }
 
--- a/packages/decision/src/entry_core.h
+++ b/packages/decision/src/entry_core.h
@@ -75,12 +75,6 @@
     TimePoint avoided_until{};  ///< It said that it shuts down.
   };
 
-  // What the retries of one service and team are paid from.
-  struct Budget {
-    RatioBudget own;
-    std::unique_ptr<RepeatBudget> fleet;  ///< If the fleet has a bound.
-  };
-
   // entry_router.cc
   Admission Reject(Refusal refusal, Duration retry_after);
   void EndAttempt(TimePoint now, EntryRow& entry, Refusal refusal);
@@ -90,7 +84,8 @@
                    Refusal refusal,
                    bool is_direct);
   LinkState& LinkOf(VmHandle vm);
-  Budget& BudgetOf(const EntryRequest& request);
+  RatioBudget& BudgetOf(const EntryRequest& request);
+  RepeatBudget& FleetBudgetOf(const EntryRequest& request);
   void CountRequest(TimePoint now, const EntryRequest& request);
   bool TakeRetry(TimePoint now, const EntryRequest& request);
 
@@ -131,7 +126,11 @@
   DirectPath direct;
   PeerSilence silence;
   std::vector<LinkState> links;  ///< By index of the VM's handle.
-  boost::unordered_flat_map<uint64_t, Budget> budgets;
+  /// What retries are paid from, by service and team.
+  boost::unordered_flat_map<uint64_t, RatioBudget> budgets;
+  /// The same by service, where the fleet has a bound.
+  boost::unordered_flat_map<uint32_t, std::unique_ptr<RepeatBudget>>
+      fleet_budgets;
   pcg32 random;
   EntryCounters counts;
 };
--- a/packages/decision/src/entry_router.cc
+++ b/packages/decision/src/entry_router.cc
@@ -86,6 +86,7 @@
       direct(options.seed),
       random(options.seed) {
   this->budgets.reserve(kBudgetReserve);
+  this->fleet_budgets.reserve(limits::kMaxServices);
 }
 
 void EntryCore::ApplyView(TimePoint, const RoutingViewPtr& new_view) {
@@ -170,7 +171,7 @@
     return this->Reject(Refusal::kMemoryLimit, kRetryAfter);
   }
   if (this->options.features.limits) {
-    const Admission admission = this->teams.Enter(now, *team);
+    const Admission admission = this->teams.Enter(*team);
     if (admission.refusal != Refusal::kNone) {
       return this->Reject(admission.refusal, admission.retry_after);
     }
@@ -188,38 +189,42 @@
   return {{}, refusal, retry_after};
 }
 
-EntryCore::Budget& EntryCore::BudgetOf(const EntryRequest& request) {
+RatioBudget& EntryCore::BudgetOf(const EntryRequest& request) {
   const uint64_t key =
       uint64_t{request.service.index} << 32 | request.team.index;
   const auto [place, is_new] = this->budgets.try_emplace(key);
-  Budget& budget = place->second;
   if (is_new) {
-    budget.own = RatioBudget::Create(this->options.retry_budget);
+    place->second = RatioBudget::Create(this->options.retry_budget);
   }
-  if (is_new && this->options.repeats) {
-    budget.fleet = std::make_unique<RepeatBudget>();
+  return place->second;
+}
+
+// The fleet's bound is one of each service, whichever team asks.
+RepeatBudget& EntryCore::FleetBudgetOf(const EntryRequest& request) {
+  const auto [place, is_new] =
+      this->fleet_budgets.try_emplace(request.service.index);
+  if (is_new) {
+    place->second = std::make_unique<RepeatBudget>();
   }
-  return budget;
+  return *place->second;
 }
 
 void EntryCore::CountRequest(TimePoint now, const EntryRequest& request) {
-  Budget& budget = this->BudgetOf(request);
-  budget.own.OnRequest(now, this->options.retry_budget);
+  this->BudgetOf(request).OnRequest(now, this->options.retry_budget);
   if (this->options.repeats) {
-    budget.fleet->OnRequest(now, *this->options.repeats);
+    this->FleetBudgetOf(request).OnRequest(now, *this->options.repeats);
   }
 }
 
 // Every VM that is known counts, also one that seems gone: VMs that do not see
 // each other must not spend the same part of the fleet's slack.
 bool EntryCore::TakeRetry(TimePoint now, const EntryRequest& request) {
-  Budget& budget = this->BudgetOf(request);
   if (!this->options.repeats) {
-    return budget.own.Take();
+    return this->BudgetOf(request).Take();
   }
   RepeatBudgetOptions part = *this->options.repeats;
   part.slack /= std::max<uint32_t>(1, this->known_vms);
-  return budget.fleet->Take(now, part);
+  return this->FleetBudgetOf(request).Take(now, part);
 }
 
 // The attempt that `Choose` began is over.
@@ -333,7 +338,7 @@
   }
   this->EndAttempt(now, *entry, Refusal::kNone);
   if (this->options.features.limits) {
-    this->teams.Leave(now, entry->request.team, now - entry->admitted);
+    this->teams.Leave(entry->request.team, now - entry->admitted);
   }
   this->entries.Destroy(handle);
 }
--- a/packages/decision/src/news_plan.cc
+++ b/packages/decision/src/news_plan.cc
@@ -34,6 +34,16 @@
 
 }  // namespace
 
+std::vector<VmHandle> TellersOf(const std::vector<VmRow>& vms,
+                                DataCentreHandle data_centre) {
+  std::vector<VmHandle> others;
+  std::vector<VmHandle> tellers = Tellers(vms, others);
+  std::erase_if(tellers, [&vms, data_centre](VmHandle vm) {
+    return vms[vm.index].data_centre != data_centre;
+  });
+  return tellers;
+}
+
 NewsPlan PlanNews(const std::vector<VmRow>& vms, VmHandle self) {
   std::vector<VmHandle> others;
   const std::vector<VmHandle> tellers = Tellers(vms, others);
--- /dev/null
+++ b/packages/decision/src/quota_buckets.cc
@@ -0,0 +1,120 @@
+#include <algorithm>
+#include <cmath>
+
+#include "basilsill/decision/quota_lender.h"
+
+namespace basilsill {
+namespace {
+
+using std::chrono::milliseconds;
+using Seconds = std::chrono::duration<double>;
+
+// One request is let through at a time, however small the share.
+constexpr double kMinCapacity = 1;
+
+// Who gets too few asks again within this time, and before the bucket could
+// run over: what does not fit is lost to the team.
+constexpr milliseconds kMinRetryAfter{10};
+constexpr milliseconds kMaxRetryAfter{1000};
+constexpr double kFillPart = 0.5;
+
+// A team that this VM has not heard of yet.
+constexpr milliseconds kUnknownRetryAfter{100};
+
+Duration FromSeconds(double seconds) {
+  return std::chrono::duration_cast<Duration>(Seconds(seconds));
+}
+
+}  // namespace
+
+void QuotaBuckets::SetTeams(LeaseTime now,
+                            const std::vector<TeamRow>& teams,
+                            double part) {
+  for (auto& [key, bucket] : this->buckets) {
+    bucket.is_listed = false;
+  }
+  for (const TeamRow& team : teams) {
+    if (!IsValid(team.handle) || team.limits.requests_per_second <= 0) {
+      continue;
+    }
+    const auto [place, is_new] =
+        this->buckets.try_emplace(MakeTeamKey(team.name));
+    Bucket& bucket = place->second;
+    if (!is_new) {
+      Refill(now, bucket);
+    }
+    bucket.is_listed = true;
+    bucket.filled = now;
+    bucket.rate = part * team.limits.requests_per_second;
+    bucket.capacity = std::max(kMinCapacity, part * team.limits.burst);
+    bucket.level =
+        is_new ? kMinCapacity : std::min(bucket.level, bucket.capacity);
+  }
+  std::erase_if(this->buckets,
+                [](const auto& entry) { return !entry.second.is_listed; });
+}
+
+// One credit each is left: a team of few requests would else wait for seconds
+// after each change of lenders.
+void QuotaBuckets::Empty(LeaseTime now) {
+  for (auto& [key, bucket] : this->buckets) {
+    bucket.level = kMinCapacity;
+    bucket.filled = now;
+  }
+}
+
+void QuotaBuckets::Fill(LeaseTime now) {
+  for (auto& [key, bucket] : this->buckets) {
+    bucket.level = bucket.capacity;
+    bucket.filled = now;
+  }
+}
+
+void QuotaBuckets::Refill(LeaseTime now, Bucket& bucket) {
+  const Seconds passed = now - bucket.filled;
+  bucket.level =
+      std::min(bucket.capacity, bucket.level + passed.count() * bucket.rate);
+  bucket.filled = now;
+}
+
+QuotaGrant QuotaBuckets::Take(LeaseTime now, TeamKey team, uint32_t wanted) {
+  QuotaGrant grant;
+  grant.team = team;
+  const auto found = this->buckets.find(team);
+  if (found == this->buckets.end()) {
+    grant.retry_after = kUnknownRetryAfter;
+    return grant;
+  }
+  Bucket& bucket = found->second;
+  Refill(now, bucket);
+  const auto whole = static_cast<uint32_t>(std::floor(bucket.level));
+  grant.granted = std::min(wanted, whole);
+  bucket.level -= grant.granted;
+  if (grant.granted < wanted) {
+    grant.retry_after = RetryAfter(now, bucket);
+  }
+  return grant;
+}
+
+Duration QuotaBuckets::RetryAfter(LeaseTime now, Bucket& bucket) {
+  const Duration pace = FromSeconds(1 / bucket.rate);
+  bucket.next_return = std::max(now, bucket.next_return) + pace;
+  const Duration fills = FromSeconds(kFillPart * bucket.capacity / bucket.rate);
+  const Duration longest =
+      std::clamp<Duration>(fills, kMinRetryAfter, kMaxRetryAfter);
+  const Duration after = std::min(bucket.next_return - now, longest);
+  bucket.next_return = now + after;
+  return std::max<Duration>(after, kMinRetryAfter);
+}
+
+void QuotaBuckets::Put(LeaseTime now, TeamKey team, uint32_t count) {
+  const auto found = this->buckets.find(team);
+  if (found == this->buckets.end()) {
+    return;
+  }
+  Bucket& bucket = found->second;
+  Refill(now, bucket);
+  bucket.level = std::min(bucket.capacity, bucket.level + count);
+}
+
+}  // namespace basilsill
--- /dev/null
+++ b/packages/decision/src/quota_office.cc
@@ -0,0 +1,220 @@
+#include "basilsill/decision/quota_office.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "basilsill/decision/news_plan.h"
+
+namespace basilsill {
+namespace {
+
+// In the number of a question, who of this VM asks: 0 for its lender, else a
+// worker.
+constexpr unsigned kWorkerShift = 48;
+constexpr uint64_t kNumberMask = (uint64_t{1} << kWorkerShift) - 1;
+
+uint64_t NumberOf(uint16_t worker, uint64_t number) {
+  return (uint64_t{worker} + 1) << kWorkerShift | (number & kNumberMask);
+}
+
+QuotaLender::Past PastOf(const QuotaLease& lease) {
+  if (lease.was_unused()) {
+    return QuotaLender::Past::kUnused;
+  }
+  return lease.was_own() ? QuotaLender::Past::kOwn
+                         : QuotaLender::Past::kUnknown;
+}
+
+bool HasQuota(const TeamRow& team) {
+  return IsValid(team.handle) && team.limits.requests_per_second > 0;
+}
+
+// Those that seem gone count as well: they may lend on, unseen.
+size_t CountVms(const RoutingView& view) {
+  const auto count =
+      std::count_if(view.vms.begin(), view.vms.end(),
+                    [](const VmRow& vm) { return IsValid(vm.handle); });
+  return std::max<size_t>(1, static_cast<size_t>(count));
+}
+
+}  // namespace
+
+QuotaOffice::QuotaOffice(QuotaOfficeOptions given)
+    : options(std::move(given)),
+      own_lease(this->options.vm, this->options.incarnation) {
+  std::vector<std::string>& shares = this->options.shares;
+  std::sort(shares.begin(), shares.end());
+  const auto own =
+      std::find(shares.begin(), shares.end(), this->options.data_centre);
+  this->own_share = static_cast<uint16_t>(own - shares.begin());
+}
+
+void QuotaOffice::ApplyView(LeaseTime now, const RoutingView& view) {
+  this->self = view.self;
+  const size_t shares =
+      this->HasShares() ? this->options.shares.size() : CountVms(view);
+  this->lender.SetTeams(now, view.teams, 1.0 / static_cast<double>(shares));
+  if (!this->HasShares()) {
+    this->choice.SetCandidates({this->self});
+    this->lender.Begin(now, QuotaLender::Past::kUnknown);
+    return;
+  }
+  this->SetCandidates(view);
+  // A lease that is there before the first request costs it no time.
+  const bool has_quotas =
+      std::any_of(view.teams.begin(), view.teams.end(), &HasQuota);
+  if (has_quotas && this->IsFirst()) {
+    this->own_lease.OnNeeded(now, true);
+  }
+}
+
+void QuotaOffice::SetCandidates(const RoutingView& view) {
+  std::vector<std::vector<VmHandle>> others;
+  for (const std::string& name : this->options.shares) {
+    std::vector<VmHandle> tellers;
+    for (const DataCentreRow& row : view.data_centres) {
+      if (IsValid(row.handle) && row.name == name) {
+        tellers = TellersOf(view.vms, row.handle);
+      }
+    }
+    if (name == this->options.data_centre) {
+      this->candidates = std::move(tellers);
+    } else {
+      others.push_back(std::move(tellers));
+    }
+  }
+  this->choice.SetCandidates(this->candidates);
+  this->lender.SetOthers(others);
+}
+
+bool QuotaOffice::IsFirst() const {
+  return !this->candidates.empty() && this->candidates.front() == this->self;
+}
+
+void QuotaOffice::Ask(LeaseTime now, uint16_t worker, QuotaRequest request) {
+  Asked& last = this->asked[worker];
+  if (!last.answered) {
+    this->choice.PassOver(last.vm);
+  }
+  const VmHandle vm = this->choice.current();
+  last = {vm, request.number, false};
+  if (!IsValid(vm)) {
+    this->Decline(worker, request.number);
+    return;
+  }
+  if (vm == this->self) {
+    this->Lend(now, {{}, worker}, request);
+    return;
+  }
+  request.number = NumberOf(worker, request.number);
+  this->lender.Send({{vm, 0}, std::move(request)});
+}
+
+void QuotaOffice::Decline(uint16_t worker, uint64_t number) {
+  this->asked[worker].answered = true;
+  QuotaAnswer answer;
+  answer.number = number & kNumberMask;
+  this->lender.Send({{{}, worker}, answer});
+}
+
+void QuotaOffice::OnUnsent(LeaseTime now, const QuotaSend& send) {
+  const auto* request = std::get_if<QuotaRequest>(&send.message);
+  if (request == nullptr) {
+    return;
+  }
+  QuotaAnswer answer;
+  answer.number = request->number;
+  this->OnAnswer(now, send.to.vm, answer);
+}
+
+// A VM may link before this one knows it; it can't be answered.
+void QuotaOffice::OnRequest(LeaseTime now,
+                            VmHandle from,
+                            const QuotaRequest& request) {
+  if (IsValid(from)) {
+    this->Lend(now, {from, 0}, request);
+  }
+}
+
+void QuotaOffice::Lend(LeaseTime now,
+                       const QuotaAsker& from,
+                       const QuotaRequest& request) {
+  if (this->HasShares()) {
+    this->own_lease.OnNeeded(now, this->IsFirst());
+    this->Sync(now);
+  }
+  const bool is_own = !IsValid(from.vm);
+  if (is_own) {
+    this->asked[from.worker].answered = true;
+  }
+  if (is_own && this->HasShares() && !this->is_lending) {
+    this->choice.PassOver(this->self);
+  }
+  this->lender.OnRequest(now, from, request);
+}
+
+void QuotaOffice::OnAnswer(LeaseTime now,
+                           VmHandle from,
+                           const QuotaAnswer& answer) {
+  const uint64_t asker = answer.number >> kWorkerShift;
+  if (asker == 0) {
+    this->lender.OnAnswer(now, from, answer);
+    return;
+  }
+  const auto worker = static_cast<uint16_t>(asker - 1);
+  QuotaAnswer own = answer;
+  own.number = answer.number & kNumberMask;
+  Asked& last = this->asked[worker];
+  if (last.vm == from && (last.number & kNumberMask) == own.number) {
+    last.answered = true;
+  }
+  if (!answer.lends) {
+    this->choice.PassOver(from);
+  }
+  this->lender.Send({{{}, worker}, std::move(own)});
+}
+
+void QuotaOffice::Tick(LeaseTime now) {
+  this->lender.Tick(now);
+  if (this->HasShares()) {
+    this->Sync(now);
+  }
+}
+
+// Lends exactly as long as the lease holds.
+void QuotaOffice::Sync(LeaseTime now) {
+  const bool holds = this->own_lease.Holds(now);
+  if (holds && !this->is_lending) {
+    this->lender.Begin(now, PastOf(this->own_lease));
+  } else if (!holds) {
+    this->lender.End();
+  }
+  this->is_lending = holds;
+}
+
+QuotaLeaseCall QuotaOffice::NextLeaseCall(LeaseTime now) {
+  if (!this->HasShares()) {
+    return QuotaLeaseCall::kNone;
+  }
+  const QuotaLeaseCall call = this->own_lease.NextCall(now);
+  this->Sync(now);
+  return call;
+}
+
+void QuotaOffice::OnLeaseRead(LeaseTime now,
+                              const std::optional<QuotaLeaseRecord>& record,
+                              uint64_t end) {
+  this->own_lease.OnRead(now, record, end);
+}
+
+void QuotaOffice::OnLeaseWritten(LeaseTime now, uint64_t end) {
+  this->own_lease.OnWritten(now, end);
+  this->Sync(now);
+}
+
+void QuotaOffice::Leave(LeaseTime now) {
+  this->own_lease.GiveUp();
+  this->Sync(now);
+}
+
+}  // namespace basilsill
--- a/packages/decision/src/resource_reader.cc
+++ b/packages/decision/src/resource_reader.cc
@@ -64,9 +64,46 @@
   return std::nullopt;
 }
 
+void ReadApiKeys(JsonObjectReader& reader,
+                 std::vector<ApiKeyDigest>& keys,
+                 std::vector<Failure>& failures) {
+  const std::span<const json::value> values =
+      reader.ReadArray("api_keys", kOptional, limits::kMaxApiKeysPerTeam);
+  for (size_t i = 0; i < values.size(); ++i) {
+    const json::string* text = values[i].if_string();
+    const auto digest =
+        text == nullptr ? std::nullopt : ParseApiKeyDigest(*text);
+    if (digest) {
+      keys.push_back(*digest);
+    } else {
+      failures.push_back({FailureKind::kOutOfRange,
+                          reader.PathOf("api_keys") + "/" + std::to_string(i),
+                          "must be the digest of a key, 64 hexadecimal "
+                          "digits"});
+    }
+  }
+  // Order means nothing: one spelling for one meaning.
+  std::sort(keys.begin(), keys.end());
+  keys.erase(std::unique(keys.begin(), keys.end()), keys.end());
+}
+
+void ReadTeamClass(JsonObjectReader& reader, TeamSpec& spec) {
+  std::string name;
+  if (!reader.Read("class", kOptional, name)) {
+    return;
+  }
+  spec.traffic_class = TrafficClassOf(name);
+  if (!spec.traffic_class) {
+    reader.Reject("class", FailureKind::kOutOfRange,
+                  "must be urgent, ordinary, bulk or background");
+  }
+}
+
 void ReadTeam(JsonObjectReader& reader,
               TeamSpec& spec,
               std::vector<Failure>& failures) {
+  ReadApiKeys(reader, spec.api_keys, failures);
+  ReadTeamClass(reader, spec);
   const json::value* value = reader.Take("limits", kOptional);
   if (value == nullptr) {
     return;
@@ -78,6 +115,7 @@
   fields.Read("queue", kOptional, 0, limits::kMaxQueuePerShard, team.queue);
   fields.Read("requests_per_second", kOptional, 0.0, limits::kMaxTeamRate,
               team.requests_per_second);
+  fields.Read("burst", kOptional, 0.0, limits::kMaxTeamRate, team.burst);
   fields.Read("weight", kOptional, 1, limits::kMaxTeamWeight, team.weight);
   fields.RejectOthers();
 }
@@ -226,6 +264,7 @@
   reader.Read("once", kOptional, spec.once);
   reader.Read("idempotent", kOptional, spec.idempotent);
   reader.Read("hedge", kOptional, spec.hedge);
+  reader.Read("requires_api_key", kOptional, spec.requires_api_key);
   auto deadline = static_cast<uint64_t>(spec.deadline.count());
   reader.Read("deadline_ms", kOptional, 1, limits::kMaxDeadline.count(),
               deadline);
--- a/packages/decision/src/resource_writer.cc
+++ b/packages/decision/src/resource_writer.cc
@@ -17,11 +17,21 @@
 
 json::object WriteSpec(const TeamSpec& spec) {
   const TeamLimits& team = spec.limits;
-  return {{"limits",
-           {{"concurrency", team.concurrency},
-            {"queue", team.queue},
-            {"requests_per_second", team.requests_per_second},
-            {"weight", team.weight}}}};
+  json::object object{{"limits",
+                       {{"concurrency", team.concurrency},
+                        {"queue", team.queue},
+                        {"requests_per_second", team.requests_per_second},
+                        {"burst", team.burst},
+                        {"weight", team.weight}}}};
+  json::array keys;
+  for (const ApiKeyDigest& digest : spec.api_keys) {
+    keys.emplace_back(ToHex(digest));
+  }
+  object["api_keys"] = std::move(keys);
+  if (spec.traffic_class) {
+    object["class"] = NameOf(*spec.traffic_class);
+  }
+  return object;
 }
 
 json::object WriteSpec(const ServiceSpec& spec) {
@@ -62,6 +72,7 @@
           {"once", spec.once},
           {"idempotent", spec.idempotent},
           {"hedge", spec.hedge},
+          {"requires_api_key", spec.requires_api_key},
           {"deadline_ms", spec.deadline.count()}};
 }
 
--- a/packages/decision/src/team_admission.h
+++ b/packages/decision/src/team_admission.h
@@ -6,7 +6,7 @@
 
 #include "basilsill/decision/entry.h"
 
-/// Limits of each team at one entry: requests at once, and requests a second.
+/// The limit of each team on requests at once, at one entry.
 
 namespace basilsill {
 
@@ -15,23 +15,21 @@
   /// Makes room for the teams of `view`.
   void ApplyView(const RoutingView& view);
 
-  /// Counts a request in, unless a limit forbids it.
+  /// Counts a request in, unless the limit forbids it.
   /// @returns the refusal and when to come back, or Refusal::kNone.
-  Admission Enter(TimePoint now, const TeamRow& team);
+  Admission Enter(const TeamRow& team);
 
   /// A request of the team is over.
-  void Leave(TimePoint now, TeamHandle team, Duration took);
+  void Leave(TeamHandle team, Duration took);
 
  private:
   struct TeamState {
     TeamHandle handle;
     uint32_t running = 0;
-    double tokens = 0;
-    TimePoint refilled{};
     Duration mean_time{0};  ///< Of a request in the system.
   };
 
-  TeamState& StateOf(TimePoint now, const TeamRow& team);
+  TeamState& StateOf(const TeamRow& team);
 
   std::vector<TeamState> teams;  ///< By index of the handle.
 };
--- a/packages/decision/src/view_builder.cc
+++ b/packages/decision/src/view_builder.cc
@@ -4,6 +4,7 @@
 #include <tuple>
 #include <utility>
 
+#include "basilsill/decision/api_keys.h"
 #include "name_table.h"
 #include "service_rows.h"
 
@@ -55,6 +56,7 @@
   static void MarkDrained(const ConfigurationState& configuration,
                           RoutingView& view);
   void BuildTeams(const ConfigurationState& configuration, RoutingView& view);
+  std::shared_ptr<const ApiKeyTable> MakeApiKeys(const ResourceTable& table);
   void BuildRules(const ConfigurationState& configuration, RoutingView& view);
   void MakeRules(const ResourceTable& table);
   void TakeTerms(const RuleTerms& terms, RuleRow& row) const;
@@ -64,6 +66,8 @@
   ServiceRows services;
 
   std::vector<VmStanding> standings;
+  uint64_t teams_digest = 0;  // Of the teams that `api_keys` came from.
+  std::shared_ptr<const ApiKeyTable> api_keys;
   uint64_t rules_digest = 0;  // Of the rules that the next two came from.
   std::vector<RuleRow> rules;
   std::vector<RuleHandle> rule_order;
@@ -127,8 +131,27 @@
   for (const auto& [name, entry] : table) {
     const TeamHandle handle = this->team_names.Take(name);
     const auto& spec = ConfigurationState::SpecOf<TeamSpec>(entry);
-    RowAt(view.teams, handle) = {handle, name, spec.limits};
+    RowAt(view.teams, handle) = {handle, name, spec.limits, spec.traffic_class};
   }
+  const uint64_t digest = configuration.digest(ResourceKind::kTeam);
+  if (!this->api_keys || digest != this->teams_digest) {
+    this->api_keys = this->MakeApiKeys(table);
+    this->teams_digest = digest;
+  }
+  view.api_keys = this->api_keys;
+}
+
+std::shared_ptr<const ApiKeyTable> ViewBuilderImpl::MakeApiKeys(
+    const ResourceTable& table) {
+  std::vector<ApiKeyTable::Row> rows;
+  for (const auto& [name, entry] : table) {
+    const TeamHandle team = this->team_names.Take(name);
+    const auto& spec = ConfigurationState::SpecOf<TeamSpec>(entry);
+    for (const ApiKeyDigest& digest : spec.api_keys) {
+      rows.push_back({digest, team});
+    }
+  }
+  return ApiKeyTable::Create(std::move(rows));
 }
 
 void ViewBuilderImpl::BuildRules(const ConfigurationState& configuration,
@@ -158,6 +181,7 @@
     row.once = spec.once;
     row.idempotent = spec.idempotent;
     row.hedge = spec.hedge;
+    row.requires_api_key = spec.requires_api_key;
     row.deadline = spec.deadline;
     if (spec.terms) {
       this->TakeTerms(*spec.terms, row);
--- /dev/null
+++ b/packages/decision/test/quota_test.cc
@@ -0,0 +1,248 @@
+// Tests of the parts that quotas are made of.
+
+#include <string>
+
+#include "basilsill/decision/quota_borrower.h"
+#include "basilsill/decision/quota_lease.h"
+#include "basilsill/decision/quota_lender.h"
+
+#include <CppUTest/TestHarness.h>
+
+using basilsill::kCreditLife;
+using basilsill::LeaseTime;
+using basilsill::MakeTeamKey;
+using basilsill::QuotaAnswer;
+using basilsill::QuotaBorrower;
+using basilsill::QuotaBuckets;
+using basilsill::QuotaDecision;
+using basilsill::QuotaGrant;
+using basilsill::QuotaLease;
+using basilsill::QuotaLeaseCall;
+using basilsill::QuotaLeaseRecord;
+using basilsill::QuotaRequest;
+using basilsill::QuotaVerdict;
+using basilsill::TeamKey;
+using basilsill::TeamLimits;
+using basilsill::TeamRow;
+using namespace std::chrono_literals;
+
+namespace {
+
+TeamRow Row(double rate, double burst) {
+  TeamRow row;
+  row.handle = {0, 0};
+  row.name = "team";
+  row.limits.requests_per_second = rate;
+  row.limits.burst = burst;
+  return row;
+}
+
+const TeamKey kTeam = MakeTeamKey("team");
+
+}  // namespace
+
+TEST_GROUP(QuotaBuckets) {
+  LeaseTime now{std::chrono::hours(1)};
+  QuotaBuckets buckets;
+};
+
+TEST(QuotaBuckets, Take_Filled_GivesTheBurstThenTheRate) {
+  this->buckets.SetTeams(this->now, {Row(10, 20)}, 1);
+  this->buckets.Fill(this->now);
+  CHECK_EQUAL(20, this->buckets.Take(this->now, kTeam, 50).granted);
+  this->now += 1s;
+  CHECK_EQUAL(10, this->buckets.Take(this->now, kTeam, 50).granted);
+}
+
+TEST(QuotaBuckets, Take_TooFew_SaysWhenToComeBack) {
+  this->buckets.SetTeams(this->now, {Row(10, 20)}, 1);
+  const QuotaGrant grant = this->buckets.Take(this->now, kTeam, 5);
+  CHECK_EQUAL(1, grant.granted);
+  CHECK(grant.retry_after >= 50ms && grant.retry_after <= 1s);
+}
+
+TEST(QuotaBuckets, SetTeams_LowerQuota_TakesEffectAtOnce) {
+  this->buckets.SetTeams(this->now, {Row(100, 100)}, 1);
+  this->buckets.Fill(this->now);
+  this->buckets.SetTeams(this->now, {Row(2, 3)}, 1);
+  CHECK_EQUAL(3, this->buckets.Take(this->now, kTeam, 50).granted);
+}
+
+TEST(QuotaBuckets, SetTeams_TeamIsGone_LendsNothing) {
+  this->buckets.SetTeams(this->now, {Row(100, 100)}, 1);
+  this->buckets.SetTeams(this->now, {}, 1);
+  CHECK(this->buckets.empty());
+  CHECK_EQUAL(0, this->buckets.Take(this->now, kTeam, 50).granted);
+}
+
+TEST(QuotaBuckets, Put_BeyondTheBurst_IsLost) {
+  this->buckets.SetTeams(this->now, {Row(10, 20)}, 1);
+  this->buckets.Fill(this->now);
+  this->buckets.Put(this->now, kTeam, 7);
+  CHECK_EQUAL(20, this->buckets.Take(this->now, kTeam, 50).granted);
+}
+
+TEST_GROUP(QuotaBorrower) {
+  LeaseTime now{std::chrono::hours(1)};
+  QuotaBorrower borrower;
+
+  QuotaAnswer Grant(const QuotaRequest& request, uint32_t count,
+                    basilsill::Duration retry_after = 0s) {
+    return {request.number, true, 1, {{kTeam, count, retry_after}}};
+  }
+};
+
+TEST(QuotaBorrower, Enter_NoCredit_AsksAndGoesOn) {
+  const QuotaDecision first = this->borrower.Enter(this->now, kTeam);
+  CHECK(first.verdict == QuotaVerdict::kWait);
+  const auto request = this->borrower.NextRequest(this->now);
+  CHECK(request.has_value());
+  CHECK_EQUAL(1, request->wants.front().wanted);
+  this->borrower.OnAnswer(this->now, this->Grant(*request, 3));
+  const auto settled = this->borrower.TakeSettled();
+  CHECK_EQUAL(1, settled.size());
+  CHECK(settled.front().verdict == QuotaVerdict::kGranted);
+  CHECK(this->borrower.Enter(this->now, kTeam).verdict ==
+        QuotaVerdict::kGranted);
+}
+
+TEST(QuotaBorrower, Enter_CreditIsOld_AsksAgain) {
+  this->borrower.Enter(this->now, kTeam);
+  const auto request = this->borrower.NextRequest(this->now);
+  this->borrower.OnAnswer(this->now + 5ms, this->Grant(*request, 3));
+  this->now += kCreditLife;
+  CHECK(this->borrower.Enter(this->now, kTeam).verdict == QuotaVerdict::kWait);
+}
+
+TEST(QuotaBorrower, OnAnswer_TooFew_TheOthersAreToldWhen) {
+  this->borrower.Enter(this->now, kTeam);
+  this->borrower.Enter(this->now, kTeam);
+  const auto request = this->borrower.NextRequest(this->now);
+  this->borrower.OnAnswer(this->now, this->Grant(*request, 1, 200ms));
+  const auto settled = this->borrower.TakeSettled();
+  CHECK(settled[0].verdict == QuotaVerdict::kGranted);
+  CHECK(settled[1].verdict == QuotaVerdict::kExhausted);
+  CHECK(settled[1].retry_after >= 200ms);
+  const QuotaDecision later = this->borrower.Enter(this->now, kTeam);
+  CHECK(later.verdict == QuotaVerdict::kExhausted);
+  CHECK(later.retry_after > settled[1].retry_after);
+}
+
+TEST(QuotaBorrower, NobodyLends_RequestIsToldSoSoon) {
+  this->borrower.Enter(this->now, kTeam);
+  for (int i = 0; i < 40; ++i) {
+    if (const auto request = this->borrower.NextRequest(this->now)) {
+      this->borrower.OnAnswer(this->now, {request->number, false, 0, {}});
+    }
+    this->now += 10ms;
+    this->borrower.Tick(this->now);
+  }
+  const auto settled = this->borrower.TakeSettled();
+  CHECK_EQUAL(1, settled.size());
+  CHECK(settled.front().verdict == QuotaVerdict::kUnavailable);
+}
+
+TEST(QuotaBorrower, Return_WhileTheCreditLives_GoesBack) {
+  this->borrower.Enter(this->now, kTeam);
+  const auto request = this->borrower.NextRequest(this->now);
+  this->borrower.OnAnswer(this->now, this->Grant(*request, 1));
+  const auto settled = this->borrower.TakeSettled();
+  this->borrower.Return(this->now + 20ms, kTeam, settled.front().credit);
+  const auto back = this->borrower.NextRequest(this->now + 100ms);
+  CHECK(back.has_value());
+  CHECK_EQUAL(1, back->returns.size());
+  CHECK_EQUAL(1, back->returns.front().count);
+}
+
+TEST(QuotaBorrower, Return_CreditIsVoid_IsLost) {
+  this->borrower.Enter(this->now, kTeam);
+  const auto request = this->borrower.NextRequest(this->now);
+  this->borrower.OnAnswer(this->now, this->Grant(*request, 1));
+  const auto settled = this->borrower.TakeSettled();
+  this->borrower.Return(this->now + kCreditLife, kTeam, settled.front().credit);
+  CHECK_FALSE(this->borrower.NextRequest(this->now + 2 * kCreditLife));
+}
+
+TEST_GROUP(QuotaLease) {
+  LeaseTime now{std::chrono::hours(1)};
+  QuotaLease lease{"vm-a", 7};
+
+  void Read(const std::optional<QuotaLeaseRecord>& record, uint64_t end) {
+    this->lease.OnNeeded(this->now, true);
+    CHECK(this->lease.NextCall(this->now) == QuotaLeaseCall::kRead);
+    this->now += 5ms;
+    this->lease.OnRead(this->now, record, end);
+  }
+
+  void Write() {
+    CHECK(this->lease.NextCall(this->now) == QuotaLeaseCall::kWrite);
+    this->lease.OnWritten(this->now + 5ms, this->lease.end() + 1);
+  }
+};
+
+TEST(QuotaLease, NextCall_NotNeeded_MakesNone) {
+  CHECK(this->lease.NextCall(this->now) == QuotaLeaseCall::kNone);
+}
+
+TEST(QuotaLease, Write_NobodyHeldIt_HoldsForTheTerm) {
+  this->Read(std::nullopt, 0);
+  this->Write();
+  CHECK(this->lease.was_unused());
+  CHECK(this->lease.Holds(this->now + QuotaLease::kTerm - 1ms));
+  CHECK_FALSE(this->lease.Holds(this->now + QuotaLease::kTerm));
+}
+
+TEST(QuotaLease, Read_AnotherHolds_WaitsForMoreThanItsTerm) {
+  this->Read(QuotaLeaseRecord{"vm-b", 1}, 4);
+  this->now += QuotaLease::kTerm;
+  this->lease.OnNeeded(this->now, true);
+  CHECK(this->lease.NextCall(this->now) == QuotaLeaseCall::kNone);
+  this->now += 300ms;
+  this->Write();
+  CHECK_FALSE(this->lease.was_unused());
+  CHECK_FALSE(this->lease.was_own());
+}
+
+TEST(QuotaLease, Conflict_AnotherRenewed_WaitsAnew) {
+  this->Read(QuotaLeaseRecord{"vm-b", 1}, 4);
+  this->now += QuotaLease::kTerm + 300ms;
+  this->lease.OnNeeded(this->now, true);
+  CHECK(this->lease.NextCall(this->now) == QuotaLeaseCall::kWrite);
+  this->lease.OnConflict(this->now);
+  this->Read(QuotaLeaseRecord{"vm-b", 1}, 5);
+  CHECK(this->lease.NextCall(this->now) == QuotaLeaseCall::kNone);
+  CHECK_FALSE(this->lease.Holds(this->now));
+}
+
+// The process ended and started again: its record frees the share at once, but
+// nothing is known of what was lent.
+TEST(QuotaLease, Read_OwnEarlierProcess_TakesItAtOnceAsUnknown) {
+  this->Read(QuotaLeaseRecord{"vm-a", 3}, 4);
+  this->Write();
+  CHECK(this->lease.Holds(this->now));
+  CHECK_FALSE(this->lease.was_own());
+}
+
+TEST(QuotaLease, Write_AnswerIsLate_CountsFromTheCall) {
+  this->Read(std::nullopt, 0);
+  CHECK(this->lease.NextCall(this->now) == QuotaLeaseCall::kWrite);
+  this->lease.OnWritten(this->now + QuotaLease::kTerm + 1s, 1);
+  CHECK_FALSE(this->lease.Holds(this->now + QuotaLease::kTerm + 1s));
+}
+
+TEST(QuotaLease, GiveUp_Holding_WritesThatNobodyHolds) {
+  this->Read(std::nullopt, 0);
+  this->Write();
+  this->lease.GiveUp();
+  this->now += 2s;
+  CHECK(this->lease.NextCall(this->now) == QuotaLeaseCall::kWrite);
+  CHECK(this->lease.record().holder.empty());
+  CHECK_FALSE(this->lease.Holds(this->now));
+}
+
+TEST(QuotaLease, LaterCandidate_AskedOnce_DoesNotStepIn) {
+  this->lease.OnNeeded(this->now, false);
+  CHECK(this->lease.NextCall(this->now + 10ms) == QuotaLeaseCall::kNone);
+  this->lease.OnNeeded(this->now + 500ms, false);
+  CHECK(this->lease.NextCall(this->now + 500ms) == QuotaLeaseCall::kRead);
+}
--- /dev/null
+++ b/packages/decision/test/quota_world.cc
@@ -0,0 +1,411 @@
+#include "quota_world.h"
+
+#include <algorithm>
+#include <cmath>
+#include <utility>
+
+namespace basilsill {
+namespace {
+
+using std::chrono::microseconds;
+using std::chrono::milliseconds;
+
+constexpr milliseconds kTick{10};
+constexpr milliseconds kStoreTime{4};
+constexpr milliseconds kCallTimeout{1200};
+// Until the others have seen that a VM is gone or back.
+constexpr milliseconds kNoticed{500};
+
+double Uniform(pcg64& random) {
+  return std::ldexp(static_cast<double>(random() >> 11), -53);
+}
+
+std::string TeamName(size_t team) {
+  return "team-" + std::to_string(team);
+}
+
+}  // namespace
+
+QuotaWorld::QuotaWorld(const QuotaWorldOptions& given)
+    : options(given),
+      random(given.seed),
+      shares(given.data_centres),
+      admitted(given.teams.size()),
+      refused(given.teams.size()),
+      sent(given.teams.size()) {
+  for (size_t i = 0; i < given.data_centres * given.vms_each; ++i) {
+    Vm vm;
+    vm.name = "vm-" + std::to_string(i);
+    vm.data_centre = i % given.data_centres;
+    vm.clock = std::chrono::seconds(1 + this->random() % 100000);
+    vm.speed = 0.995 + 0.01 * Uniform(this->random);
+    this->vms.push_back(std::move(vm));
+  }
+  for (size_t i = 0; i < this->vms.size(); ++i) {
+    this->Start(i);
+  }
+  this->ApplyViews();
+}
+
+void QuotaWorld::At(Duration at, std::function<void()> run) {
+  this->events.push({at, ++this->last_event, std::move(run)});
+}
+
+void QuotaWorld::After(Duration delay, std::function<void()> run) {
+  this->At(this->time + delay, std::move(run));
+}
+
+void QuotaWorld::Run(Duration length) {
+  const Duration end = this->time + length;
+  while (!this->events.empty() && this->events.top().at <= end) {
+    const Event event = this->events.top();
+    this->events.pop();
+    this->time = event.at;
+    event.run();
+  }
+  this->time = end;
+}
+
+LeaseTime QuotaWorld::ClockOf(const Vm& vm) const {
+  const auto passed = std::chrono::duration_cast<Duration>(
+      std::chrono::duration<double>(this->time) * vm.speed);
+  return LeaseTime(vm.clock + passed);
+}
+
+Duration QuotaWorld::Hop() {
+  return microseconds(300 + this->random() % 2000);
+}
+
+void QuotaWorld::OnVm(size_t index,
+                      uint64_t process,
+                      std::function<void()> run) {
+  Vm& vm = this->vms[index];
+  if (!vm.alive || vm.process != process) {
+    return;
+  }
+  if (this->time < vm.frozen_until) {
+    vm.held.push_back(std::move(run));
+    return;
+  }
+  run();
+}
+
+void QuotaWorld::Start(size_t index) {
+  Vm& vm = this->vms[index];
+  vm.alive = true;
+  vm.process = ++this->processes;
+  vm.held.clear();
+  vm.waiting.clear();
+  QuotaOfficeOptions office;
+  office.vm = vm.name;
+  office.incarnation = vm.process;
+  office.data_centre = "dc-" + std::to_string(vm.data_centre);
+  for (size_t i = 0; this->options.has_leases && i < this->shares.size(); ++i) {
+    office.shares.push_back("dc-" + std::to_string(i));
+  }
+  vm.office.emplace(std::move(office));
+  vm.borrower.emplace();
+  this->Tick(index, vm.process);
+}
+
+RoutingView QuotaWorld::ViewOf(size_t self) const {
+  RoutingView view;
+  view.self = {static_cast<uint32_t>(self), 0};
+  for (uint32_t i = 0; i < this->shares.size(); ++i) {
+    view.data_centres.push_back({{i, 0}, "dc-" + std::to_string(i), false});
+  }
+  for (uint32_t i = 0; i < this->vms.size(); ++i) {
+    const Vm& vm = this->vms[i];
+    VmRow row;
+    row.handle = {i, 0};
+    row.name = vm.name;
+    row.data_centre = {static_cast<uint32_t>(vm.data_centre), 0};
+    const bool is_seen =
+        i == self || (vm.alive && this->time >= vm.frozen_until &&
+                      vm.side == this->vms[self].side);
+    row.state = is_seen ? VmState::kLive : VmState::kSuspected;
+    view.vms.push_back(std::move(row));
+  }
+  for (uint32_t i = 0; i < this->options.teams.size(); ++i) {
+    view.teams.push_back({{i, 0}, TeamName(i), this->options.teams[i], {}});
+  }
+  return view;
+}
+
+void QuotaWorld::ApplyViews() {
+  for (size_t i = 0; i < this->vms.size(); ++i) {
+    const uint64_t process = this->vms[i].process;
+    this->OnVm(i, process, [this, i] {
+      Vm& vm = this->vms[i];
+      vm.office->ApplyView(this->ClockOf(vm), this->ViewOf(i));
+      this->Pump(i);
+    });
+  }
+}
+
+void QuotaWorld::Tick(size_t index, uint64_t process) {
+  this->OnVm(index, process, [this, index, process] {
+    Vm& vm = this->vms[index];
+    const LeaseTime now = this->ClockOf(vm);
+    vm.office->Tick(now);
+    vm.borrower->Tick(now);
+    this->Pump(index);
+    this->After(kTick, [this, index, process] { this->Tick(index, process); });
+  });
+}
+
+void QuotaWorld::Pump(size_t index) {
+  Vm& vm = this->vms[index];
+  const LeaseTime now = this->ClockOf(vm);
+  for (const QuotaDecision& decision : vm.borrower->TakeSettled()) {
+    const auto found = vm.waiting.find(decision.ticket);
+    if (decision.verdict == QuotaVerdict::kGranted) {
+      this->Admit(index, found->second);
+    } else {
+      ++this->refused[found->second];
+    }
+    vm.waiting.erase(found);
+  }
+  if (std::optional<QuotaRequest> request = vm.borrower->NextRequest(now)) {
+    vm.office->Ask(now, 0, *std::move(request));
+  }
+  this->CallStore(index, vm.office->NextLeaseCall(now));
+  for (std::vector<QuotaSend> sends = vm.office->TakeSends(); !sends.empty();
+       sends = vm.office->TakeSends()) {
+    for (const QuotaSend& send : sends) {
+      this->Deliver(index, send);
+    }
+  }
+}
+
+void QuotaWorld::Deliver(size_t from, const QuotaSend& send) {
+  Vm& sender = this->vms[from];
+  if (!IsValid(send.to.vm)) {
+    const auto* answer = std::get_if<QuotaAnswer>(&send.message);
+    this->After(Duration(0),
+                [this, from, process = sender.process, answer = *answer] {
+                  this->OnVm(from, process, [this, from, answer] {
+                    Vm& vm = this->vms[from];
+                    vm.borrower->OnAnswer(this->ClockOf(vm), answer);
+                    this->Pump(from);
+                  });
+                });
+    return;
+  }
+  ++this->message_count;
+  const size_t to = send.to.vm.index;
+  const Vm& receiver = this->vms[to];
+  if (!receiver.alive || receiver.side != sender.side) {
+    sender.office->OnUnsent(this->ClockOf(sender), send);
+    return;
+  }
+  const VmHandle asker{static_cast<uint32_t>(from), 0};
+  this->After(this->Hop(), [this, to, asker, process = receiver.process,
+                            message = send.message] {
+    this->OnVm(to, process, [this, to, asker, message] {
+      Vm& vm = this->vms[to];
+      const LeaseTime now = this->ClockOf(vm);
+      if (const auto* request = std::get_if<QuotaRequest>(&message)) {
+        vm.office->OnRequest(now, asker, *request);
+      } else {
+        vm.office->OnAnswer(now, asker, std::get<QuotaAnswer>(message));
+      }
+      this->Pump(to);
+    });
+  });
+}
+
+void QuotaWorld::CallStore(size_t index, QuotaLeaseCall call) {
+  if (call == QuotaLeaseCall::kNone) {
+    return;
+  }
+  ++this->calls;
+  const uint64_t process = this->vms[index].process;
+  if (this->vms[index].store_cut) {
+    this->After(kStoreTime, [this, index, process] {
+      this->OnVm(index, process, [this, index] {
+        Vm& vm = this->vms[index];
+        vm.office->OnLeaseFailed(this->ClockOf(vm));
+      });
+    });
+    return;
+  }
+  if (call == QuotaLeaseCall::kWrite) {
+    this->WriteLease(index, process);
+    return;
+  }
+  this->After(kStoreTime, [this, index, process] {
+    const Share share = this->shares[this->vms[index].office->share()];
+    this->After(kStoreTime, [this, index, process, share] {
+      this->OnVm(index, process, [this, index, share] {
+        Vm& vm = this->vms[index];
+        vm.office->OnLeaseRead(this->ClockOf(vm), share.record, share.end);
+      });
+    });
+  });
+}
+
+void QuotaWorld::WriteLease(size_t index, uint64_t process) {
+  const QuotaOffice& office = *this->vms[index].office;
+  const uint16_t number = office.share();
+  const uint64_t end = office.lease().end();
+  const QuotaLeaseRecord record = office.lease().record();
+  const bool is_lost = this->loses_answers && this->random() % 2 == 0;
+  const Duration until_done =
+      is_lost ? milliseconds(this->random() % 4000) : kStoreTime;
+  this->After(until_done, [this, index, process, number, end, record, is_lost] {
+    Share& share = this->shares[number];
+    const bool fits = share.end == end;
+    if (fits) {
+      share = {record, end + 1};
+    }
+    if (is_lost) {
+      return;
+    }
+    this->After(kStoreTime, [this, index, process, fits, end] {
+      this->OnVm(index, process, [this, index, fits, end] {
+        Vm& vm = this->vms[index];
+        if (fits) {
+          vm.office->OnLeaseWritten(this->ClockOf(vm), end + 1);
+        } else {
+          vm.office->OnLeaseConflict(this->ClockOf(vm));
+        }
+        this->Pump(index);
+      });
+    });
+  });
+  if (is_lost) {
+    this->After(kCallTimeout, [this, index, process] {
+      this->OnVm(index, process, [this, index] {
+        Vm& vm = this->vms[index];
+        vm.office->OnLeaseFailed(this->ClockOf(vm));
+      });
+    });
+  }
+}
+
+void QuotaWorld::Load(size_t team, std::vector<size_t> at, double per_second) {
+  this->Arrive({team, std::move(at), per_second});
+}
+
+void QuotaWorld::Arrive(const Source& source) {
+  const double wait = -std::log(1 - Uniform(this->random)) / source.per_second;
+  const auto pause =
+      std::chrono::duration_cast<Duration>(std::chrono::duration<double>(wait));
+  this->After(pause, [this, source] {
+    this->Arrive(source);
+    const size_t index = source.vms[this->random() % source.vms.size()];
+    ++this->sent[source.team];
+    this->OnVm(index, this->vms[index].process, [this, index, source] {
+      Vm& vm = this->vms[index];
+      const QuotaDecision decision = vm.borrower->Enter(
+          this->ClockOf(vm), MakeTeamKey(TeamName(source.team)));
+      if (decision.verdict == QuotaVerdict::kGranted) {
+        this->Admit(index, source.team);
+      } else if (decision.verdict == QuotaVerdict::kWait) {
+        vm.waiting[decision.ticket] = source.team;
+        this->Pump(index);
+      } else {
+        ++this->refused[source.team];
+      }
+    });
+  });
+}
+
+void QuotaWorld::Admit(size_t, size_t team) {
+  this->admitted[team].push_back(this->time);
+}
+
+void QuotaWorld::Kill(size_t index, Duration down) {
+  this->vms[index].alive = false;
+  this->After(down, [this, index] { this->Start(index); });
+  this->After(kNoticed, [this] { this->ApplyViews(); });
+  this->After(down + kNoticed, [this] { this->ApplyViews(); });
+}
+
+void QuotaWorld::Freeze(size_t index, Duration length) {
+  Vm& vm = this->vms[index];
+  vm.frozen_until = std::max(vm.frozen_until, this->time + length);
+  this->After(length + microseconds(1), [this, index] {
+    Vm& woken = this->vms[index];
+    if (this->time < woken.frozen_until) {
+      return;
+    }
+    for (const auto& run : std::exchange(woken.held, {})) {
+      run();
+    }
+  });
+  this->After(kNoticed, [this] { this->ApplyViews(); });
+  this->After(length + kNoticed, [this] { this->ApplyViews(); });
+}
+
+void QuotaWorld::Cut(const std::vector<size_t>& apart, Duration length) {
+  for (const size_t vm : apart) {
+    this->vms[vm].side = 1;
+  }
+  this->After(kNoticed, [this] { this->ApplyViews(); });
+  this->After(length, [this, apart] {
+    for (const size_t vm : apart) {
+      this->vms[vm].side = 0;
+    }
+  });
+  this->After(length + kNoticed, [this] { this->ApplyViews(); });
+}
+
+void QuotaWorld::CutStore(const std::vector<size_t>& apart, Duration length) {
+  for (const size_t vm : apart) {
+    this->vms[vm].store_cut = true;
+  }
+  this->After(length, [this, apart] {
+    for (const size_t vm : apart) {
+      this->vms[vm].store_cut = false;
+    }
+  });
+}
+
+void QuotaWorld::LoseAnswers(Duration length) {
+  this->loses_answers = true;
+  this->After(length, [this] { this->loses_answers = false; });
+}
+
+std::vector<size_t> QuotaWorld::AllVms() const {
+  std::vector<size_t> all(this->vms.size());
+  for (size_t i = 0; i < all.size(); ++i) {
+    all[i] = i;
+  }
+  return all;
+}
+
+std::vector<size_t> QuotaWorld::VmsOf(size_t data_centre) const {
+  std::vector<size_t> found;
+  for (size_t i = 0; i < this->vms.size(); ++i) {
+    if (this->vms[i].data_centre == data_centre) {
+      found.push_back(i);
+    }
+  }
+  return found;
+}
+
+size_t QuotaWorld::CountAdmitted(size_t team,
+                                 Duration from,
+                                 Duration to) const {
+  const std::vector<Duration>& times = this->admitted[team];
+  const auto first = std::lower_bound(times.begin(), times.end(), from);
+  const auto last = std::lower_bound(times.begin(), times.end(), to);
+  return static_cast<size_t>(last - first);
+}
+
+size_t QuotaWorld::MostIn(size_t team, Duration window) const {
+  const std::vector<Duration>& times = this->admitted[team];
+  size_t most = 0;
+  size_t first = 0;
+  for (size_t last = 0; last < times.size(); ++last) {
+    while (times[last] - times[first] >= window) {
+      ++first;
+    }
+    most = std::max(most, last - first + 1);
+  }
+  return most;
+}
+
+}  // namespace basilsill
--- /dev/null
+++ b/packages/decision/test/quota_world.h
@@ -0,0 +1,137 @@
+#ifndef BASILSILL_DECISION_TEST_QUOTA_WORLD_H_
+#define BASILSILL_DECISION_TEST_QUOTA_WORLD_H_
+
+#include <cstdint>
+#include <deque>
+#include <functional>
+#include <map>
+#include <optional>
+#include <queue>
+#include <string>
+#include <vector>
+
+#include <pcg_random.hpp>
+
+#include "basilsill/decision/quota_borrower.h"
+#include "basilsill/decision/quota_office.h"
+
+/// Quotas of a fleet in virtual time: the decision code of every VM, messages
+/// between them, and a store that keeps the leases. VMs have clocks of their
+/// own and may be killed, frozen, cut off from each other and from the store.
+
+namespace basilsill {
+
+struct QuotaWorldOptions {
+  uint64_t seed = 1;
+  size_t data_centres = 3;
+  size_t vms_each = 4;
+  bool has_leases = true;
+  std::vector<TeamLimits> teams;
+};
+
+class QuotaWorld {
+ public:
+  explicit QuotaWorld(const QuotaWorldOptions& options);
+
+  /// Sends requests of `team` to random ones of `vms` from now on.
+  void Load(size_t team, std::vector<size_t> vms, double per_second);
+  void Run(Duration time);
+
+  // Faults.
+  void Kill(size_t vm, Duration down);
+  void Freeze(size_t vm, Duration time);
+  /// These VMs and the others don't hear each other.
+  void Cut(const std::vector<size_t>& vms, Duration time);
+  void CutStore(const std::vector<size_t>& vms, Duration time);
+  /// Writes may be done without an answer, or seconds later.
+  void LoseAnswers(Duration time);
+
+  std::vector<size_t> AllVms() const;
+  std::vector<size_t> VmsOf(size_t data_centre) const;
+  size_t CountVms() const { return this->vms.size(); }
+
+  /// @returns how many requests of `team` went on in [from, to).
+  size_t CountAdmitted(size_t team, Duration from, Duration to) const;
+  /// @returns the most that went on in any window of that length.
+  size_t MostIn(size_t team, Duration window) const;
+  size_t CountRefused(size_t team) const { return this->refused[team]; }
+  size_t CountSent(size_t team) const { return this->sent[team]; }
+  Duration now() const { return this->time; }
+  uint64_t store_calls() const { return this->calls; }
+  uint64_t messages() const { return this->message_count; }
+
+ private:
+  struct Vm {
+    std::string name;
+    size_t data_centre = 0;
+    Duration clock{0};
+    double speed = 1;  ///< Of its clock.
+    uint64_t process = 0;
+    bool alive = true;
+    Duration frozen_until{0};
+    bool store_cut = false;
+    int side = 0;  ///< VMs of two sides don't hear each other.
+    std::vector<std::function<void()>> held;  ///< Until it wakes.
+    std::optional<QuotaOffice> office;
+    std::optional<QuotaBorrower> borrower;
+    std::map<uint64_t, size_t> waiting;  ///< Team, by ticket.
+  };
+
+  struct Share {
+    std::optional<QuotaLeaseRecord> record;
+    uint64_t end = 0;
+  };
+
+  struct Event {
+    Duration at{0};
+    uint64_t number = 0;
+    std::function<void()> run;
+
+    bool operator<(const Event& other) const {
+      return std::tie(other.at, other.number) <
+             std::tie(this->at, this->number);
+    }
+  };
+
+  struct Source {
+    size_t team = 0;
+    std::vector<size_t> vms;
+    double per_second = 0;
+  };
+
+  void At(Duration at, std::function<void()> run);
+  void After(Duration delay, std::function<void()> run);
+  /// Runs on the VM, unless its process ended; once it wakes if it is frozen.
+  void OnVm(size_t vm, uint64_t process, std::function<void()> run);
+  LeaseTime ClockOf(const Vm& vm) const;
+  Duration Hop();
+  void Start(size_t vm);
+  void ApplyViews();
+  RoutingView ViewOf(size_t vm) const;
+  void Tick(size_t vm, uint64_t process);
+  void Pump(size_t vm);
+  void Deliver(size_t from, const QuotaSend& send);
+  void CallStore(size_t vm, QuotaLeaseCall call);
+  void WriteLease(size_t vm, uint64_t process);
+  void Arrive(const Source& source);
+  void Admit(size_t vm, size_t team);
+
+  QuotaWorldOptions options;
+  pcg64 random;
+  Duration time{0};
+  uint64_t last_event = 0;
+  std::priority_queue<Event> events;
+  std::vector<Vm> vms;
+  std::vector<Share> shares;
+  std::vector<std::vector<Duration>> admitted;  ///< By team.
+  std::vector<size_t> refused;
+  std::vector<size_t> sent;
+  bool loses_answers = false;
+  uint64_t processes = 0;
+  uint64_t calls = 0;
+  uint64_t message_count = 0;
+};
+
+}  // namespace basilsill
+
+#endif  // BASILSILL_DECISION_TEST_QUOTA_WORLD_H_
