--- a/packages/wire/include/basilsill/wire/link_mux.h
+++ b/packages/wire/include/basilsill/wire/link_mux.h
@@ -225,6 +225,9 @@
   Result<void> On(const StateDeclined& declined);
   Result<void> On(WriteRequest request);
   Result<void> On(const WriteAnswer& answer);
+  Result<void> On(const StateStamp& stamp);
+  Result<void> On(QuotaRequest request);
+  Result<void> On(QuotaAnswer answer);
 
   Stream* Find(const StreamId& stream) const;
   Result<Stream*> FindForPeer(const StreamId& stream) const;
--- a/packages/wire/include/basilsill/wire/message.h
+++ b/packages/wire/include/basilsill/wire/message.h
@@ -10,7 +10,9 @@
 #include <vector>
 
 #include "basilsill/base/reason.h"
+#include "basilsill/decision/configuration_freshness.h"
 #include "basilsill/decision/dispatch.h"
+#include "basilsill/decision/quota.h"
 #include "basilsill/decision/view.h"
 #include "basilsill/wire/header_list.h"
 
@@ -24,7 +26,7 @@
 namespace basilsill::wire {
 
 /// Spoken version of the protocol; peers of another version are turned away.
-inline constexpr uint32_t kProtocolVersion = 5;
+inline constexpr uint32_t kProtocolVersion = 6;
 
 /// Octets of a body. Moved, never copied, on their way to the socket.
 using Bytes = std::string;
@@ -265,6 +267,8 @@
   bool whole = false;  ///< The newest record of each key, for a VM that starts.
   /// More of the whole follows in the next message of this topic.
   bool more = false;
+  /// How old all this is, for a receiver that sent a stamp.
+  std::optional<FreshnessVouch> vouch{};
 
   friend bool operator==(const StateNews&, const StateNews&) = default;
 };
@@ -281,6 +285,7 @@
 /// StateDeclined.
 struct StateQuestion {
   std::vector<TopicPosition> wanted;
+  uint64_t stamp = 0;  ///< As in StateStamp.
 
   friend bool operator==(const StateQuestion&, const StateQuestion&) = default;
 };
@@ -294,6 +299,13 @@
   friend bool operator==(const StateDeclined&, const StateDeclined&) = default;
 };
 
+/// The sender wants to be told how old the receiver's next news are.
+struct StateStamp {
+  uint64_t stamp = 0;  ///< Comes back in StateNews::vouch.
+
+  friend bool operator==(const StateStamp&, const StateStamp&) = default;
+};
+
 /// Asks the receiver to write a record at the platform, in one call with those
 /// of others.
 struct WriteRequest {
@@ -332,7 +344,10 @@
                                  StateQuestion,
                                  StateDeclined,
                                  WriteRequest,
-                                 WriteAnswer>;
+                                 WriteAnswer,
+                                 StateStamp,
+                                 QuotaRequest,
+                                 QuotaAnswer>;
 
 }  // namespace basilsill::wire
 
--- a/packages/wire/schema/peer.capnp
+++ b/packages/wire/schema/peer.capnp
@@ -190,6 +190,12 @@
   total @2 :UInt64;
 }
 
+struct FreshnessVouch {
+  stamp @0 :UInt64;
+  held @1 :Nanos;
+  age @2 :Nanos;
+}
+
 struct StateNews {
   topic @0 :UInt8;
   from @1 :UInt64;
@@ -197,6 +203,11 @@
   records @3 :Data;
   whole @4 :Bool;
   more @5 :Bool;
+  vouch @6 :FreshnessVouch;
+}
+
+struct StateStamp {
+  stamp @0 :UInt64;
 }
 
 struct TopicPosition {
@@ -206,6 +217,7 @@
 
 struct StateQuestion {
   wanted @0 :List(TopicPosition);
+  stamp @1 :UInt64;
 }
 
 struct StateDeclined {
@@ -223,6 +235,37 @@
   written @1 :Bool;
 }
 
+struct QuotaWant {
+  team @0 :UInt64;
+  wanted @1 :UInt32;
+}
+
+struct QuotaReturn {
+  team @0 :UInt64;
+  count @1 :UInt32;
+  lentAt @2 :UInt64;
+}
+
+struct QuotaRequest {
+  number @0 :UInt64;
+  ofLender @1 :Bool;
+  wants @2 :List(QuotaWant);
+  returns @3 :List(QuotaReturn);
+}
+
+struct QuotaGrant {
+  team @0 :UInt64;
+  granted @1 :UInt32;
+  retryAfter @2 :Nanos;
+}
+
+struct QuotaAnswer {
+  number @0 :UInt64;
+  lends @1 :Bool;
+  lentAt @2 :UInt64;
+  grants @3 :List(QuotaGrant);
+}
+
 struct PeerMessage {
   union {
     hello @0 :Hello;
@@ -244,5 +287,8 @@
     stateDeclined @16 :StateDeclined;
     writeRequest @17 :WriteRequest;
     writeAnswer @18 :WriteAnswer;
+    stateStamp @19 :StateStamp;
+    quotaRequest @20 :QuotaRequest;
+    quotaAnswer @21 :QuotaAnswer;
   }
 }
--- a/packages/wire/src/link_mux.cc
+++ b/packages/wire/src/link_mux.cc
@@ -35,6 +35,9 @@
                           std::holds_alternative<StateQuestion>(message) ||
                           std::holds_alternative<StateDeclined>(message) ||
                           std::holds_alternative<WriteRequest>(message) ||
+                          std::holds_alternative<StateStamp>(message) ||
+                          std::holds_alternative<QuotaRequest>(message) ||
+                          std::holds_alternative<QuotaAnswer>(message) ||
                           std::holds_alternative<WriteAnswer>(message);
   return of_control && role == LinkRole::kControl;
 }
--- a/packages/wire/src/link_mux_receive.cc
+++ b/packages/wire/src/link_mux_receive.cc
@@ -341,4 +341,16 @@
   return this->OnPosted(answer, LinkRole::kControl);
 }
 
+Result<void> LinkMux::On(const StateStamp& stamp) {
+  return this->OnPosted(stamp, LinkRole::kControl);
+}
+
+Result<void> LinkMux::On(QuotaRequest request) {
+  return this->OnPosted(std::move(request), LinkRole::kControl);
+}
+
+Result<void> LinkMux::On(QuotaAnswer answer) {
+  return this->OnPosted(std::move(answer), LinkRole::kControl);
+}
+
 }  // namespace basilsill::wire
--- a/packages/wire/src/message_check.cc
+++ b/packages/wire/src/message_check.cc
@@ -226,6 +226,19 @@
                 "too long");
 }
 
+void Check(Checker& check, const QuotaRequest& request) {
+  check.Require(request.wants.size() <= limits::kMaxQuotaTeams, "/wants",
+                "too many entries");
+  check.Require(request.returns.size() <= limits::kMaxQuotaTeams, "/returns",
+                "too many entries");
+}
+
+void Check(Checker& check, const QuotaAnswer& answer) {
+  check.Require(answer.grants.size() <= limits::kMaxQuotaTeams, "/grants",
+                "too many entries");
+}
+
+void Check(Checker& /*check*/, const StateStamp& /*stamp*/) {}
 void Check(Checker& /*check*/, const Summary& /*summary*/) {}
 void Check(Checker& /*check*/, const StateDeclined& /*declined*/) {}
 void Check(Checker& /*check*/, const WriteAnswer& /*answer*/) {}
--- a/packages/wire/src/message_reader.cc
+++ b/packages/wire/src/message_reader.cc
@@ -244,9 +244,48 @@
   const capnp::Data::Reader records = reader.getRecords();
   CheckedSize(records.size(), limits::kMaxNewsBytes, "/records");
   news.records.assign(records.asChars().begin(), records.asChars().end());
+  if (reader.hasVouch()) {
+    const schema::FreshnessVouch::Reader vouch = reader.getVouch();
+    news.vouch = {vouch.getStamp(), ReadNanos(vouch.getHeld(), "/vouch"),
+                  ReadNanos(vouch.getAge(), "/vouch")};
+  }
   return news;
 }
 
+QuotaRequest ReadQuotaRequest(schema::QuotaRequest::Reader reader) {
+  QuotaRequest request;
+  request.number = reader.getNumber();
+  request.of_lender = reader.getOfLender();
+  const auto wants = reader.getWants();
+  request.wants.reserve(
+      CheckedSize(wants.size(), limits::kMaxQuotaTeams, "/wants"));
+  for (const schema::QuotaWant::Reader want : wants) {
+    request.wants.push_back({want.getTeam(), want.getWanted()});
+  }
+  const auto returns = reader.getReturns();
+  request.returns.reserve(
+      CheckedSize(returns.size(), limits::kMaxQuotaTeams, "/returns"));
+  for (const schema::QuotaReturn::Reader row : returns) {
+    request.returns.push_back({row.getTeam(), row.getCount(), row.getLentAt()});
+  }
+  return request;
+}
+
+QuotaAnswer ReadQuotaAnswer(schema::QuotaAnswer::Reader reader) {
+  QuotaAnswer answer;
+  answer.number = reader.getNumber();
+  answer.lends = reader.getLends();
+  answer.lent_at = reader.getLentAt();
+  const auto grants = reader.getGrants();
+  answer.grants.reserve(
+      CheckedSize(grants.size(), limits::kMaxQuotaTeams, "/grants"));
+  for (const schema::QuotaGrant::Reader grant : grants) {
+    answer.grants.push_back({grant.getTeam(), grant.getGranted(),
+                             ReadNanos(grant.getRetryAfter(), "/grants")});
+  }
+  return answer;
+}
+
 StateQuestion ReadStateQuestion(schema::StateQuestion::Reader reader) {
   StateQuestion question;
   const auto wanted = reader.getWanted();
@@ -255,6 +294,7 @@
   for (const schema::TopicPosition::Reader position : wanted) {
     question.wanted.push_back({position.getTopic(), position.getFrom()});
   }
+  question.stamp = reader.getStamp();
   return question;
 }
 
@@ -318,6 +358,12 @@
     case schema::PeerMessage::WRITE_ANSWER:
       return WriteAnswer{reader.getWriteAnswer().getNumber(),
                          reader.getWriteAnswer().getWritten()};
+    case schema::PeerMessage::STATE_STAMP:
+      return StateStamp{reader.getStateStamp().getStamp()};
+    case schema::PeerMessage::QUOTA_REQUEST:
+      return ReadQuotaRequest(reader.getQuotaRequest());
+    case schema::PeerMessage::QUOTA_ANSWER:
+      return ReadQuotaAnswer(reader.getQuotaAnswer());
   }
   Reject("/", "a message of an unknown kind");
 }
--- a/packages/wire/src/message_writer.cc
+++ b/packages/wire/src/message_writer.cc
@@ -244,12 +244,55 @@
       builder.initRecords(static_cast<unsigned>(news.records.size()));
   std::copy(news.records.begin(), news.records.end(),
             records.asChars().begin());
+  if (news.vouch) {
+    auto vouch = builder.initVouch();
+    vouch.setStamp(news.vouch->stamp);
+    vouch.setHeld(NanosOf(news.vouch->held));
+    vouch.setAge(NanosOf(news.vouch->age));
+  }
+}
+
+void Write(const StateStamp& stamp, schema::PeerMessage::Builder message) {
+  message.initStateStamp().setStamp(stamp.stamp);
+}
+
+void Write(const QuotaRequest& request, schema::PeerMessage::Builder message) {
+  auto builder = message.initQuotaRequest();
+  builder.setNumber(request.number);
+  builder.setOfLender(request.of_lender);
+  auto wants = builder.initWants(static_cast<unsigned>(request.wants.size()));
+  for (unsigned i = 0; i < request.wants.size(); ++i) {
+    wants[i].setTeam(request.wants[i].team);
+    wants[i].setWanted(request.wants[i].wanted);
+  }
+  auto returns =
+      builder.initReturns(static_cast<unsigned>(request.returns.size()));
+  for (unsigned i = 0; i < request.returns.size(); ++i) {
+    returns[i].setTeam(request.returns[i].team);
+    returns[i].setCount(request.returns[i].count);
+    returns[i].setLentAt(request.returns[i].lent_at);
+  }
+}
+
+void Write(const QuotaAnswer& answer, schema::PeerMessage::Builder message) {
+  auto builder = message.initQuotaAnswer();
+  builder.setNumber(answer.number);
+  builder.setLends(answer.lends);
+  builder.setLentAt(answer.lent_at);
+  auto grants = builder.initGrants(static_cast<unsigned>(answer.grants.size()));
+  for (unsigned i = 0; i < answer.grants.size(); ++i) {
+    grants[i].setTeam(answer.grants[i].team);
+    grants[i].setGranted(answer.grants[i].granted);
+    grants[i].setRetryAfter(NanosOf(answer.grants[i].retry_after));
+  }
 }
 
 void Write(const StateQuestion& question,
            schema::PeerMessage::Builder message) {
-  auto wanted = message.initStateQuestion().initWanted(
-      static_cast<unsigned>(question.wanted.size()));
+  auto builder = message.initStateQuestion();
+  builder.setStamp(question.stamp);
+  auto wanted =
+      builder.initWanted(static_cast<unsigned>(question.wanted.size()));
   for (unsigned i = 0; i < question.wanted.size(); ++i) {
     wanted[i].setTopic(question.wanted[i].topic);
     wanted[i].setFrom(question.wanted[i].from);
--- a/packages/wire/test/samples.cc
+++ b/packages/wire/test/samples.cc
@@ -4,6 +4,7 @@
 namespace {
 
 using std::chrono::microseconds;
+using std::chrono::milliseconds;
 
 Hello SampleHello() {
   Hello hello;
@@ -146,6 +147,13 @@
       StateDeclined{true},
       WriteRequest{2, 3, "a record"},
       WriteAnswer{3, true},
+      StateNews{0, 7, 9, "b", false, false,
+                FreshnessVouch{9, milliseconds(3), milliseconds(70)}},
+      StateQuestion{{{0, 0}}, 12},
+      StateStamp{11},
+      QuotaRequest{5, true, {{1, 2}, {3, 4}}, {{1, 1, 99}}},
+      QuotaAnswer{
+          5, true, 98, {{1, 2, milliseconds(30)}, {3, 0, milliseconds(1000)}}},
   };
 }
 
