Entry: teams by API key, quotas; the adapter reads teams and keeps leases

401 for a key that no team has, two, an empty one, one of other than visible ASCII; 503 (not run) while the VM can't prove its configuration to be new enough; 429 beyond a quota; 503 where nobody lends. The key goes off the request and its trailers, the team's name on, whatever the caller said. A VM that can't rely on keys is not ready.

--- a/packages/node/include/basilsill/node/installation.h
+++ b/packages/node/include/basilsill/node/installation.h
@@ -8,6 +8,7 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <vector>
 
 #include <boost/asio/io_context.hpp>
 
@@ -44,6 +45,11 @@
   std::string cold;
   /// Of an upstream: requests a second that it takes from all VMs together.
   std::string rate_limit = "Basilsill-Rate-Limit";
+  /// Of a caller: its team's API key. Never passed on.
+  std::string api_key = "Basilsill-Api-Key";
+  /// To an upstream: the team whose key the caller gave. Never taken from a
+  /// caller.
+  std::string team = "Basilsill-Team";
   bool via = true;  ///< Whether `Via` is added to requests.
   /// Whether `Retry-After` may have a fraction.
   bool fractional_retry_after = false;
@@ -61,6 +67,12 @@
   HeaderNames headers;
   /// Absent: each team has budgets of its own, as the policy has them.
   std::optional<RepeatAllowance> repeats;
+  /// A caller's API key counts only while the configuration certainly is no
+  /// older; 0: however old it is.
+  std::chrono::milliseconds api_key_max_age{0};
+  /// All data centres, which have equal shares of teams' quotas. Used where the
+  /// platform keeps leases.
+  std::vector<std::string> data_centres;
   /// Readiness on an endpoint of its own; port 0: only on the admin port.
   Endpoint ready_at{"", 0};
   std::string ready_path = "/readyz";
--- a/packages/node/include/basilsill/node/state_source.h
+++ b/packages/node/include/basilsill/node/state_source.h
@@ -7,6 +7,7 @@
 
 #include "basilsill/decision/configuration.h"
 #include "basilsill/decision/membership.h"
+#include "basilsill/node/quota_lease_store.h"
 #include "basilsill/wire/message.h"
 
 /// Where a node's configuration, upstreams and list of VMs come from. One
@@ -23,6 +24,7 @@
   kAnnounce,  ///< To write entries of the list of VMs.
   kRenew,     ///< The same, where an older entry had taken its place.
   kRetry,     ///< Any of these, since the one before it failed.
+  kLease,     ///< For the lease of a share of quotas.
   kCount
 };
 
@@ -69,6 +71,13 @@
   virtual bool ready() const = 0;
   virtual const ConfigurationState& state() = 0;
 
+  /// @returns when `state` certainly was the newest; LeaseTime::max() where
+  /// that is not followed.
+  virtual LeaseTime as_of() const { return LeaseTime::max(); }
+
+  /// @returns where leases of quotas are kept; null: the platform keeps none.
+  virtual QuotaLeaseStore* quota_leases() { return nullptr; }
+
   /// A message that is neither a heartbeat nor part of a request came.
   virtual void OnPeerMessage(VmHandle from, const wire::PeerMessage& message) {
     static_cast<void>(from);
--- a/packages/node/src/caller_exchange.cc
+++ b/packages/node/src/caller_exchange.cc
@@ -11,6 +11,7 @@
 #include <boost/beast/http/chunk_encode.hpp>
 
 #include "basilsill/base/text.h"
+#include "basilsill/decision/api_keys.h"
 #include "entry_host.h"
 #include "once_exchange.h"
 #include "refusal_answer.h"
@@ -125,6 +126,9 @@
     this->fault = Refusal::kNoRoute;
     return false;
   }
+  if (!this->Identify(message, *rule)) {
+    return false;
+  }
   this->FillRequest(parser, *rule);
   const BodyFraming& framing = this->request.framing;
   const bool known = framing.kind != BodyKind::kChunked;
@@ -138,10 +142,56 @@
   return true;
 }
 
+// Each request of a connection is judged by its own key. One that no team has
+// may be of a configuration that has not come yet, so it is called unknown only
+// while the configuration is known to be a new one.
+bool CallerExchange::Identify(const HttpFields& headers, const RuleRow& rule) {
+  if (!rule.requires_api_key) {
+    return true;
+  }
+  if (!this->host.api_keys_verified()) {
+    this->fault = Refusal::kApiKeysUnverified;
+    return false;
+  }
+  const std::string& name = this->host.names().api_key;
+  const size_t count = headers.count(name);
+  const std::string_view key = HeaderValue(headers, name);
+  if (count > 1 || (count == 1 && !IsApiKey(key))) {
+    this->fault = Refusal::kApiKeyMalformed;
+    return false;
+  }
+  if (count == 1) {
+    this->key_team = this->host.view()->api_keys->Find(DigestApiKey(key));
+  }
+  if (!IsValid(this->key_team)) {
+    this->fault = Refusal::kApiKeyUnknown;
+    return false;
+  }
+  return true;
+}
+
+// Upstreams hear which team asks from here alone.
+void CallerExchange::FillTeam(const RuleRow& rule) {
+  const RoutingView& view = *this->host.view();
+  const HeaderNames& names = this->host.names();
+  HttpFields& headers = this->request.headers;
+  headers.erase(names.api_key);
+  headers.erase(names.team);
+  EntryRequest& entry = this->request.entry;
+  const ServiceRow* service = FindService(view, entry.service);
+  entry.team = service != nullptr ? service->team : TeamHandle{};
+  entry.traffic_class = rule.traffic_class;
+  const TeamRow* team = FindTeam(view, this->key_team);
+  if (team != nullptr) {
+    headers.set(names.team, team->name);
+    entry.team = team->handle;
+    entry.traffic_class = team->traffic_class.value_or(rule.traffic_class);
+  }
+}
+
 void CallerExchange::FillRequest(const RequestReader::Parser& parser,
                                  const RuleRow& rule) {
   const auto& message = parser.get();
-  const RoutingView& view = *this->host.view();
   const HeaderNames& names = this->host.names();
   HttpFields& headers = this->request.headers;
   headers = message;
@@ -157,10 +207,8 @@
   this->request.once = rule.once;
   EntryRequest& entry = this->request.entry;
   entry.service = this->host.ChooseService(rule);
-  const ServiceRow* service = FindService(view, entry.service);
-  entry.team = service != nullptr ? service->team : TeamHandle{};
-  entry.traffic_class = rule.traffic_class;
   entry.max_attempts = rule.max_attempts;
+  this->FillTeam(rule);
   if (rule.target_latency > milliseconds(0)) {
     this->request.good_until = this->began + rule.target_latency;
   }
@@ -209,7 +257,7 @@
     if (rule != nullptr) {
       this->request.entry.fingerprint = FingerprintOf(this->request, *rule);
     }
-    outcome = co_await this->ServeByRule();
+    outcome = co_await this->ServeWithinQuota();
     outcome = this->Judge(outcome);
   }
   this->Done(outcome.answered ? Refusal::kNone : outcome.refusal);
@@ -235,6 +283,37 @@
       {refusal, this->cut_off, MonotonicClock::now() - this->began});
 }
 
+// A request counts as soon as it goes on, wherever it waits from then on: it
+// was sent before and reaches an upstream after, so what counts in a window
+// here is no less than what counts there.
+Task<ServeOutcome> CallerExchange::ServeWithinQuota() {
+  const TeamRow* team = FindTeam(*this->host.view(), this->request.entry.team);
+  if (team == nullptr || team->limits.requests_per_second <= 0) {
+    const ServeOutcome outcome = co_await this->ServeByRule();
+    co_return outcome;
+  }
+  const TeamKey key = MakeTeamKey(team->name);
+  const QuotaDecision decision = co_await this->host.TakeQuota(key);
+  if (decision.verdict != QuotaVerdict::kGranted) {
+    const bool exhausted = decision.verdict == QuotaVerdict::kExhausted;
+    co_return ServeOutcome{
+        false, exhausted ? Refusal::kTeamRateLimit : Refusal::kQuotaUnavailable,
+        decision.retry_after};
+  }
+  ServeOutcome outcome;
+  outcome.refusal = Refusal::kCallerGone;
+  bool ran = false;
+  if (!this->abandoned && !this->expired) {
+    outcome = co_await this->ServeByRule();
+    ran =
+        outcome.answered || InfoOf(outcome.refusal).promise != Promise::kNotRun;
+  }
+  if (!ran) {
+    this->host.ReturnQuota(key, decision.credit);
+  }
+  co_return outcome;
+}
+
 Task<ServeOutcome> CallerExchange::ServeByRule() {
   AnswerSink& sink = *this;
   EntryHost& entry = this->host.entry();
--- a/packages/node/src/caller_exchange.h
+++ b/packages/node/src/caller_exchange.h
@@ -75,8 +75,11 @@
   TimePoint began_at() const { return this->began; }
 
  private:
+  bool Identify(const HttpFields& headers, const RuleRow& rule);
   void FillRequest(const RequestReader::Parser& parser, const RuleRow& rule);
   void FillDeadline(const HttpFields& headers, const RuleRow& rule);
+  void FillTeam(const RuleRow& rule);
+  Task<ServeOutcome> ServeWithinQuota();
   Task<ServeOutcome> ServeByRule();
   Task<void> Refuse(const ServeOutcome& outcome);
   ServeOutcome Judge(ServeOutcome outcome) const;
@@ -96,6 +99,7 @@
   CallerHost& host;
   CallerWriter& writer;
   RequestMessage request;
+  TeamHandle key_team;  ///< Whose API key the caller gave, if it needs one.
   Refusal fault = Refusal::kNone;
   AsyncEvent turn;
   std::string out;
--- a/packages/node/src/caller_host.h
+++ b/packages/node/src/caller_host.h
@@ -5,6 +5,7 @@
 #include <cstdint>
 #include <string>
 
+#include "basilsill/decision/quota_borrower.h"
 #include "basilsill/node/installation.h"
 #include "http_message.h"
 #include "metrics.h"
@@ -64,6 +65,15 @@
   /// @returns which service gets the next request of `rule`.
   virtual ServiceHandle ChooseService(const RuleRow& rule) = 0;
 
+  /// @returns true while API keys of callers may be relied on.
+  virtual bool api_keys_verified() const = 0;
+
+  /// Takes a credit of `team`'s quota for a request, from a lender if need be.
+  virtual Task<QuotaDecision> TakeQuota(TeamKey team) = 0;
+
+  /// The request that has `credit` has ended without having run.
+  virtual void ReturnQuota(TeamKey team, const QuotaCredit& credit) = 0;
+
   /// Counts the start of a request.
   virtual void OnRequestStarted() = 0;
 
--- a/packages/node/src/caller_session.cc
+++ b/packages/node/src/caller_session.cc
@@ -224,6 +224,7 @@
     std::copy_n(this->body_prefix.begin(), size, buffer.begin());
     this->body_prefix.erase(0, size);
     const bool last = this->body_prefix.empty() && this->reader.done();
+    this->TakeTrailers(last);
     co_return BodyPiece{true, last, size};
   }
   const bool waits_for_go = this->awaits_continue && !this->reader.has_more();
@@ -238,9 +239,21 @@
   this->reading_since = MonotonicClock::now();
   const BodyPiece piece = co_await this->reader.ReadBody(this->socket, buffer);
   this->reading_since = kNever;
+  this->TakeTrailers(piece.last);
   co_return piece;
 }
 
+// What only this VM may say of a request it may say at its end, too.
+void CallerSession::TakeTrailers(bool at_end) {
+  const HttpFields* trailers = at_end ? this->reader.trailers() : nullptr;
+  this->passed_trailers.reset();
+  if (trailers != nullptr) {
+    this->passed_trailers = *trailers;
+    this->passed_trailers->erase(this->host.names().api_key);
+    this->passed_trailers->erase(this->host.names().team);
+  }
+}
+
 void CallerSession::Stop() {
   // Only a read can be pending: the answer was written to its end.
   NetError ignored;
--- a/packages/node/src/caller_session.h
+++ b/packages/node/src/caller_session.h
@@ -60,11 +60,13 @@
       std::span<const boost::asio::const_buffer> buffers) override;
   void BreakOff() override;
 
+  void TakeTrailers(bool at_end);
+
   // BodySource
   Task<BodyPiece> Read(std::span<char> buffer) override;
   void Stop() override;
   const HttpFields* trailers() const override {
-    return this->reader.trailers();
+    return this->passed_trailers ? &*this->passed_trailers : nullptr;
   }
 
   CallerHost& host;
@@ -72,6 +74,8 @@
   RequestReader reader;
   std::deque<ExchangePtr> exchanges;  ///< The first one may write.
   AsyncBroadcast changed;             ///< Of `exchanges`.
+  /// Of the body that was read last, without what callers may not say.
+  std::optional<HttpFields> passed_trailers;
   std::string body_prefix;  ///< Read already, of the body being streamed.
   TimePoint idle_since;
   TimePoint head_since = kNever;  ///< First byte of a head that is not whole.
--- a/packages/node/src/control.cc
+++ b/packages/node/src/control.cc
@@ -9,6 +9,7 @@
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
+#include "basilsill/decision/api_keys.h"
 #include "basilsill/decision/news_plan.h"
 #include "basilsill/node/log.h"
 
@@ -51,6 +52,16 @@
   return links;
 }
 
+QuotaOfficeOptions QuotaOptions(const Settings& settings,
+                                const ControlOptions& options) {
+  QuotaOfficeOptions quotas;
+  quotas.vm = settings.vm.name;
+  quotas.incarnation = options.incarnation;
+  quotas.data_centre = settings.vm.data_centre;
+  quotas.shares = options.data_centres;
+  return quotas;
+}
+
 bool IsDrainedIn(const RoutingView* view, DataCentreHandle handle) {
   return view != nullptr && handle.index < view->data_centres.size() &&
          view->data_centres[handle.index].drained;
@@ -119,7 +130,24 @@
                 this->members->rows().at(this->members->self().index).control),
             this->MakeLinkHandlers(),
             counts.links),
-      builder(ViewBuilder::Create()) {}
+      quotas(context,
+             QuotaOptions(settings, options),
+             this->source->quota_leases(),
+             counts,
+             this->MakeQuotaHandlers()),
+      builder(ViewBuilder::Create()),
+      api_key_max_age(options.api_key_max_age) {}
+
+QuotaHostHandlers Control::MakeQuotaHandlers() {
+  QuotaHostHandlers quota;
+  quota.send = [this](VmHandle vm, const wire::PeerMessage& message) {
+    return this->links.Send(vm, message);
+  };
+  quota.answer = [this](uint16_t worker, const QuotaAnswer& answer) {
+    this->handlers.on_quota_answer(worker, answer);
+  };
+  return quota;
+}
 
 ControlLinkHandlers Control::MakeLinkHandlers() {
   ControlLinkHandlers link;
@@ -145,11 +173,21 @@
     this->PumpMembership();
   };
   link.on_message = [this](VmHandle vm, const wire::PeerMessage& message) {
-    this->source->OnPeerMessage(vm, message);
+    this->OnMessage(vm, message);
   };
   return link;
 }
 
+void Control::OnMessage(VmHandle from, const wire::PeerMessage& message) {
+  if (const auto* request = std::get_if<QuotaRequest>(&message)) {
+    this->quotas.OnRequest(from, *request);
+  } else if (const auto* answer = std::get_if<QuotaAnswer>(&message)) {
+    this->quotas.OnAnswer(from, *answer);
+  } else {
+    this->source->OnPeerMessage(from, message);
+  }
+}
+
 void Control::Start() {
   this->links.Start();
   this->source->Start(*this);
@@ -159,6 +197,7 @@
 void Control::Stop() {
   this->stopped = true;
   this->source->Stop();
+  this->quotas.Stop();
   this->links.Stop();
 }
 
@@ -169,6 +208,7 @@
 // introduction, and one that was being opened is told as soon as it works.
 void Control::Leave() {
   this->leaving = true;
+  this->quotas.Leave();
   this->links.Leave();
   this->members->Leave(MonotonicClock::now());
   this->links.Broadcast(this->MakeHeartbeat(false));
@@ -223,9 +263,42 @@
   this->PumpMembership();
   this->source->Tick(now);
   this->RebuildIfChanged();
+  this->PublishAsOf();
+  this->JudgeApiKeys(LeaseClock::now());
+  this->quotas.Tick();
   this->CountVms();
 }
 
+// Workers take over a view and what is said of its age in the order in which
+// they are told, so a view is never said to be newer than it is.
+void Control::PublishAsOf() {
+  const LeaseTime as_of = this->source->as_of();
+  const bool is_built = this->current_view && !this->configuration_changed;
+  if (is_built && as_of != this->published_as_of) {
+    this->published_as_of = as_of;
+    this->handlers.on_as_of(as_of);
+  }
+}
+
+// Callers with keys are better served by another VM meanwhile.
+void Control::JudgeApiKeys(LeaseTime now) {
+  if (this->api_key_max_age.count() == 0 || !this->current_view) {
+    return;
+  }
+  const bool is_known = this->published_as_of != LeaseTime::min();
+  const Duration age =
+      is_known ? now - this->published_as_of : limits::kMaxPeerDuration;
+  this->counts.configuration_age.Set(
+      std::chrono::duration_cast<std::chrono::milliseconds>(age).count());
+  const bool verified =
+      this->current_view->api_keys->size() == 0 || age < this->api_key_max_age;
+  if (verified != std::exchange(this->api_keys_verified, verified)) {
+    Log(verified ? Event::kApiKeysVerified : Event::kApiKeysUnverified,
+        {{"age_ms",
+          std::chrono::duration_cast<std::chrono::milliseconds>(age).count()}});
+  }
+}
+
 void Control::CountVms() {
   if (this->counted_membership == this->members->version()) {
     return;
@@ -408,6 +481,7 @@
   }
   NoteDrains(before.get(), *this->current_view, this->counts);
   this->source->OnFleetChanged();
+  this->quotas.ApplyView(*this->current_view);
   this->handlers.publish(this->current_view);
   if (is_news) {
     this->links.Broadcast(this->MakeHeartbeat(false));
--- a/packages/node/src/control.h
+++ b/packages/node/src/control.h
@@ -16,6 +16,7 @@
 #include "basilsill/node/state_source.h"
 #include "control_links.h"
 #include "metrics.h"
+#include "quota_host.h"
 
 /// The control side of a node: keeps links to peers, and publishes a routing
 /// view whenever its source of state or membership changed. All on one thread.
@@ -25,6 +26,9 @@
 struct ControlOptions {
   uint64_t incarnation = 0;
   std::vector<Endpoint> workers;  ///< Where this node's workers take links.
+  /// As in Installation.
+  std::chrono::milliseconds api_key_max_age{0};
+  std::vector<std::string> data_centres;
 };
 
 /// What the control side tells the rest of the node.
@@ -34,6 +38,10 @@
   std::function<void(const std::vector<CrashReport>&)> on_crashes;
   /// Other VMs heard of rate limits.
   std::function<void(const std::vector<RateLimitReport>&)> on_rate_limits;
+  /// The configuration of the published view certainly was the newest then.
+  std::function<void(LeaseTime as_of)> on_as_of;
+  /// A lender answers what a worker asked.
+  std::function<void(uint16_t worker, const QuotaAnswer&)> on_quota_answer;
 };
 
 /// Makes the source of state, once the endpoint of control links is known.
@@ -63,9 +71,15 @@
   /// Tells each VM what it has to know of rate limits.
   void SendRateLimits(const std::vector<RateLimitNews>& news);
 
-  /// @returns true once there is a view that callers can be served by.
+  /// A worker needs credits of teams' quotas.
+  void AskQuota(uint16_t worker, QuotaRequest request) {
+    this->quotas.Ask(worker, std::move(request));
+  }
+
+  /// @returns true while there is a view that callers can be served by.
   bool ready() const {
-    return this->current_view != nullptr && this->source->ready();
+    return this->current_view != nullptr && this->source->ready() &&
+           this->api_keys_verified;
   }
   const RoutingViewPtr& view() const { return this->current_view; }
   const Membership& membership() const override { return *this->members; }
@@ -97,6 +111,7 @@
   }
 
   ControlLinkHandlers MakeLinkHandlers();
+  QuotaHostHandlers MakeQuotaHandlers();
   boost::asio::awaitable<void> TickLoop();
   void Tick(TimePoint now);
   void CountVms();
@@ -108,6 +123,9 @@
   void RebuildIfChanged();
   void OnLinked(VmHandle vm);
   void OnHeartbeat(VmHandle from, const wire::Heartbeat& heartbeat);
+  void OnMessage(VmHandle from, const wire::PeerMessage& message);
+  void PublishAsOf();
+  void JudgeApiKeys(LeaseTime now);
   wire::Heartbeat MakeHeartbeat(bool answer_wanted) const;
 
   IoContext& context;
@@ -118,6 +136,7 @@
   std::unique_ptr<StateSource> source;
   std::unique_ptr<Membership> members;
   ControlLinks links;
+  QuotaHost quotas;
   InForceTable force;
   std::unique_ptr<ViewBuilder> builder;
   RoutingViewPtr current_view;
@@ -128,6 +147,10 @@
   uint64_t built_membership = 0;
   uint64_t counted_membership = 0;
   uint64_t built_views = 0;
+  std::chrono::milliseconds api_key_max_age;
+  LeaseTime published_as_of = LeaseTime::min();
+  /// False while API keys can't be relied on and there are some.
+  bool api_keys_verified = true;
   bool leaving = false;
   bool configuration_changed = false;
   bool stopped = false;
--- a/packages/node/src/metrics.cc
+++ b/packages/node/src/metrics.cc
@@ -11,7 +11,7 @@
 constexpr PerEnum<std::string_view, VmState> kVmStateNames = {
     "live", "suspected", "leaving"};
 constexpr PerEnum<std::string_view, PlatformCall> kPlatformCallNames = {
-    "list", "read", "announce", "renew", "retry"};
+    "list", "read", "announce", "renew", "retry", "lease"};
 
 }  // namespace
 
--- a/packages/node/src/metrics.h
+++ b/packages/node/src/metrics.h
@@ -140,6 +140,9 @@
   Gauge applied_offset;
   PerEnum<Gauge, VmState> vms;
   Gauge drained_data_centres;
+  /// How old the configuration may be, in ms; 0 where that is not followed.
+  Gauge configuration_age;
+  Gauge lends_quotas;
   LinkCounters links;
   Counter log_reads;
   Counter log_appends;
--- a/packages/node/src/metrics_table.cc
+++ b/packages/node/src/metrics_table.cc
@@ -362,6 +362,15 @@
              "Data centres whose upstreams get nothing new, as the operator "
              "wants it.",
              ControlValue<&Control::drained_data_centres>),
+    GaugeRow("basilsill_configuration_age_milliseconds",
+             "",
+             "Time since the configuration certainly was the newest; 0 where "
+             "that is not followed.",
+             ControlValue<&Control::configuration_age>),
+    GaugeRow("basilsill_lends_quotas",
+             "",
+             "1 while this VM lends its data centre's share of quotas.",
+             ControlValue<&Control::lends_quotas>),
     GaugeRow("basilsill_control_links",
              "",
              "Open control links to other VMs.",
--- a/packages/node/src/node.cc
+++ b/packages/node/src/node.cc
@@ -91,6 +91,13 @@
         this->control_side->SendRateLimits(news);
       });
     };
+    options.on_quota_request = [this, i](QuotaRequest request) {
+      boost::asio::post(this->context,
+                        [this, i, request = std::move(request)]() mutable {
+                          this->control_side->AskQuota(static_cast<uint16_t>(i),
+                                                       std::move(request));
+                        });
+    };
     const uint16_t base = this->settings.listen.links;
     const Endpoint links{this->settings.vm.address,
                          static_cast<uint16_t>(base == 0 ? 0 : base + i)};
@@ -124,8 +131,21 @@
       worker->ImportRateLimits(told);
     }
   };
+  handlers.on_as_of = [this](LeaseTime as_of) {
+    for (const auto& worker : this->traffic) {
+      worker->ImportAsOf(as_of);
+    }
+  };
+  handlers.on_quota_answer = [this](uint16_t worker,
+                                    const QuotaAnswer& answer) {
+    if (worker < this->traffic.size()) {
+      this->traffic[worker]->ImportQuota(answer);
+    }
+  };
   ControlOptions options;
   options.incarnation = this->incarnation;
+  options.api_key_max_age = this->installation.api_key_max_age;
+  options.data_centres = this->installation.data_centres;
   for (const auto& worker : this->traffic) {
     options.workers.push_back(worker->links_endpoint());
   }
--- a/packages/node/src/refusal_answer.cc
+++ b/packages/node/src/refusal_answer.cc
@@ -16,6 +16,9 @@
 // not come back within the burst that refused it.
 constexpr milliseconds kDefaultRetryAfter{250};
 
+// HTTP wants such an answer to name a way to do better.
+constexpr unsigned kUnauthorized = 401;
+
 milliseconds RetryAfter(const ServeOutcome& outcome) {
   const auto told = std::chrono::ceil<milliseconds>(outcome.retry_after);
   return told > milliseconds(0) ? told : kDefaultRetryAfter;
@@ -59,6 +62,9 @@
   head.headers.set(names.request_id, request.request_id);
   head.headers.set(names.promise, NameOf(info.promise));
   head.headers.set(names.reason, info.name);
+  if (info.status == kUnauthorized) {
+    head.headers.set("WWW-Authenticate", "ApiKey");
+  }
   if (info.retry_after) {
     head.headers.set("Retry-After", RetryAfterText(outcome, names));
   }
--- a/packages/node/src/worker.cc
+++ b/packages/node/src/worker.cc
@@ -115,12 +115,14 @@
 
 void LogRequestEnd(Event event,
                    const RequestMessage& request,
+                   std::string_view team,
                    const RequestEnd& end) {
   const auto elapsed =
       std::chrono::duration_cast<milliseconds>(end.elapsed).count();
   Log(event, {{"request", request.request_id},
               {"reason", end.refusal},
               {"class", NameOf(request.entry.traffic_class)},
+              {"team", team},
               {"elapsed_ms", elapsed}});
 }
 
@@ -184,6 +186,9 @@
             this->counts->links),
       current_caller_limits(LimitsOf(settings)),
       splits(options.seed),
+      api_keys_until(installation.api_key_max_age.count() == 0
+                         ? LeaseTime::max()
+                         : LeaseTime::min()),
       via_text("1.1 " + settings.vm.name),
       tick_timer(this->context->get_executor()) {}
 
@@ -230,6 +235,67 @@
   this->links.ApplyView(view);
 }
 
+void Worker::ImportAsOf(LeaseTime as_of) {
+  const milliseconds age = this->installation.api_key_max_age;
+  if (age.count() == 0 || as_of == LeaseTime::min()) {
+    return;
+  }
+  boost::asio::post(*this->context, [this, as_of, age] {
+    this->api_keys_until =
+        as_of == LeaseTime::max() ? as_of : LeaseTime(as_of + age);
+  });
+}
+
+void Worker::ImportQuota(QuotaAnswer answer) {
+  boost::asio::post(*this->context, [this, answer = std::move(answer)] {
+    const LeaseTime now = LeaseClock::now();
+    this->borrower.OnAnswer(now, answer);
+    this->PumpQuota(now);
+  });
+}
+
+Task<QuotaDecision> Worker::TakeQuota(TeamKey team) {
+  this->uses_quotas = true;
+  const LeaseTime now = LeaseClock::now();
+  const QuotaDecision decision = this->borrower.Enter(now, team);
+  if (decision.verdict != QuotaVerdict::kWait) {
+    co_return decision;
+  }
+  QuotaWait wait(this->run_on);
+  this->quota_waits[decision.ticket] = &wait;
+  this->PumpQuota(now);
+  co_await wait.settled.Wait();
+  co_return wait.decision;
+}
+
+void Worker::ReturnQuota(TeamKey team, const QuotaCredit& credit) {
+  this->borrower.Return(LeaseClock::now(), team, credit);
+}
+
+void Worker::PumpQuota(LeaseTime now) {
+  for (const QuotaDecision& decision : this->borrower.TakeSettled()) {
+    const auto found = this->quota_waits.find(decision.ticket);
+    if (found != this->quota_waits.end()) {
+      found->second->decision = decision;
+      found->second->settled.Set();
+      this->quota_waits.erase(found);
+    }
+  }
+  std::optional<QuotaRequest> request = this->borrower.NextRequest(now);
+  if (request) {
+    this->options.on_quota_request(*std::move(request));
+  }
+}
+
+void Worker::TickQuota() {
+  if (!this->uses_quotas) {
+    return;
+  }
+  const LeaseTime now = LeaseClock::now();
+  this->borrower.Tick(now);
+  this->PumpQuota(now);
+}
+
 void Worker::Announce() {
   boost::asio::post(*this->context, [this] { this->is_leaving = true; });
 }
@@ -400,6 +466,7 @@
 void Worker::Tick(TimePoint now) {
   this->dispatch_host.Tick(now);
   this->entry_host.Tick(now);
+  this->TickQuota();
   this->ReportCrashes(now);
   this->TickSessions(now);
   this->TickIdle(now);
@@ -491,6 +558,13 @@
   }
 }
 
+std::string_view Worker::TeamOf(const RequestMessage& request) const {
+  const TeamRow* team = this->current_view
+                            ? FindTeam(*this->current_view, request.entry.team)
+                            : nullptr;
+  return team == nullptr ? std::string_view("-") : team->name;
+}
+
 void Worker::OnRequestDone(const RequestMessage& request,
                            const RequestEnd& end) {
   --this->requests_in_flight;
@@ -500,16 +574,16 @@
   const TrafficClass traffic_class = request.entry.traffic_class;
   if (end.broken) {
     this->counts->CountOutcome(traffic_class, Outcome::kBroken);
-    LogRequestEnd(Event::kAnswerBroken, request, end);
+    LogRequestEnd(Event::kAnswerBroken, request, this->TeamOf(request), end);
   } else if (request.caller_gone) {
     this->counts->CountOutcome(traffic_class, Outcome::kCallerGone);
-    LogRequestEnd(Event::kCallerGone, request, end);
+    LogRequestEnd(Event::kCallerGone, request, this->TeamOf(request), end);
   } else if (end.refusal == Refusal::kNone) {
     this->counts->CountOutcome(traffic_class, Outcome::kAnswered);
   } else {
     this->counts->CountOutcome(traffic_class, Outcome::kRefused);
     this->counts->CountRefusal(end.refusal);
-    LogRequestEnd(Event::kRequestRefused, request, end);
+    LogRequestEnd(Event::kRequestRefused, request, this->TeamOf(request), end);
   }
 }
 
--- a/packages/node/src/worker.h
+++ b/packages/node/src/worker.h
@@ -3,12 +3,15 @@
 
 #include <atomic>
 #include <functional>
+#include <map>
 #include <memory>
 #include <string>
 #include <thread>
 #include <unordered_set>
 #include <vector>
 
+#include "async_event.h"
+#include "basilsill/decision/quota_borrower.h"
 #include "basilsill/decision/split_chooser.h"
 #include "basilsill/node/installation.h"
 #include "basilsill/node/settings.h"
@@ -35,6 +38,8 @@
   std::function<void(std::vector<CrashReport>)> on_crashes;
   /// Called there with what other VMs have to be told of rate limits.
   std::function<void(std::vector<RateLimitNews>)> on_rate_limits;
+  /// Called there with what a lender of quotas is to be asked.
+  std::function<void(QuotaRequest)> on_quota_request;
 };
 
 class Worker final : private CallerHost, private RemoteDispatch {
@@ -66,6 +71,13 @@
   /// Takes in what other VMs heard of rate limits.
   void ImportRateLimits(std::vector<RateLimitReport> reports);
 
+  /// The configuration of the view that was published last certainly was the
+  /// newest then.
+  void ImportAsOf(LeaseTime as_of);
+
+  /// Takes in the answer to what was asked of a lender.
+  void ImportQuota(QuotaAnswer answer);
+
   /// From here on answers ask callers to use another connection next time.
   void Announce();
 
@@ -90,6 +102,13 @@
   Endpoint links_endpoint() const { return this->links_at; }
 
  private:
+  /// A request that waits for its credit.
+  struct QuotaWait {
+    explicit QuotaWait(const Executor& executor) : settled(executor) {}
+    AsyncEvent settled;
+    QuotaDecision decision;
+  };
+
   Worker(const Settings& settings,
          const Installation& installation,
          const WorkerOptions& options,
@@ -110,6 +129,9 @@
   void TickSessions(TimePoint now);
   void TickIdle(TimePoint now);
   void CountBusyLinks();
+  void PumpQuota(LeaseTime now);
+  void TickQuota();
+  std::string_view TeamOf(const RequestMessage& request) const;
   void TakeCounters();
   void Adopt(const RoutingViewPtr& view);
   void StartSession(Socket socket);
@@ -139,6 +161,11 @@
   }
   OnceServices once_services() override;
   uint64_t NextOnceSequence() override;
+  bool api_keys_verified() const override {
+    return LeaseClock::now() < this->api_keys_until;
+  }
+  Task<QuotaDecision> TakeQuota(TeamKey team) override;
+  void ReturnQuota(TeamKey team, const QuotaCredit& credit) override;
   void OnRequestStarted() override;
   void OnRequestDone(const RequestMessage& request,
                      const RequestEnd& end) override;
@@ -168,6 +195,10 @@
   std::unordered_set<std::shared_ptr<CallerSession>> sessions;
   CallerLimits current_caller_limits;
   SplitChooser splits;
+  LeaseTime api_keys_until;  ///< Not relied on from then on.
+  QuotaBorrower borrower;
+  std::map<uint64_t, QuotaWait*> quota_waits;  ///< By ticket.
+  bool uses_quotas = false;
   std::string via_text;
   Timer tick_timer;
   TimePoint sessions_ticked;
