Store: large topics are asked of peers before it is read; lists resume

All VMs start, list and read on for themselves after 0.6 s; 984 of them ask for many times what the store gives (80 MB a second). No answer is in time, each asks again and by then for more, lists begin anew at their first page, and nothing ever ends it: offsets stood still (1,251 of 9,998 upstreams known, configuration 3 for good). Ruled out: processor time (0.007 cores mean), links (960 stood at the large VMs), lost news (they stopped since nobody read).

What grows faster than the fleet: reads of all by each. Now, in fleets that share starts, a VM that does not tell asks one that tells it for what it missed; if that is behind as well, VMs read one after the other, 25 a second whatever the fleet; one whose peers are silent reads as before. Tests BulkTopic, StartPlan at two sizes.

--- a/packages/decision/include/basilsill/decision/start_plan.h
+++ b/packages/decision/include/basilsill/decision/start_plan.h
@@ -21,7 +21,13 @@
 /// tells, the first that list tell the others.
 /// @param rank Its place in the common order.
 /// @param waits As StartsWait says.
-Duration StartPatience(size_t rank, bool waits);
+/// @param known The VMs that are known.
+/// @remarks Failure: a thousand VMs start at once and each soon lists thousands
+/// of upstreams for itself. The store can't give so much in time, all calls run
+/// into their time-out, and none of the VMs is ever ready. So in such a fleet
+/// they list one after the other, some dozens a second, and nearly all are told
+/// before their turn.
+Duration StartPatience(size_t rank, bool waits, size_t known);
 
 /// @returns how long a VM waits before its first call where the whole
 /// installation starts for the first time.
--- a/packages/decision/include/basilsill/decision/topic_follower.h
+++ b/packages/decision/include/basilsill/decision/topic_follower.h
@@ -25,6 +25,7 @@
 enum class TopicCallKind : uint8_t {
   kListNewest,  ///< The newest record of each key after `after`.
   kReadOn,      ///< Records from offset `from`.
+  kAskPeer,     ///< The same, of a VM that tells this one.
   kCount
 };
 
@@ -35,6 +36,7 @@
   TopicCallKind kind = TopicCallKind::kListNewest;
   std::string after;
   uint64_t from = 0;
+  size_t max_bytes = 0;  ///< Of a read.
 };
 
 struct TopicFollowerOptions {
@@ -57,6 +59,9 @@
   /// The longest between two tries of the first VM, and of one that has not
   /// listed the topic yet.
   Duration retry_max = std::chrono::milliseconds(400);
+  /// The topic has so much that the store could not bear it if many VMs read
+  /// it. Those that do not tell others ask who tells them before they read.
+  bool is_bulk = false;
 };
 
 class TopicFollower {
@@ -77,8 +82,18 @@
   /// @returns true if the list is whole now.
   bool OnPage(TimePoint now, uint64_t end, bool more, std::string last_key);
 
-  /// Records up to `next` came.
-  void OnRecords(TimePoint now, uint64_t next);
+  /// Records up to `next` came, of a topic that ends at `end`.
+  void OnRecords(TimePoint now, uint64_t next, uint64_t end);
+
+  /// A peer was asked for what is missing here.
+  void OnAskedPeer(TimePoint now);
+
+  /// It does not tell: it has heard nothing new itself, or this VM is too far
+  /// behind.
+  void OnPeerDeclined(TimePoint now);
+
+  /// Says whether there are peers to ask.
+  void SetPeers(bool has_peers) { this->has_peers = has_peers; }
 
   /// Another VM has read the records from `first` on, up to `next`.
   /// @returns true if the records are to be taken: with them, nothing is
@@ -104,6 +119,9 @@
   /// @returns true while nothing is known to be missing before `offset()`.
   bool is_gapless() const { return this->whole && !this->listing; }
 
+  /// @returns true if what is known here was the newest of late.
+  bool is_fresh(TimePoint now) const;
+
   /// @returns true while the store answers.
   bool available() const { return this->failures == 0; }
 
@@ -120,6 +138,10 @@
   /// anything of late.
   uint64_t settled() const { return this->settled_offset; }
 
+  /// @returns an offset that is some seconds old: a VM that was frozen or had
+  /// no links for less is told what it has missed.
+  uint64_t retained() const { return this->retained_offset; }
+
  private:
   Duration Patience(TimePoint now) const;
   Duration Interval(TimePoint now) const;
@@ -128,6 +150,7 @@
   /// @returns a part of the way from `first` to `last`, by the VM's place.
   Duration ByPlace(Duration first, Duration last) const;
   void Advance(TimePoint now, uint64_t next);
+  bool AsksPeers() const;
 
   TopicFollowerOptions options;
   bool whole = false;
@@ -138,11 +161,19 @@
   uint64_t settled_offset = 0;
   uint64_t settling_offset = 0;  ///< Becomes the settled one.
   TimePoint settling_since{};
+  uint64_t retained_offset = 0;
+  uint64_t retaining_offset = 0;  ///< Becomes the retained one.
+  TimePoint retaining_since{};
   /// Where the last news of this VM ended, and those before.
   uint64_t told_offset = 0;
   uint64_t told_twice_offset = 0;
   size_t rank = 0;
   uint32_t failures = 0;
+  bool has_peers = false;
+  uint32_t peers_asked = 0;  ///< Without an answer since the last word.
+  bool peers_declined = false;
+  TimePoint fresh_at{};
+  size_t read_bytes;  ///< That the next read may bring.
   TimePoint trouble_until{};
   TimePoint busy_until{};
   TimePoint next_at{};
--- a/packages/decision/include/basilsill/decision/topic_records.h
+++ b/packages/decision/include/basilsill/decision/topic_records.h
@@ -39,9 +39,13 @@
   /// `record` said something new, and other VMs may not know it.
   void AddUntold(const KeyedRecord& record);
 
-  /// All VMs know what stands before `settled`.
+  /// Nobody will be told what stands before `settled`.
   void ForgetTold(uint64_t settled);
 
+  /// @returns from which offset on `UntoldFrom` knows all that said something
+  /// new.
+  uint64_t untold_since() const { return this->complete_from; }
+
   /// @returns what may not be known elsewhere, from offset `start` on: of each
   /// key the last record.
   std::vector<KeyedRecord> UntoldFrom(uint64_t start) const;
@@ -53,6 +57,8 @@
  private:
   std::map<std::string, KeyedRecord> newest;
   std::deque<KeyedRecord> recent;
+  uint64_t complete_from =
+      0;  ///< Nothing is missing in `recent` from there on.
   std::set<std::string> listed;
   bool listing = false;
 };
--- a/packages/decision/src/start_plan.cc
+++ b/packages/decision/src/start_plan.cc
@@ -21,6 +21,12 @@
 // Beyond that, by the place in the order: callers are refused meanwhile.
 constexpr Duration kHelpSpread = std::chrono::milliseconds(200);
 
+// From this size on, what all VMs list is more than the store gives in a
+// second; they list at a rate that does not grow with the fleet.
+constexpr size_t kLargeFleet = 512;
+constexpr Duration kListerGap = std::chrono::milliseconds(40);
+constexpr Duration kMaxListerWait = std::chrono::seconds(6);
+
 // Place in the order that waits half of it.
 constexpr int64_t kHalfWay = 64;
 
@@ -41,11 +47,14 @@
   return known >= kSmallFleet;
 }
 
-Duration StartPatience(size_t rank, bool waits) {
+Duration StartPatience(size_t rank, bool waits, size_t known) {
   if (rank < kFirstListers || !waits) {
     return Duration(0);
   }
   const auto place = static_cast<int64_t>(rank);
+  if (known >= kLargeFleet) {
+    return kHelpTime + std::min(kListerGap * place, kMaxListerWait);
+  }
   return kHelpTime + kHelpSpread * place / (place + kHalfWay);
 }
 
--- a/packages/decision/src/topic_records.cc
+++ b/packages/decision/src/topic_records.cc
@@ -56,12 +56,15 @@
 
 void TopicRecords::AddUntold(const KeyedRecord& record) {
   if (this->recent.size() == kMaxUntold) {
+    this->complete_from =
+        std::max(this->complete_from, this->recent.front().offset + 1);
     this->recent.pop_front();
   }
   this->recent.push_back(record);
 }
 
 void TopicRecords::ForgetTold(uint64_t settled) {
+  this->complete_from = std::max(this->complete_from, settled);
   std::erase_if(this->recent, [settled](const KeyedRecord& record) {
     return record.offset < settled;
   });
--- a/packages/decision/test/quota_history_test.cc
+++ b/packages/decision/test/quota_history_test.cc
@@ -98,9 +98,9 @@
     pcg64 random(seed);
     QuotaWorldOptions options;
     options.seed = seed;
-    options.teams = {Quota(40, 40), Quota(3, 3)};
+    options.teams = {Quota(100, 0), Quota(3, 3)};
     QuotaWorld world(options);
-    world.Load(0, world.AllVms(), 160);
+    world.Load(0, world.AllVms(), 300);
     world.Load(1, world.AllVms(), 12);
     for (int i = 0; i < 10; ++i) {
       world.Run(std::chrono::milliseconds(500 + random() % 3000));
--- a/packages/decision/test/start_test.cc
+++ b/packages/decision/test/start_test.cc
@@ -52,20 +52,35 @@
 TEST(StartPlan, StartPatience_LargeFleet_OnlyTheFirstListAtOnce) {
   const bool large = basilsill::StartsWait(109);
   const bool small = basilsill::StartsWait(14);
-  CHECK(basilsill::StartPatience(0, large) == 0ms);
-  CHECK(basilsill::StartPatience(1, large) == 0ms);
-  CHECK(basilsill::StartPatience(2, large) > 0ms);
-  CHECK(basilsill::StartPatience(50, large) <= 500ms);
-  CHECK(basilsill::StartPatience(311, large) <= 600ms);
-  CHECK(basilsill::StartPatience(5, small) == 0ms);
+  CHECK(basilsill::StartPatience(0, large, 312) == 0ms);
+  CHECK(basilsill::StartPatience(1, large, 312) == 0ms);
+  CHECK(basilsill::StartPatience(2, large, 312) > 0ms);
+  CHECK(basilsill::StartPatience(50, large, 312) <= 500ms);
+  CHECK(basilsill::StartPatience(311, large, 312) <= 600ms);
+  CHECK(basilsill::StartPatience(5, small, 312) == 0ms);
 }
 
 // Nobody is there to tell. All of 300 would list everything in the same
 // millisecond.
+// A thousand VMs start at once, and each lists thousands of upstreams: the
+// store can't give so much in time, and none is ever ready.
+TEST(StartPlan, StartPatience_TwiceALargeFleet_ListersASecondAreTheSame) {
+  const auto listers = [](size_t known) {
+    size_t count = 0;
+    for (size_t rank = 0; rank < known; ++rank) {
+      count += basilsill::StartPatience(rank, true, known) <= 2s ? 1 : 0;
+    }
+    return count;
+  };
+  CHECK_EQUAL(listers(1000), listers(2000));
+  CHECK(listers(1000) <= 50);
+}
+
 TEST(StartPlan, StartPatience_FarBack_ListsLater) {
-  CHECK(basilsill::StartPatience(3, true) < basilsill::StartPatience(30, true));
-  CHECK(basilsill::StartPatience(30, true) <
-        basilsill::StartPatience(300, true));
+  CHECK(basilsill::StartPatience(3, true, 312) <
+        basilsill::StartPatience(30, true, 312));
+  CHECK(basilsill::StartPatience(30, true, 312) <
+        basilsill::StartPatience(300, true, 312));
 }
 
 // An installation of 300 VMs is set up: all start at the same moment, look who
--- a/packages/decision/test/topic_follower_test.cc
+++ b/packages/decision/test/topic_follower_test.cc
@@ -71,7 +71,7 @@
   first.OnPage(this->now, 10, false, "k");
   CHECK(first.due() <= this->now);
   CHECK(first.NextCall().hold == 600ms);
-  first.OnRecords(this->now, 11);
+  first.OnRecords(this->now, 11, 11);
   CHECK(first.due() <= this->now + 50ms);
 }
 
@@ -94,7 +94,7 @@
   first.OnPage(this->now, 10, false, "k");
   first.OnFailed(this->now);
   CHECK(first.NextCall().hold == 0ms);
-  first.OnRecords(this->now, 11);
+  first.OnRecords(this->now, 11, 11);
   CHECK(first.NextCall().hold == 600ms);
 }
 
@@ -112,7 +112,7 @@
 }
 
 TEST(TopicFollower, News_Continuing_TakenAndReadPutOff) {
-  this->follower.OnRecords(this->now, 10);
+  this->follower.OnRecords(this->now, 10, 10);
   this->now += 500ms;
   CHECK(this->follower.OnNews(this->now, 10, 12));
   CHECK_EQUAL(12, this->follower.offset());
@@ -128,20 +128,20 @@
 // Two VMs read by turns, and a third hears only the one of them. What the other
 // told must not look like a gap to it, or it would read for itself each time.
 TEST(TopicFollower, Settled_OthersReadMeanwhile_StaysBackForAWhile) {
-  this->follower.OnRecords(this->now, 12);
+  this->follower.OnRecords(this->now, 12, 12);
   this->now += 600ms;
   this->follower.OnNews(this->now, 10, 15);
   CHECK_EQUAL(10, this->follower.settled());
   for (int i = 0; i < 6; ++i) {
     this->now += 600ms;
-    this->follower.OnRecords(this->now, 15);
+    this->follower.OnRecords(this->now, 15, 15);
   }
   CHECK_EQUAL(15, this->follower.settled());
 }
 
 // A message between VMs was lost, or its records did not fit into one.
 TEST(TopicFollower, News_WithAGap_ReadsAtOnce) {
-  this->follower.OnRecords(this->now, 10);
+  this->follower.OnRecords(this->now, 10, 10);
   CHECK_FALSE(this->follower.OnNews(this->now, 11, 12));
   CHECK(this->follower.due() <= this->now);
   CHECK_EQUAL(10, this->follower.offset());
@@ -150,7 +150,7 @@
 // A VM that reads for all is paused between its read and its message. What it
 // then says is old, and no sign that nothing newer is there.
 TEST(TopicFollower, News_OlderThanKnown_NoSign) {
-  this->follower.OnRecords(this->now, 12);
+  this->follower.OnRecords(this->now, 12, 12);
   const TimePoint due = this->follower.due();
   this->now += 300ms;
   CHECK_FALSE(this->follower.OnNews(this->now, 9, 11));
@@ -226,7 +226,7 @@
         continue;
       }
       if (i == reader) {
-        this->vms[i].OnRecords(this->now, 0);
+        this->vms[i].OnRecords(this->now, 0, 0);
       } else {
         this->vms[i].OnNews(this->now, 0, 0);
       }
@@ -314,7 +314,7 @@
   uint64_t told = 0;
   for (uint64_t next = 20; next <= 1000; next += 10) {
     this->now += 600ms;
-    this->follower.OnRecords(this->now, next);
+    this->follower.OnRecords(this->now, next, next);
     told += next - this->follower.BeginNews();
   }
   CHECK(told <= 2 * 990);
@@ -331,13 +331,13 @@
   for (int i = 0; i < 20; ++i) {
     this->now += 600ms;
     offset += 10;
-    this->follower.OnRecords(this->now, offset);
+    this->follower.OnRecords(this->now, offset, offset);
     const uint64_t start = this->follower.BeginNews();
     CHECK(next_reader.OnNews(this->now, start, offset));
     CHECK(listener.OnNews(this->now, start, offset));
   }
   this->now += 900ms;
-  next_reader.OnRecords(this->now, offset + 10);
+  next_reader.OnRecords(this->now, offset + 10, offset + 10);
   CHECK(listener.OnNews(this->now, next_reader.BeginNews(), offset + 10));
 }
 
@@ -347,10 +347,99 @@
   listener.OnPage(this->now, 10, false, "k");
   for (uint64_t next = 20; next <= 400; next += 10) {
     this->now += 600ms;
-    this->follower.OnRecords(this->now, next);
+    this->follower.OnRecords(this->now, next, next);
     const uint64_t start = this->follower.BeginNews();
     if (next % 20 == 0) {
       CHECK(listener.OnNews(this->now, start, next));
     }
   }
 }
+
+TEST_GROUP(BulkTopic) {
+  TopicFollower follower{Bulk()};
+  TimePoint now{1s};
+
+  static TopicFollowerOptions Bulk() {
+    TopicFollowerOptions options = Shared();
+    options.is_bulk = true;
+    return options;
+  }
+
+  void setup() override {
+    this->follower.OnPage(this->now, 10, false, "k");
+    this->follower.SetRank(500);
+    this->follower.SetPeers(true);
+  }
+};
+
+// A thousand VMs hear nothing for a moment, and each reads what it has missed:
+// more than the store can give in time, again and again.
+TEST(BulkTopic, NoNews_PeersAreAskedBeforeTheStore) {
+  this->now = this->follower.due();
+  CHECK(this->follower.NextCall().kind == TopicCallKind::kAskPeer);
+  this->follower.OnAskedPeer(this->now);
+  CHECK(this->follower.OnNews(this->now, 10, 12));
+  CHECK_EQUAL(12, this->follower.offset());
+  CHECK(this->follower.due() > this->now + 500ms);
+}
+
+// Cut off from its peers, a VM reads soon enough for every bound.
+TEST(BulkTopic, PeersSayNothing_ReadsSoon) {
+  this->now = this->follower.due();
+  while (this->follower.NextCall().kind == TopicCallKind::kAskPeer) {
+    this->follower.OnAskedPeer(this->now);
+    this->now = this->follower.due();
+  }
+  CHECK(this->follower.NextCall().kind == TopicCallKind::kReadOn);
+  CHECK(this->now <= TimePoint(1s) + Shared().max_silence + 400ms);
+}
+
+// Their peers can't tell them: they read one after the other, at a rate that
+// the size of the fleet does not change.
+TEST(BulkTopic, PeersDecline_TwiceTheFleet_ReadsASecondAreTheSame) {
+  const auto due_of = [this](size_t rank) {
+    TopicFollower vm(Bulk());
+    vm.OnPage(this->now, 10, false, "k");
+    vm.SetRank(rank);
+    vm.SetPeers(true);
+    vm.OnAskedPeer(this->now);
+    vm.OnPeerDeclined(this->now);
+    return vm.due() - this->now;
+  };
+  CHECK(due_of(200) - due_of(100) == due_of(100) - due_of(0));
+  CHECK(due_of(100) - due_of(0) >= 100 * 40ms);
+}
+
+TEST(BulkTopic, FailedRead_TheNextBringsLessAndThenMore) {
+  const size_t most = this->follower.NextCall().max_bytes;
+  this->follower.OnFailed(this->now);
+  const size_t least = this->follower.NextCall().max_bytes;
+  CHECK(least < most);
+  this->follower.OnRecords(this->now, 11, 11);
+  CHECK_EQUAL(2 * least, this->follower.NextCall().max_bytes);
+}
+
+// The topic grows by more than a read brings. The VM that reads for all would
+// fall back further and further.
+TEST(BulkTopic, Read_NotToTheEnd_ReadOnAtOnce) {
+  this->follower.OnRecords(this->now, 20, 50);
+  CHECK(this->follower.due() == this->now);
+  this->follower.OnRecords(this->now, 50, 50);
+  CHECK(this->follower.due() > this->now);
+}
+
+// A list of many pages begins anew at each call that fails, and never ends
+// while the store has much to do.
+TEST(BulkTopic, List_ACallFails_GoesOnAfterTheLastPage) {
+  TopicFollower fresh(Bulk());
+  fresh.OnPage(this->now, 10, true, "m");
+  fresh.OnFailed(this->now);
+  STRCMP_EQUAL("m", fresh.NextCall().after.c_str());
+  CHECK(fresh.OnPage(this->now, 14, false, "z"));
+  CHECK_EQUAL(10, fresh.offset());
+}
+
+TEST(BulkTopic, IsFresh_NoWordForLong_IsNot) {
+  CHECK(this->follower.is_fresh(this->now + 500ms));
+  CHECK_FALSE(this->follower.is_fresh(this->now + 2s));
+}
--- a/packages/wire/include/basilsill/wire/message.h
+++ b/packages/wire/include/basilsill/wire/message.h
@@ -281,11 +281,13 @@
   friend bool operator==(const TopicPosition&, const TopicPosition&) = default;
 };
 
-/// The sender starts and asks to be told these topics. Answered by StateNews or
-/// StateDeclined.
+/// The sender starts, or has heard nothing for long, and asks to be told these
+/// topics. Answered by StateNews or StateDeclined.
 struct StateQuestion {
   std::vector<TopicPosition> wanted;
   uint64_t stamp = 0;  ///< As in StateStamp.
+  /// It knows them up to their positions and wants what came since.
+  bool catches_up = false;
 
   friend bool operator==(const StateQuestion&, const StateQuestion&) = default;
 };
--- a/packages/wire/schema/peer.capnp
+++ b/packages/wire/schema/peer.capnp
@@ -218,6 +218,7 @@
 struct StateQuestion {
   wanted @0 :List(TopicPosition);
   stamp @1 :UInt64;
+  catchesUp @2 :Bool;
 }
 
 struct StateDeclined {
--- a/packages/wire/src/message_reader.cc
+++ b/packages/wire/src/message_reader.cc
@@ -295,6 +295,7 @@
     question.wanted.push_back({position.getTopic(), position.getFrom()});
   }
   question.stamp = reader.getStamp();
+  question.catches_up = reader.getCatchesUp();
   return question;
 }
 
--- a/packages/wire/src/message_writer.cc
+++ b/packages/wire/src/message_writer.cc
@@ -291,6 +291,7 @@
            schema::PeerMessage::Builder message) {
   auto builder = message.initStateQuestion();
   builder.setStamp(question.stamp);
+  builder.setCatchesUp(question.catches_up);
   auto wanted =
       builder.initWanted(static_cast<unsigned>(question.wanted.size()));
   for (unsigned i = 0; i < question.wanted.size(); ++i) {
--- a/packages/wire/test/samples.cc
+++ b/packages/wire/test/samples.cc
@@ -149,7 +149,7 @@
       WriteAnswer{3, true},
       StateNews{0, 7, 9, "b", false, false,
                 FreshnessVouch{9, milliseconds(3), milliseconds(70)}},
-      StateQuestion{{{0, 0}}, 12},
+      StateQuestion{{{0, 3}}, 12, true},
       StateStamp{11},
       QuotaRequest{5, true, {{1, 2}, {3, 4}}, {{1, 1, 99}}},
       QuotaAnswer{
