--- a/packages/decision/test/quota_test.cc
+++ b/packages/decision/test/quota_test.cc
@@ -22,7 +22,6 @@
 using basilsill::QuotaRequest;
 using basilsill::QuotaVerdict;
 using basilsill::TeamKey;
-using basilsill::TeamLimits;
 using basilsill::TeamRow;
 using namespace std::chrono_literals;
 
