--- a/soak/callers.cc
+++ b/soak/callers.cc
@@ -68,8 +68,26 @@
       std::uniform_int_distribution<int64_t>(0, 2 * mean.count())(random));
 }
 
+// One caller in four is of the team that goes beyond its quota, and one of the
+// team whose key comes and goes.
+SoakTeam TeamOf(size_t caller) {
+  constexpr size_t turn = 4;
+  switch (caller % turn) {
+    case 1:
+      return SoakTeam::kRevoked;
+    case 2:
+      return SoakTeam::kLimited;
+    default:
+      return SoakTeam::kPlain;
+  }
+}
+
 }  // namespace
 
+std::string KeyOf(SoakTeam team) {
+  return "key-of-team-" + std::to_string(static_cast<size_t>(team));
+}
+
 Callers::Callers(asio::io_context& io,
                  const Fleet& fleet,
                  const CallersOptions& options,
@@ -115,6 +133,8 @@
   Sent sent;
   sent.request.id =
       "r" + std::to_string(caller.number) + "-" + std::to_string(caller.sent++);
+  const SoakTeam team = TeamOf(caller.number);
+  sent.request.key = KeyOf(team);
   sent.request.path = "/" + std::string(route.route) + "/x";
   sent.request.deadline = this->options.patience;
   if (route.kind == RequestKind::kUnsafe) {
@@ -126,6 +146,7 @@
   row.kind = route.kind;
   row.route = route.route;
   row.service = route.service;
+  row.team = static_cast<size_t>(team);
   row.node = node;
   row.sent = MonotonicClock::now();
   sent.row = this->seen.requests.size();
--- a/soak/callers.h
+++ b/soak/callers.h
@@ -18,6 +18,9 @@
 
 namespace basilsill::soak {
 
+/// @returns the API key of `team`.
+std::string KeyOf(SoakTeam team);
+
 struct CallersOptions {
   size_t callers = 0;
   uint64_t seed = 0;
--- a/soak/fleet.cc
+++ b/soak/fleet.cc
@@ -58,6 +58,7 @@
     node.repeat_slack = options.bounds.repeat_slack;
     node.drain = options.bounds.drain;
     node.apply = options.bounds.apply;
+    node.revoke = options.bounds.revoke;
     member->process = std::make_unique<NodeProcess>(node);
     this->members.push_back(std::move(member));
   }
--- a/soak/main.cc
+++ b/soak/main.cc
@@ -4,12 +4,15 @@
 
 #include <cstdio>
 #include <filesystem>
+#include <fstream>
 #include <iostream>
+#include <iterator>
 #include <map>
 #include <string>
 
 #include <tclap/CmdLine.h>
 
+#include "callers.h"
 #include "rig.h"
 
 namespace {
@@ -17,6 +20,7 @@
 using basilsill::soak::Ending;
 using basilsill::soak::Observations;
 using basilsill::soak::Plan;
+using basilsill::soak::SoakTeam;
 using basilsill::soak::Violation;
 using std::chrono::milliseconds;
 
@@ -127,6 +131,25 @@
   bounds.apply *= times;
   bounds.timeout *= times;
   bounds.repeat_slack *= times;
+  bounds.revoke *= times;
+  bounds.quota_rate *= times;
+}
+
+/// @returns true if what the nodes wrote to `directory` has the API key of a
+/// team.
+bool HoldsKey(const std::filesystem::path& directory) {
+  const std::string key = basilsill::soak::KeyOf(SoakTeam::kPlain);
+  const std::string begins = key.substr(0, key.size() - 1);
+  for (const auto& entry : std::filesystem::directory_iterator(directory)) {
+    std::ifstream file(entry.path(), std::ios::binary);
+    const std::string text((std::istreambuf_iterator<char>(file)),
+                           std::istreambuf_iterator<char>());
+    if (text.find(begins) != std::string::npos) {
+      std::printf("  a key stands in %s\n", entry.path().c_str());
+      return true;
+    }
+  }
+  return false;
 }
 
 /// @returns true if no promise was broken.
@@ -153,7 +176,7 @@
   for (const Violation& violation : broken) {
     PrintViolation(violation, seen);
   }
-  const bool good = broken.empty() && served;
+  const bool good = broken.empty() && served && !HoldsKey(directory);
   if (!good || arguments.keep_logs) {
     PrintPlan(plan);
     std::printf("  logs in %s\n", directory.c_str());
--- a/soak/node_process.cc
+++ b/soak/node_process.cc
@@ -55,6 +55,7 @@
   text.repeat_slack = this->options.repeat_slack;
   text.drain = this->options.drain;
   text.apply = this->options.apply;
+  text.revoke = this->options.revoke;
   std::ofstream settings(this->options.directory + "/" + this->options.name +
                          ".conf");
   settings << ToText(text);
--- a/soak/node_process.h
+++ b/soak/node_process.h
@@ -21,6 +21,7 @@
   double repeat_slack = 0;
   std::chrono::milliseconds drain{0};
   std::chrono::milliseconds apply{0};
+  std::chrono::milliseconds revoke{0};
 };
 
 class NodeProcess {
--- a/soak/observations.h
+++ b/soak/observations.h
@@ -37,6 +37,7 @@
   RequestKind kind = RequestKind::kSafe;
   std::string route;
   size_t service = 0;
+  size_t team = 0;  ///< Whose key it carries, of TeamNames().
   size_t node = 0;
   TimePoint sent{};  ///< Its last octet was written.
   TimePoint ended{};
@@ -92,6 +93,14 @@
   TimePoint to{};
 };
 
+/// The platform accepted that a team's key is taken away, and the operator then
+/// gave it back.
+struct KeyRow {
+  size_t team = 0;
+  TimePoint accepted{};
+  TimePoint given_back = TimePoint::max();
+};
+
 /// The platform accepted a configuration that adds or drops a route.
 struct RouteRow {
   std::string route;
@@ -122,6 +131,10 @@
   TimePoint at{};
 };
 
+/// The teams of a soak. One has a key that is taken away and given back, one a
+/// quota that its callers go beyond, and one neither.
+enum class SoakTeam : uint8_t { kPlain, kRevoked, kLimited, kCount };
+
 struct Observations {
   /// @returns the row of a disturbance that begins now, and is open.
   size_t BeginDisturbance(DisturbanceKind kind, std::optional<size_t> node) {
@@ -141,6 +154,7 @@
   std::vector<DrainRow> drains;
   std::vector<ColdRow> colds;
   std::vector<LimitRow> limits;
+  std::vector<KeyRow> keys;
   std::vector<RouteRow> routes;
   std::vector<Disturbance> disturbances;
   std::vector<UnaskedEnd> unasked_ends;
--- a/soak/promises.cc
+++ b/soak/promises.cc
@@ -15,10 +15,11 @@
 using std::chrono::milliseconds;
 
 constexpr std::array<std::string_view, static_cast<size_t>(Promise::kCount)>
-    kNames = {"own-answer", "once",          "not-run",   "leaving",
-              "shutdown",   "configuration", "no-return", "repeats",
-              "recovery",   "caller-gone",   "timeout",   "stays-up",
-              "drained",    "cold",          "rate-limit"};
+    kNames = {"own-answer", "once",          "not-run",    "leaving",
+              "shutdown",   "configuration", "no-return",  "repeats",
+              "recovery",   "caller-gone",   "timeout",    "stays-up",
+              "drained",    "cold",          "rate-limit", "key-revoked",
+              "team-quota"};
 
 // Promises with a bound in time allow for single requests that fell between
 // two moments of observation.
@@ -71,7 +72,8 @@
         &Judgement::CheckRecovery,  &Judgement::CheckCallerGone,
         &Judgement::CheckTimeout,   &Judgement::CheckStaysUp,
         &Judgement::CheckDrained,   &Judgement::CheckCold,
-        &Judgement::CheckRateLimit};
+        &Judgement::CheckRateLimit, &Judgement::CheckKeyRevoked,
+        &Judgement::CheckTeamQuota};
     for (const Check check : checks) {
       (this->*check)();
     }
@@ -469,6 +471,58 @@
   }
 
   // Questions for its health count as well.
+  // Whatever was done to nodes and the store meanwhile.
+  void CheckKeyRevoked() {
+    for (const KeyRow& key : this->seen.keys) {
+      const TimePoint from = key.accepted + this->bounds.revoke + this->slack;
+      for (const RunRow& run : this->seen.runs) {
+        const auto found = this->requests.find(run.id);
+        if (found == this->requests.end() || found->second->team != key.team) {
+          continue;
+        }
+        const TimePoint sent = found->second->sent;
+        if (sent >= from && sent < key.given_back) {
+          this->Add(Promise::kKeyRevoked, {run.id}, run.began,
+                    "sent with a key that was taken away");
+        }
+      }
+    }
+  }
+
+  // Counted is what is both sent and begun in a window.
+  void CheckTeamQuota() {
+    struct Span {
+      TimePoint sent;
+      TimePoint began;
+      std::string_view id;
+    };
+    std::vector<Span> spans;
+    for (const auto& [id, runs] : this->runs) {
+      const auto found = this->requests.find(id);
+      if (found != this->requests.end() &&
+          found->second->team == static_cast<size_t>(SoakTeam::kLimited)) {
+        spans.push_back({found->second->sent, runs.front()->began, id});
+      }
+    }
+    const Duration window = this->bounds.quota_window;
+    const double seconds = std::chrono::duration<double>(window).count();
+    const double bound =
+        this->bounds.quota_excess *
+            (this->bounds.quota_rate * seconds + this->bounds.quota_burst) +
+        this->bounds.quota_slack;
+    for (const Span& first : spans) {
+      const auto count = std::count_if(
+          spans.begin(), spans.end(), [&first, window](const Span& span) {
+            return span.sent >= first.sent && span.began < first.sent + window;
+          });
+      if (static_cast<double>(count) > bound) {
+        this->Add(Promise::kTeamQuota, {std::string(first.id)}, first.sent,
+                  std::to_string(count) + ", bound " + std::to_string(bound));
+        return;
+      }
+    }
+  }
+
   void CheckRateLimit() {
     std::vector<ArrivalRow> sends = this->seen.arrivals;
     sends.insert(sends.end(), this->seen.questions.begin(),
--- a/soak/promises.h
+++ b/soak/promises.h
@@ -29,6 +29,8 @@
   kDrained,        ///< A drained data centre gets nothing new.
   kCold,           ///< A cold upstream gets no more a second than its bound.
   kRateLimit,      ///< One that names a rate limit gets about that.
+  kKeyRevoked,     ///< A key that was taken away is of no use any more.
+  kTeamQuota,      ///< A team gets no more than its quota.
   kCount
 };
 
@@ -51,6 +53,15 @@
   std::chrono::milliseconds rate_limit_window{4000};
   double rate_limit_excess = 1.5;
   double rate_limit_slack = 5;
+  /// A key that was taken away is refused so long after, in touch or not.
+  std::chrono::milliseconds revoke{3000};
+  /// Of the team that has a quota: requests a second, and at once; what all
+  /// nodes together may run in any window beyond that.
+  double quota_rate = 6;
+  double quota_burst = 6;
+  double quota_excess = 1.1;
+  double quota_slack = 20;
+  std::chrono::milliseconds quota_window{5000};
   std::chrono::milliseconds grace{6000};
   std::chrono::milliseconds loss_slack{200};
   std::chrono::milliseconds caller_gone{500};
--- a/soak/rig.cc
+++ b/soak/rig.cc
@@ -26,6 +26,7 @@
 using adapter::test::FakeStore;
 using adapter::test::RouteText;
 using adapter::test::StoreMode;
+using adapter::test::TeamText;
 using std::chrono::milliseconds;
 
 constexpr milliseconds kStartLimit{15000};
@@ -36,6 +37,9 @@
 // With the settings' factor and slack, sixteen requests in any second.
 constexpr double kColdRate = 5.6;
 constexpr char kMovingRoute[] = "extra";
+// When a team's key is taken away, and for how long beyond the bound.
+constexpr milliseconds kRevokedAfter{2000};
+constexpr milliseconds kRevokedFor{4000};
 
 class Rig {
  public:
@@ -90,14 +94,43 @@
     const TimePoint sent = MonotonicClock::now();
     this->store.Put(
         adapter::test::kOperatorTopic, adapter::test::kConfigurationKey,
-        adapter::test::WithColdUpstreams(
-            adapter::test::ConfigurationText(VersionText(++this->version),
-                                             routes, ServiceNames()),
-            kColdRate));
+        adapter::test::WithTeams(
+            adapter::test::WithColdUpstreams(
+                adapter::test::ConfigurationText(VersionText(++this->version),
+                                                 routes, ServiceNames()),
+                kColdRate),
+            this->MakeTeams()));
     this->seen.routes.push_back(
         {kMovingRoute, this->has_moving_route, sent, MonotonicClock::now()});
   }
 
+  std::vector<TeamText> MakeTeams() const {
+    TeamText limited{"limited", {KeyOf(SoakTeam::kLimited)}};
+    limited.rate = this->options.bounds.quota_rate;
+    limited.burst = this->options.bounds.quota_burst;
+    TeamText revoked{"revoked", {}};
+    if (!this->is_key_revoked) {
+      revoked.keys.push_back(KeyOf(SoakTeam::kRevoked));
+    }
+    return {{"plain", {KeyOf(SoakTeam::kPlain)}}, limited, revoked};
+  }
+
+  // Beside the plan, so that a seed's plan stays what it was.
+  asio::awaitable<void> Revoke() {
+    co_await Sleep(kRevokedAfter);
+    this->is_key_revoked = true;
+    this->Configure();
+    const size_t row = this->seen.keys.size();
+    this->seen.keys.push_back(
+        {static_cast<size_t>(SoakTeam::kRevoked), MonotonicClock::now()});
+    co_await Sleep(this->options.bounds.revoke + kRevokedFor);
+    if (!this->over) {
+      this->seen.keys[row].given_back = MonotonicClock::now();
+      this->is_key_revoked = false;
+      this->Configure();
+    }
+  }
+
   // Eight hexadecimal digits; versions grow in steps.
   static std::string VersionText(uint64_t version) {
     constexpr uint64_t base = 0x10000000;
@@ -123,6 +156,7 @@
       co_await Sleep(kStartLook);
     }
     this->callers.Start();
+    asio::co_spawn(this->io, this->Revoke(), asio::detached);
     const TimePoint start = MonotonicClock::now();
     for (const Step& step : this->plan.steps) {
       co_await Sleep(start + step.at - MonotonicClock::now());
@@ -219,6 +253,7 @@
   Callers callers;
   uint64_t version = 0;
   bool has_moving_route = true;
+  bool is_key_revoked = false;
   std::set<size_t> drained;  ///< Data centres, now.
   bool store_is_harmed = false;
   bool over = false;
--- a/soak/test/promises_test.cc
+++ b/soak/test/promises_test.cc
@@ -51,6 +51,10 @@
     return row;
   }
 
+  void AddOfTeam(const std::string& id, size_t team, Duration at) {
+    this->AddServed(id, at).team = team;
+  }
+
   void AddRun(const std::string& id, Duration at, size_t upstream) {
     this->seen.runs.push_back({id, upstream, 0, kStart + at});
   }
@@ -302,6 +306,37 @@
   CHECK(Judge(this->seen, this->bounds).empty());
 }
 
+// A node that has heard of nothing for long serves a key that was taken away.
+TEST(Promises, KeyRevoked_ServedAfterTheBound_BrokenWhateverWasDone) {
+  this->seen.keys.push_back({1, kStart + 4s, kStart + 12s});
+  this->AddOfTeam("in-time", 1, 6s);
+  this->AddOfTeam("late", 1, 9s);
+  this->AddOfTeam("other", 0, 9s);
+  this->AddOfTeam("given-back", 1, 13s);
+  this->Disturb(DisturbanceKind::kNode, 2s, 12s);
+  const auto broken = Judge(this->seen, this->bounds);
+  CHECK_EQUAL(1, broken.size());
+  CHECK(Promise::kKeyRevoked == broken[0].promise);
+  STRCMP_EQUAL("late", broken[0].ids.front().c_str());
+}
+
+// Nodes that can't see each other each serve the whole quota of a team.
+TEST(Promises, TeamQuota_MoreThanTheBound_Broken) {
+  for (int i = 0; i < 60; ++i) {
+    this->AddOfTeam("l" + std::to_string(i), 2, 6s + i * 50ms);
+  }
+  const auto broken = Judge(this->seen, this->bounds);
+  CHECK_EQUAL(1, broken.size());
+  CHECK(Promise::kTeamQuota == broken[0].promise);
+}
+
+TEST(Promises, TeamQuota_AsManyAsItMayRun_Kept) {
+  for (int i = 0; i < 59; ++i) {
+    this->AddOfTeam("l" + std::to_string(i), 2, 6s + i * 50ms);
+  }
+  CHECK(Judge(this->seen, this->bounds).empty());
+}
+
 // A cold upstream gets a request more in a second than it may.
 TEST(Promises, Cold_OneMoreThanTheBound_Broken) {
   this->seen.colds.push_back({0, kStart + 10s, kStart + 12s});
