Quotas: a VM that does not lend asks those that do, the next looks early

Now a VM that does not lend speaks for those that do, and says that it does not lend; one whose lease can't be renewed tells the next candidate at the first failure.

--- a/packages/decision/include/basilsill/decision/quota.h
+++ b/packages/decision/include/basilsill/decision/quota.h
@@ -72,7 +72,9 @@
 
 struct QuotaAnswer {
   uint64_t number = 0;
-  bool lends = false;  ///< False: another VM may lend, this one does not.
+  /// False: another VM may lend, this one does not. What it says then is what
+  /// others granted; nothing, if nobody lends.
+  bool lends = false;
   /// When, by the lender's clock; means nothing to anybody else.
   uint64_t lent_at = 0;
   std::vector<QuotaGrant> grants;
--- a/packages/decision/include/basilsill/decision/quota_lender.h
+++ b/packages/decision/include/basilsill/decision/quota_lender.h
@@ -68,7 +68,9 @@
  public:
   /// Says who lends the other shares.
   /// @param shares For each of them the VMs that may, in their order.
-  void SetOthers(const std::vector<std::vector<VmHandle>>& shares);
+  /// @param siblings Others that may lend this VM's share.
+  void SetOthers(const std::vector<std::vector<VmHandle>>& shares,
+                 std::vector<VmHandle> siblings);
 
   void SetTeams(LeaseTime now, const std::vector<TeamRow>& teams, double part) {
     this->buckets.SetTeams(now, teams, part);
@@ -112,6 +114,8 @@
     size_t shares_left = 0;
     VmHandle asking;
     uint64_t asked_number = 0;
+    bool is_lent = false;       ///< Somebody lends.
+    bool asks_sibling = false;  ///< Not yet, and this VM does not lend.
   };
 
   void TakeBack(LeaseTime now, const QuotaRequest& request);
@@ -119,12 +123,15 @@
                                    const QuotaRequest& request,
                                    const QuotaAnswer& answer) const;
   bool AskNext(LeaseTime now, Open& open);
+  void Ask(LeaseTime now, Open& open, VmHandle vm);
   void Close(LeaseTime now, Open& open);
+  void Answer(Open& open);
   void KeepLate(LeaseTime now, const QuotaAnswer& answer);
   static void Merge(Open& open, const QuotaAnswer& answer);
 
   QuotaBuckets buckets;
   std::vector<LenderChoice> others;
+  LenderChoice sibling;
   std::vector<Open> opened;
   /// Requests to other lenders that may still be answered, and when they went.
   std::map<uint64_t, LeaseTime> asked;
--- a/packages/decision/include/basilsill/decision/quota_office.h
+++ b/packages/decision/include/basilsill/decision/quota_office.h
@@ -64,7 +64,7 @@
                    uint64_t end);
   void OnLeaseWritten(LeaseTime now, uint64_t end);
   void OnLeaseConflict(LeaseTime now) { this->own_lease.OnConflict(now); }
-  void OnLeaseFailed(LeaseTime now) { this->own_lease.OnFailed(now); }
+  void OnLeaseFailed(LeaseTime now);
 
   /// @returns true while this VM lends.
   bool lends() const { return this->is_lending; }
--- a/packages/decision/src/quota_borrower.cc
+++ b/packages/decision/src/quota_borrower.cc
@@ -135,7 +135,7 @@
     return;
   }
   this->asking = false;
-  if (!answer.lends) {
+  if (!answer.lends && answer.grants.empty()) {
     this->ask_again_at = now + kAskAgain;
     return;
   }
@@ -162,6 +162,10 @@
   if (grant.retry_after > Duration(0)) {
     team.closed_until = now + grant.retry_after;
   }
+  // Nobody says when: not asked again at once, or two VMs do nothing else.
+  if (!team.waiting.empty() && now >= team.closed_until) {
+    this->ask_again_at = now + kAskAgain;
+  }
   while (!team.waiting.empty() && now < team.closed_until) {
     this->Settle(team,
                  {QuotaVerdict::kExhausted, 0, RetryAfter(now, team), {}});
--- a/packages/decision/src/quota_lease.cc
+++ b/packages/decision/src/quota_lease.cc
@@ -42,8 +42,11 @@
       now - this->needed_at >= kIdleAfter) {
     return false;
   }
-  return this->Holds(now) || this->needed_first ||
-         now - this->needed_since >= kStepInAfter;
+  if (this->Holds(now) || this->needed_first) {
+    return true;
+  }
+  return now - this->needed_at < kNeedGap &&
+         this->needed_at - this->needed_since >= kStepInAfter;
 }
 
 bool QuotaLease::IsFree(LeaseTime now) const {
--- a/packages/decision/src/quota_lender.cc
+++ b/packages/decision/src/quota_lender.cc
@@ -15,6 +15,10 @@
 // All that is asked of others for one request.
 constexpr milliseconds kMaxOpen{100};
 
+// Told where the share of the data centre is not lent and the others have
+// nothing left.
+constexpr milliseconds kUnlentRetryAfter{100};
+
 uint64_t TicksOf(LeaseTime time) {
   return static_cast<uint64_t>(time.time_since_epoch().count());
 }
@@ -30,7 +34,9 @@
 
 }  // namespace
 
-void QuotaLender::SetOthers(const std::vector<std::vector<VmHandle>>& shares) {
+void QuotaLender::SetOthers(const std::vector<std::vector<VmHandle>>& shares,
+                            std::vector<VmHandle> siblings) {
+  this->sibling.SetCandidates(std::move(siblings));
   this->others.resize(shares.size());
   for (size_t i = 0; i < shares.size(); ++i) {
     this->others[i].SetCandidates(shares[i]);
@@ -49,6 +55,10 @@
   }
 }
 
+// Failure: the platform's store turns the lender of a data centre away, and its
+// lease ends. All requests there of teams with a quota would be refused until
+// another VM may lend the share, though the other shares are lent. So one that
+// does not lend asks those that do.
 void QuotaLender::OnRequest(LeaseTime now,
                             const QuotaAsker& from,
                             const QuotaRequest& request) {
@@ -56,23 +66,25 @@
   answer.number = request.number;
   answer.lends = this->lends;
   answer.lent_at = TicksOf(now);
-  if (!this->lends) {
-    this->sends.push_back({from, std::move(answer)});
-    return;
+  if (this->lends) {
+    this->TakeBack(now, request);
   }
-  this->TakeBack(now, request);
   for (const QuotaWant& want : request.wants) {
-    answer.grants.push_back(this->buckets.Take(now, want.team, want.wanted));
+    answer.grants.push_back(
+        this->lends ? this->buckets.Take(now, want.team, want.wanted)
+                    : QuotaGrant{want.team, 0, kUnlentRetryAfter});
   }
   Open open;
   open.from = from;
+  open.is_lent = this->lends;
+  open.asks_sibling = !this->lends;
   open.missing = this->MissingOf(now, request, answer);
   open.answer = std::move(answer);
   open.since = now;
   open.shares_left = this->others.size();
   open.next_share = this->first_share++;
   if (request.of_lender || open.missing.empty() || !this->AskNext(now, open)) {
-    this->sends.push_back({from, std::move(open.answer)});
+    this->Answer(open);
     return;
   }
   this->opened.push_back(std::move(open));
@@ -115,20 +127,29 @@
     if (!IsValid(share.current())) {
       continue;
     }
-    QuotaRequest request;
-    request.number = ++this->last_number;
-    request.of_lender = true;
-    request.wants = open.missing;
-    open.asking = share.current();
-    open.asked_number = request.number;
-    open.asked = now;
-    this->asked[request.number] = now;
-    this->sends.push_back({{open.asking, 0}, std::move(request)});
+    this->Ask(now, open, share.current());
+    return true;
+  }
+  if (std::exchange(open.asks_sibling, false) &&
+      IsValid(this->sibling.current())) {
+    this->Ask(now, open, this->sibling.current());
     return true;
   }
   return false;
 }
 
+void QuotaLender::Ask(LeaseTime now, Open& open, VmHandle vm) {
+  QuotaRequest request;
+  request.number = ++this->last_number;
+  request.of_lender = true;
+  request.wants = open.missing;
+  open.asking = vm;
+  open.asked_number = request.number;
+  open.asked = now;
+  this->asked[request.number] = now;
+  this->sends.push_back({{vm, 0}, std::move(request)});
+}
+
 void QuotaLender::OnAnswer(LeaseTime now,
                            VmHandle from,
                            const QuotaAnswer& answer) {
@@ -137,6 +158,7 @@
       share.PassOver(from);
     }
   }
+  // A VM that does not lend itself speaks for those that do.
   const auto found = std::find_if(
       this->opened.begin(), this->opened.end(), [&](const Open& open) {
         return open.asking == from && open.asked_number == answer.number;
@@ -146,7 +168,8 @@
     return;
   }
   this->asked.erase(answer.number);
-  this->Merge(*found, answer);
+  found->is_lent = found->is_lent || answer.lends;
+  Merge(*found, answer);
   if (found->missing.empty() || !this->AskNext(now, *found)) {
     this->Close(now, *found);
     this->opened.erase(found);
@@ -185,12 +208,19 @@
     const bool is_missing = std::any_of(
         open.missing.begin(), open.missing.end(),
         [&grant](const QuotaWant& want) { return want.team == grant.team; });
-    if (is_missing) {
+    if (is_missing && open.is_lent) {
       this->exhausted[grant.team] = now + grant.retry_after;
-    } else {
+    } else if (!is_missing) {
       grant.retry_after = Duration(0);
     }
   }
+  this->Answer(open);
+}
+
+void QuotaLender::Answer(Open& open) {
+  if (!open.is_lent) {
+    open.answer.grants.clear();
+  }
   this->sends.push_back({open.from, std::move(open.answer)});
 }
 
--- a/packages/decision/src/quota_office.cc
+++ b/packages/decision/src/quota_office.cc
@@ -83,8 +83,10 @@
       others.push_back(std::move(tellers));
     }
   }
+  std::vector<VmHandle> siblings = this->candidates;
+  std::erase(siblings, this->self);
   this->choice.SetCandidates(this->candidates);
-  this->lender.SetOthers(others);
+  this->lender.SetOthers(others, std::move(siblings));
 }
 
 bool QuotaOffice::IsFirst() const {
@@ -147,9 +149,6 @@
   if (is_own) {
     this->asked[from.worker].answered = true;
   }
-  if (is_own && this->HasShares() && !this->is_lending) {
-    this->choice.PassOver(this->self);
-  }
   this->lender.OnRequest(now, from, request);
 }
 
@@ -212,6 +211,19 @@
   this->Sync(now);
 }
 
+// Another candidate has to see the record for a whole term before it may lend,
+// so it begins to look at the first sign that this one will not renew it.
+void QuotaOffice::OnLeaseFailed(LeaseTime now) {
+  this->own_lease.OnFailed(now);
+  for (const VmHandle vm : this->candidates) {
+    if (vm != this->self) {
+      QuotaRequest need;
+      need.of_lender = true;
+      this->lender.Send({{vm, 0}, std::move(need)});
+    }
+  }
+}
+
 void QuotaOffice::Leave(LeaseTime now) {
   this->own_lease.GiveUp();
   this->Sync(now);
--- a/packages/decision/test/quota_history_test.cc
+++ b/packages/decision/test/quota_history_test.cc
@@ -202,6 +202,26 @@
                 0.05 * 350);
 }
 
+// The store turns those away that lend in two of three data centres. Their VMs
+// are refused all requests of teams with a quota, for as long as it takes
+// another to lend there.
+TEST(QuotaHistory, StoreRefusesTwoLenders_DemandWithinTheQuota_ServedOn) {
+  QuotaWorldOptions options;
+  options.teams = {Quota(60, 60)};
+  QuotaWorld world(options);
+  world.Load(0, world.AllVms(), 36);
+  world.Run(5s);
+  std::vector<size_t> lenders = world.Lenders();
+  CHECK_EQUAL(3, lenders.size());
+  lenders.pop_back();
+  const size_t refused = world.CountRefused(0);
+  const size_t sent = world.CountSent(0);
+  world.CutStore(lenders, 9s);
+  world.Run(9s);
+  CHECK_COMPARE(static_cast<double>(world.CountRefused(0) - refused), <=,
+                0.1 * static_cast<double>(world.CountSent(0) - sent));
+}
+
 // Leases cost the store the same however many VMs and requests there are.
 TEST(QuotaHistory, StoreCalls_TenTimesTheVms_AreTheSame) {
   const auto calls = [](size_t vms_each, double per_second) {
--- a/packages/decision/test/quota_test.cc
+++ b/packages/decision/test/quota_test.cc
@@ -127,6 +127,15 @@
   CHECK(later.retry_after > settled[1].retry_after);
 }
 
+// A lender that grants too few and does not say when to come back.
+TEST(QuotaBorrower, OnAnswer_NothingAndNoTime_NotAskedAgainAtOnce) {
+  this->borrower.Enter(this->now, kTeam);
+  const auto request = this->borrower.NextRequest(this->now);
+  this->borrower.OnAnswer(this->now, this->Grant(*request, 0));
+  CHECK_FALSE(this->borrower.NextRequest(this->now).has_value());
+  CHECK(this->borrower.NextRequest(this->now + 50ms).has_value());
+}
+
 TEST(QuotaBorrower, NobodyLends_RequestIsToldSoSoon) {
   this->borrower.Enter(this->now, kTeam);
   for (int i = 0; i < 40; ++i) {
--- a/packages/decision/test/quota_world.cc
+++ b/packages/decision/test/quota_world.cc
@@ -386,6 +386,16 @@
   return found;
 }
 
+std::vector<size_t> QuotaWorld::Lenders() const {
+  std::vector<size_t> found;
+  for (size_t i = 0; i < this->vms.size(); ++i) {
+    if (this->vms[i].office->lends()) {
+      found.push_back(i);
+    }
+  }
+  return found;
+}
+
 size_t QuotaWorld::CountAdmitted(size_t team,
                                  Duration from,
                                  Duration to) const {
--- a/packages/decision/test/quota_world.h
+++ b/packages/decision/test/quota_world.h
@@ -48,6 +48,7 @@
 
   std::vector<size_t> AllVms() const;
   std::vector<size_t> VmsOf(size_t data_centre) const;
+  std::vector<size_t> Lenders() const;
   size_t CountVms() const { return this->vms.size(); }
 
   /// @returns how many requests of `team` went on in [from, to).
