--- a/packages/decision/include/basilsill/decision/view_pace.h
+++ b/packages/decision/include/basilsill/decision/view_pace.h
@@ -5,10 +5,11 @@
 
 namespace basilsill {
 
-/// How often a VM makes a routing view. One costs the more the more upstreams and
-/// VMs there are, and in a large fleet something changes all the time: a view at
-/// each tick would take all of a small VM's processor. So views take a bounded
-/// part of its time, whatever one costs, as long as none waits too long.
+/// How often a VM makes a routing view. One costs the more the more upstreams
+/// and VMs there are, and in a large fleet something changes all the time: a
+/// view at each tick would take all of a small VM's processor. So views take a
+/// bounded part of its time, whatever one costs, as long as none waits too
+/// long.
 class ViewPace {
  public:
   /// The longest that a change waits for its view.
