--- a/packages/decision/src/quota_lender.cc
+++ b/packages/decision/src/quota_lender.cc
@@ -158,7 +158,6 @@
       share.PassOver(from);
     }
   }
-  // A VM that does not lend itself speaks for those that do.
   const auto found = std::find_if(
       this->opened.begin(), this->opened.end(), [&](const Open& open) {
         return open.asking == from && open.asked_number == answer.number;
