--- a/packages/node/src/control.cc
+++ b/packages/node/src/control.cc
@@ -288,14 +288,14 @@
   const bool is_known = this->published_as_of != LeaseTime::min();
   const Duration age =
       is_known ? now - this->published_as_of : limits::kMaxPeerDuration;
-  this->counts.configuration_age.Set(
-      std::chrono::duration_cast<std::chrono::milliseconds>(age).count());
+  const int64_t age_ms =
+      std::chrono::duration_cast<std::chrono::milliseconds>(age).count();
+  this->counts.configuration_age.Set(age_ms);
   const bool verified =
       this->current_view->api_keys->size() == 0 || age < this->api_key_max_age;
   if (verified != std::exchange(this->api_keys_verified, verified)) {
     Log(verified ? Event::kApiKeysVerified : Event::kApiKeysUnverified,
-        {{"age_ms",
-          std::chrono::duration_cast<std::chrono::milliseconds>(age).count()}});
+        {{"age_ms", age_ms}});
   }
 }
 
--- a/packages/node/test/leave_test.cc
+++ b/packages/node/test/leave_test.cc
@@ -28,6 +28,7 @@
 using basilsill::ShardKey;
 using basilsill::test::Fleet;
 using basilsill::test::HttpResponse;
+using basilsill::test::kHeadEnd;
 using basilsill::test::MakeRequest;
 using basilsill::test::PeerHello;
 using basilsill::test::PeerRequest;
@@ -50,7 +51,6 @@
 constexpr std::chrono::milliseconds kReadyDelay{200};
 // What is lost is lost soon where a test fails.
 constexpr std::chrono::seconds kLimit{5};
-const std::string kHeadEnd = "\r\n\r\n";
 const std::string kReading =
     "GET /levels/7 HTTP/1.1\r\nHost: levels.test\r\n\r\n";
 
--- a/packages/node/test/raw_upstream.h
+++ b/packages/node/test/raw_upstream.h
@@ -14,6 +14,9 @@
 
 namespace basilsill::test {
 
+/// Ends the head of a message.
+inline const std::string kHeadEnd = "\r\n\r\n";
+
 class RawUpstream {
  public:
   /// One connection of the upstream, used on a thread of its own.
--- a/packages/node/test/stream_test.cc
+++ b/packages/node/test/stream_test.cc
@@ -20,6 +20,7 @@
 namespace {
 
 using basilsill::test::Fleet;
+using basilsill::test::kHeadEnd;
 using basilsill::test::RawAnswer;
 using basilsill::test::RawUpstream;
 using basilsill::test::RunningNode;
@@ -31,7 +32,6 @@
 constexpr std::chrono::milliseconds kSoon{100};
 // Long enough for the start of an answer on a busy machine.
 constexpr std::chrono::milliseconds kTotal{1000};
-const std::string kHeadEnd = "\r\n\r\n";
 const std::string kBodyEnd = "\r\n0\r\n\r\n";
 const std::string kReading =
     "GET /levels/7 HTTP/1.1\r\nHost: levels.test\r\nConnection: close\r\n\r\n";
