--- a/packages/decision/include/basilsill/decision/repeat_budget.h
+++ b/packages/decision/include/basilsill/decision/repeat_budget.h
@@ -17,10 +17,18 @@
 
 struct RepeatBudgetOptions {
   double ratio = 0.1;  ///< Repeats a request.
-  double slack = 20;   ///< Repeats beyond that in each window, here.
+  double slack = 20;   ///< Repeats beyond that in each window.
   Duration window = std::chrono::seconds(10);
 };
 
+/// What the places that repeat have of the fleet's bound on one service.
+struct RepeatParts {
+  RepeatBudgetOptions dispatchers;  ///< Of all shards together.
+  RepeatBudgetOptions entries;      ///< Of all entry VMs together.
+};
+
+RepeatParts ShareRepeats(const RepeatBudgetOptions& fleet);
+
 class RepeatBudget {
  public:
   void OnRequest(TimePoint now, const RepeatBudgetOptions& options);
--- a/packages/decision/src/repeat_budget.cc
+++ b/packages/decision/src/repeat_budget.cc
@@ -3,6 +3,30 @@
 #include <algorithm>
 
 namespace basilsill {
+namespace {
+
+// Of the slack. The rest covers a change of dispatchers within one window, when
+// the old and the new one both repeat.
+constexpr double kDispatcherPart = 0.5;
+constexpr double kEntryPart = 0.25;
+// Of the ratio, what is left to requests that are counted in two places.
+constexpr double kRatioPart = 0.9;
+
+RepeatBudgetOptions PartOf(const RepeatBudgetOptions& fleet,
+                           double ratio_part,
+                           double slack_part) {
+  RepeatBudgetOptions part = fleet;
+  part.ratio *= ratio_part;
+  part.slack *= slack_part;
+  return part;
+}
+
+}  // namespace
+
+RepeatParts ShareRepeats(const RepeatBudgetOptions& fleet) {
+  return {PartOf(fleet, kRatioPart, kDispatcherPart),
+          PartOf(fleet, 0, kEntryPart)};
+}
 
 int64_t RepeatBudget::NumberAt(TimePoint now,
                                const RepeatBudgetOptions& options) {
--- a/packages/node/include/basilsill/node/installation.h
+++ b/packages/node/include/basilsill/node/installation.h
@@ -14,6 +14,7 @@
 
 #include "basilsill/base/endpoint.h"
 #include "basilsill/decision/mechanism.h"
+#include "basilsill/decision/repeat_budget.h"
 #include "basilsill/node/state_source.h"
 
 /// What differs from one installation to another beyond settings: the names
@@ -55,18 +56,12 @@
   bool fractional_retry_after = false;
 };
 
-/// What the whole fleet may do beyond the first attempt of each request, for
-/// one service.
-struct RepeatAllowance {
-  double ratio = 0.1;  ///< Repeats a request.
-  double slack = 20;   ///< Repeats beyond that in each window.
-  std::chrono::milliseconds window{10000};
-};
-
 struct Installation {
   HeaderNames headers;
-  /// Absent: each team has budgets of its own, as the policy has them.
-  std::optional<RepeatAllowance> repeats;
+  /// What the whole fleet may do beyond the first attempt of each request, for
+  /// one service. Absent: each team has budgets of its own, as the policy has
+  /// them.
+  std::optional<RepeatBudgetOptions> repeats;
   /// A caller's API key counts only while the configuration certainly is no
   /// older; 0: however old it is.
   std::chrono::milliseconds api_key_max_age{0};
--- a/packages/node/src/worker.cc
+++ b/packages/node/src/worker.cc
@@ -55,26 +55,10 @@
   return Quarantine::Create(quarantine);
 }
 
-// Where the fleet as a whole has a bound on repeats, a half of its slack is
-// the dispatchers' and a quarter the entry VMs'. The rest covers a change of
-// dispatchers within one window, when the old and the new one both repeat.
-constexpr double kDispatcherPart = 0.5;
-constexpr double kEntryPart = 0.25;
-// Of the ratio, what is left to requests that are counted in two places.
-constexpr double kRatioPart = 0.9;
-// With that bound in force, the budgets of single teams are left open.
+// With a bound of the fleet in force, the budgets of single teams are left
+// open.
 constexpr RatioBudgetOptions kOpenBudget{1, 1000, 1000, 1000};
 
-RepeatBudgetOptions PartOf(const RepeatAllowance& allowance,
-                           double ratio_part,
-                           double slack_part) {
-  RepeatBudgetOptions options;
-  options.ratio = ratio_part * allowance.ratio;
-  options.slack = slack_part * allowance.slack;
-  options.window = allowance.window;
-  return options;
-}
-
 std::unique_ptr<Dispatcher> MakeDispatcher(
     const Installation& installation,
     const WorkerOptions& options,
@@ -83,8 +67,7 @@
   dispatcher.max_requests = installation.max_requests;
   dispatcher.features = installation.features.dispatcher;
   if (installation.repeats) {
-    dispatcher.repeats =
-        PartOf(*installation.repeats, kRatioPart, kDispatcherPart);
+    dispatcher.repeats = ShareRepeats(*installation.repeats).dispatchers;
     dispatcher.retry_budget = kOpenBudget;
     dispatcher.hedge_budget = kOpenBudget;
     dispatcher.features.class_caps = false;
@@ -106,7 +89,7 @@
   entry.max_requests = installation.max_requests;
   entry.features = installation.features.entry;
   if (installation.repeats) {
-    entry.repeats = PartOf(*installation.repeats, 0, kEntryPart);
+    entry.repeats = ShareRepeats(*installation.repeats).entries;
   }
   entry.seed = options.seed + 1;
   entry.quarantine = installation.features.quarantine ? quarantine : nullptr;
