Repeats: a place that is new has no slack, and a request counts once

What was seen: upstreams got more repeats than the users' contract allows, up to 50 above 198 in ten seconds, while VMs restarted beside upstreams that refused nearly all. Callers saw nothing of it.

Cause: what a place has spent is in its memory. A dispatcher that starts anew, or takes a shard over, began with a whole part of the slack; a dispatcher also counted a request as first that another one had sent before.

Evidence: in the worst windows processes begun inside them made 45 to 119 repeats beyond those that their own requests pay for; the slack is 62.

Ruled out as the bulk: requests that count twice (at most 6 in 100).

Change: a place has its part of the slack once it has been that place for a whole window, and until then a tenth of the ratio. How often a request was sent to upstreams travels with it, there and back (protocol version 7); who gets one that was sent before counts no request, and max_attempts holds wherever it goes. A shard that is first used by a VM whose list has not changed for a window is settled.

--- a/bench/model/fleet.cc
+++ b/bench/model/fleet.cc
@@ -134,7 +134,7 @@
     const Ticket& ticket = this->tickets[id];
     if (ticket.forwarded && ticket.dispatcher == peer &&
         this->EntryVm(id) == vm) {
-      this->OnRefused(id, Refusal::kPeerLost, Duration{0});
+      this->OnRefused(id, Refusal::kPeerLost, Duration{0}, 0);
     }
   }
 }
--- a/bench/model/fleet_core.h
+++ b/bench/model/fleet_core.h
@@ -64,6 +64,7 @@
   uint64_t cookie = 0;
   Outcome outcome;
   ShardSummary summary;
+  uint8_t sends = 0;  ///< As in DispatchAction.
 };
 
 class Fleet : public Strategy {
@@ -88,7 +89,10 @@
   void SendDirect(RequestId id, const Target& target);
   void OnDirectEnd(RequestId id, size_t instance, JobEnd end);
   void OnReply(size_t dispatcher, const Reply& reply);
-  void OnRefused(RequestId id, Refusal refusal, Duration retry_after);
+  void OnRefused(RequestId id,
+                 Refusal refusal,
+                 Duration retry_after,
+                 uint8_t sends);
   void FinishEntry(RequestId id, const Outcome& outcome);
   void OnLinkLost(size_t vm, size_t peer);
   void DropRequestsOf(size_t vm, size_t peer);
@@ -102,7 +106,10 @@
                     uint64_t cookie,
                     AttemptHandle attempt,
                     JobEnd end);
-  void SendReply(size_t vm, uint64_t cookie, const Outcome& outcome);
+  void SendReply(size_t vm,
+                 uint64_t cookie,
+                 const Outcome& outcome,
+                 uint8_t sends);
 
   Fingerprint FingerprintOf(RequestId id) const;
   size_t EntryVm(RequestId id) const { return this->world.request(id).vm; }
--- a/bench/model/fleet_dispatch.cc
+++ b/bench/model/fleet_dispatch.cc
@@ -55,7 +55,8 @@
       break;
     case DispatchActionKind::kRefuse:
       this->SendReply(vm, action.cookie,
-                      RefusedWith(action.refusal, action.retry_after));
+                      RefusedWith(action.refusal, action.retry_after),
+                      action.sends);
       break;
     default:
       this->world.CancelAttempt(
@@ -97,15 +98,19 @@
     this->SendReply(vm, cookie,
                     refusal == Refusal::kNone
                         ? Outcome{kind}
-                        : RefusedWith(refusal, Duration{0}));
+                        : RefusedWith(refusal, Duration{0}),
+                    0);
   }
   this->RunActions(vm);
 }
 
-void Fleet::SendReply(size_t vm, uint64_t cookie, const Outcome& outcome) {
+void Fleet::SendReply(size_t vm,
+                      uint64_t cookie,
+                      const Outcome& outcome,
+                      uint8_t sends) {
   const RequestId id = RequestOf(cookie);
   const size_t to = this->EntryVm(id);
-  Reply reply{cookie, outcome, {}};
+  Reply reply{cookie, outcome, {}, sends};
   reply.summary = this->nodes[vm].dispatcher->Summarize(
       this->world.now(), this->TicketOf(id).shard);
   const Duration way = vm == to ? Duration{0} : this->world.VmToVm(vm, to);
--- a/bench/model/fleet_entry.cc
+++ b/bench/model/fleet_entry.cc
@@ -89,6 +89,7 @@
   request.hedge = flow.hedge;
   request.fingerprint = this->FingerprintOf(id);
   request.max_wait = target.max_wait;
+  request.sends = target.sends;
   request.cookie = CookieOf(id, ticket.forwards);
   const size_t vm = ticket.dispatcher;
   const size_t from = this->EntryVm(id);
@@ -99,7 +100,7 @@
   const Duration way = this->world.VmToVm(from, vm);
   if (this->nodes[from].lost_links[vm]) {
     this->world.simulation().After(2 * way, [this, id] {
-      this->OnRefused(id, Refusal::kPeerUnreachable, Duration{0});
+      this->OnRefused(id, Refusal::kPeerUnreachable, Duration{0}, 0);
     });
     return;
   }
@@ -128,7 +129,8 @@
                                                       : OutcomeKind::kFailed});
     return;
   }
-  this->OnRefused(id, RefusalOf(report.end), Duration{0});
+  this->OnRefused(id, RefusalOf(report.end), Duration{0},
+                  report.end == AttemptEnd::kConnectFailed ? 0 : 1);
 }
 
 void Fleet::OnReply(size_t dispatcher, const Reply& reply) {
@@ -145,19 +147,23 @@
     return;
   }
   if (reply.outcome.refusal != Refusal::kNone) {
-    this->OnRefused(id, reply.outcome.refusal, reply.outcome.retry_after);
+    this->OnRefused(id, reply.outcome.refusal, reply.outcome.retry_after,
+                    reply.sends);
     return;
   }
   this->FinishEntry(id, reply.outcome);
 }
 
-void Fleet::OnRefused(RequestId id, Refusal refusal, Duration retry_after) {
+void Fleet::OnRefused(RequestId id,
+                      Refusal refusal,
+                      Duration retry_after,
+                      uint8_t sends) {
   if (this->world.request(id).done) {
     return;
   }
   EntryRouter& router = *this->nodes[this->EntryVm(id)].router;
-  const RetryDecision decision =
-      router.OnRefused(this->world.now(), this->TicketOf(id).entry, refusal);
+  const RetryDecision decision = router.OnRefused(
+      this->world.now(), this->TicketOf(id).entry, refusal, sends);
   this->world.CountRetry(id, decision.reason);
   if (decision.retry) {
     this->Route(id);
--- a/packages/decision/include/basilsill/decision/dispatch.h
+++ b/packages/decision/include/basilsill/decision/dispatch.h
@@ -45,6 +45,9 @@
   Duration max_wait = Duration::max();
   /// Upstreams that it may be sent to, all in all; 0: as the policy has it.
   uint8_t max_attempts = 0;
+  /// Times that it was sent to upstreams from elsewhere before. If it was, it
+  /// is nobody's first attempt here.
+  uint8_t sends = 0;
   /// An answer within this time is a good one, a later one worth little; 0: not
   /// known.
   ShortMillis good_for{0};
@@ -67,6 +70,7 @@
   UpstreamHandle upstream;
   Refusal refusal = Refusal::kNone;
   Duration retry_after{0};
+  uint8_t sends = 0;           ///< For kRefuse: to upstreams, from here.
   Retry retry = Retry::kNone;  ///< Why this is not the first attempt.
   /// For kStart: how slow the upstream was thought to be, and how old that
   /// knowledge was; negative if nothing was known.
--- a/packages/decision/include/basilsill/decision/entry.h
+++ b/packages/decision/include/basilsill/decision/entry.h
@@ -52,6 +52,7 @@
   UpstreamHandle upstream;
   /// Goes into DispatchRequest: above this wait the dispatcher hands back.
   Duration max_wait = Duration::max();
+  uint8_t sends = 0;  ///< As in DispatchRequest.
   Refusal refusal = Refusal::kNone;
   Duration retry_after{0};
 };
@@ -117,9 +118,12 @@
   /// An attempt through `Choose` was refused or lost. `refusal` is what its
   /// dispatcher answered, or kPeerUnreachable (nothing was sent), kPeerLost
   /// (the link broke after), or RefusalOf the end of a direct attempt.
+  /// @param sends Times that it was sent to upstreams there, as far as that is
+  /// told.
   virtual RetryDecision OnRefused(TimePoint now,
                                   EntryHandle entry,
-                                  Refusal refusal) = 0;
+                                  Refusal refusal,
+                                  uint8_t sends) = 0;
 
   /// The request has its final answer; its share of the limits is free.
   virtual void Finish(TimePoint now, EntryHandle entry) = 0;
--- a/packages/decision/include/basilsill/decision/repeat_budget.h
+++ b/packages/decision/include/basilsill/decision/repeat_budget.h
@@ -29,6 +29,15 @@
 
 RepeatParts ShareRepeats(const RepeatBudgetOptions& fleet);
 
+/// Until a place has been that place for a whole window, whoever was it before
+/// may have spent all that there was, and nobody is left to tell.
+/// @param part What it has once it is settled.
+/// @param since When it became that place; kNever: it is not.
+/// @returns what it has now.
+RepeatBudgetOptions PartNow(TimePoint now,
+                            TimePoint since,
+                            const RepeatBudgetOptions& part);
+
 class RepeatBudget {
  public:
   void OnRequest(TimePoint now, const RepeatBudgetOptions& options);
--- a/packages/decision/src/dispatcher.cc
+++ b/packages/decision/src/dispatcher.cc
@@ -203,6 +203,7 @@
   DispatchAction& action = this->Emit(DispatchActionKind::kRefuse, row);
   action.refusal = lie ? Refusal::kUpstreamDied : verdict.refusal;
   action.retry_after = verdict.retry_after;
+  action.sends = this->Request(row).sends;
   ++this->counts.refusals[static_cast<size_t>(action.refusal)];
   this->EndRequest(row);
 }
@@ -267,7 +268,7 @@
   }
   RepeatBudgetOptions part = *this->options.repeats;
   part.slack /= std::max<uint32_t>(1, shard.siblings);
-  return shard.repeats->Take(now, part, keep);
+  return shard.repeats->Take(now, PartNow(now, shard.first_since, part), keep);
 }
 
 void DispatcherCore::Activate(uint32_t row) {
--- a/packages/decision/src/dispatcher_end.cc
+++ b/packages/decision/src/dispatcher_end.cc
@@ -193,7 +193,8 @@
   if (all == 0) {
     return request.starts < kMaxStarts ? kMaxStarts - request.starts : 0;
   }
-  return request.sends < all ? all - request.sends : 0;
+  const int sent = request.spec.sends + request.sends;
+  return sent < all ? static_cast<uint8_t>(all - sent) : 0;
 }
 
 // With no upstream left the shard can't help a request that did not run, but
--- a/packages/decision/src/dispatcher_start.cc
+++ b/packages/decision/src/dispatcher_start.cc
@@ -355,7 +355,7 @@
     // Budgets grow with first attempts, not with offers: most of those may
     // have been refused.
     LaneRow& lane = this->queue.lane(request.lane);
-    if (this->options.repeats) {
+    if (this->options.repeats && request.spec.sends == 0) {
       shard.repeats->OnRequest(now, *this->options.repeats);
     }
     lane.retry_budget.OnRequest(now, this->options.retry_budget);
--- a/packages/decision/src/entry_choice.cc
+++ b/packages/decision/src/entry_choice.cc
@@ -244,6 +244,7 @@
     return target;
   }
   ++entry->choices;
+  target.sends = entry->sends;
   entry->target = target;
   this->BeginAttempt(now, *entry);
   return target;
--- a/packages/decision/src/entry_core.h
+++ b/packages/decision/src/entry_core.h
@@ -28,6 +28,7 @@
   Target target;
   TimePoint admitted;
   uint32_t choices = 0;
+  uint8_t sends = 0;  ///< To upstreams, as far as this VM can tell.
   /// Shards that could not help, and VMs that could not dispatch.
   std::array<ShardKey, kMaxChoices> tried_shards{};
   std::array<VmHandle, kMaxChoices> tried_vms{};
@@ -54,7 +55,8 @@
   Target Choose(TimePoint now, EntryHandle handle) override;
   RetryDecision OnRefused(TimePoint now,
                           EntryHandle handle,
-                          Refusal refusal) override;
+                          Refusal refusal,
+                          uint8_t sends) override;
   void Finish(TimePoint now, EntryHandle handle) override;
 
   void OnSummary(TimePoint now,
@@ -118,8 +120,9 @@
 
   EntryOptions options;
   RoutingViewPtr view;
-  uint32_t near_vms = 1;   ///< Live VMs in the own data centre.
-  uint32_t known_vms = 1;  ///< Live or not.
+  uint32_t near_vms = 1;     ///< Live VMs in the own data centre.
+  uint32_t known_vms = 1;    ///< Live or not.
+  TimePoint began = kNever;  ///< With the first view.
   HandleTable<EntryRow, EntryTag> entries;
   TeamAdmission teams;
   ShardBeliefs beliefs;
--- a/packages/decision/src/entry_router.cc
+++ b/packages/decision/src/entry_router.cc
@@ -89,7 +89,8 @@
   this->fleet_budgets.reserve(limits::kMaxServices);
 }
 
-void EntryCore::ApplyView(TimePoint, const RoutingViewPtr& new_view) {
+void EntryCore::ApplyView(TimePoint now, const RoutingViewPtr& new_view) {
+  this->began = std::min(this->began, now);
   this->view = new_view;
   this->teams.ApplyView(*new_view);
   const auto near = std::count_if(
@@ -224,7 +225,8 @@
   }
   RepeatBudgetOptions part = *this->options.repeats;
   part.slack /= std::max<uint32_t>(1, this->known_vms);
-  return this->FleetBudgetOf(request).Take(now, part);
+  return this->FleetBudgetOf(request).Take(now,
+                                           PartNow(now, this->began, part));
 }
 
 // The attempt that `Choose` began is over.
@@ -278,7 +280,8 @@
 
 RetryDecision EntryCore::OnRefused(TimePoint now,
                                    EntryHandle handle,
-                                   Refusal refusal) {
+                                   Refusal refusal,
+                                   uint8_t sends) {
   RetryDecision decision;
   decision.refusal = refusal;
   EntryRow* entry = this->entries.Find(handle);
@@ -289,6 +292,8 @@
     entry->unknown = refusal;
   }
   const bool is_direct = entry->target.kind == TargetKind::kDirect;
+  // Nobody is left to tell of what a lost peer sent: once at least, perhaps.
+  entry->sends += refusal == Refusal::kPeerLost ? 1 : sends;
   this->EndAttempt(now, *entry, refusal);
   decision.reason = this->JudgeRetry(now, *entry, refusal, is_direct);
   decision.retry = IsGranted(decision.reason);
--- a/packages/decision/src/repeat_budget.cc
+++ b/packages/decision/src/repeat_budget.cc
@@ -5,12 +5,14 @@
 namespace basilsill {
 namespace {
 
-// Of the slack. The rest covers a change of dispatchers within one window, when
-// the old and the new one both repeat.
+// Of the slack. The rest is for two places that both hold themselves for a
+// shard's first dispatcher, as VMs that are cut off from each other do.
 constexpr double kDispatcherPart = 0.5;
 constexpr double kEntryPart = 0.25;
-// Of the ratio, what is left to requests that are counted in two places.
+// Of the ratio, in places that are settled. One that spends all that it has
+// saved and ends leaves the other tenth to those that come after it.
 constexpr double kRatioPart = 0.9;
+constexpr double kUnsettledRatio = (1 - kRatioPart) / kRatioPart;
 
 RepeatBudgetOptions PartOf(const RepeatBudgetOptions& fleet,
                            double ratio_part,
@@ -28,6 +30,13 @@
           PartOf(fleet, 0, kEntryPart)};
 }
 
+RepeatBudgetOptions PartNow(TimePoint now,
+                            TimePoint since,
+                            const RepeatBudgetOptions& part) {
+  const bool is_settled = since != kNever && now - since >= part.window;
+  return is_settled ? part : PartOf(part, kUnsettledRatio, 0);
+}
+
 int64_t RepeatBudget::NumberAt(TimePoint now,
                                const RepeatBudgetOptions& options) {
   const Duration span = options.window / (kBuckets - 1);
--- a/packages/decision/src/shard_table.cc
+++ b/packages/decision/src/shard_table.cc
@@ -89,6 +89,7 @@
 }
 
 void ShardTable::ApplyView(TimePoint now, const RoutingViewPtr& view) {
+  this->NoteVms(now, *view);
   if (this->SameServices(*view)) {
     this->current = view;
     return;
@@ -105,6 +106,18 @@
   }
 }
 
+// While no VM came, went or changed its state, nor did owners of shards, those
+// that were not opened yet among them.
+void ShardTable::NoteVms(TimePoint now, const RoutingView& next) {
+  const bool is_same =
+      this->current != nullptr &&
+      std::equal(next.vms.begin(), next.vms.end(), this->current->vms.begin(),
+                 this->current->vms.end(), [](const VmRow& a, const VmRow& b) {
+                   return a.handle == b.handle && a.state == b.state;
+                 });
+  this->same_vms_since = is_same ? this->same_vms_since : now;
+}
+
 bool ShardTable::SameServices(const RoutingView& next) const {
   return this->current != nullptr && this->current->services == next.services;
 }
@@ -191,7 +204,8 @@
     shard.tells_cold = shard.can_be_asked && this->cold_is_told;
     const bool is_first = !row.contested && !row.owners.empty() &&
                           row.owners.front() == this->current->self;
-    shard.first_since = is_first ? std::min(shard.first_since, now) : kNever;
+    const TimePoint since = fresh ? this->same_vms_since : now;
+    shard.first_since = is_first ? std::min(shard.first_since, since) : kNever;
     shard.siblings = static_cast<uint32_t>(service.shards.size());
     shard.upstreams.reserve(row.upstreams.size());
     for (const uint32_t position : row.upstreams) {
--- a/packages/decision/src/shard_table.h
+++ b/packages/decision/src/shard_table.h
@@ -49,6 +49,7 @@
   };
 
   void IndexView();
+  void NoteVms(TimePoint now, const RoutingView& next);
   bool SameServices(const RoutingView& next) const;
   void Refresh(TimePoint now, ShardState& shard, bool fresh);
   void RefreshUpstream(TimePoint now,
@@ -63,6 +64,7 @@
   bool count_repeats;
   bool cold_is_told;
   uint32_t next_serial = 0;
+  TimePoint same_vms_since{};
   RoutingViewPtr current;
   std::vector<ShardState> shards;
   boost::unordered_flat_map<ShardKey, uint32_t> rows;
--- a/packages/decision/test/dispatch_drain_test.cc
+++ b/packages/decision/test/dispatch_drain_test.cc
@@ -245,7 +245,7 @@
   const Target near = this->router->Choose(this->now, entry);
   CHECK_EQUAL(view->services[0]->shards[0].key, near.shard);
   const auto decision =
-      this->router->OnRefused(this->now, entry, Refusal::kNoUpstream);
+      this->router->OnRefused(this->now, entry, Refusal::kNoUpstream, 0);
   CHECK(decision.retry);
   const Target far = this->router->Choose(this->now, entry);
   CHECK_EQUAL(view->services[0]->shards[1].key, far.shard);
--- a/packages/decision/test/entry_test.cc
+++ b/packages/decision/test/entry_test.cc
@@ -70,7 +70,7 @@
   }
 
   RetryDecision Refuse(EntryHandle entry, Refusal refusal) {
-    return this->router->OnRefused(this->now, entry, refusal);
+    return this->router->OnRefused(this->now, entry, refusal, 0);
   }
 
   // The network between the VMs is gone; only upstreams can be reached.
--- a/packages/decision/test/repeat_world.cc
+++ b/packages/decision/test/repeat_world.cc
@@ -12,6 +12,9 @@
 constexpr Duration kWay = 1ms;  // Between two VMs.
 constexpr Duration kShedTime = 2ms;
 constexpr Duration kDeadline = 1200ms;
+// A dispatcher names a request by its number and by which hop of it this is.
+constexpr unsigned kHopBits = 8;
+constexpr uint64_t kHopMask = (1U << kHopBits) - 1;
 // What fits into a window of the bound before and after its own half.
 constexpr int kWindowHalf = 2;
 
@@ -108,7 +111,7 @@
     }
   }
   for (const auto& [id, hop] : lost) {
-    this->Reply(id, hop, Refusal::kPeerLost);
+    this->Reply(id, hop, Refusal::kPeerLost, 0);
   }
 }
 
@@ -232,7 +235,8 @@
   offer.idempotent = true;
   offer.max_wait = request.target.max_wait;
   offer.max_attempts = 3;
-  offer.cookie = id << 8 | request.hops;
+  offer.sends = request.target.sends;
+  offer.cookie = id << kHopBits | request.hops;
   const uint32_t to = request.target.vm.index;
   this->Post(to, [this, to, offer] {
     this->vms[to].dispatcher->Offer(this->now, offer);
@@ -244,9 +248,9 @@
   const Request& request = this->open.at(id);
   const AttemptEnd end = this->Arrive(id, request.target.upstream);
   if (end == AttemptEnd::kShed) {
-    this->Reply(id, request.hops, Refusal::kUpstreamShed);
+    this->Reply(id, request.hops, Refusal::kUpstreamShed, 1);
   } else {
-    this->Reply(id, request.hops, Refusal::kNone);
+    this->Reply(id, request.hops, Refusal::kNone, 1);
   }
 }
 
@@ -259,7 +263,7 @@
       if (action.kind == DispatchActionKind::kStart) {
         this->Start(number, action);
       } else if (action.kind == DispatchActionKind::kRefuse) {
-        this->Reply(action.cookie >> 8, action.cookie & 0xff, action.refusal);
+        this->Answer(number, action.cookie, action.refusal, action.sends);
       } else if (action.kind == DispatchActionKind::kCancel) {
         std::erase_if(this->attempts, [&](const Attempt& attempt) {
           return attempt.vm == number && attempt.attempt == action.attempt;
@@ -270,11 +274,12 @@
 }
 
 void RepeatWorld::Start(uint32_t number, const DispatchAction& action) {
-  const AttemptEnd end = this->Arrive(action.cookie >> 8, action.upstream);
+  const AttemptEnd end =
+      this->Arrive(action.cookie >> kHopBits, action.upstream);
   const Duration time =
       end == AttemptEnd::kShed ? kShedTime : Duration(this->options.work);
   this->attempts.push_back(
-      {this->now + time, number, this->vms[number].start, action.attempt, end});
+      {this->now + time, action.cookie, number, action.attempt, end});
 }
 
 AttemptEnd RepeatWorld::Arrive(uint64_t id, UpstreamHandle upstream) {
@@ -296,32 +301,56 @@
     return is_over;
   });
   for (const Attempt& attempt : ended) {
-    this->Post(attempt.vm, [this, attempt] {
-      AttemptReport report = DispatchHarness::Report(attempt.end);
-      this->answers += attempt.end == AttemptEnd::kAnswered ? 1 : 0;
-      this->vms[attempt.vm].dispatcher->OnAttemptEnd(this->now, attempt.attempt,
-                                                     report);
-      this->Take(attempt.vm);
-    });
+    this->Post(attempt.vm, [this, attempt] { this->End(attempt); });
   }
 }
 
-void RepeatWorld::Reply(uint64_t id, uint32_t hop, Refusal refusal) {
+void RepeatWorld::End(const Attempt& attempt) {
+  const AttemptReport report = DispatchHarness::Report(attempt.end);
+  const bool goes_on = this->vms[attempt.vm].dispatcher->OnAttemptEnd(
+      this->now, attempt.attempt, report);
+  this->Take(attempt.vm);
+  if (!goes_on && report.end == AttemptEnd::kAnswered) {
+    ++this->answers;
+    this->Answer(attempt.vm, attempt.cookie, Refusal::kNone, 0);
+  }
+}
+
+// A dispatcher says how a request ended, and how loaded the shard is.
+void RepeatWorld::Answer(uint32_t from,
+                         uint64_t cookie,
+                         Refusal refusal,
+                         uint8_t sends) {
+  const uint64_t id = cookie >> kHopBits;
+  const Request& request = this->open.at(id);
+  const ShardSummary summary =
+      this->vms[from].dispatcher->Summarize(this->now, request.target.shard);
+  const uint32_t to = request.entry_vm;
+  this->Post(to, [this, to, from, summary] {
+    this->vms[to].router->OnSummary(this->now, {from, 0}, summary);
+  });
+  this->Reply(id, cookie & kHopMask, refusal, sends);
+}
+
+void RepeatWorld::Reply(uint64_t id,
+                        uint32_t hop,
+                        Refusal refusal,
+                        uint8_t sends) {
   const Request& request = this->open.at(id);
-  this->Post(request.entry_vm, [this, id, hop, refusal] {
+  this->Post(request.entry_vm, [this, id, hop, refusal, sends] {
     const Request& now_at = this->open.at(id);
     if (!now_at.over && now_at.hops == hop) {
-      this->OnRefused(id, refusal);
+      this->OnRefused(id, refusal, sends);
     }
   });
 }
 
-void RepeatWorld::OnRefused(uint64_t id, Refusal refusal) {
+void RepeatWorld::OnRefused(uint64_t id, Refusal refusal, uint8_t sends) {
   Request& request = this->open.at(id);
   EntryRouter& router = *this->vms[request.entry_vm].router;
   const bool goes_on =
       refusal != Refusal::kNone &&
-      router.OnRefused(this->now, request.entry, refusal).retry;
+      router.OnRefused(this->now, request.entry, refusal, sends).retry;
   if (goes_on) {
     this->Go(id);
     return;
--- a/packages/decision/test/repeat_world.h
+++ b/packages/decision/test/repeat_world.h
@@ -80,8 +80,8 @@
   };
   struct Attempt {
     TimePoint ends;
+    uint64_t cookie = 0;
     uint32_t vm = 0;
-    uint32_t start = 0;
     AttemptHandle attempt;
     AttemptEnd end = AttemptEnd::kCount;
   };
@@ -96,10 +96,12 @@
   void ToUpstream(uint64_t id);
   void Take(uint32_t vm);
   void Start(uint32_t vm, const DispatchAction& action);
+  void End(const Attempt& attempt);
+  void Answer(uint32_t vm, uint64_t cookie, Refusal refusal, uint8_t sends);
   AttemptEnd Arrive(uint64_t id, UpstreamHandle upstream);
   void EndWork();
-  void Reply(uint64_t id, uint32_t hop, Refusal refusal);
-  void OnRefused(uint64_t id, Refusal refusal);
+  void Reply(uint64_t id, uint32_t hop, Refusal refusal, uint8_t sends);
+  void OnRefused(uint64_t id, Refusal refusal, uint8_t sends);
   void LoseWorkAt(uint32_t vm);
 
   RepeatWorldOptions options;
--- a/packages/node/src/dispatch_host.cc
+++ b/packages/node/src/dispatch_host.cc
@@ -158,6 +158,7 @@
   offer.replayable = request.source == nullptr;
   offer.fingerprint = request.entry.fingerprint;
   offer.max_attempts = request.entry.max_attempts;
+  offer.sends = target.sends;
   offer.cookie = cookie;
   const TimePoint now = MonotonicClock::now();
   offer.good_for = GoodFor(now, request);
@@ -214,8 +215,13 @@
   }
   const bool answered =
       report.end == AttemptEnd::kAnswered || report.answer_started;
-  co_return ServeOutcome{answered, RefusalOf(report.end), Duration(0),
-                         report.rate_limit, report.drain_sign};
+  ServeOutcome outcome;
+  outcome.answered = answered;
+  outcome.refusal = RefusalOf(report.end);
+  outcome.sends = report.end == AttemptEnd::kConnectFailed ? 0 : 1;
+  outcome.rate_limit = report.rate_limit;
+  outcome.drain_sign = report.drain_sign;
+  co_return outcome;
 }
 
 void DispatchHost::Tick(TimePoint now) {
@@ -289,7 +295,7 @@
       this->StartAttempt(job, action);
       break;
     case DispatchActionKind::kRefuse:
-      job->Settle({false, action.refusal, action.retry_after});
+      job->Settle({false, action.refusal, action.retry_after, action.sends});
       break;
     case DispatchActionKind::kCancel:
       this->CancelAttempt(*job, action.attempt);
--- a/packages/node/src/entry_host.cc
+++ b/packages/node/src/entry_host.cc
@@ -37,8 +37,8 @@
     if (outcome.answered || request.caller_gone) {
       co_return outcome;
     }
-    const RetryDecision decision =
-        this->router->OnRefused(MonotonicClock::now(), entry, outcome.refusal);
+    const RetryDecision decision = this->router->OnRefused(
+        MonotonicClock::now(), entry, outcome.refusal, outcome.sends);
     if (!decision.retry) {
       co_return ServeOutcome{false, decision.refusal, outcome.retry_after};
     }
--- a/packages/node/src/link_exchange.cc
+++ b/packages/node/src/link_exchange.cc
@@ -180,6 +180,7 @@
 void LinkExchange::OnRefused(const wire::Refused& refused) {
   this->outcome.refusal = refused.refusal;
   this->outcome.retry_after = refused.retry_after;
+  this->outcome.sends = refused.sends;
 }
 
 void LinkExchange::OnLost(wire::StreamFate fate) {
--- a/packages/node/src/link_server.cc
+++ b/packages/node/src/link_server.cc
@@ -61,6 +61,7 @@
   wire::Refused refused;
   refused.stream = stream.id;
   refused.refusal = outcome.refusal;
+  refused.sends = outcome.sends;
   refused.not_run = InfoOf(outcome.refusal).promise == Promise::kNotRun;
   refused.retry_after =
       std::chrono::duration_cast<microseconds>(outcome.retry_after);
@@ -86,6 +87,7 @@
   target.kind = TargetKind::kDispatcher;
   target.shard = open.shard;
   target.max_wait = open.max_wait;
+  target.sends = open.sends;
   RequestMessage request;
   FillRequest(*view, open, request);
   request.request_id =
--- a/packages/node/src/link_table.cc
+++ b/packages/node/src/link_table.cc
@@ -179,6 +179,7 @@
   open.fingerprint = request.entry.fingerprint;
   open.attempts_left = request.entry.max_attempts;
   open.max_wait = target.max_wait;
+  open.sends = target.sends;
   if (request.good_until != kNever) {
     open.good_for = std::max(microseconds(1),
                              std::chrono::duration_cast<microseconds>(
--- a/packages/wire/include/basilsill/wire/message.h
+++ b/packages/wire/include/basilsill/wire/message.h
@@ -26,7 +26,7 @@
 namespace basilsill::wire {
 
 /// Spoken version of the protocol; peers of another version are turned away.
-inline constexpr uint32_t kProtocolVersion = 6;
+inline constexpr uint32_t kProtocolVersion = 7;
 
 /// Octets of a body. Moved, never copied, on their way to the socket.
 using Bytes = std::string;
@@ -133,6 +133,7 @@
   std::optional<OnceClaim> once;
   Fingerprint fingerprint = 0;
   uint8_t attempts_left = 0;  ///< Further attempts the dispatcher may make.
+  uint8_t sends = 0;          ///< DispatchRequest::sends.
   /// Above this wait the dispatcher hands the request back; Target::max_wait.
   /// The longest time of a message stands for any wait.
   Duration max_wait = limits::kMaxPeerDuration;
@@ -193,6 +194,7 @@
   /// upstreams that got one refused it before running it.
   bool not_run = false;
   std::chrono::microseconds retry_after{0};  ///< 0: not said.
+  uint8_t sends = 0;                         ///< DispatchAction::sends.
 
   friend bool operator==(const Refused&, const Refused&) = default;
 };
--- a/packages/wire/schema/peer.capnp
+++ b/packages/wire/schema/peer.capnp
@@ -103,6 +103,7 @@
   end @17 :Bool;
   maxWait @18 :Nanos;
   goodFor @19 :Micros;
+  sends @20 :UInt8;
 }
 
 # Not named Data: that is a built-in type.
@@ -135,6 +136,7 @@
   refusal @1 :RefusalNumber;
   notRun @2 :Bool;
   retryAfter @3 :Micros;
+  sends @4 :UInt8;
 }
 
 struct Reset {
--- a/packages/wire/src/message_reader.cc
+++ b/packages/wire/src/message_reader.cc
@@ -132,6 +132,7 @@
   }
   open.fingerprint = reader.getFingerprint();
   open.attempts_left = reader.getAttemptsLeft();
+  open.sends = reader.getSends();
   open.max_wait = ReadNanos(reader.getMaxWait(), "/max_wait");
   open.good_for = ReadMicros(reader.getGoodFor(), "/good_for");
   open.method = ReadText(reader.getMethod());
@@ -166,6 +167,7 @@
   refused.refusal = ReadEnum<Refusal>(reader.getRefusal());
   refused.not_run = reader.getNotRun();
   refused.retry_after = ReadMicros(reader.getRetryAfter(), "/retry_after");
+  refused.sends = reader.getSends();
   return refused;
 }
 
--- a/packages/wire/src/message_writer.cc
+++ b/packages/wire/src/message_writer.cc
@@ -111,6 +111,7 @@
   }
   builder.setFingerprint(open.fingerprint);
   builder.setAttemptsLeft(open.attempts_left);
+  builder.setSends(open.sends);
   builder.setMaxWait(NanosOf(open.max_wait));
   builder.setGoodFor(MicrosOf(open.good_for));
   WriteText(open.method,
@@ -155,6 +156,7 @@
   builder.setRefusal(static_cast<uint8_t>(refused.refusal));
   builder.setNotRun(refused.not_run);
   builder.setRetryAfter(MicrosOf(refused.retry_after));
+  builder.setSends(refused.sends);
 }
 
 void Write(const Reset& reset, schema::PeerMessage::Builder message) {
--- a/packages/wire/test/samples.cc
+++ b/packages/wire/test/samples.cc
@@ -95,6 +95,7 @@
   open.once = OnceClaim{{1, 2}, 3};
   open.fingerprint = 0xabcdef;
   open.attempts_left = 2;
+  open.sends = 1;
   open.max_wait = Duration(3'000'001);
   open.good_for = std::chrono::microseconds(250'001);
   open.method = "POST";
@@ -131,7 +132,7 @@
       Credit{stream, 65536},
       SampleAnswer(),
       EmptyAnswer(),
-      Refused{stream, Refusal::kQueueFull, true, microseconds(250'000)},
+      Refused{stream, Refusal::kQueueFull, true, microseconds(250'000), 2},
       Reset{stream, Refusal::kUpstreamDied},
       Cancel{stream},
       SampleSummary(),
