--- a/packages/node/test/path_test.cc
+++ b/packages/node/test/path_test.cc
@@ -330,3 +330,47 @@
                   std::string(64 * 1024, 'x') + "\r\n\r\n");
   CHECK(answer.starts_with("HTTP/1.1 431 "));
 }
+
+namespace {
+
+// Connections that say nothing.
+class IdleCallers {
+ public:
+  void Open(uint16_t port, size_t count) {
+    for (size_t i = 0; i < count; ++i) {
+      this->sockets.emplace_back(this->io).connect(
+          {boost::asio::ip::address_v4::loopback(), port});
+    }
+  }
+  void Close() { this->sockets.clear(); }
+
+ private:
+  boost::asio::io_context io;
+  std::vector<boost::asio::ip::tcp::socket> sockets;
+};
+
+unsigned ReadinessOf(const RunningNode& node) {
+  return Send(node.admin(), MakeRequest("GET", "/readyz")).result_int();
+}
+
+}  // namespace
+
+TEST_GROUP(Readiness) {
+  IdleCallers callers;
+};
+
+// Failure: a VM that has no room for further callers resets each new connection
+// and goes on saying that it is ready.
+TEST(Readiness, Callers_LimitReached_FailsUntilSomeHaveLeft) {
+  Fleet fleet([](basilsill::Settings& settings) {
+    settings.limits.caller_connections = 4;
+  });
+  RunningNode& node = fleet.AddNode("lyulin-1", "lyulin");
+  fleet.AddUpstreams("lyulin", 1);
+  fleet.Configure();
+  CHECK_EQUAL(200, ReadinessOf(node));
+  this->callers.Open(node.callers(), 4);
+  CHECK(basilsill::test::WaitUntil([&] { return ReadinessOf(node) == 503; }));
+  this->callers.Close();
+  CHECK(basilsill::test::WaitUntil([&] { return ReadinessOf(node) == 200; }));
+}
