Repeats: parts add up for two first owners; a small fleet that starts has some

And half of the slack for dispatchers, twice where two VMs do not see each other, with a quarter for entry VMs, was more than the whole.

Ruled out: an exception for a fleet's first start; it would not hold for one that starts again.

Change: three tenths for first dispatchers, a quarter for entry VMs, and 0.15 for dispatchers that are not settled, shared by VM, shard and three starts of a VM in a window.

--- a/packages/decision/include/basilsill/decision/dispatch.h
+++ b/packages/decision/include/basilsill/decision/dispatch.h
@@ -172,9 +172,9 @@
   DispatcherFeatures features;
   RatioBudgetOptions retry_budget = kRetryBudget;
   RatioBudgetOptions hedge_budget = kHedgeBudget;
-  /// Bound on repeats of the whole fleet, if there is one; its slack is shared
-  /// by the dispatchers of a service.
-  std::optional<RepeatBudgetOptions> repeats;
+  /// What dispatchers have of the whole fleet's bound on repeats, if there is
+  /// one.
+  std::optional<RepeatParts> repeats;
   /// Upstreams say whether they are cold when they are asked.
   bool cold_is_told = false;
   /// Shared with the EntryRouter of the same worker; null: no quarantine.
--- a/packages/decision/include/basilsill/decision/repeat_budget.h
+++ b/packages/decision/include/basilsill/decision/repeat_budget.h
@@ -21,22 +21,20 @@
   Duration window = std::chrono::seconds(10);
 };
 
-/// What the places that repeat have of the fleet's bound on one service.
+/// What the places that repeat have of the fleet's bound on one service. Their
+/// sum stays within it whatever VMs start, end, or do not see each other.
 struct RepeatParts {
-  RepeatBudgetOptions dispatchers;  ///< Of all shards together.
-  RepeatBudgetOptions entries;      ///< Of all entry VMs together.
+  RepeatBudgetOptions dispatchers;  ///< Of all shards together, if settled.
+  RepeatBudgetOptions unsettled;    ///< Of all VMs together, at other shards.
+  RepeatBudgetOptions entries;      ///< Of all entry VMs together, if settled.
 };
 
 RepeatParts ShareRepeats(const RepeatBudgetOptions& fleet);
 
 /// Until a place has been that place for a whole window, whoever was it before
 /// may have spent all that there was, and nobody is left to tell.
-/// @param part What it has once it is settled.
 /// @param since When it became that place; kNever: it is not.
-/// @returns what it has now.
-RepeatBudgetOptions PartNow(TimePoint now,
-                            TimePoint since,
-                            const RepeatBudgetOptions& part);
+bool IsSettled(TimePoint now, TimePoint since, Duration window);
 
 class RepeatBudget {
  public:
--- a/packages/decision/src/dispatcher.cc
+++ b/packages/decision/src/dispatcher.cc
@@ -24,6 +24,13 @@
   shard.last_class = request.spec.traffic_class;
 }
 
+double CountVms(const RoutingView& view) {
+  const auto count =
+      std::count_if(view.vms.begin(), view.vms.end(),
+                    [](const VmRow& vm) { return IsValid(vm.handle); });
+  return std::max<double>(1, static_cast<double>(count));
+}
+
 }  // namespace
 
 std::unique_ptr<Dispatcher> Dispatcher::Create(
@@ -266,9 +273,13 @@
   if (!this->options.repeats) {
     return true;
   }
-  RepeatBudgetOptions part = *this->options.repeats;
+  const RepeatParts& parts = *this->options.repeats;
+  const bool is_settled =
+      IsSettled(now, shard.first_since, parts.dispatchers.window);
+  RepeatBudgetOptions part = is_settled ? parts.dispatchers : parts.unsettled;
   part.slack /= std::max<uint32_t>(1, shard.siblings);
-  return shard.repeats->Take(now, PartNow(now, shard.first_since, part), keep);
+  part.slack /= is_settled ? 1 : CountVms(*this->shards.view());
+  return shard.repeats->Take(now, part, keep);
 }
 
 void DispatcherCore::Activate(uint32_t row) {
--- a/packages/decision/src/dispatcher_start.cc
+++ b/packages/decision/src/dispatcher_start.cc
@@ -356,7 +356,7 @@
     // have been refused.
     LaneRow& lane = this->queue.lane(request.lane);
     if (this->options.repeats && request.spec.sends == 0) {
-      shard.repeats->OnRequest(now, *this->options.repeats);
+      shard.repeats->OnRequest(now, this->options.repeats->dispatchers);
     }
     lane.retry_budget.OnRequest(now, this->options.retry_budget);
     lane.hedge_budget.OnRequest(now, this->options.hedge_budget);
--- a/packages/decision/src/entry_router.cc
+++ b/packages/decision/src/entry_router.cc
@@ -225,8 +225,8 @@
   }
   RepeatBudgetOptions part = *this->options.repeats;
   part.slack /= std::max<uint32_t>(1, this->known_vms);
-  return this->FleetBudgetOf(request).Take(now,
-                                           PartNow(now, this->began, part));
+  return IsSettled(now, this->began, part.window) &&
+         this->FleetBudgetOf(request).Take(now, part);
 }
 
 // The attempt that `Choose` began is over.
--- a/packages/decision/src/repeat_budget.cc
+++ b/packages/decision/src/repeat_budget.cc
@@ -5,14 +5,17 @@
 namespace basilsill {
 namespace {
 
-// Of the slack. The rest is for two places that both hold themselves for a
-// shard's first dispatcher, as VMs that are cut off from each other do.
-constexpr double kDispatcherPart = 0.5;
+// Parts of the slack. That of dispatchers is there twice: two VMs that are cut
+// off from each other both hold themselves for a shard's first dispatcher.
+constexpr double kDispatcherPart = 0.3;
 constexpr double kEntryPart = 0.25;
+constexpr double kUnsettledPart = 1 - 2 * kDispatcherPart - kEntryPart;
 // Of the ratio, in places that are settled. One that spends all that it has
 // saved and ends leaves the other tenth to those that come after it.
 constexpr double kRatioPart = 0.9;
-constexpr double kUnsettledRatio = (1 - kRatioPart) / kRatioPart;
+constexpr double kUnsettledRatio = 1 - kRatioPart;
+// A VM starts no more often than this within a window.
+constexpr double kStartsInWindow = 3;
 
 RepeatBudgetOptions PartOf(const RepeatBudgetOptions& fleet,
                            double ratio_part,
@@ -27,14 +30,12 @@
 
 RepeatParts ShareRepeats(const RepeatBudgetOptions& fleet) {
   return {PartOf(fleet, kRatioPart, kDispatcherPart),
+          PartOf(fleet, kUnsettledRatio, kUnsettledPart / kStartsInWindow),
           PartOf(fleet, 0, kEntryPart)};
 }
 
-RepeatBudgetOptions PartNow(TimePoint now,
-                            TimePoint since,
-                            const RepeatBudgetOptions& part) {
-  const bool is_settled = since != kNever && now - since >= part.window;
-  return is_settled ? part : PartOf(part, kUnsettledRatio, 0);
+bool IsSettled(TimePoint now, TimePoint since, Duration window) {
+  return since != kNever && now - since >= window;
 }
 
 int64_t RepeatBudget::NumberAt(TimePoint now,
--- a/packages/decision/test/repeat_world.cc
+++ b/packages/decision/test/repeat_world.cc
@@ -56,7 +56,7 @@
   Vm& vm = this->vms[number];
   const RepeatParts parts = ShareRepeats(this->options.bound);
   DispatcherOptions dispatcher;
-  dispatcher.repeats = parts.dispatchers;
+  dispatcher.repeats = parts;
   dispatcher.retry_budget = {1, 1000, 1000, 1000};
   dispatcher.hedge_budget = dispatcher.retry_budget;
   dispatcher.seed = this->random();
--- a/packages/node/src/worker.cc
+++ b/packages/node/src/worker.cc
@@ -67,7 +67,7 @@
   dispatcher.max_requests = installation.max_requests;
   dispatcher.features = installation.features.dispatcher;
   if (installation.repeats) {
-    dispatcher.repeats = ShareRepeats(*installation.repeats).dispatchers;
+    dispatcher.repeats = ShareRepeats(*installation.repeats);
     dispatcher.retry_budget = kOpenBudget;
     dispatcher.hedge_budget = kOpenBudget;
     dispatcher.features.class_caps = false;
