Readiness is asked of those that take callers; what can't be taken is reset

What was seen: a VM said that it is ready and took none of the new connections. Its callers wait a second each, then try elsewhere.

Cause: the control thread answered for traffic threads that it does not ask, so a thread that is full, spins, hangs or has ended its accept loop changed nothing in the answer.

Change: readiness asks each traffic thread and has its word within 0.4 s, or fails (events 142, 143, a gauge, a counter of failed accepts). One accept loop for the three ports, which waits after a failure and turns connections away with a descriptor kept for that. Links and upstream connections count against callers' room. Work that nobody waits for is logged when it ends by a fault; without some the process ends.

--- a/packages/base/include/basilsill/base/event.h
+++ b/packages/base/include/basilsill/base/event.h
@@ -26,6 +26,10 @@
   kSettingsReloaded = 111,
   kEventsSuppressed = 120,
   kAdminRequestFailed = 130,
+  kAcceptFailed = 140,
+  kTaskFailed = 141,
+  kCallersNotTaken = 142,
+  kCallersTaken = 143,
   // 200: callers and requests
   kRequestRefused = 200,
   kRequestRetried = 201,
--- a/packages/node/include/basilsill/node/installation.h
+++ b/packages/node/include/basilsill/node/installation.h
@@ -76,6 +76,8 @@
   bool messages_end_soon = false;
   /// Logs go there instead of to standard error.
   bool log_to_standard_output = false;
+  /// Connections of all kinds that the process may have open; 0: not bounded.
+  size_t max_connections = 0;
   /// Requests in the process at once; memory is set aside for so many.
   size_t max_requests = 16384;
   /// Mechanisms of the decision code that are on.
--- /dev/null
+++ b/packages/node/src/accept_loop.cc
@@ -0,0 +1,86 @@
+#include "accept_loop.h"
+
+#include <utility>
+
+#include "basilsill/node/log.h"
+
+namespace basilsill {
+namespace {
+
+constexpr std::chrono::milliseconds kAcceptRetryDelay{20};
+
+void LogFailure(std::string_view port, const NetError& error) {
+  Log(Event::kAcceptFailed, {{"port", port}, {"error", error.message()}});
+}
+
+// A descriptor that is given up for a moment when there is no other, to take a
+// connection and turn it away. Left waiting, its caller would not know.
+class Reserve {
+ public:
+  explicit Reserve(Acceptor& acceptor)
+      : acceptor(acceptor), held(acceptor.get_executor()) {
+    NetError ignored;
+    this->acceptor.non_blocking(true, ignored);
+    this->Take();
+  }
+
+  // @returns no error if the next connection was turned away, would_block if
+  // none waits, or why it can't be had even so.
+  NetError TurnAway() {
+    NetError error;
+    this->held.close(error);
+    Socket caller(this->acceptor.get_executor());
+    this->acceptor.accept(caller, error);
+    if (!error) {
+      CloseWithReset(caller);
+    }
+    this->Take();
+    return error;
+  }
+
+ private:
+  void Take() {
+    NetError ignored;
+    this->held.open(Tcp::v4(), ignored);
+  }
+
+  Acceptor& acceptor;
+  Socket held;
+};
+
+Task<void> AfterFailure(Acceptor& acceptor,
+                        Reserve& reserve,
+                        const NetError& failure) {
+  NetError error = failure;
+  if (failure == boost::asio::error::no_descriptors) {
+    error = reserve.TurnAway();
+  }
+  if (error == boost::asio::error::would_block) {
+    co_await acceptor.async_wait(Acceptor::wait_read, kTask);
+  } else if (error) {
+    Timer delay(acceptor.get_executor(), kAcceptRetryDelay);
+    co_await delay.async_wait(kTask);
+  }
+}
+
+}  // namespace
+
+Task<void> AcceptLoop(Acceptor& acceptor, AcceptLoopOptions options) {
+  Reserve reserve(acceptor);
+  while (acceptor.is_open()) {
+    Socket socket(acceptor.get_executor());
+    const auto [error] = co_await acceptor.async_accept(socket, kTask);
+    if (!error) {
+      options.on_socket(std::move(socket));
+    } else if (acceptor.is_open()) {
+      options.failures.Add();
+      LogFailure(options.port, error);
+      if (options.on_failure) {
+        options.on_failure();
+      }
+      co_await AfterFailure(acceptor, reserve, error);
+    }
+  }
+}
+
+}  // namespace basilsill
--- a/packages/node/src/admin_routes.cc
+++ b/packages/node/src/admin_routes.cc
@@ -9,7 +9,7 @@
 constexpr uint16_t kOk = 200;
 constexpr uint16_t kServiceUnavailable = 503;
 constexpr std::array<std::string_view, static_cast<size_t>(NodePhase::kCount)>
-    kPhaseNames = {"starting", "ready", "draining"};
+    kPhaseNames = {"starting", "ready", "draining", "busy"};
 constexpr char kPlainText[] = "text/plain; charset=utf-8";
 constexpr char kPrometheusText[] = "text/plain; version=0.0.4; charset=utf-8";
 
@@ -18,6 +18,11 @@
           std::string(NameOf(phase)) + "\n"};
 }
 
+boost::asio::awaitable<AdminResponse> AnswerReadiness(const AskPhase& ask) {
+  const NodePhase phase = co_await ask();
+  co_return PhaseResponse(phase, phase == NodePhase::kReady);
+}
+
 }  // namespace
 
 std::string_view NameOf(NodePhase phase) {
@@ -26,10 +31,10 @@
 
 void AddReadinessRoute(AdminRouter& router,
                        std::string path,
-                       std::function<NodePhase()> phase) {
+                       AskPhase ask_phase) {
   router.Add({"GET", std::move(path),
-              Immediately([phase = std::move(phase)](const AdminRequest&) {
-                return PhaseResponse(phase(), phase() == NodePhase::kReady);
+              AdminHandler([ask = std::move(ask_phase)](const AdminRequest&) {
+                return AnswerReadiness(ask);
               })});
 }
 
@@ -38,7 +43,7 @@
               Immediately([phase = sources.phase](const AdminRequest&) {
                 return PhaseResponse(phase(), phase() != NodePhase::kDraining);
               })});
-  AddReadinessRoute(router, "/readyz", sources.phase);
+  AddReadinessRoute(router, "/readyz", std::move(sources.ask_phase));
   router.Add({"GET", "/metrics",
               Immediately([make = std::move(sources.metrics)](
                               const AdminRequest&) -> AdminResponse {
--- a/packages/node/src/admin_routes.h
+++ b/packages/node/src/admin_routes.h
@@ -5,6 +5,8 @@
 #include <functional>
 #include <string>
 
+#include <boost/asio/awaitable.hpp>
+
 #include "admin_router.h"
 
 /// The routes that every node has: health, metrics and state.
@@ -16,15 +18,20 @@
   kStarting,  ///< Has no configuration yet, or no callers' port.
   kReady,
   kDraining,  ///< Ends what it has; the balancer shall look away.
+  kBusy,      ///< Would be ready, but takes no further callers now.
   kCount
 };
 
 /// @returns the name of `phase` as answers carry it.
 std::string_view NameOf(NodePhase phase);
 
+/// Asks where a node stands, its traffic threads included.
+using AskPhase = std::function<boost::asio::awaitable<NodePhase>()>;
+
 /// Called on the control thread for each request.
 struct AdminSources {
-  std::function<NodePhase()> phase;
+  std::function<NodePhase()> phase;  ///< As far as the control thread knows.
+  AskPhase ask_phase;
   std::function<std::string()> metrics;      ///< Prometheus text.
   std::function<std::string()> debug_state;  ///< JSON text.
 };
@@ -37,7 +44,7 @@
 /// otherwise.
 void AddReadinessRoute(AdminRouter& router,
                        std::string path,
-                       std::function<NodePhase()> phase);
+                       AskPhase ask_phase);
 
 void AddNodeRoutes(AdminRouter& router, AdminSources sources);
 
--- a/packages/node/src/claim_host.cc
+++ b/packages/node/src/claim_host.cc
@@ -5,11 +5,11 @@
 
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 #include <boost/asio/post.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
 #include "basilsill/node/log.h"
+#include "basilsill/node/task_end.h"
 
 namespace basilsill {
 namespace {
@@ -76,7 +76,8 @@
       tick(context) {}
 
 void ClaimHost::Start() {
-  boost::asio::co_spawn(this->context, this->TickLoop(), boost::asio::detached);
+  boost::asio::co_spawn(this->context, this->TickLoop(),
+                        Unattended{"claim-tick"});
 }
 
 void ClaimHost::Stop() {
@@ -146,13 +147,13 @@
       boost::asio::co_spawn(this->context,
                             this->Append(action.call, std::move(action.stream),
                                          std::move(action.records)),
-                            boost::asio::detached);
+                            Unattended{"claim"});
       break;
     case ClaimActionKind::kRead:
       boost::asio::co_spawn(this->context,
                             this->Read(action.call, std::move(action.stream),
                                        action.from, action.max, action.wait),
-                            boost::asio::detached);
+                            Unattended{"claim"});
       break;
     case ClaimActionKind::kGrant:
       this->Tell(
--- a/packages/node/src/configuration_host.cc
+++ b/packages/node/src/configuration_host.cc
@@ -7,10 +7,10 @@
 
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
 #include "basilsill/node/log.h"
+#include "basilsill/node/task_end.h"
 
 namespace basilsill {
 namespace {
@@ -70,7 +70,8 @@
 ConfigurationHost::~ConfigurationHost() = default;
 
 void ConfigurationHost::Start() {
-  boost::asio::co_spawn(this->context, this->ReadLoop(), boost::asio::detached);
+  boost::asio::co_spawn(this->context, this->ReadLoop(),
+                        Unattended{"configuration-read"});
 }
 
 void ConfigurationHost::Stop() {
@@ -175,7 +176,7 @@
                          !this->writing_checkpoint;
   if (can_write && this->planner.Tick(now, situation)) {
     boost::asio::co_spawn(this->context, this->WriteCheckpointNow(),
-                          boost::asio::detached);
+                          Unattended{"configuration"});
   }
 }
 
@@ -253,11 +254,11 @@
         case ChangeActionKind::kAppend:
           boost::asio::co_spawn(this->context,
                                 this->Append(action.change, action.record),
-                                boost::asio::detached);
+                                Unattended{"configuration"});
           break;
         case ChangeActionKind::kReadNow:
           boost::asio::co_spawn(this->context, this->ReadOnce(milliseconds(0)),
-                                boost::asio::detached);
+                                Unattended{"configuration"});
           break;
         case ChangeActionKind::kTell:
           this->Tell(action.outcome);
--- a/packages/node/src/control.cc
+++ b/packages/node/src/control.cc
@@ -5,13 +5,13 @@
 #include <utility>
 
 #include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
 #include "basilsill/decision/api_keys.h"
 #include "basilsill/decision/news_plan.h"
 #include "basilsill/node/log.h"
+#include "basilsill/node/task_end.h"
 
 namespace basilsill {
 namespace {
@@ -129,7 +129,8 @@
                 options,
                 this->members->rows().at(this->members->self().index).control),
             this->MakeLinkHandlers(),
-            counts.links),
+            counts.links,
+            counts.accept_failures),
       quotas(context,
              QuotaOptions(settings, options),
              this->source->quota_leases(),
@@ -191,7 +192,7 @@
 void Control::Start() {
   this->links.Start();
   this->source->Start(*this);
-  boost::asio::co_spawn(this->context, this->TickLoop(), boost::asio::detached);
+  boost::asio::co_spawn(this->context, this->TickLoop(), Vital{"control-tick"});
 }
 
 void Control::Stop() {
--- a/packages/node/src/control_links.cc
+++ b/packages/node/src/control_links.cc
@@ -3,9 +3,10 @@
 #include <utility>
 
 #include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 
+#include "accept_loop.h"
 #include "basilsill/node/log.h"
+#include "basilsill/node/task_end.h"
 
 namespace basilsill {
 namespace {
@@ -28,17 +29,19 @@
                            Acceptor acceptor,
                            ControlLinkOptions options,
                            ControlLinkHandlers handlers,
-                           LinkCounters& counts)
+                           LinkCounters& counts,
+                           Counter& accept_failures)
     : context(context),
       acceptor(std::move(acceptor)),
       listens_at(FromTcpEndpoint(this->acceptor.local_endpoint())),
       options(std::move(options)),
       handlers(std::move(handlers)),
-      counts(counts) {}
+      counts(counts),
+      accept_failures(accept_failures) {}
 
 void ControlLinks::Start() {
-  boost::asio::co_spawn(this->context, this->AcceptLoop(),
-                        boost::asio::detached);
+  boost::asio::co_spawn(this->context, this->Accept(),
+                        Vital{"accept-control-links"});
 }
 
 void ControlLinks::Stop() {
@@ -51,19 +54,17 @@
   }
 }
 
-Task<void> ControlLinks::AcceptLoop() {
-  while (!this->stopped) {
-    Socket socket(this->context.get_executor());
-    const auto [error] = co_await this->acceptor.async_accept(socket, kTask);
-    if (!error) {
-      this->Add(std::move(socket), wire::LinkSide::kAcceptor, VmHandle{});
-    }
-  }
+Task<void> ControlLinks::Accept() {
+  AcceptLoopOptions loop{"control", this->accept_failures, {}, {}};
+  loop.on_socket = [this](Socket socket) {
+    this->Add(std::move(socket), wire::LinkSide::kAcceptor, VmHandle{});
+  };
+  return AcceptLoop(this->acceptor, std::move(loop));
 }
 
 void ControlLinks::Open(VmHandle vm, const Endpoint& control) {
   boost::asio::co_spawn(this->context, this->Connect(vm, control),
-                        boost::asio::detached);
+                        Unattended{"connect-control-link"});
 }
 
 Task<void> ControlLinks::Connect(VmHandle vm, Endpoint control) {
@@ -98,7 +99,7 @@
   mux.hello = this->options.hello;
   auto link = std::make_shared<PeerLink>(
       std::move(socket), mux, std::move(link_handlers), this->counts);
-  boost::asio::co_spawn(this->context, link->Run(), boost::asio::detached);
+  boost::asio::co_spawn(this->context, link->Run(), Unattended{"control-link"});
   return link;
 }
 
--- a/packages/node/src/control_links.h
+++ b/packages/node/src/control_links.h
@@ -42,7 +42,8 @@
                Acceptor acceptor,
                ControlLinkOptions options,
                ControlLinkHandlers handlers,
-               LinkCounters& counts);
+               LinkCounters& counts,
+               Counter& accept_failures);
 
   /// Takes links from peers.
   void Start();
@@ -72,7 +73,7 @@
     uint64_t incarnation = 0;
   };
 
-  Task<void> AcceptLoop();
+  Task<void> Accept();
   Task<void> Connect(VmHandle vm, Endpoint control);
   PeerLinkPtr Add(Socket socket, wire::LinkSide side, VmHandle expected);
   void OnReady(const PeerLinkPtr& link, VmHandle expected);
@@ -86,6 +87,7 @@
   ControlLinkOptions options;
   ControlLinkHandlers handlers;
   LinkCounters& counts;
+  Counter& accept_failures;
   std::map<PeerLinkPtr, Peer> links;
   bool stopped = false;
 };
--- a/packages/node/src/dispatch_host.cc
+++ b/packages/node/src/dispatch_host.cc
@@ -8,9 +8,9 @@
 #include <vector>
 
 #include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 
 #include "attempt_log.h"
+#include "basilsill/node/task_end.h"
 #include "upstream_question.h"
 
 namespace basilsill {
@@ -313,7 +313,7 @@
     boost::asio::co_spawn(this->pool.executor(),
                           this->AskUpstream(action.upstream, found.target(),
                                             found.service->health_path),
-                          boost::asio::detached);
+                          Unattended{"ask-upstream"});
     return;
   }
   this->dispatcher->OnAsked(MonotonicClock::now(), action.upstream, {});
@@ -366,7 +366,7 @@
   job->attempts.push_back({action.attempt, std::move(running)});
   boost::asio::co_spawn(this->pool.executor(),
                         this->RunAttempt(job, action, std::move(name), raw),
-                        boost::asio::detached);
+                        Unattended{"attempt"});
 }
 
 Task<void> DispatchHost::RunAttempt(JobPtr job,
--- a/packages/node/src/link_table.cc
+++ b/packages/node/src/link_table.cc
@@ -4,9 +4,9 @@
 #include <utility>
 
 #include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 
 #include "basilsill/node/log.h"
+#include "basilsill/node/task_end.h"
 #include "link_exchange.h"
 
 namespace basilsill {
@@ -78,7 +78,7 @@
       std::move(socket), mux, std::move(link_handlers), this->counts);
   this->all.insert(link);
   this->counts.open.Set(static_cast<int64_t>(this->all.size()));
-  boost::asio::co_spawn(this->run_on, link->Run(), boost::asio::detached);
+  boost::asio::co_spawn(this->run_on, link->Run(), Unattended{"link"});
   return link;
 }
 
--- a/packages/node/src/log_source.cc
+++ b/packages/node/src/log_source.cc
@@ -1,4 +1,5 @@
 #include "log_source.h"
+#include "basilsill/node/task_end.h"
 
 #include <algorithm>
 #include <chrono>
@@ -7,7 +8,6 @@
 #include <vector>
 
 #include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 
 namespace basilsill {
 namespace {
@@ -78,7 +78,7 @@
   this->configuration.Start();
   this->claims.Start();
   boost::asio::co_spawn(this->context, this->FollowVmList(),
-                        boost::asio::detached);
+                        Unattended{"log-source"});
 }
 
 void LogSource::Stop() {
--- a/packages/node/src/metrics.h
+++ b/packages/node/src/metrics.h
@@ -85,6 +85,7 @@
   PerEnum<Counter, Retry> retries;
   Counter caller_connections_opened;
   Gauge caller_connections;
+  Counter accept_failures;  ///< At the ports of callers and of links.
   Gauge requests_in_flight;
   Gauge peer_requests;
   Counter caller_bytes_received;
@@ -144,6 +145,9 @@
   Gauge configuration_age;
   Gauge lends_quotas;
   LinkCounters links;
+  Counter accept_failures;
+  Gauge
+      callers_not_taken;  ///< 1 while it would be no use to send callers here.
   Counter log_reads;
   Counter log_appends;
   Counter platform_failures;
--- a/packages/node/src/metrics_table.cc
+++ b/packages/node/src/metrics_table.cc
@@ -165,6 +165,14 @@
   });
 }
 
+void AcceptFailures(const MetricsPage& page, MetricsWriter& writer) {
+  const uint64_t at_workers = SumOver(
+      page, [](const WorkerMetrics& worker) -> auto& {
+        return worker.accept_failures;
+      });
+  writer.Sample({}, at_workers + page.control.accept_failures.value());
+}
+
 void WorkerCpu(const MetricsPage& page, MetricsWriter& writer) {
   for (size_t i = 0; i < page.worker_list().size(); ++i) {
     const auto used = static_cast<Duration::rep>(
@@ -250,6 +258,15 @@
                "",
                "Connections accepted from callers.",
                WorkerCounter<&Worker::caller_connections_opened>),
+    CounterRow("basilsill_accept_failures_total",
+               "",
+               "Connections that could not be accepted, for want of "
+               "descriptors for instance.",
+               AcceptFailures),
+    GaugeRow("basilsill_callers_not_taken",
+             "",
+             "1 while no further callers are taken, so that readiness fails.",
+             ControlValue<&Control::callers_not_taken>),
     CounterRow("basilsill_caller_received_bytes_total",
                "",
                "Bytes received from callers.",
--- a/packages/node/src/node.cc
+++ b/packages/node/src/node.cc
@@ -6,12 +6,13 @@
 #include <utility>
 
 #include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 #include <boost/asio/post.hpp>
+#include <boost/asio/redirect_error.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
 #include "basilsill/node/log.h"
+#include "basilsill/node/task_end.h"
 #include "debug_state.h"
 #include "resource_api.h"
 
@@ -20,6 +21,27 @@
 
 constexpr std::chrono::milliseconds kDrainPoll{20};
 
+// Within this time each traffic thread has to say that it takes callers:
+// shorter than balancers wait for the answer, so that they get one.
+constexpr std::chrono::milliseconds kTakesCallersLimit{400};
+
+// Answers of traffic threads, gathered on the control thread.
+struct Inquiry {
+  Inquiry(IoContext& context, size_t workers)
+      : missing(workers), over(context, kTakesCallersLimit) {}
+
+  void OnAnswer(bool takes) {
+    this->all_take = this->all_take && takes;
+    if (--this->missing == 0) {
+      this->over.cancel();
+    }
+  }
+
+  size_t missing;
+  bool all_take = true;
+  boost::asio::steady_timer over;
+};
+
 // Claims rest on it that no two processes of a VM ever share an incarnation,
 // which a clock alone does not give.
 uint64_t NewIncarnation() {
@@ -182,6 +204,7 @@
 Result<void> Node::CreateAdmin() {
   AdminSources sources;
   sources.phase = [this] { return this->phase(); };
+  sources.ask_phase = [this] { return this->PhaseWithWorkers(); };
   sources.metrics = [this] { return this->metrics.Render(); };
   const bool has_log = this->log_source != nullptr;
   if (has_log) {
@@ -208,7 +231,7 @@
     return boost::outcome_v2::success();
   }
   AddReadinessRoute(this->readiness_router, this->installation.ready_path,
-                    [this] { return this->phase(); });
+                    [this] { return this->PhaseWithWorkers(); });
   AdminOptions options;
   options.listen = this->installation.ready_at;
   auto created =
@@ -240,6 +263,44 @@
   }
 }
 
+// Failure: the control thread answers that the node is ready while its traffic
+// threads hang, spin, or have no room. It shows as a VM that the balancer keeps
+// sending callers to and that takes none of them.
+boost::asio::awaitable<NodePhase> Node::PhaseWithWorkers() {
+  const NodePhase before = this->phase();
+  if (before != NodePhase::kReady) {
+    co_return before;
+  }
+  const bool takes = co_await this->AskWorkers();
+  this->NoteTakesCallers(takes);
+  const NodePhase now = this->phase();
+  co_return now == NodePhase::kReady && !takes ? NodePhase::kBusy : now;
+}
+
+boost::asio::awaitable<bool> Node::AskWorkers() {
+  const auto inquiry =
+      std::make_shared<Inquiry>(this->context, this->traffic.size());
+  for (const auto& worker : this->traffic) {
+    worker->AskTakesCallers([&context = this->context, inquiry](bool takes) {
+      boost::asio::post(context,
+                        [inquiry, takes] { inquiry->OnAnswer(takes); });
+    });
+  }
+  boost::system::error_code answered;
+  co_await inquiry->over.async_wait(
+      boost::asio::redirect_error(boost::asio::use_awaitable, answered));
+  co_return inquiry->missing == 0 && inquiry->all_take;
+}
+
+void Node::NoteTakesCallers(bool takes) {
+  const bool was_taking = this->metrics.control.callers_not_taken.value() == 0;
+  this->metrics.control.callers_not_taken.Set(takes ? 0 : 1);
+  if (takes != was_taking) {
+    Log(takes ? Event::kCallersTaken : Event::kCallersNotTaken,
+        {{"vm", this->settings.vm.name}});
+  }
+}
+
 // Runs on the thread of worker `from`; the others and the peers are told from
 // the control thread.
 void Node::SpreadCrashes(size_t from, std::vector<CrashReport> crashes) {
@@ -259,7 +320,7 @@
   }
   this->control_side->Start();
   boost::asio::co_spawn(this->context, this->MetricsLoop(),
-                        boost::asio::detached);
+                        Unattended{"metrics"});
 }
 
 void Node::Reload(const Settings& changed) {
@@ -280,7 +341,7 @@
   }
   this->draining = true;
   boost::asio::co_spawn(this->context, this->RunDrain(std::move(on_stopped)),
-                        boost::asio::detached);
+                        Vital{"drain"});
 }
 
 bool Node::busy() const {
--- a/packages/node/src/node.h
+++ b/packages/node/src/node.h
@@ -65,6 +65,9 @@
   Result<void> CreateReadiness();
   bool claims_idle() const;
   NodePhase phase() const;
+  boost::asio::awaitable<NodePhase> PhaseWithWorkers();
+  boost::asio::awaitable<bool> AskWorkers();
+  void NoteTakesCallers(bool takes);
   boost::asio::awaitable<void> MetricsLoop();
   boost::asio::awaitable<void> RunDrain(
       std::function<void(bool whole)> on_stopped);
--- a/packages/node/src/quota_host.cc
+++ b/packages/node/src/quota_host.cc
@@ -4,10 +4,10 @@
 
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
 #include "basilsill/node/log.h"
+#include "basilsill/node/task_end.h"
 
 namespace basilsill {
 namespace {
@@ -88,10 +88,10 @@
   }
   switch (this->office.NextLeaseCall(now)) {
     case QuotaLeaseCall::kRead:
-      asio::co_spawn(this->context, this->Read(), asio::detached);
+      asio::co_spawn(this->context, this->Read(), Unattended{"quota-read"});
       break;
     case QuotaLeaseCall::kWrite:
-      asio::co_spawn(this->context, this->Write(), asio::detached);
+      asio::co_spawn(this->context, this->Write(), Unattended{"quota-write"});
       break;
     default:
       break;
@@ -104,7 +104,8 @@
     }
   }
   if (this->office.waits() && !std::exchange(this->watches, true)) {
-    asio::co_spawn(this->context, this->WatchOthers(), asio::detached);
+    asio::co_spawn(this->context, this->WatchOthers(),
+                   Unattended{"quota-watch"});
   }
   this->NoteLending();
 }
--- a/packages/node/src/worker.cc
+++ b/packages/node/src/worker.cc
@@ -3,10 +3,11 @@
 #include <utility>
 
 #include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 #include <boost/asio/post.hpp>
 
+#include "accept_loop.h"
 #include "basilsill/node/log.h"
+#include "basilsill/node/task_end.h"
 #include "link_server.h"
 
 namespace basilsill {
@@ -21,7 +22,12 @@
 // While nothing is in flight there is nothing else to look at, and a VM at rest
 // wakes up four times a second for it.
 constexpr milliseconds kIdleTick{250};
-constexpr milliseconds kAcceptRetryDelay{20};
+// After an accept that failed, so long: several more would have failed since if
+// they still did.
+constexpr milliseconds kAcceptRecovery{200};
+// Of all connections that the process may have, the part that is not for
+// callers: without links and upstreams those that are in are not served.
+constexpr size_t kSparePart = 8;
 // Bits of an attempt's sequence that count; the worker's number stands above.
 constexpr unsigned kOnceSequenceBits = 48;
 
@@ -182,9 +188,10 @@
 
 void Worker::Start() {
   const Executor executor = this->context->get_executor();
-  boost::asio::co_spawn(executor, this->AcceptCallers(), boost::asio::detached);
-  boost::asio::co_spawn(executor, this->AcceptLinks(), boost::asio::detached);
-  boost::asio::co_spawn(executor, this->TickLoop(), boost::asio::detached);
+  boost::asio::co_spawn(executor, this->AcceptCallers(),
+                        Vital{"accept-callers"});
+  boost::asio::co_spawn(executor, this->AcceptLinks(), Vital{"accept-links"});
+  boost::asio::co_spawn(executor, this->TickLoop(), Vital{"worker-tick"});
   this->thread = std::thread([this] { this->context->run(); });
 }
 
@@ -313,30 +320,21 @@
 }
 
 Task<void> Worker::AcceptCallers() {
-  while (!this->is_draining) {
-    Socket socket(this->context->get_executor());
-    const auto [error] = co_await this->acceptor.async_accept(socket, kTask);
-    if (!error) {
-      this->StartSession(std::move(socket));
-    } else if (!this->is_draining) {
-      // Out of descriptors or memory: what is open goes on, and accepting is
-      // tried again when some of it may have ended.
-      Timer delay(this->context->get_executor(), kAcceptRetryDelay);
-      co_await delay.async_wait(kTask);
-    }
-  }
+  AcceptLoopOptions loop{"callers", this->counts->accept_failures, {}, {}};
+  loop.on_socket = [this](Socket socket) {
+    this->StartSession(std::move(socket));
+  };
+  loop.on_failure = [this] { this->accept_failed = MonotonicClock::now(); };
+  return AcceptLoop(this->acceptor, std::move(loop));
 }
 
 Task<void> Worker::AcceptLinks() {
-  for (;;) {
-    Socket socket(this->context->get_executor());
-    const auto [error] =
-        co_await this->link_acceptor.async_accept(socket, kTask);
-    if (!error) {
-      this->links.Accept(std::move(socket));
-      this->CountBusyLinks();
-    }
-  }
+  AcceptLoopOptions loop{"links", this->counts->accept_failures, {}, {}};
+  loop.on_socket = [this](Socket socket) {
+    this->links.Accept(std::move(socket));
+    this->CountBusyLinks();
+  };
+  return AcceptLoop(this->link_acceptor, std::move(loop));
 }
 
 LinkTableHandlers Worker::MakeLinkHandlers() {
@@ -406,10 +404,32 @@
   }
 }
 
-void Worker::StartSession(Socket socket) {
-  const size_t limit =
-      this->settings.limits.caller_connections / this->settings.threads.traffic;
+bool Worker::HasRoomForCaller() const {
+  const uint32_t threads = this->settings.threads.traffic;
+  const size_t limit = this->settings.limits.caller_connections / threads;
   if (this->sessions.size() >= limit) {
+    return false;
+  }
+  const size_t all = this->installation.max_connections / threads;
+  const auto others =
+      static_cast<size_t>(this->counts->links.open.value() +
+                          this->counts->upstream_connections.value());
+  return all == 0 || this->sessions.size() + others + all / kSparePart < all;
+}
+
+bool Worker::TakesCallers(TimePoint now) const {
+  return !this->is_draining && this->HasRoomForCaller() &&
+         now - this->accept_failed >= kAcceptRecovery;
+}
+
+void Worker::AskTakesCallers(std::function<void(bool takes)> answer) {
+  boost::asio::post(*this->context, [this, answer = std::move(answer)] {
+    answer(this->TakesCallers(MonotonicClock::now()));
+  });
+}
+
+void Worker::StartSession(Socket socket) {
+  if (!this->HasRoomForCaller()) {
     this->counts->CountRefusal(Refusal::kTooManyConnections);
     CloseWithReset(socket);
     return;
--- a/packages/node/src/worker.h
+++ b/packages/node/src/worker.h
@@ -78,6 +78,11 @@
   /// Takes in the answer to what was asked of a lender.
   void ImportQuota(QuotaAnswer answer);
 
+  /// Asks the worker's thread whether it takes callers: they are accepted, and
+  /// there is room for another one. A thread that hangs or spins never answers.
+  /// @param answer Called on the worker's thread.
+  void AskTakesCallers(std::function<void(bool takes)> answer);
+
   /// From here on answers ask callers to use another connection next time.
   void Announce();
 
@@ -118,6 +123,8 @@
 
   Task<void> AcceptCallers();
   Task<void> AcceptLinks();
+  bool HasRoomForCaller() const;
+  bool TakesCallers(TimePoint now) const;
   LinkTableHandlers MakeLinkHandlers();
   void OnStream(const PeerLinkPtr& link, LinkStreamPtr stream, wire::Open open);
   void ReportCrashes(TimePoint now);
@@ -201,6 +208,7 @@
   bool uses_quotas = false;
   std::string via_text;
   Timer tick_timer;
+  TimePoint accept_failed{};  ///< At the callers' port, the last time.
   TimePoint sessions_ticked;
   TimePoint idle_ticked;
   ClaimHost* claims = nullptr;
--- /dev/null
+++ b/packages/node/test/accept_loop_test.cc
@@ -0,0 +1,106 @@
+// Tests of taking connections in while none can be had.
+
+#include "accept_loop.h"
+
+#include <sys/resource.h>
+#include <unistd.h>
+
+#include <vector>
+
+#include <boost/asio/co_spawn.hpp>
+
+#include "basilsill/node/task_end.h"
+
+#include <CppUTest/TestHarness.h>
+
+using basilsill::AcceptLoopOptions;
+using basilsill::Acceptor;
+using basilsill::Counter;
+using basilsill::IoContext;
+using basilsill::MonotonicClock;
+using basilsill::Socket;
+using basilsill::TimePoint;
+
+namespace {
+
+// No descriptor from `first` on can be had while this lives.
+class NoDescriptors {
+ public:
+  explicit NoDescriptors(rlim_t first) {
+    getrlimit(RLIMIT_NOFILE, &this->before);
+    rlimit none = this->before;
+    none.rlim_cur = first;
+    setrlimit(RLIMIT_NOFILE, &none);
+  }
+  ~NoDescriptors() { setrlimit(RLIMIT_NOFILE, &this->before); }
+
+ private:
+  rlimit before{};
+};
+
+}  // namespace
+
+TEST_GROUP(AcceptLoop) {
+  IoContext io;
+  Counter failures;
+  std::vector<Socket> taken;
+  Acceptor acceptor{this->io};
+  Socket caller{this->io};
+
+  void setup() override {
+    auto listening = basilsill::Listen(this->io, {"127.0.0.1", 0}, false);
+    CHECK(listening.has_value());
+    this->acceptor = std::move(listening).value();
+    AcceptLoopOptions loop{"test", this->failures, {}, {}};
+    loop.on_socket = [this](Socket socket) {
+      this->taken.push_back(std::move(socket));
+    };
+    boost::asio::co_spawn(
+        this->io, basilsill::AcceptLoop(this->acceptor, std::move(loop)),
+        basilsill::Vital{"test"});
+    this->caller.open(basilsill::Tcp::v4());
+    this->io.poll();
+  }
+};
+
+// Failure: a VM that can't take a connection does nothing but try to, and
+// leaves no time to those that it serves.
+TEST(AcceptLoop, Accept_NoDescriptorsAtAll_TriedAgainLaterAndTakenAtLast) {
+  this->caller.connect(this->acceptor.local_endpoint());
+  const TimePoint began = MonotonicClock::now();
+  {
+    const NoDescriptors none(0);
+    while (this->failures.value() < 3) {
+      this->io.run_one();
+    }
+  }
+  const auto most =
+      2 + (MonotonicClock::now() - began) / std::chrono::milliseconds(20);
+  CHECK(this->failures.value() <= static_cast<uint64_t>(most));
+  while (this->taken.empty()) {
+    this->io.run_one();
+  }
+  CHECK(MonotonicClock::now() - began >= std::chrono::milliseconds(40));
+}
+
+// Failure: connections wait at a VM without descriptors until it has some, and
+// their callers with them.
+TEST(AcceptLoop, Accept_DescriptorsUsedUp_CallerIsTurnedAwayAtOnce) {
+  const int next = ::dup(0);
+  ::close(next);
+  const NoDescriptors none(static_cast<rlim_t>(next));
+  this->caller.connect(this->acceptor.local_endpoint());
+  boost::system::error_code error;
+  bool is_over = false;
+  char octet = 0;
+  this->caller.async_read_some(boost::asio::buffer(&octet, 1),
+                               [&](const auto& failure, size_t) {
+                                 error = failure;
+                                 is_over = true;
+                               });
+  while (!is_over) {
+    this->io.run_one();
+  }
+  CHECK(error == boost::asio::error::connection_reset);
+  CHECK(this->taken.empty());
+}
--- a/packages/node/test/admin_server_test.cc
+++ b/packages/node/test/admin_server_test.cc
@@ -122,6 +122,9 @@
                         return this->waiting.Stream(request, stream);
                       }});
     AddNodeRoutes(this->router, {[this] { return this->phase.load(); },
+                                 [this]() -> boost::asio::awaitable<NodePhase> {
+                                   co_return this->phase.load();
+                                 },
                                  [] { return std::string("metric 1\n"); },
                                  [] { return std::string("{}"); }});
     this->options.max_header_bytes = 2048;
--- a/packages/node/test/path_test.cc
+++ b/packages/node/test/path_test.cc
@@ -4,6 +4,7 @@
 #include <array>
 #include <cstdint>
 #include <future>
+#include <memory>
 #include <string>
 #include <vector>
 
@@ -13,6 +14,7 @@
 #include <boost/asio/write.hpp>
 
 #include "fleet.h"
+#include "worker.h"
 
 #include <CppUTest/TestHarness.h>
 
@@ -374,3 +376,26 @@
   this->callers.Close();
   CHECK(basilsill::test::WaitUntil([&] { return ReadinessOf(node) == 200; }));
 }
+
+// Failure: links and upstream connections have taken what callers may take too,
+// so that nothing is left to serve those that are in.
+TEST(Readiness, Connections_AllTakenByCallers_SomeAreLeftForLinks) {
+  basilsill::Installation installation;
+  installation.max_connections = 16;
+  basilsill::Settings settings;
+  settings.vm = {"lyulin-1", "lyulin", "127.0.0.1", 0};
+  settings.limits.caller_connections = 1000;
+  basilsill::test::ContextThread control;
+  std::unique_ptr<basilsill::Worker> worker;
+  auto created = basilsill::Worker::Create(settings, installation, {},
+                                           {"127.0.0.1", 0}, {"127.0.0.1", 0});
+  CHECK(created.has_value());
+  worker = std::move(created).value();
+  worker->Start();
+  this->callers.Open(worker->callers_endpoint().port, 20);
+  CHECK(basilsill::test::WaitUntil(
+      [&] { return worker->metrics()->caller_connections.value() == 14; }));
+  std::promise<bool> takes;
+  worker->AskTakesCallers([&takes](bool answer) { takes.set_value(answer); });
+  CHECK_FALSE(takes.get_future().get());
+}
--- a/soak/fleet.cc
+++ b/soak/fleet.cc
@@ -28,6 +28,11 @@
 constexpr milliseconds kRestartPause{300};
 constexpr milliseconds kWatchInterval{20};
 constexpr milliseconds kEveryoneBack{1000};
+// A connection that is not taken for so long is taken for lost.
+constexpr milliseconds kTakenLimit{3000};
+// More than a node may have.
+constexpr size_t kFlood = 400;
+constexpr char kNoRoute[] = "/no-such-route";
 
 // 127.A.B.N, of which A and B come from the id of this process, so that soaks
 // beside each other do not meet.
@@ -55,6 +60,7 @@
     node.address = AddressOf(i);
     node.directory = options.directory;
     node.store = member->store_link->endpoint();
+    node.has_few_descriptors = i % 2 == 1;
     node.repeat_slack = options.bounds.repeat_slack;
     node.drain = options.bounds.drain;
     node.apply = options.bounds.apply;
@@ -84,11 +90,50 @@
     const bool ready = co_await adapter::test::IsReady(
         this->io.get_executor(), member.process->readiness(), kAskLimit);
     member.misses = ready ? 0 : member.misses + 1;
+    if (ready) {
+      asio::co_spawn(this->io, this->TryConnection(member), asio::detached);
+    }
     // One that is not taken yet is asked more often, to begin soon.
     co_await Sleep(this->IsAnyReady() ? kAskInterval : kRestartPause);
   }
 }
 
+asio::awaitable<void> Fleet::TryConnection(const Member& member) {
+  const size_t row = this->seen.connections.size();
+  const TimePoint began = MonotonicClock::now();
+  this->seen.connections.push_back({member.number, began});
+  adapter::test::FakeCaller caller(this->io.get_executor());
+  const bool open =
+      co_await caller.Open(member.process->callers(), kTakenLimit);
+  if (!open) {
+    co_return;
+  }
+  adapter::test::CallerRequest request;
+  request.path = kNoRoute;
+  request.deadline = kTakenLimit;
+  const bool sent = co_await caller.Send(request);
+  if (!sent) {
+    co_return;
+  }
+  const adapter::test::CallerAnswer answer =
+      co_await caller.Receive(request, kTakenLimit);
+  if (answer.is_whole) {
+    this->seen.connections[row].taken_after = MonotonicClock::now() - began;
+  }
+}
+
+asio::awaitable<void> Fleet::Flood(size_t node, milliseconds time) {
+  const Member& member = *this->members[node % this->members.size()];
+  std::vector<std::unique_ptr<adapter::test::FakeCaller>> idle;
+  const TimePoint until = MonotonicClock::now() + time;
+  for (size_t i = 0; i < kFlood && MonotonicClock::now() < until; ++i) {
+    idle.push_back(
+        std::make_unique<adapter::test::FakeCaller>(this->io.get_executor()));
+    co_await idle.back()->Open(member.process->callers(), kAskLimit);
+  }
+  co_await Sleep(until - MonotonicClock::now());
+}
+
 // A node that ends though nobody told it to has crashed.
 asio::awaitable<void> Fleet::Watch(Member& member) {
   while (!this->stopped) {
--- a/soak/fleet.h
+++ b/soak/fleet.h
@@ -37,6 +37,10 @@
   /// Starts all nodes, and asks them once a second whether they are ready.
   void Start();
 
+  /// Opens many connections to a node and leaves them idle for `time`.
+  boost::asio::awaitable<void> Flood(size_t node,
+                                     std::chrono::milliseconds time);
+
   /// Carries out a fault of one node, or of all, or of the way to the store.
   boost::asio::awaitable<void> Harm(const Step& step);
 
@@ -66,6 +70,7 @@
 
   boost::asio::awaitable<void> Ask(Member& member);
   boost::asio::awaitable<void> Watch(Member& member);
+  boost::asio::awaitable<void> TryConnection(const Member& member);
   boost::asio::awaitable<void> Kill(Member& member);
   boost::asio::awaitable<void> End(Member& member);
   boost::asio::awaitable<void> Pause(Member& member, const Step& step);
--- a/soak/node_process.cc
+++ b/soak/node_process.cc
@@ -1,5 +1,8 @@
 #include "node_process.h"
 
+#include <sys/prctl.h>
+#include <sys/resource.h>
+
 #include <csignal>
 #include <fstream>
 #include <stdexcept>
@@ -12,6 +15,7 @@
 #include <boost/process/env.hpp>
 #include <boost/process/environment.hpp>
 #include <boost/process/exe.hpp>
+#include <boost/process/extend.hpp>
 #include <boost/process/io.hpp>
 
 #include "platform_text.h"
@@ -27,6 +31,20 @@
 constexpr uint16_t kReadyPort = 8640;
 constexpr char kLinkPorts[] = "7620,7635";
 
+// What a node may open. It is told more: the platform keeps some for files.
+constexpr rlim_t kDescriptors = 300;
+constexpr uint32_t kToldDescriptors = 500;
+// Some can open fewer than they are told.
+constexpr rlim_t kFewDescriptors = 200;
+
+// In the child, before the node's program begins. However the soak ends, its
+// nodes end with it.
+void PrepareChild(rlim_t descriptors) {
+  ::prctl(PR_SET_PDEATHSIG, SIGKILL);
+  const rlimit limit{descriptors, descriptors};
+  ::setrlimit(RLIMIT_NOFILE, &limit);
+}
+
 struct FileCloser {
   void operator()(FILE* file) const { std::fclose(file); }
 };
@@ -34,12 +52,17 @@
 }  // namespace
 
 struct NodeProcess::Process {
-  Process(const std::string& program, const std::string& settings, FILE* log)
+  Process(const std::string& program,
+          const std::string& settings,
+          rlim_t descriptors,
+          FILE* log)
       : running(process::exe = program,
                 process::args = "--adapter",
                 process::env[adapter::test::kSettingsVariable] = settings,
                 process::std_in<process::null, process::std_out> log,
-                process::std_err > log) {}
+                process::std_err > log,
+                process::extend::on_exec_setup(
+                    [descriptors](auto&) { PrepareChild(descriptors); })) {}
 
   process::child running;
 };
@@ -52,6 +75,7 @@
   text.callers_port = kCallersPort;
   text.ready_port = kReadyPort;
   text.link_ports = kLinkPorts;
+  text.descriptors = kToldDescriptors;
   text.repeat_slack = this->options.repeat_slack;
   text.drain = this->options.drain;
   text.apply = this->options.apply;
@@ -79,8 +103,10 @@
   if (log == nullptr) {
     throw std::runtime_error("can't write " + base + ".log");
   }
-  this->process = std::make_unique<Process>(this->options.program,
-                                            base + ".conf", log.get());
+  const rlim_t descriptors =
+      this->options.has_few_descriptors ? kFewDescriptors : kDescriptors;
+  this->process = std::make_unique<Process>(
+      this->options.program, base + ".conf", descriptors, log.get());
 }
 
 void NodeProcess::Signal(int number) {
--- a/soak/node_process.h
+++ b/soak/node_process.h
@@ -18,6 +18,7 @@
   std::string address;    ///< On loopback, its own.
   std::string directory;  ///< For its settings and its log.
   Endpoint store;
+  bool has_few_descriptors = false;  ///< Fewer than it is told.
   double repeat_slack = 0;
   std::chrono::milliseconds drain{0};
   std::chrono::milliseconds apply{0};
--- a/soak/observations.h
+++ b/soak/observations.h
@@ -125,6 +125,15 @@
   TimePoint to{};
 };
 
+/// A node said that it is ready, and a new connection was opened to it at once.
+struct ConnectionRow {
+  size_t node = 0;
+  TimePoint at{};  ///< Of its word.
+  /// Until a request on the connection was answered; the longest there is if it
+  /// was not.
+  Duration taken_after = Duration::max();
+};
+
 /// A node ended without having been told to.
 struct UnaskedEnd {
   size_t node = 0;
@@ -158,6 +167,7 @@
   std::vector<RouteRow> routes;
   std::vector<Disturbance> disturbances;
   std::vector<UnaskedEnd> unasked_ends;
+  std::vector<ConnectionRow> connections;
   /// Nodes were all back after the last time that all were killed.
   std::optional<TimePoint> all_back;
   TimePoint ended{};
--- a/soak/promises.cc
+++ b/soak/promises.cc
@@ -15,15 +15,17 @@
 using std::chrono::milliseconds;
 
 constexpr std::array<std::string_view, static_cast<size_t>(Promise::kCount)>
-    kNames = {"own-answer", "once",          "not-run",    "leaving",
-              "shutdown",   "configuration", "no-return",  "repeats",
-              "recovery",   "caller-gone",   "timeout",    "stays-up",
-              "drained",    "cold",          "rate-limit", "key-revoked",
-              "team-quota"};
+    kNames = {"own-answer",  "once",       "not-run",
+              "leaving",     "shutdown",   "configuration",
+              "no-return",   "repeats",    "recovery",
+              "caller-gone", "timeout",    "stays-up",
+              "drained",     "cold",       "rate-limit",
+              "key-revoked", "team-quota", "ready-takes-connections"};
 
 // Promises with a bound in time allow for single requests that fell between
 // two moments of observation.
 constexpr size_t kFewRequests = 3;
+constexpr size_t kMissedInARow = 2;
 
 constexpr unsigned kNotFound = 404;
 constexpr unsigned kBadGateway = 502;
@@ -73,7 +75,7 @@
         &Judgement::CheckTimeout,   &Judgement::CheckStaysUp,
         &Judgement::CheckDrained,   &Judgement::CheckCold,
         &Judgement::CheckRateLimit, &Judgement::CheckKeyRevoked,
-        &Judgement::CheckTeamQuota};
+        &Judgement::CheckTeamQuota, &Judgement::CheckReadyTakes};
     for (const Check check : checks) {
       (this->*check)();
     }
@@ -430,6 +432,22 @@
     }
   }
 
+  void CheckReadyTakes() {
+    std::map<size_t, size_t> missed;  // In a row, by node.
+    for (const ConnectionRow& row : this->seen.connections) {
+      const bool is_taken = row.taken_after <= this->bounds.taken + this->slack;
+      const bool counts =
+          row.at + this->bounds.taken + this->slack < this->seen.ended &&
+          this->IsCalm({DisturbanceKind::kNode, DisturbanceKind::kShutdown},
+                       row.node, row.at, row.at + this->bounds.taken);
+      missed[row.node] = is_taken || !counts ? 0 : missed[row.node] + 1;
+      if (missed[row.node] == kMissedInARow) {
+        this->Add(Promise::kReadyTakes, {}, row.at,
+                  "node " + std::to_string(row.node));
+      }
+    }
+  }
+
   void CheckDrained() {
     for (const DrainRow& drain : this->seen.drains) {
       const TimePoint bound =
--- a/soak/promises.h
+++ b/soak/promises.h
@@ -31,6 +31,7 @@
   kRateLimit,      ///< One that names a rate limit gets about that.
   kKeyRevoked,     ///< A key that was taken away is of no use any more.
   kTeamQuota,      ///< A team gets no more than its quota.
+  kReadyTakes,     ///< A node that says ready takes new connections.
   kCount
 };
 
@@ -62,6 +63,9 @@
   double quota_excess = 1.1;
   double quota_slack = 20;
   std::chrono::milliseconds quota_window{5000};
+  /// A node that says that it is ready has answered on a new connection so long
+  /// after; one in a row may miss it, as its word is of a moment before.
+  std::chrono::milliseconds taken{1000};
   std::chrono::milliseconds grace{6000};
   std::chrono::milliseconds loss_slack{200};
   std::chrono::milliseconds caller_gone{500};
--- a/soak/rig.cc
+++ b/soak/rig.cc
@@ -40,6 +40,9 @@
 // When a team's key is taken away, and for how long beyond the bound.
 constexpr milliseconds kRevokedAfter{2000};
 constexpr milliseconds kRevokedFor{4000};
+// When idle connections fill a node, and for how long.
+constexpr milliseconds kFloodedAfter{3500};
+constexpr milliseconds kFloodedFor{3500};
 
 class Rig {
  public:
@@ -131,6 +134,12 @@
     }
   }
 
+  // Beside the plan as well.
+  asio::awaitable<void> Flood() {
+    co_await Sleep(kFloodedAfter);
+    co_await this->fleet.Flood(this->plan.seed, kFloodedFor);
+  }
+
   // Eight hexadecimal digits; versions grow in steps.
   static std::string VersionText(uint64_t version) {
     constexpr uint64_t base = 0x10000000;
@@ -157,6 +166,7 @@
     }
     this->callers.Start();
     asio::co_spawn(this->io, this->Revoke(), asio::detached);
+    asio::co_spawn(this->io, this->Flood(), asio::detached);
     const TimePoint start = MonotonicClock::now();
     for (const Step& step : this->plan.steps) {
       co_await Sleep(start + step.at - MonotonicClock::now());
--- a/soak/test/promises_test.cc
+++ b/soak/test/promises_test.cc
@@ -385,3 +385,22 @@
   }
   CHECK(Judge(this->seen, this->bounds).empty());
 }
+
+// Failure: a node goes on saying that it is ready and takes no connection.
+TEST(Promises, ReadyTakes_TwoInARowNotTaken_Broken) {
+  this->seen.connections = {
+      {0, kStart, 5ms}, {0, kStart + 1s}, {0, kStart + 2s}};
+  CHECK(this->IsBroken(Promise::kReadyTakes));
+}
+
+TEST(Promises, ReadyTakes_OneNotTaken_Kept) {
+  this->seen.connections = {
+      {0, kStart}, {0, kStart + 1s, 5ms}, {0, kStart + 2s}};
+  CHECK_FALSE(this->IsBroken(Promise::kReadyTakes));
+}
+
+TEST(Promises, ReadyTakes_WhileTheNodeIsPaused_Kept) {
+  this->seen.connections = {{0, kStart + 1s}, {0, kStart + 2s}};
+  this->Disturb(DisturbanceKind::kNode, 500ms, 3s);
+  CHECK_FALSE(this->IsBroken(Promise::kReadyTakes));
+}
