--- a/packages/ctl/src/command_table.cc
+++ b/packages/ctl/src/command_table.cc
@@ -1,5 +1,6 @@
 #include <array>
 
+#include "api_key_command.h"
 #include "command.h"
 #include "explain_command.h"
 #include "load_command.h"
@@ -18,6 +19,7 @@
     Command{"drain", "keep new work away from a data centre", RunDrain},
     Command{"undrain", "take a drained data centre back", RunUndrain},
     Command{"watch", "follow changes of resources", RunWatch},
+    Command{"api-key", "make an API key of a team, or digest one", RunApiKey},
     Command{"status", "show the state of an installation", RunStatus},
     Command{"explain", "what became of one request, from logs", RunExplain},
     Command{"platform", "emulated platform: log, VM list, faults", RunPlatform},
--- a/packages/node/src/log_source.cc
+++ b/packages/node/src/log_source.cc
@@ -1,5 +1,4 @@
 #include "log_source.h"
-#include "basilsill/node/task_end.h"
 
 #include <algorithm>
 #include <chrono>
@@ -9,6 +8,8 @@
 
 #include <boost/asio/co_spawn.hpp>
 
+#include "basilsill/node/task_end.h"
+
 namespace basilsill {
 namespace {
 
