--- a/packages/decision/include/basilsill/decision/repeat_budget.h
+++ b/packages/decision/include/basilsill/decision/repeat_budget.h
@@ -29,6 +29,7 @@
   RepeatBudgetOptions entries;      ///< Of all entry VMs together, if settled.
 };
 
+/// @param fleet The bound of all VMs together, on one service.
 RepeatParts ShareRepeats(const RepeatBudgetOptions& fleet);
 
 /// Until a place has been that place for a whole window, whoever was it before
--- a/packages/decision/include/basilsill/decision/view.h
+++ b/packages/decision/include/basilsill/decision/view.h
@@ -263,6 +263,9 @@
 const RuleRow* FindRule(const RoutingView& view, RuleHandle handle);
 const VmRow* FindVm(const RoutingView& view, VmHandle handle);
 
+/// @returns how many VMs `view` knows, live or not; at least one.
+uint32_t CountVms(const RoutingView& view);
+
 /// @returns the upstream of `service` with this handle, or nullptr.
 const UpstreamRow* FindUpstream(const ServiceRow& service,
                                 UpstreamHandle handle);
--- a/packages/decision/src/dispatcher.cc
+++ b/packages/decision/src/dispatcher.cc
@@ -24,13 +24,6 @@
   shard.last_class = request.spec.traffic_class;
 }
 
-double CountVms(const RoutingView& view) {
-  const auto count =
-      std::count_if(view.vms.begin(), view.vms.end(),
-                    [](const VmRow& vm) { return IsValid(vm.handle); });
-  return std::max<double>(1, static_cast<double>(count));
-}
-
 }  // namespace
 
 std::unique_ptr<Dispatcher> Dispatcher::Create(
--- a/packages/decision/src/entry_router.cc
+++ b/packages/decision/src/entry_router.cc
@@ -99,9 +99,7 @@
                vm.data_centre == new_view->own_data_centre;
       });
   this->near_vms = std::max<uint32_t>(1, static_cast<uint32_t>(near));
-  this->known_vms = static_cast<uint32_t>(
-      std::count_if(new_view->vms.begin(), new_view->vms.end(),
-                    [](const VmRow& vm) { return IsValid(vm.handle); }));
+  this->known_vms = CountVms(*new_view);
   if (this->links.size() < new_view->vms.size()) {
     this->links.resize(new_view->vms.size());
   }
@@ -224,7 +222,7 @@
     return this->BudgetOf(request).Take();
   }
   RepeatBudgetOptions part = *this->options.repeats;
-  part.slack /= std::max<uint32_t>(1, this->known_vms);
+  part.slack /= this->known_vms;
   return IsSettled(now, this->began, part.window) &&
          this->FleetBudgetOf(request).Take(now, part);
 }
--- a/packages/decision/src/quota_office.cc
+++ b/packages/decision/src/quota_office.cc
@@ -29,14 +29,6 @@
   return IsValid(team.handle) && team.limits.requests_per_second > 0;
 }
 
-// Those that seem gone count as well: they may lend on, unseen.
-size_t CountVms(const RoutingView& view) {
-  const auto count =
-      std::count_if(view.vms.begin(), view.vms.end(),
-                    [](const VmRow& vm) { return IsValid(vm.handle); });
-  return std::max<size_t>(1, static_cast<size_t>(count));
-}
-
 }  // namespace
 
 QuotaOffice::QuotaOffice(QuotaOfficeOptions given)
@@ -51,6 +43,7 @@
 
 void QuotaOffice::ApplyView(LeaseTime now, const RoutingView& view) {
   this->self = view.self;
+  // VMs that seem gone count as well: they may lend on, unseen.
   const size_t shares =
       this->HasShares() ? this->options.shares.size() : CountVms(view);
   this->lender.SetTeams(now, view.teams, 1.0 / static_cast<double>(shares));
--- a/packages/decision/src/shard_table.cc
+++ b/packages/decision/src/shard_table.cc
@@ -106,8 +106,8 @@
   }
 }
 
-// While no VM came, went or changed its state, nor did owners of shards, those
-// that were not opened yet among them.
+// Who owns a shard follows from the VMs alone. So this says since when the
+// owners of a shard are the same, also of one that is opened only now.
 void ShardTable::NoteVms(TimePoint now, const RoutingView& next) {
   const bool is_same =
       this->current != nullptr &&
--- a/packages/decision/src/view.cc
+++ b/packages/decision/src/view.cc
@@ -238,6 +238,13 @@
   return FindRow(view.rules, handle);
 }
 
+uint32_t CountVms(const RoutingView& view) {
+  const auto count =
+      std::count_if(view.vms.begin(), view.vms.end(),
+                    [](const VmRow& vm) { return IsValid(vm.handle); });
+  return std::max<uint32_t>(1, static_cast<uint32_t>(count));
+}
+
 const VmRow* FindVm(const RoutingView& view, VmHandle handle) {
   return FindRow(view.vms, handle);
 }
