Soak: what waits in a paused node until its key is given back may run

The check asked when the request was sent, not when it ran.

Change: a run counts if it began before the key was given back. A run a millisecond before is broken, a millisecond after is kept: a test each; the first is as strict as before for all that ran while the key was away.

Ruled out: a node that goes by an old configuration (all four nodes had the one that takes the key away two seconds after it was sent).

--- a/soak/promises.cc
+++ b/soak/promises.cc
@@ -498,8 +498,8 @@
         if (found == this->requests.end() || found->second->team != key.team) {
           continue;
         }
-        const TimePoint sent = found->second->sent;
-        if (sent >= from && sent < key.given_back) {
+        // What waits in a paused node until the key is given back may run then.
+        if (found->second->sent >= from && run.began < key.given_back) {
           this->Add(Promise::kKeyRevoked, {run.id}, run.began,
                     "sent with a key that was taken away");
         }
--- a/soak/test/promises_test.cc
+++ b/soak/test/promises_test.cc
@@ -320,6 +320,21 @@
   STRCMP_EQUAL("late", broken[0].ids.front().c_str());
 }
 
+// A request waits in a node that stands still until its key is valid again.
+TEST(Promises, KeyRevoked_RunsOnceGivenBack_Kept) {
+  this->seen.keys.push_back({1, kStart + 4s, kStart + 12s});
+  this->AddOfTeam("waited", 1, 11s);
+  this->seen.runs.back().began = kStart + 12s + 1ms;
+  CHECK_FALSE(this->IsBroken(Promise::kKeyRevoked));
+}
+
+TEST(Promises, KeyRevoked_RunsJustBeforeItIsGivenBack_Broken) {
+  this->seen.keys.push_back({1, kStart + 4s, kStart + 12s});
+  this->AddOfTeam("early", 1, 11s);
+  this->seen.runs.back().began = kStart + 12s - 1ms;
+  CHECK(this->IsBroken(Promise::kKeyRevoked));
+}
+
 // Nodes that can't see each other each serve the whole quota of a team.
 TEST(Promises, TeamQuota_MoreThanTheBound_Broken) {
   for (int i = 0; i < 60; ++i) {
