Readiness fails before the last place for a caller is taken

Cause: with one place left it said that it takes callers; the next moment it was full. Its word is relied on for a second, in which a balancer sends many.

Change: readiness wants a sixteenth of the room for callers free. Connections are taken up to the last place as before.

Ruled out: a thread that hangs (no lag, other connections were answered).

--- a/packages/node/src/worker.cc
+++ b/packages/node/src/worker.cc
@@ -1,5 +1,6 @@
 #include "worker.h"
 
+#include <algorithm>
 #include <utility>
 
 #include <boost/asio/co_spawn.hpp>
@@ -28,6 +29,9 @@
 // Of all connections that the process may have, the part that is not for
 // callers: without links and upstreams those that are in are not served.
 constexpr size_t kSparePart = 8;
+// Of all callers' connections, the part that has to be free for the word that
+// more are taken: until it is asked again, balancers send many.
+constexpr size_t kFreePart = 16;
 // Bits of an attempt's sequence that count; the worker's number stands above.
 constexpr unsigned kOnceSequenceBits = 48;
 
@@ -404,21 +408,23 @@
   }
 }
 
-bool Worker::HasRoomForCaller() const {
+size_t Worker::RoomForCallers() const {
   const uint32_t threads = this->settings.threads.traffic;
   const size_t limit = this->settings.limits.caller_connections / threads;
-  if (this->sessions.size() >= limit) {
-    return false;
-  }
+  const size_t taken = this->sessions.size();
+  const size_t room = limit - std::min(limit, taken);
   const size_t all = this->installation.max_connections / threads;
   const auto others =
       static_cast<size_t>(this->counts->links.open.value() +
                           this->counts->upstream_connections.value());
-  return all == 0 || this->sessions.size() + others + all / kSparePart < all;
+  const size_t kept = taken + others + all / kSparePart;
+  return all == 0 ? room : std::min(room, all - std::min(all, kept));
 }
 
 bool Worker::TakesCallers(TimePoint now) const {
-  return !this->is_draining && this->HasRoomForCaller() &&
+  const size_t free = this->RoomForCallers();
+  const size_t callers = this->sessions.size() + free;
+  return !this->is_draining && free > callers / kFreePart &&
          now - this->accept_failed >= kAcceptRecovery;
 }
 
@@ -429,7 +435,7 @@
 }
 
 void Worker::StartSession(Socket socket) {
-  if (!this->HasRoomForCaller()) {
+  if (this->RoomForCallers() == 0) {
     this->counts->CountRefusal(Refusal::kTooManyConnections);
     CloseWithReset(socket);
     return;
--- a/packages/node/src/worker.h
+++ b/packages/node/src/worker.h
@@ -79,7 +79,8 @@
   void ImportQuota(QuotaAnswer answer);
 
   /// Asks the worker's thread whether it takes callers: they are accepted, and
-  /// there is room for another one. A thread that hangs or spins never answers.
+  /// a part of the room for them is free. A thread that hangs or spins never
+  /// answers.
   /// @param answer Called on the worker's thread.
   void AskTakesCallers(std::function<void(bool takes)> answer);
 
@@ -123,7 +124,8 @@
 
   Task<void> AcceptCallers();
   Task<void> AcceptLinks();
-  bool HasRoomForCaller() const;
+  /// @returns how many more connections of callers are taken.
+  size_t RoomForCallers() const;
   bool TakesCallers(TimePoint now) const;
   LinkTableHandlers MakeLinkHandlers();
   void OnStream(const PeerLinkPtr& link, LinkStreamPtr stream, wire::Open open);
