Upstreams: read what answers say of leaving and rest, and log it

Change: Retry-After of a 503 and the header about leaving are parsed (typed failures, event 308 for malformed values) and written with each attempt (events 210 and 211, leaving and rest_ms). No decision reads them. A value above ten minutes is reduced (kMaxUpstreamRest). The parser of decimal headers is shared with the rate limit.

--- a/packages/base/include/basilsill/base/event.h
+++ b/packages/base/include/basilsill/base/event.h
@@ -47,6 +47,7 @@
   kUpstreamRateLimited = 305,
   kUpstreamRateLimitEnded = 306,
   kRateLimitMalformed = 307,
+  kNoticeMalformed = 308,
   kUpstreamListed = 310,
   kUpstreamLeaving = 311,
   kUpstreamDoubted = 312,
--- a/packages/base/include/basilsill/base/limits.h
+++ b/packages/base/include/basilsill/base/limits.h
@@ -71,6 +71,11 @@
 inline constexpr size_t kMaxCrashReports = 256;
 inline constexpr size_t kMaxRateLimitReports = 256;
 
+/// Longest time for which an upstream gets no requests because it asked for
+/// rest. An upstream that asks for more is asked again after this time, so that
+/// a wrong value does not remove it for good.
+inline constexpr milliseconds kMaxUpstreamRest = std::chrono::minutes(10);
+
 /// Maximum number of teams for which one message requests or grants quota.
 inline constexpr size_t kMaxQuotaTeams = 256;
 
--- a/packages/base/src/event.cc
+++ b/packages/base/src/event.cc
@@ -43,6 +43,7 @@
     EventInfo{Event::kUpstreamRateLimitEnded, kInfo,
               "upstream-rate-limit-ended"},
     EventInfo{Event::kRateLimitMalformed, kWarning, "rate-limit-malformed"},
+    EventInfo{Event::kNoticeMalformed, kWarning, "notice-malformed"},
     EventInfo{Event::kUpstreamListed, kInfo, "upstream-listed"},
     EventInfo{Event::kUpstreamLeaving, kInfo, "upstream-leaving"},
     EventInfo{Event::kUpstreamDoubted, kWarning, "upstream-doubted"},
--- a/packages/decision/include/basilsill/decision/dispatch.h
+++ b/packages/decision/include/basilsill/decision/dispatch.h
@@ -14,6 +14,7 @@
 #include "basilsill/decision/rate_limit.h"
 #include "basilsill/decision/ratio_budget.h"
 #include "basilsill/decision/repeat_budget.h"
+#include "basilsill/decision/upstream_notice.h"
 #include "basilsill/decision/view.h"
 
 /// The dispatcher holds, for each shard that a worker owns, the queue of
@@ -130,6 +131,7 @@
   bool answer_started = false;  ///< Part of an answer reached the caller.
   UpstreamLoad load{};          ///< As reported with the answer.
   AdvertisedRateLimit rate_limit{};  ///< As reported with the answer.
+  UpstreamNotice notice{};           ///< As reported with the answer.
 };
 
 /// Load of a shard, which the dispatcher reports to entry VMs with answers.
--- a/packages/node/include/basilsill/node/installation.h
+++ b/packages/node/include/basilsill/node/installation.h
@@ -34,6 +34,8 @@
   std::string not_run = "Basilsill-Refused";
   /// From an upstream: it is draining.
   std::string draining = "Basilsill-Draining";
+  /// From an upstream, in each of its answers: `1` if it is leaving.
+  std::string leaving = "Basilsill-Draining";
   std::string idempotency_key = "Idempotency-Key";
   /// From an upstream, on each successful answer: a signature that is passed on
   /// to the caller.
--- a/packages/node/src/attempt_log.cc
+++ b/packages/node/src/attempt_log.cc
@@ -53,7 +53,9 @@
        {"slowness", attempt.action.slowness},
        {"slowness_age_ms", Millis(attempt.action.slowness_age)},
        {"slowness_after", report.load.slowness},
-       {"running_after", report.load.running}});
+       {"running_after", report.load.running},
+       {"leaving", report.notice.leaving},
+       {"rest_ms", Millis(report.notice.rest)}});
 }
 
 void LogUpstreamEvent(const UpstreamEvent& event, const Endpoint& upstream) {
--- /dev/null
+++ b/packages/node/src/decimal_header.h
@@ -0,0 +1,23 @@
+#ifndef BASILSILL_NODE_DECIMAL_HEADER_H_
+#define BASILSILL_NODE_DECIMAL_HEADER_H_
+
+#include <optional>
+#include <string>
+
+#include "basilsill/base/error.h"
+#include "http_message.h"
+
+/// Reads a header whose value is a decimal number.
+
+namespace basilsill {
+
+/// @param name Name of the header; empty if it is not used.
+/// @returns the number, nullopt if the header is absent; kSyntax if the value
+/// is not a decimal number, kOutOfRange if it is negative or not finite,
+/// kDuplicate if the header appears more than once.
+Result<std::optional<double>> ParseDecimalHeader(const HttpFields& fields,
+                                                 const std::string& name);
+
+}  // namespace basilsill
+
+#endif  // BASILSILL_NODE_DECIMAL_HEADER_H_
--- a/packages/node/src/rate_limit_header.cc
+++ b/packages/node/src/rate_limit_header.cc
@@ -1,38 +1,22 @@
 #include "rate_limit_header.h"
 
-#include <cmath>
 #include <optional>
-#include <string_view>
 
-#include "basilsill/base/text.h"
 #include "basilsill/node/log.h"
+#include "decimal_header.h"
 
 namespace basilsill {
 
 Result<AdvertisedRateLimit> ParseRateLimit(const HttpFields& answer,
                                            const std::string& name) {
-  if (name.empty()) {
-    return AdvertisedRateLimit{RateLimitPresence::kNone, 0};
-  }
-  const auto found = answer.find(name);
-  if (found == answer.end()) {
-    return AdvertisedRateLimit{RateLimitPresence::kNone, 0};
-  }
-  if (answer.count(name) > 1) {
-    return Failure{FailureKind::kDuplicate, name,
-                   "header appears more than once"};
-  }
-  const std::string_view text(found->value().data(), found->value().size());
-  const std::optional<double> limit =
-      ParseNumber<double>(text, std::chars_format::fixed);
+  const Result<std::optional<double>> limit = ParseDecimalHeader(answer, name);
   if (!limit) {
-    return Failure{FailureKind::kSyntax, name, "expected a decimal number"};
+    return limit.error();
   }
-  if (!std::isfinite(*limit) || *limit < 0) {
-    return Failure{FailureKind::kOutOfRange, name,
-                   "expected a finite number of at least 0"};
+  if (!limit.value()) {
+    return AdvertisedRateLimit{RateLimitPresence::kNone, 0};
   }
-  return AdvertisedRateLimit{RateLimitPresence::kNamed, *limit};
+  return AdvertisedRateLimit{RateLimitPresence::kNamed, *limit.value()};
 }
 
 AdvertisedRateLimit ReadRateLimit(const HttpFields& answer,
--- a/packages/node/src/upstream_attempt.cc
+++ b/packages/node/src/upstream_attempt.cc
@@ -14,6 +14,7 @@
 #include <boost/beast/http/chunk_encode.hpp>
 
 #include "rate_limit_header.h"
+#include "upstream_notice_header.h"
 
 namespace basilsill {
 namespace {
@@ -108,6 +109,7 @@
   report.drain_sign = this->drain_sign;
   report.load = this->load;
   report.rate_limit = this->rate_limit;
+  report.notice = this->notice;
   return report;
 }
 
@@ -183,6 +185,9 @@
       ReadRateLimit(this->connection->reader.message().get(),
                     this->pool.names().rate_limit, this->target.endpoint);
   this->drain_sign = !this->AnswerHeader(this->pool.names().draining).empty();
+  const auto& answer = this->connection->reader.message().get();
+  this->notice = ReadNotice(answer, answer.result_int(), this->pool.names(),
+                            this->target.endpoint);
   const AttemptEnd end = this->Classify();
   if (end == AttemptEnd::kShed || end == AttemptEnd::kMisdirected) {
     // The connection can carry another request.
--- a/packages/node/src/upstream_attempt.h
+++ b/packages/node/src/upstream_attempt.h
@@ -92,6 +92,7 @@
   std::optional<BufferedAnswer> buffered_answer;
   UpstreamLoad load;
   AdvertisedRateLimit rate_limit;
+  UpstreamNotice notice;
   AttemptEnd aborted = AttemptEnd::kCount;
   bool drain_sign = false;
   bool has_started = false;
