--- a/bench/model/fleet.cc
+++ b/bench/model/fleet.cc
@@ -30,8 +30,11 @@
       return {AttemptEnd::kAnswered, kStatusError};
     case JobEnd::kShed:
       return {AttemptEnd::kShed, kStatusUnavailable};
-    case JobEnd::kDraining:
-      return {AttemptEnd::kShed, kStatusUnavailable, true};
+    case JobEnd::kDraining: {
+      AttemptReport report{AttemptEnd::kShed, kStatusUnavailable};
+      report.notice.leaving = true;
+      return report;
+    }
     case JobEnd::kConnectFailed:
       return {AttemptEnd::kConnectFailed};
     default:
@@ -74,6 +77,8 @@
   node.quarantine = Quarantine::Create(quarantine);
   dispatch.quarantine = node.quarantine;
   entry.quarantine = node.quarantine;
+  dispatch.notices = UpstreamNotices::Create({});
+  entry.notices = dispatch.notices;
   node.dispatcher = Dispatcher::Create(dispatch);
   node.router = EntryRouter::Create(entry);
   node.lost_links.assign(this->cluster.deployment().vms.size(), false);
--- a/bench/model/fleet_entry.cc
+++ b/bench/model/fleet_entry.cc
@@ -122,10 +122,10 @@
 
 void FleetStrategy::OnDirectEnd(RequestId id, size_t instance, JobEnd end) {
   const AttemptReport report = ReportOf(end);
-  if (report.drain_sign) {
-    this->nodes[this->EntryVm(id)].router->OnDrainSign(
-        this->cluster.now(), {static_cast<uint32_t>(instance), 0});
-  }
+  const auto service = static_cast<uint32_t>(this->cluster.flow_of(id).service);
+  this->nodes[this->EntryVm(id)].dispatcher->OnNotice(
+      this->cluster.now(), {service, 0}, {static_cast<uint32_t>(instance), 0},
+      report.notice);
   if (report.end == AttemptEnd::kAnswered) {
     this->FinishEntry(id, {report.status == kStatusOk ? OutcomeKind::kAnswered
                                                       : OutcomeKind::kFailed});
--- a/packages/base/include/basilsill/base/event.h
+++ b/packages/base/include/basilsill/base/event.h
@@ -48,6 +48,7 @@
   kUpstreamRateLimitEnded = 306,
   kRateLimitMalformed = 307,
   kNoticeMalformed = 308,
+  kUpstreamResting = 309,
   kUpstreamListed = 310,
   kUpstreamLeaving = 311,
   kUpstreamDoubted = 312,
@@ -56,6 +57,7 @@
   kUpstreamStartedAgain = 315,
   kDataCentreDrained = 316,
   kDataCentreTakenBack = 317,
+  kUpstreamRestEnded = 318,
   kFingerprintQuarantined = 320,
   // 330: teams
   kApiKeysUnverified = 330,
--- a/packages/base/include/basilsill/base/limits.h
+++ b/packages/base/include/basilsill/base/limits.h
@@ -76,6 +76,13 @@
 /// a wrong value does not remove it for good.
 inline constexpr milliseconds kMaxUpstreamRest = std::chrono::minutes(10);
 
+/// Upstreams of which a worker remembers that they leave or rest. Beyond this,
+/// the one that said so longest ago is forgotten.
+inline constexpr size_t kMaxUpstreamNotices = 4096;
+
+/// Upstreams of one shard that a summary reports as leaving or resting.
+inline constexpr size_t kMaxNoticeReports = 256;
+
 /// Maximum number of teams for which one message requests or grants quota.
 inline constexpr size_t kMaxQuotaTeams = 256;
 
--- a/packages/decision/include/basilsill/decision/dispatch.h
+++ b/packages/decision/include/basilsill/decision/dispatch.h
@@ -122,14 +122,14 @@
   /// Time until the upstream is warm, 0 if it is warm; absent if not reported.
   std::optional<Duration> cold_for{};
   AdvertisedRateLimit rate_limit{};
+  UpstreamNotice notice{};
 };
 
 struct AttemptReport {
   AttemptEnd end = AttemptEnd::kCount;
   uint16_t status = 0;
-  bool drain_sign = false;      ///< The upstream announced that it is leaving.
-  bool answer_started = false;  ///< Part of an answer reached the caller.
-  UpstreamLoad load{};          ///< As reported with the answer.
+  bool answer_started = false;       ///< Part of an answer reached the caller.
+  UpstreamLoad load{};               ///< As reported with the answer.
   AdvertisedRateLimit rate_limit{};  ///< As reported with the answer.
   UpstreamNotice notice{};           ///< As reported with the answer.
 };
@@ -183,6 +183,8 @@
   bool cold_is_reported = false;
   /// Shared with the EntryRouter of the same worker; null: no quarantine.
   std::shared_ptr<Quarantine> quarantine;
+  /// Shared with the EntryRouter of the same worker; null: one of its own.
+  std::shared_ptr<UpstreamNotices> notices;
 };
 
 /// A change in the state of an upstream, for logs and operators.
@@ -196,6 +198,8 @@
   kQuarantined,  ///< Its crash put `fingerprint` in quarantine.
   kRateLimited,  ///< Reported a new or changed rate limit.
   kRateLimitEnded,
+  kResting,    ///< Asked for no requests for `rest`.
+  kRestEnded,  ///< That time is over.
   kCount
 };
 
@@ -205,6 +209,7 @@
   UpstreamHandle upstream;
   Fingerprint fingerprint = 0;
   double requests_per_second = 0;  ///< For kRateLimited: the limit.
+  Duration rest{0};                ///< For kResting.
 };
 
 /// Totals since the start, by reason.
@@ -216,6 +221,8 @@
   uint64_t hedges_won = 0;
   /// Requests that waited in shards whose upstreams are all rate-limited.
   uint64_t held_for_rate = 0;
+  /// Requests refused because upstreams that could take them leave or rest.
+  uint64_t refused_for_notice = 0;
 };
 
 /// Dispatch state of all shards of one worker. Used by one thread only.
@@ -262,8 +269,22 @@
   /// running attempts.
   virtual void Cancel(TimePoint now, DispatchHandle request) = 0;
 
-  /// Reports that an upstream is leaving, if that is not known from an attempt.
-  virtual void OnDrainSign(TimePoint now, UpstreamHandle upstream) = 0;
+  /// Applies what an answer of an upstream says, of whatever request. To be
+  /// called as soon as the head of the answer is read: its body may take long.
+  virtual void OnNotice(TimePoint now,
+                        ServiceHandle service,
+                        UpstreamHandle upstream,
+                        const UpstreamNotice& notice) = 0;
+
+  /// Applies what upstreams of `shard` said to another VM.
+  virtual void OnNoticeReports(
+      TimePoint now,
+      ShardKey shard,
+      const std::vector<UpstreamNoticeReport>& reports) = 0;
+
+  /// @returns what upstreams of `shard` said to this VM and still holds.
+  virtual std::vector<UpstreamNoticeReport> NoticesOf(TimePoint now,
+                                                      ShardKey shard) const = 0;
 
   /// Applies a rate limit that another VM received from an upstream.
   virtual void OnRateLimitReport(TimePoint now,
--- a/packages/decision/include/basilsill/decision/entry.h
+++ b/packages/decision/include/basilsill/decision/entry.h
@@ -90,6 +90,8 @@
   std::optional<RepeatBudgetOptions> repeats;
   /// Shared with the Dispatcher of the same worker; null: no quarantine.
   std::shared_ptr<Quarantine> quarantine;
+  /// Shared with the Dispatcher of the same worker; null: one of its own.
+  std::shared_ptr<UpstreamNotices> notices;
 };
 
 /// Totals since the process started, by reason.
@@ -139,9 +141,6 @@
   /// The link of this worker to a VM was lost or is usable again.
   virtual void OnLink(TimePoint now, VmHandle vm, bool usable) = 0;
 
-  /// An answer on the direct path says that its upstream is leaving.
-  virtual void OnDrainSign(TimePoint now, UpstreamHandle upstream) = 0;
-
   /// Rate limit that an answer on the direct path advertises.
   virtual void OnRateLimit(TimePoint now,
                            UpstreamHandle upstream,
--- a/packages/decision/src/direct_path.cc
+++ b/packages/decision/src/direct_path.cc
@@ -7,7 +7,6 @@
 
 constexpr Duration kFailurePause = std::chrono::milliseconds(100);
 constexpr Duration kMaxPause = std::chrono::seconds(5);
-constexpr Duration kDrainPause = std::chrono::minutes(2);
 constexpr uint8_t kMaxFailures = 8;
 
 // How long an upstream that advertises a rate limit gets no requests on the
@@ -71,7 +70,22 @@
   state.cold_quota.SetShare(is_bounded ? kColdShare : 0);
   return !row.leaving && !row.drained && row.slots > 0 &&
          state.paused_until <= now && state.rate_limited_until <= now &&
-         !(is_bounded && row.cold) && state.cold_quota.MayStart(now, true);
+         !(is_bounded && row.cold) && state.cold_quota.MayStart(now, true) &&
+         !this->WantsNoRequests(now, service, row);
+}
+
+bool DirectPath::WantsNoRequests(TimePoint now,
+                                 const ServiceRow& service,
+                                 const UpstreamRow& row) {
+  if (this->notices->empty()) {
+    return false;
+  }
+  UpstreamState& state = this->StateOf(row.handle);
+  if (state.incarnation == 0) {
+    state.incarnation = KeyOfIncarnation(service, row);
+  }
+  const NoticeTimes times = this->notices->Find(state.incarnation);
+  return times.leaving_until > now || times.rest_until > now;
 }
 
 DirectPath::UpstreamState& DirectPath::StateOf(UpstreamHandle handle) {
@@ -108,10 +122,6 @@
   state.failures = std::min<uint8_t>(state.failures + 1, kMaxFailures);
 }
 
-void DirectPath::OnDrainSign(TimePoint now, UpstreamHandle upstream) {
-  this->StateOf(upstream).paused_until = now + kDrainPause;
-}
-
 void DirectPath::OnRateLimit(TimePoint now,
                              UpstreamHandle upstream,
                              const AdvertisedRateLimit& advertised) {
--- a/packages/decision/src/direct_path.h
+++ b/packages/decision/src/direct_path.h
@@ -2,6 +2,8 @@
 #define BASILSILL_DECISION_DIRECT_PATH_H_
 
 #include <cstdint>
+#include <memory>
+#include <utility>
 #include <vector>
 
 #include <pcg_random.hpp>
@@ -18,7 +20,9 @@
 
 class DirectPath {
  public:
-  explicit DirectPath(uint64_t seed) : random(seed) {}
+  /// @param notices Not null.
+  DirectPath(uint64_t seed, std::shared_ptr<UpstreamNotices> notices)
+      : random(seed), notices(std::move(notices)) {}
 
   /// @param avoid Upstream at which the request failed last.
   /// @returns an eligible upstream of `service`, preferably in `near`; invalid
@@ -32,7 +36,6 @@
   void Begin(TimePoint now, UpstreamHandle upstream);
   /// @param refusal How the request ended; kNone if it was answered.
   void End(TimePoint now, UpstreamHandle upstream, Refusal refusal);
-  void OnDrainSign(TimePoint now, UpstreamHandle upstream);
   /// An answer on the direct path advertises a rate limit, or none.
   void OnRateLimit(TimePoint now,
                    UpstreamHandle upstream,
@@ -41,6 +44,7 @@
  private:
   struct UpstreamState {
     UpstreamHandle handle;
+    uint64_t incarnation = 0;  ///< 0: not computed.
     uint32_t in_flight = 0;
     uint8_t failures = 0;
     TimePoint paused_until{};
@@ -49,6 +53,9 @@
   };
 
   UpstreamState& StateOf(UpstreamHandle handle);
+  bool WantsNoRequests(TimePoint now,
+                       const ServiceRow& service,
+                       const UpstreamRow& row);
   bool IsEligible(TimePoint now,
                   const ServiceRow& service,
                   const UpstreamRow& row);
@@ -59,6 +66,7 @@
                       UpstreamHandle avoid);
 
   pcg32 random;
+  std::shared_ptr<UpstreamNotices> notices;
   std::vector<UpstreamState> upstreams;  ///< By index of the upstream's handle.
 };
 
--- a/packages/decision/src/dispatch_tables.h
+++ b/packages/decision/src/dispatch_tables.h
@@ -90,6 +90,7 @@
 struct UpstreamSlots {
   UpstreamHandle handle;
   UpstreamKey key = 0;
+  uint64_t incarnation = 0;  ///< From KeyOfIncarnation.
   uint16_t slots = 0;
   uint16_t busy = 0;
   uint16_t bulk = 0;        ///< Busy slots that hold bulk requests.
@@ -104,7 +105,9 @@
   uint16_t ramp_left = 0;   ///< Good answers left until it gets its full share.
   uint32_t running = kNoRow;  ///< First of its running attempts.
   TimePoint paused_until{};
-  TimePoint draining_until{};  ///< Set when it announces that it is leaving.
+  TimePoint leaving_until{};   ///< From UpstreamNotices.
+  TimePoint rest_until{};      ///< From UpstreamNotices.
+  bool rest_logged = false;    ///< Until the event that it has ended.
   TimePoint no_ahead_until{};  ///< Set when it sheds a request sent ahead.
   TimePoint next_trickle{};
   Duration trickle_pause{0};
--- a/packages/decision/src/dispatcher.cc
+++ b/packages/decision/src/dispatcher.cc
@@ -15,6 +15,13 @@
 // consecutive requests differed.
 constexpr Duration kMixedTime = std::chrono::seconds(1);
 
+DispatcherOptions WithNotices(DispatcherOptions options) {
+  if (!options.notices) {
+    options.notices = UpstreamNotices::Create({});
+  }
+  return options;
+}
+
 void TrackMix(TimePoint now, ShardState& shard, const RequestRow& request) {
   const bool differs = shard.last_lane != request.lane ||
                        shard.last_class != request.spec.traffic_class;
@@ -33,13 +40,12 @@
 }
 
 DispatcherCore::DispatcherCore(const DispatcherOptions& options)
-    : options(options),
+    : options(WithNotices(options)),
       requests(options.max_requests),
       attempts(RequestRow::kMaxRunning * options.max_requests),
-      shards(limits::kMaxShardsPerWorker,
-             options.features.ramp,
-             options.repeats.has_value(),
-             options.cold_is_reported),
+      shards({limits::kMaxShardsPerWorker, options.features.ramp,
+              options.repeats.has_value(), options.cold_is_reported,
+              this->options.notices}),
       queue(this->requests, options.max_requests + 1),
       random(options.seed) {
   this->timers.Reserve(options.max_requests);
@@ -95,6 +101,8 @@
     verdict = {};
   }
   if (verdict.refusal != Refusal::kNone) {
+    this->CountNoticeRefusals(now, shard,
+                              verdict.refusal == Refusal::kNoUpstream ? 1 : 0);
     this->RefuseOffer(request, verdict);
     return {};
   }
@@ -127,17 +135,6 @@
   this->Pump(now, shard);
 }
 
-void DispatcherCore::OnDrainSign(TimePoint now, UpstreamHandle handle) {
-  for (size_t i = 0; i < this->shards.size(); ++i) {
-    ShardState& shard = this->shards.at(static_cast<uint32_t>(i));
-    for (UpstreamSlots& upstream : shard.upstreams) {
-      if (upstream.handle == handle) {
-        this->Drain(now, shard, upstream);
-      }
-    }
-  }
-}
-
 void DispatcherCore::HandBack(TimePoint) {
   this->handing_back = true;
   for (const uint32_t shard : this->active) {
--- a/packages/decision/src/dispatcher_admit.cc
+++ b/packages/decision/src/dispatcher_admit.cc
@@ -87,12 +87,12 @@
       continue;
     }
     const bool failing = upstream.failures >= kFailuresInARow;
-    if (!failing && upstream.paused_until <= now + kMaxPauseWaited) {
+    if (!failing && FreeAt(upstream) <= now + kMaxPauseWaited) {
       return {};
     }
     may_try |=
         AcceptsNow(now, upstream) && upstream.busy == 0 && shard.queued == 0;
-    soonest = std::min(soonest, upstream.paused_until);
+    soonest = std::min(soonest, FreeAt(upstream));
   }
   if (may_try) {
     return {};
--- a/packages/decision/src/dispatcher_core.h
+++ b/packages/decision/src/dispatcher_core.h
@@ -19,6 +19,7 @@
 /// - dispatcher_speed.cc: load queries and momentary slowness of upstreams
 /// - dispatcher_end.cc: ends of attempts and retries
 /// - dispatcher_outcome.cc: effect of an attempt's end on the upstream's state
+/// - dispatcher_notice.cc: upstreams that say that they leave or rest
 /// - dispatcher_rate_limit.cc: rate limits of upstreams
 /// - dispatcher_tick.cc: timers, hedges and periodic scans
 
@@ -44,7 +45,16 @@
   void OnRateLimitReport(TimePoint now, const RateLimitReport& report) override;
   std::vector<RateLimitUpdate> TakeRateLimitUpdates(TimePoint now) override;
   void Cancel(TimePoint now, DispatchHandle request) override;
-  void OnDrainSign(TimePoint now, UpstreamHandle upstream) override;
+  void OnNotice(TimePoint now,
+                ServiceHandle service,
+                UpstreamHandle upstream,
+                const UpstreamNotice& notice) override;
+  void OnNoticeReports(
+      TimePoint now,
+      ShardKey shard,
+      const std::vector<UpstreamNoticeReport>& reports) override;
+  std::vector<UpstreamNoticeReport> NoticesOf(TimePoint now,
+                                              ShardKey shard) const override;
   void Tick(TimePoint now) override;
   void HandBack(TimePoint now) override;
   size_t CountRateLimited() const override;
@@ -192,12 +202,24 @@
                         const AttemptReport& report);
   void RecordAnswer(TimePoint now, const AttemptRow& attempt);
   void RecordError(TimePoint now, const AttemptRow& attempt, AttemptEnd end);
-  void RecordShed(TimePoint now, const AttemptRow& attempt);
+  void RecordShed(TimePoint now,
+                  const AttemptRow& attempt,
+                  const UpstreamNotice& notice);
   void ScheduleTrickle(TimePoint now, UpstreamSlots& upstream, bool good);
-  void Drain(TimePoint now, ShardState& shard, UpstreamSlots& upstream);
   void ReportCrash(TimePoint now, uint32_t shard, UpstreamSlots& upstream);
   void UpdateGrade(TimePoint now, ShardState& shard, uint32_t upstream);
 
+  // dispatcher_notice.cc
+  void RecordNotice(TimePoint now,
+                    ShardState& shard,
+                    UpstreamHandle upstream,
+                    const UpstreamNotice& notice);
+  void ApplyNotice(TimePoint now, ShardState& shard, UpstreamSlots& upstream);
+  void RecordEndedRests(TimePoint now, ShardState& shard);
+  void CountNoticeRefusals(TimePoint now,
+                           const ShardState& shard,
+                           uint64_t requests);
+
   // dispatcher_rate_limit.cc
   void RecordRateLimit(TimePoint now,
                        TimePoint request_sent_at,
--- a/packages/decision/src/dispatcher_end.cc
+++ b/packages/decision/src/dispatcher_end.cc
@@ -182,7 +182,7 @@
   }
   ShardState& shard = this->shards.at(attempt->shard);
   const uint32_t place = attempt->upstream;
-  if (!TakesWork(now, shard.upstreams[place]) || !HasQuota(now, shard, place) ||
+  if (!WantsWork(now, shard.upstreams[place]) || !HasQuota(now, shard, place) ||
       !this->TakeRepeat(now, shard)) {
     return false;
   }
@@ -256,7 +256,7 @@
   // request that was sent ahead was shed because the dispatcher exceeded the
   // slots. A leaving upstream sheds only until the dispatcher knows about it.
   const bool free =
-      end == AttemptEnd::kShed && (attempt.ahead || report.drain_sign);
+      end == AttemptEnd::kShed && (attempt.ahead || report.notice.leaving);
   const auto traffic_class = static_cast<size_t>(request.spec.traffic_class);
   const bool in_time =
       request.spec.deadline - now > shard.stats[traffic_class].median();
--- a/packages/decision/src/dispatcher_outcome.cc
+++ b/packages/decision/src/dispatcher_outcome.cc
@@ -9,11 +9,6 @@
 
 constexpr uint16_t kServerError = 500;
 
-// Time for which an upstream gets no work after it announced that it is
-// leaving. It ends sooner only if the view shows the upstream as back. A trial
-// request would be the new work that the upstream asked not to get.
-constexpr Duration kDrainTime = std::chrono::minutes(2);
-
 constexpr Duration kConnectPause = std::chrono::milliseconds(100);
 constexpr Duration kMaxConnectPause = std::chrono::seconds(5);
 constexpr Duration kMinShedPause = std::chrono::milliseconds(1);
@@ -115,9 +110,9 @@
     this->RecordRateLimit(now, attempt.start, shard, attempt.upstream,
                           report.rate_limit);
   }
-  if (report.drain_sign) {
-    this->Drain(now, shard, upstream);
-  }
+  UpstreamNotice notice = report.notice;
+  notice.replaced |= report.end == AttemptEnd::kMisdirected;
+  this->RecordNotice(now, shard, upstream.handle, notice);
   const bool answered = report.end == AttemptEnd::kAnswered;
   if (answered && this->options.quarantine) {
     const RequestRow& request = this->Request(attempt.request.index);
@@ -126,15 +121,12 @@
   if (report.end == AttemptEnd::kDied && !attempt.crash_reported) {
     this->ReportCrash(now, attempt.shard, upstream);
   }
-  if (report.end == AttemptEnd::kMisdirected) {
-    this->Drain(now, shard, upstream);
-  }
   if (IsError(report)) {
     this->RecordError(now, attempt, report.end);
   } else if (answered) {
     this->RecordAnswer(now, attempt);
   } else if (report.end == AttemptEnd::kShed) {
-    this->RecordShed(now, attempt);
+    this->RecordShed(now, attempt, report.notice);
   }
   this->UpdateGrade(now, shard, attempt.upstream);
 }
@@ -195,14 +187,18 @@
   this->ScheduleTrickle(now, upstream, false);
 }
 
-void DispatcherCore::RecordShed(TimePoint now, const AttemptRow& attempt) {
+// A rest that the upstream asked for replaces the pause that is this side's
+// guess.
+void DispatcherCore::RecordShed(TimePoint now,
+                                const AttemptRow& attempt,
+                                const UpstreamNotice& notice) {
   ShardState& shard = this->shards.at(attempt.shard);
   UpstreamSlots& upstream = shard.upstreams[attempt.upstream];
   if (attempt.ahead) {
     upstream.no_ahead_until = now + kNoAheadTime;
     return;
   }
-  if (!this->options.features.shed_backoff) {
+  if (!this->options.features.shed_backoff || notice.rest > Duration(0)) {
     return;
   }
   const LatencyStats& stats =
@@ -229,17 +225,6 @@
       std::min(2 * upstream.trickle_pause, kMaxTricklePause);
 }
 
-void DispatcherCore::Drain(TimePoint now,
-                           ShardState& shard,
-                           UpstreamSlots& upstream) {
-  if (TakesWork(now, upstream)) {
-    this->RecordEvent(UpstreamEventKind::kDraining, shard, upstream);
-  }
-  upstream.draining_until = now + kDrainTime;
-  upstream.ramp_left = this->options.features.ramp ? kRampAnswers : 0;
-  RecountSlots(now, shard);
-}
-
 // Reports all requests that ran on a crashed upstream to the quarantine. Their
 // attempts will end with kDied as well, but this is the same crash, so it is
 // reported once. An upstream that is leaving and closes connections has not
--- a/packages/decision/src/dispatcher_speed.cc
+++ b/packages/decision/src/dispatcher_speed.cc
@@ -256,9 +256,9 @@
     if (found == shard.upstreams.end()) {
       continue;
     }
-    if (report.foreign) {
-      this->Drain(now, shard, *found);
-    }
+    UpstreamNotice notice;
+    notice.replaced = report.foreign;
+    this->RecordNotice(now, shard, handle, notice);
     const auto place = static_cast<uint32_t>(found - shard.upstreams.begin());
     if (report.cold_for && !report.foreign &&
         place < shard.cold_quotas.size()) {
--- a/packages/decision/src/dispatcher_tick.cc
+++ b/packages/decision/src/dispatcher_tick.cc
@@ -184,6 +184,7 @@
   shard.last_scan = now;
   shard.next_scan = now + std::clamp(slot_time / 2, kMinScan, kMaxScan);
   RecountSlots(now, shard);
+  this->RecordEndedRests(now, shard);
   for (uint32_t i = 0; i < shard.upstreams.size(); ++i) {
     shard.upstreams[i].health.Decay(decay_factor);
     this->UpdateGrade(now, shard, i);
@@ -191,6 +192,8 @@
   if (shard.queued + shard.suspects_queued > 0) {
     const Verdict verdict = this->CheckUsable(now, shard);
     if (verdict.refusal != Refusal::kNone) {
+      this->CountNoticeRefusals(now, shard,
+                                shard.queued + shard.suspects_queued);
       this->FlushWaiting(shard, verdict);
     }
     this->RefuseBeyondRate(now, shard);
--- a/packages/decision/src/entry_core.h
+++ b/packages/decision/src/entry_core.h
@@ -63,7 +63,6 @@
                  VmHandle from,
                  const ShardSummary& summary) override;
   void OnLink(TimePoint now, VmHandle vm, bool usable) override;
-  void OnDrainSign(TimePoint now, UpstreamHandle upstream) override;
   void OnRateLimit(TimePoint now,
                    UpstreamHandle upstream,
                    const AdvertisedRateLimit& advertised) override;
--- a/packages/decision/src/entry_router.cc
+++ b/packages/decision/src/entry_router.cc
@@ -85,7 +85,8 @@
 EntryCore::EntryCore(const EntryOptions& options)
     : options(options),
       entries(options.max_requests),
-      direct(options.seed),
+      direct(options.seed,
+             options.notices ? options.notices : UpstreamNotices::Create({})),
       random(options.seed) {
   this->budgets.reserve(kBudgetReserve);
   this->fleet_budgets.reserve(limits::kMaxServices);
@@ -138,10 +139,6 @@
   }
 }
 
-void EntryCore::OnDrainSign(TimePoint now, UpstreamHandle upstream) {
-  this->direct.OnDrainSign(now, upstream);
-}
-
 void EntryCore::OnRateLimit(TimePoint now,
                             UpstreamHandle upstream,
                             const AdvertisedRateLimit& advertised) {
--- a/packages/decision/src/rate_limit_cache.cc
+++ b/packages/decision/src/rate_limit_cache.cc
@@ -2,9 +2,7 @@
 
 #include <algorithm>
 
-#include <xxhash.h>
-
-#include "upstream_choice.h"
+#include "basilsill/decision/upstream_notice.h"
 
 namespace basilsill {
 namespace {
@@ -16,15 +14,6 @@
 
 }  // namespace
 
-uint64_t KeyOfIncarnation(const ServiceRow& service,
-                          const UpstreamRow& upstream) {
-  const UpstreamIncarnation incarnation = IncarnationOf(service, upstream);
-  const uint64_t seed = KeyOf(upstream.endpoint) +
-                        static_cast<uint64_t>(incarnation.started.count());
-  return XXH3_64bits_withSeed(incarnation.id.data(), incarnation.id.size(),
-                              seed);
-}
-
 RateLimitReport MakeRateLimitReport(const ServiceRow& service,
                                     const UpstreamRow& upstream,
                                     const AdvertisedRateLimit& advertised) {
--- a/packages/decision/src/rate_limit_cache.h
+++ b/packages/decision/src/rate_limit_cache.h
@@ -14,11 +14,6 @@
 
 namespace basilsill {
 
-/// @returns a key for the current incarnation of `upstream`, a row of
-/// `service`. All VMs compute the same key.
-uint64_t KeyOfIncarnation(const ServiceRow& service,
-                          const UpstreamRow& upstream);
-
 class RateLimitCache {
  public:
   void OnReport(TimePoint now, const RateLimitReport& report);
--- a/packages/decision/src/shard_rate.cc
+++ b/packages/decision/src/shard_rate.cc
@@ -83,7 +83,7 @@
   for (uint32_t place = 0;
        place < shard.upstreams.size() && !shard.rate_limited.empty(); ++place) {
     const UpstreamSlots& upstream = shard.upstreams[place];
-    if (!TakesWork(now, upstream) ||
+    if (!WantsWork(now, upstream) ||
         upstream.health.grade() == UpstreamGrade::kFailing) {
       continue;
     }
@@ -102,7 +102,7 @@
   Duration first = Duration::max();
   double rate = 0;
   for (const RateLimitedUpstream& limited : shard.rate_limited) {
-    if (!TakesWork(now, shard.upstreams[limited.place])) {
+    if (!WantsWork(now, shard.upstreams[limited.place])) {
       continue;
     }
     first = std::min(first, limited.quota.UntilNext(now, share));
--- a/packages/decision/src/shard_table.cc
+++ b/packages/decision/src/shard_table.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <map>
 #include <string_view>
+#include <utility>
 
 #include <xxhash.h>
 
@@ -77,15 +78,9 @@
 
 }  // namespace
 
-ShardTable::ShardTable(size_t capacity,
-                       bool ramp,
-                       bool count_repeats,
-                       bool cold_is_reported)
-    : capacity(capacity),
-      ramp(ramp),
-      count_repeats(count_repeats),
-      cold_is_reported(cold_is_reported) {
-  this->shards.reserve(capacity);
+ShardTable::ShardTable(ShardTableOptions options)
+    : options(std::move(options)) {
+  this->shards.reserve(this->options.capacity);
 }
 
 void ShardTable::ApplyView(TimePoint now, const RoutingViewPtr& view) {
@@ -97,6 +92,7 @@
   const std::vector<UpstreamHandle> superseded =
       FindSuperseded(this->current.get(), *view);
   this->current = view;
+  this->options.notices->ApplyView(*view);
   this->IndexView();
   for (ShardState& shard : this->shards) {
     if (shard.in_use) {
@@ -162,7 +158,7 @@
   shard.key = key;
   shard.serial = this->next_serial++;
   shard.in_use = true;
-  if (this->count_repeats) {
+  if (this->options.count_repeats) {
     shard.repeats = std::make_unique<RepeatBudget>();
   }
   for (Ring& ring : shard.rings) {
@@ -174,7 +170,7 @@
 }
 
 uint32_t ShardTable::TakeRow() {
-  if (this->shards.size() < this->capacity) {
+  if (this->shards.size() < this->options.capacity) {
     this->shards.emplace_back();
     return static_cast<uint32_t>(this->shards.size() - 1);
   }
@@ -202,7 +198,7 @@
     const ServiceRow& service = *found.service;
     const ShardRow& row = *found.shard;
     shard.can_be_queried = !service.health_path.empty();
-    shard.reports_cold = shard.can_be_queried && this->cold_is_reported;
+    shard.reports_cold = shard.can_be_queried && this->options.cold_is_reported;
     const bool is_first = !row.contested && !row.owners.empty() &&
                           row.owners.front() == this->current->self;
     const TimePoint since = fresh ? this->same_vms_since : now;
@@ -210,8 +206,8 @@
     shard.siblings = static_cast<uint32_t>(service.shards.size());
     shard.upstreams.reserve(row.upstreams.size());
     for (const uint32_t position : row.upstreams) {
-      this->RefreshUpstream(now, shard, service.upstreams[position],
-                            service.cold, fresh);
+      this->RefreshUpstream(now, shard, service, service.upstreams[position],
+                            fresh);
     }
     shard.speeds.resize(shard.can_be_queried ? shard.upstreams.size() : 0);
   }
@@ -220,8 +216,8 @@
 
 void ShardTable::RefreshUpstream(TimePoint now,
                                  ShardState& shard,
+                                 const ServiceRow& service,
                                  const UpstreamRow& row,
-                                 const ColdStartLimits& cold,
                                  bool fresh) {
   auto& known = shard.upstreams;
   auto place = std::find_if(
@@ -248,23 +244,25 @@
     }
     place->handle = row.handle;
     place->key = KeyOf(row.endpoint);
+    place->incarnation = KeyOfIncarnation(service, row);
     // Upstreams that exist when the shard is opened are assumed to be warm.
     // Only those that appear later are assumed to have just started.
-    place->ramp_left = this->ramp && !fresh ? kRampAnswers : 0;
+    place->ramp_left = this->options.ramp && !fresh ? kRampAnswers : 0;
   }
   const bool was_out = place->leaving || place->drained;
   if (was_out && !row.leaving && !row.drained) {
-    MarkReturned(now, *place, this->ramp);
+    MarkReturned(now, *place, this->options.ramp);
   }
   const bool may_be_cold = is_new ? !fresh : was_out;
-  if (ColdQuota* quota = RefreshQuota(shard, index, cold)) {
+  if (ColdQuota* quota = RefreshQuota(shard, index, service.cold)) {
     if (is_new) {
       quota->BeginDispatch(now);
     }
     if (may_be_cold) {
-      quota->AssumeCold(now + cold.time);
+      quota->AssumeCold(now + service.cold.time);
     }
   }
+  this->RefreshNotice(service, row, *place);
   place->present = true;
   place->leaving = row.leaving;
   place->cold = row.cold;
@@ -272,4 +270,19 @@
   place->slots = row.slots;
 }
 
+// Failure: a VM stops dispatching a shard and takes it again, or a view changes
+// the shard, and the VM has forgotten which upstreams leave or rest.
+void ShardTable::RefreshNotice(const ServiceRow& service,
+                               const UpstreamRow& row,
+                               UpstreamSlots& upstream) {
+  if (this->options.notices->empty()) {
+    return;
+  }
+  this->options.notices->Rebind(upstream.incarnation, service.handle,
+                                row.handle);
+  const NoticeTimes times = this->options.notices->Find(upstream.incarnation);
+  upstream.leaving_until = times.leaving_until;
+  upstream.rest_until = times.rest_until;
+}
+
 }  // namespace basilsill
--- a/packages/decision/src/shard_table.h
+++ b/packages/decision/src/shard_table.h
@@ -14,14 +14,17 @@
 
 namespace basilsill {
 
+struct ShardTableOptions {
+  size_t capacity = 0;
+  bool ramp = false;              ///< New and returned upstreams start slowly.
+  bool count_repeats = false;     ///< The fleet has a limit on repeats.
+  bool cold_is_reported = false;  ///< See DispatcherOptions.
+  std::shared_ptr<UpstreamNotices> notices;  ///< Not null.
+};
+
 class ShardTable {
  public:
-  /// @param count_repeats The fleet has a limit on repeats.
-  /// @param cold_is_reported See DispatcherOptions.
-  ShardTable(size_t capacity,
-             bool ramp,
-             bool count_repeats,
-             bool cold_is_reported);
+  explicit ShardTable(ShardTableOptions options);
 
   /// Adopts `view`. An upstream keeps its position in its shard as long as
   /// attempts run there.
@@ -58,15 +61,15 @@
   void Refresh(TimePoint now, ShardState& shard, bool fresh);
   void RefreshUpstream(TimePoint now,
                        ShardState& shard,
+                       const ServiceRow& service,
                        const UpstreamRow& row,
-                       const ColdStartLimits& cold,
                        bool fresh);
+  void RefreshNotice(const ServiceRow& service,
+                     const UpstreamRow& row,
+                     UpstreamSlots& upstream);
   uint32_t TakeRow();
 
-  size_t capacity;
-  bool ramp;
-  bool count_repeats;
-  bool cold_is_reported;
+  ShardTableOptions options;
   uint32_t next_serial = 0;
   TimePoint same_vms_since{};
   RoutingViewPtr current;
--- a/packages/decision/src/upstream_choice.cc
+++ b/packages/decision/src/upstream_choice.cc
@@ -143,11 +143,19 @@
 
 bool TakesWork(TimePoint now, const UpstreamSlots& upstream) {
   return upstream.present && !upstream.leaving && !upstream.drained &&
-         upstream.slots > 0 && upstream.draining_until <= now;
+         upstream.slots > 0 && upstream.leaving_until <= now;
+}
+
+bool WantsWork(TimePoint now, const UpstreamSlots& upstream) {
+  return TakesWork(now, upstream) && upstream.rest_until <= now;
+}
+
+TimePoint FreeAt(const UpstreamSlots& upstream) {
+  return std::max(upstream.paused_until, upstream.rest_until);
 }
 
 bool AcceptsNow(TimePoint now, const UpstreamSlots& upstream) {
-  return TakesWork(now, upstream) && upstream.paused_until <= now;
+  return TakesWork(now, upstream) && FreeAt(upstream) <= now;
 }
 
 bool HasQuota(TimePoint now, const ShardState& shard, uint32_t place) {
@@ -183,7 +191,6 @@
 void MarkReturned(TimePoint now, UpstreamSlots& upstream, bool ramp) {
   upstream.health.Reset();
   upstream.failures = 0;
-  upstream.draining_until = now;
   upstream.paused_until = now;
   upstream.ramp_left = ramp ? kRampAnswers : 0;
 }
@@ -193,7 +200,7 @@
        ++i) {
     const auto place = static_cast<uint32_t>(i);
     const bool takes =
-        TakesWork(now, shard.upstreams[i]) && HasRateQuota(now, shard, place);
+        WantsWork(now, shard.upstreams[i]) && HasRateQuota(now, shard, place);
     if (takes && !shard.speeds[i].IsSlowerThan(now, limit)) {
       return true;
     }
--- a/packages/decision/src/upstream_choice.h
+++ b/packages/decision/src/upstream_choice.h
@@ -15,7 +15,14 @@
 /// @returns true if the upstream accepts work, now or after a pause.
 bool TakesWork(TimePoint now, const UpstreamSlots& upstream);
 
-/// @returns true if the upstream accepts work and is not paused.
+/// @returns true if the upstream accepts work and has not asked for rest.
+bool WantsWork(TimePoint now, const UpstreamSlots& upstream);
+
+/// @returns when neither a pause nor a rest that it asked for keeps the
+/// upstream from work; in the past if none does.
+TimePoint FreeAt(const UpstreamSlots& upstream);
+
+/// @returns true if the upstream accepts work, is not paused and does not rest.
 bool AcceptsNow(TimePoint now, const UpstreamSlots& upstream);
 
 /// @returns true if the upstream's rate limit and its quota for cold upstreams
@@ -35,7 +42,7 @@
 void RecountSlots(TimePoint now, ShardState& shard);
 
 /// Resets the state of an upstream that is back after it was leaving or
-/// drained. With `ramp` it starts slowly.
+/// drained, apart from what it said itself. With `ramp` it starts slowly.
 void MarkReturned(TimePoint now, UpstreamSlots& upstream, bool ramp);
 
 /// Effect of the momentary speed of upstreams on the choice.
--- a/packages/decision/test/dispatch_failures_test.cc
+++ b/packages/decision/test/dispatch_failures_test.cc
@@ -150,7 +150,7 @@
   this->harness.Apply();
   const uint64_t cookie = this->harness.Offer();
   AttemptReport report = DispatchHarness::Report(AttemptEnd::kShed, 503);
-  report.drain_sign = true;
+  report.notice.leaving = true;
   CHECK(this->harness.End(cookie, report));
   CHECK(this->harness.RefusalFor(cookie) == Refusal::kNoUpstream);
 }
--- a/packages/decision/test/dispatch_history_test.cc
+++ b/packages/decision/test/dispatch_history_test.cc
@@ -128,7 +128,7 @@
     AttemptReport report;
     report.end = end;
     report.status = this->random(10) == 0 ? 500 : 200;
-    report.drain_sign = this->random(200) == 0;
+    report.notice.leaving = this->random(200) == 0;
     report.answer_started = tracked.started;
     this->running.erase(this->running.begin() +
                         static_cast<std::ptrdiff_t>(place));
--- a/packages/decision/test/dispatch_restart_test.cc
+++ b/packages/decision/test/dispatch_restart_test.cc
@@ -72,7 +72,7 @@
 TEST(DispatchRestart, NewIncarnation_OldOneWasLeaving_GetsWork) {
   const uint64_t first = this->harness.Offer();
   AttemptReport report = DispatchHarness::Report(AttemptEnd::kAnswered);
-  report.drain_sign = true;
+  report.notice.leaving = true;
   this->harness.End(first, report);
   const uint64_t refused = this->harness.Offer();
   CHECK(this->harness.RefusalFor(refused) == Refusal::kNoUpstream);
--- a/packages/decision/test/dispatch_test.cc
+++ b/packages/decision/test/dispatch_test.cc
@@ -230,7 +230,7 @@
   this->harness.Apply();
   this->harness.Offer();
   auto report = DispatchHarness::Report(AttemptEnd::kAnswered);
-  report.drain_sign = true;
+  report.notice.leaving = true;
   this->harness.EndOn(leaves, report);
   for (int second = 0; second < 100; ++second) {
     this->harness.Advance(1s);
--- a/packages/decision/test/entry_test.cc
+++ b/packages/decision/test/entry_test.cc
@@ -24,11 +24,13 @@
 using basilsill::TargetKind;
 using basilsill::TeamLimits;
 using basilsill::UpstreamHandle;
+using basilsill::UpstreamNotices;
 using basilsill::VmHandle;
 
 TEST_GROUP(Entry) {
   basilsill::ViewFixture fixture;
-  std::unique_ptr<EntryRouter> router = EntryRouter::Create({});
+  std::shared_ptr<UpstreamNotices> notices = UpstreamNotices::Create({});
+  std::unique_ptr<EntryRouter> router = this->MakeRouter();
   basilsill::RoutingViewPtr view;
   basilsill::TimePoint now{100s};
 
@@ -39,6 +41,18 @@
     this->Apply();
   }
 
+  std::unique_ptr<EntryRouter> MakeRouter() const {
+    basilsill::EntryOptions options;
+    options.notices = this->notices;
+    return EntryRouter::Create(options);
+  }
+
+  void Note(size_t upstream, const basilsill::UpstreamNotice& notice) {
+    const basilsill::ServiceRow& service = *this->view->services[0];
+    this->notices->Record(this->now, service, service.upstreams.at(upstream),
+                          notice);
+  }
+
   void Apply() {
     this->view = this->fixture.Build();
     this->router->ApplyView(this->now, this->view);
@@ -239,12 +253,32 @@
   CHECK(this->Choose(entry).kind == TargetKind::kRefuse);
 }
 
-TEST(Entry, OnDrainSign_DirectPath_UpstreamGetsNoNewWork) {
+TEST(Entry, Notice_DirectPath_UpstreamGetsNoNewWork) {
+  this->LoseAllVms();
+  basilsill::UpstreamNotice notice;
+  notice.leaving = true;
+  this->Note(0, notice);
+  for (int i = 0; i < 10; ++i) {
+    CHECK_EQUAL(1, this->Choose(this->Admit()).upstream.index);
+  }
+}
+
+// Failure: an upstream that asked for rest gets requests of a VM that reaches
+// no dispatcher. When the rest is over, it must be used again.
+TEST(Entry, Notice_DirectPathAndRest_NothingUntilItsEnd) {
   this->LoseAllVms();
-  this->router->OnDrainSign(this->now, {0, 0});
+  basilsill::UpstreamNotice notice;
+  notice.rest = 3s;
+  this->Note(0, notice);
   for (int i = 0; i < 10; ++i) {
     CHECK_EQUAL(1, this->Choose(this->Admit()).upstream.index);
   }
+  this->now += 3s;
+  size_t used = 0;
+  for (int i = 0; i < 20; ++i) {
+    used += this->Choose(this->Admit()).upstream.index == 0 ? 1 : 0;
+  }
+  CHECK(used > 0);
 }
 
 TEST(Entry, Choose_OwnerIsSilent_SkippedUntilItsNextSummary) {
--- a/packages/decision/test/quarantine_test.cc
+++ b/packages/decision/test/quarantine_test.cc
@@ -258,8 +258,11 @@
 
 TEST(Isolation, Crash_OfDrainingUpstream_AddsNoSuspect) {
   const uint64_t cookie = this->Offer(kHarmless);
-  this->harness.dispatcher->OnDrainSign(this->harness.now,
-                                        this->harness.RunOf(cookie).upstream);
+  basilsill::UpstreamNotice notice;
+  notice.leaving = true;
+  this->harness.dispatcher->OnNotice(
+      this->harness.now, this->harness.fixture.service.handle,
+      this->harness.RunOf(cookie).upstream, notice);
   this->KillUpstreamOf(cookie);
   CHECK_FALSE(this->quarantine->IsSuspect(this->harness.now, kHarmless));
 }
--- a/packages/node/include/basilsill/node/installation.h
+++ b/packages/node/include/basilsill/node/installation.h
@@ -32,8 +32,6 @@
   std::string reason = "Basilsill-Reason";
   /// From an upstream: it refused the request before running it.
   std::string not_run = "Basilsill-Refused";
-  /// From an upstream: it is draining.
-  std::string draining = "Basilsill-Draining";
   /// From an upstream, in each of its answers: `1` if it is leaving.
   std::string leaving = "Basilsill-Draining";
   std::string idempotency_key = "Idempotency-Key";
@@ -70,6 +68,8 @@
   /// API keys are relied on only while the configuration is known to be younger
   /// than this; 0 accepts a configuration of any age.
   std::chrono::milliseconds api_key_max_age{0};
+  /// Each start of an upstream has an id of its own.
+  bool upstream_ids_are_unique = false;
   /// All data centres; each has an equal share of the teams' quotas. Used if
   /// the platform stores quota leases.
   std::vector<std::string> data_centres;
--- a/packages/node/src/attempt_log.cc
+++ b/packages/node/src/attempt_log.cc
@@ -31,6 +31,10 @@
       return Event::kUpstreamRateLimited;
     case UpstreamEventKind::kRateLimitEnded:
       return Event::kUpstreamRateLimitEnded;
+    case UpstreamEventKind::kResting:
+      return Event::kUpstreamResting;
+    case UpstreamEventKind::kRestEnded:
+      return Event::kUpstreamRestEnded;
     default:
       return std::nullopt;
   }
@@ -69,6 +73,8 @@
   } else if (event.kind == UpstreamEventKind::kRateLimited) {
     Log(*logged,
         {{"upstream", endpoint}, {"limit", event.requests_per_second}});
+  } else if (event.kind == UpstreamEventKind::kResting) {
+    Log(*logged, {{"upstream", endpoint}, {"rest_ms", Millis(event.rest)}});
   } else {
     Log(*logged, {{"upstream", endpoint}});
   }
--- a/packages/node/src/dispatch_host.cc
+++ b/packages/node/src/dispatch_host.cc
@@ -192,8 +192,12 @@
   }
   const RoutingViewPtr pinned_view = this->view;  // Keeps `found` valid.
   AttemptTarget where = found.target();
+  AttemptHooks hooks;
+  hooks.on_notice = this->NoticeHook(request.entry.service, upstream);
+  hooks.on_answer = [] { return true; };
+  hooks.may_resend = [] { return false; };
   UpstreamAttempt attempt(this->pool, std::move(where), request, sink,
-                          {[] { return true; }, [] { return false; }});
+                          std::move(hooks));
   const auto place = this->direct_attempts.insert(
       this->direct_attempts.end(), {request.entry.deadline, &attempt});
   request.on_caller_gone = [&attempt] { attempt.Cancel(); };
@@ -210,6 +214,11 @@
         MonotonicClock::now(),
         MakeRateLimitReport(*found.service, *found.row, report.rate_limit));
   }
+  if (report.end == AttemptEnd::kMisdirected) {
+    UpstreamNotice notice;
+    notice.replaced = true;
+    this->ApplyNotice(request.entry.service, upstream, notice);
+  }
   if (attempt.buffered()) {
     co_await Deliver(*attempt.buffered(), sink);
   }
@@ -220,7 +229,6 @@
   outcome.refusal = RefusalOf(report.end);
   outcome.sends = report.end == AttemptEnd::kConnectFailed ? 0 : 1;
   outcome.rate_limit = report.rate_limit;
-  outcome.drain_sign = report.drain_sign;
   co_return outcome;
 }
 
@@ -310,24 +318,51 @@
   const FoundUpstream found = LocateAnywhere(*this->view, action.upstream);
   if (found.row != nullptr && !found.service->health_path.empty()) {
     this->pool.metrics().rate_limited_probes.Add(action.rate_limited ? 1 : 0);
-    boost::asio::co_spawn(this->pool.executor(),
-                          this->RunLoadQuery(action.upstream, found.target(),
-                                             found.service->health_path),
-                          DetachedTask{"ask-upstream"});
+    boost::asio::co_spawn(
+        this->pool.executor(),
+        this->RunLoadQuery(found.service->handle, action.upstream,
+                           found.target(), found.service->health_path),
+        DetachedTask{"ask-upstream"});
     return;
   }
   this->dispatcher->OnLoadQueryEnd(MonotonicClock::now(), action.upstream, {});
 }
 
-Task<void> DispatchHost::RunLoadQuery(UpstreamHandle upstream,
+Task<void> DispatchHost::RunLoadQuery(ServiceHandle service,
+                                      UpstreamHandle upstream,
                                       AttemptTarget target,
                                       std::string health_path) {
   const LoadQueryReport report =
       co_await QueryUpstreamLoad(this->pool, std::move(target), health_path);
+  if (!report.foreign) {
+    this->ApplyNotice(service, upstream, report.notice);
+  }
   this->dispatcher->OnLoadQueryEnd(MonotonicClock::now(), upstream, report);
   this->Pump();
 }
 
+void DispatchHost::ApplyNotice(ServiceHandle service,
+                               UpstreamHandle upstream,
+                               const UpstreamNotice& notice) {
+  this->dispatcher->OnNotice(MonotonicClock::now(), service, upstream, notice);
+  this->Pump();
+}
+
+std::function<void(const UpstreamNotice&)> DispatchHost::NoticeHook(
+    ServiceHandle service,
+    UpstreamHandle upstream) {
+  return [this, service, upstream](const UpstreamNotice& notice) {
+    this->ApplyNotice(service, upstream, notice);
+  };
+}
+
+void DispatchHost::ImportNotices(
+    ShardKey shard,
+    const std::vector<UpstreamNoticeReport>& reports) {
+  this->dispatcher->OnNoticeReports(MonotonicClock::now(), shard, reports);
+  this->Pump();
+}
+
 void DispatchHost::StartAttempt(const JobPtr& job,
                                 const DispatchAction& action) {
   const FoundUpstream found =
@@ -339,6 +374,8 @@
     return;
   }
   AttemptHooks hooks;
+  hooks.on_notice =
+      this->NoticeHook(job->request.entry.service, action.upstream);
   hooks.on_answer = [this, job, attempt = action.attempt] {
     return this->OnAnswer(*job, attempt);
   };
--- a/packages/node/src/dispatch_host.h
+++ b/packages/node/src/dispatch_host.h
@@ -2,10 +2,12 @@
 #define BASILSILL_NODE_DISPATCH_HOST_H_
 
 #include <cstdint>
+#include <functional>
 #include <list>
 #include <memory>
 #include <string>
 #include <unordered_map>
+#include <vector>
 
 #include "async_event.h"
 #include "basilsill/decision/entry.h"
@@ -49,6 +51,15 @@
     return this->dispatcher->TakeRateLimitUpdates(now);
   }
 
+  /// Applies what upstreams of `shard` said to another VM.
+  void ImportNotices(ShardKey shard,
+                     const std::vector<UpstreamNoticeReport>& reports);
+
+  /// @returns what upstreams of `shard` said to this VM and still holds.
+  std::vector<UpstreamNoticeReport> NoticesOf(ShardKey shard) const {
+    return this->dispatcher->NoticesOf(MonotonicClock::now(), shard);
+  }
+
   ShardSummary Summarize(ShardKey shard) const;
 
   const DispatchCounters& counters() const {
@@ -81,7 +92,14 @@
   void Report(const UpstreamEvent& event) const;
   void StartAttempt(const JobPtr& job, const DispatchAction& action);
   void StartLoadQuery(const DispatchAction& action);
-  Task<void> RunLoadQuery(UpstreamHandle upstream,
+  void ApplyNotice(ServiceHandle service,
+                   UpstreamHandle upstream,
+                   const UpstreamNotice& notice);
+  std::function<void(const UpstreamNotice&)> NoticeHook(
+      ServiceHandle service,
+      UpstreamHandle upstream);
+  Task<void> RunLoadQuery(ServiceHandle service,
+                          UpstreamHandle upstream,
                           AttemptTarget target,
                           std::string health_path);
   void CancelAttempt(Job& job, AttemptHandle attempt);
--- a/packages/node/src/entry_host.cc
+++ b/packages/node/src/entry_host.cc
@@ -53,9 +53,6 @@
         co_await this->dispatch.ServeDirect(request, target.upstream, sink);
     const TimePoint now = MonotonicClock::now();
     this->router->OnRateLimit(now, target.upstream, outcome.rate_limit);
-    if (outcome.drain_sign) {
-      this->router->OnDrainSign(now, target.upstream);
-    }
     co_return outcome;
   }
   if (!this->remote.IsLocal(target.vm, target.shard)) {
--- a/packages/node/src/http_message.h
+++ b/packages/node/src/http_message.h
@@ -119,7 +119,6 @@
   // Reported by the upstream, if the request was sent to it directly, without a
   // dispatcher.
   AdvertisedRateLimit rate_limit{};
-  bool drain_sign = false;  ///< The upstream announced that it is leaving.
 };
 
 /// Removes hop-by-hop headers, including those that `Connection` names, and
--- a/packages/node/src/link_server.cc
+++ b/packages/node/src/link_server.cc
@@ -112,10 +112,9 @@
   if (!outcome.answered && !stream->closed) {
     Refuse(*link, *stream, outcome);
   }
-  const ShardSummary summary = dispatch.Summarize(target.shard);
-  link->TrySend([&summary](wire::LinkMux& mux) {
-    return mux.Post(wire::Summary{summary});
-  });
+  const wire::Summary summary{dispatch.Summarize(target.shard),
+                              dispatch.NoticesOf(target.shard)};
+  link->TrySend([&summary](wire::LinkMux& mux) { return mux.Post(summary); });
   link->Forget(*stream);
 }
 
--- a/packages/node/src/link_table.cc
+++ b/packages/node/src/link_table.cc
@@ -61,7 +61,7 @@
                                         const wire::PeerMessage& message) {
     if (const auto* summary = std::get_if<wire::Summary>(&message)) {
       const VmHandle from = IsValid(vm) ? vm : this->VmOf(link->peer().vm);
-      this->handlers.on_summary(from, summary->shard);
+      this->handlers.on_summary(from, *summary);
     }
   };
   link_handlers.on_go_away = [this, vm](const PeerLinkPtr& link) {
--- a/packages/node/src/link_table.h
+++ b/packages/node/src/link_table.h
@@ -21,7 +21,7 @@
 struct LinkTableHandlers {
   /// A peer forwards a request to a dispatcher of this worker.
   std::function<void(const PeerLinkPtr&, LinkStreamPtr, wire::Open)> on_open;
-  std::function<void(VmHandle, const ShardSummary&)> on_summary;
+  std::function<void(VmHandle, const wire::Summary&)> on_summary;
   std::function<void(VmHandle, bool usable)> on_link;
 };
 
--- a/packages/node/src/load_query.cc
+++ b/packages/node/src/load_query.cc
@@ -11,6 +11,7 @@
 
 #include "basilsill/base/text.h"
 #include "rate_limit_header.h"
+#include "upstream_notice_header.h"
 
 namespace basilsill {
 namespace {
@@ -89,6 +90,8 @@
         IsForeign(answer, pool.names().served_by, target.incarnation.id);
     report.rate_limit =
         ReadRateLimit(answer, pool.names().rate_limit, target.endpoint);
+    report.notice =
+        ReadNotice(answer, answer.result_int(), pool.names(), target.endpoint);
     report.cold_for = ReadColdTime(answer, pool.names().cold);
     keep = connection->reader.message().keep_alive();
     const bool whole = co_await DropBody(*connection, kMaxAnswerBytes);
--- a/packages/node/src/metrics.h
+++ b/packages/node/src/metrics.h
@@ -109,7 +109,11 @@
   Gauge rate_limited_upstreams;
   Counter rate_limited_requests;
   Counter rate_limited_probes;
-  Counter held_for_rate;  ///< Requests that waited because of rate limits.
+  /// Upstreams that say that they leave or rest.
+  Gauge leaving_upstreams;
+  Gauge resting_upstreams;
+  Counter refused_for_notice;  ///< Requests refused because of that.
+  Counter held_for_rate;       ///< Requests that waited because of rate limits.
 
   // Links to other workers.
   LinkCounters links;
--- a/packages/node/src/metrics_table.cc
+++ b/packages/node/src/metrics_table.cc
@@ -339,6 +339,19 @@
                "Requests that waited where rate limits bind all upstreams.",
                WorkerCounter<&Worker::held_for_rate>),
 
+    GaugeRow("basilsill_leaving_upstreams",
+             "worker",
+             "Upstreams that say in their answers that they leave.",
+             WorkerGauge<&Worker::leaving_upstreams>),
+    GaugeRow("basilsill_resting_upstreams",
+             "worker",
+             "Upstreams that asked for no requests for a time that lasts.",
+             WorkerGauge<&Worker::resting_upstreams>),
+    CounterRow("basilsill_notice_refusals_total",
+               "",
+               "Requests refused where upstreams leave or rest by their word.",
+               WorkerCounter<&Worker::refused_for_notice>),
+
     // Other nodes.
     GaugeRow("basilsill_links",
              "worker",
--- a/packages/node/src/upstream_attempt.cc
+++ b/packages/node/src/upstream_attempt.cc
@@ -106,7 +106,6 @@
   AttemptReport report;
   report.end = this->aborted != AttemptEnd::kCount ? this->aborted : end;
   report.answer_started = this->has_started;
-  report.drain_sign = this->drain_sign;
   report.load = this->load;
   report.rate_limit = this->rate_limit;
   report.notice = this->notice;
@@ -184,18 +183,15 @@
   this->rate_limit =
       ReadRateLimit(this->connection->reader.message().get(),
                     this->pool.names().rate_limit, this->target.endpoint);
-  this->drain_sign = !this->AnswerHeader(this->pool.names().draining).empty();
-  const auto& answer = this->connection->reader.message().get();
-  this->notice = ReadNotice(answer, answer.result_int(), this->pool.names(),
-                            this->target.endpoint);
   const AttemptEnd end = this->Classify();
+  this->NoteNotice(end);
   if (end == AttemptEnd::kShed || end == AttemptEnd::kMisdirected) {
     // The connection can carry another request.
     const bool keep = this->connection->reader.message().keep_alive();
     const bool dropped =
         co_await DropBody(*this->connection, kBufferedAnswerBytes);
     this->reusable =
-        keep && dropped && !this->drain_sign && end == AttemptEnd::kShed;
+        keep && dropped && !this->notice.leaving && end == AttemptEnd::kShed;
   }
   if (end != AttemptEnd::kAnswered) {
     co_return this->Failed(end);
@@ -204,6 +200,19 @@
   co_return report;
 }
 
+// The host learns of the notice now: a long answer ends much later. An answer
+// from another upstream at the address says nothing of the one that was asked.
+void UpstreamAttempt::NoteNotice(AttemptEnd end) {
+  const auto& answer = this->connection->reader.message().get();
+  if (end != AttemptEnd::kMisdirected) {
+    this->notice = ReadNotice(answer, answer.result_int(), this->pool.names(),
+                              this->target.endpoint);
+  }
+  if (this->notice.any()) {
+    this->hooks.on_notice(this->notice);
+  }
+}
+
 // An upstream that sends an answer twice can do so late, when the answer to the
 // next request on the connection is expected. The request id that the upstream
 // echoes tells the two apart.
@@ -403,7 +412,7 @@
     }
     body.append(buffer.data(), piece.size);
   } while (!piece.last && body.size() < buffer_limit);
-  const bool may_keep = keep && !this->drain_sign;
+  const bool may_keep = keep && !this->notice.leaving;
   if (!piece.last || reader.trailers() != nullptr) {
     const AttemptReport report =
         co_await this->StreamAnswer(std::move(head), std::move(body));
--- a/packages/node/src/upstream_attempt.h
+++ b/packages/node/src/upstream_attempt.h
@@ -21,6 +21,9 @@
 
 /// Decisions that the host of an attempt makes while the attempt runs.
 struct AttemptHooks {
+  /// Called when the head of an answer is read that says something about the
+  /// requests that the upstream wants.
+  std::function<void(const UpstreamNotice&)> on_notice;
   /// Called when an answer begins that is too long to buffer.
   /// @returns false if another attempt is already answering; this attempt then
   /// ends.
@@ -80,6 +83,7 @@
   AttemptReport Failed(AttemptEnd end) const;
   AttemptReport Answered(unsigned status) const;
   AttemptEnd Classify() const;
+  void NoteNotice(AttemptEnd end);
   std::string_view AnswerHeader(const std::string& name) const;
   UpstreamLoad ReadLoad() const;
 
@@ -94,7 +98,6 @@
   AdvertisedRateLimit rate_limit;
   UpstreamNotice notice;
   AttemptEnd aborted = AttemptEnd::kCount;
-  bool drain_sign = false;
   bool has_started = false;
   bool body_started = false;  ///< `body_sent` will be set.
   bool sending_body = false;
--- a/packages/node/src/worker.cc
+++ b/packages/node/src/worker.cc
@@ -67,6 +67,12 @@
   return Quarantine::Create(quarantine);
 }
 
+std::shared_ptr<UpstreamNotices> MakeNotices(const Installation& installation) {
+  UpstreamNoticesOptions notices;
+  notices.ids_are_unique = installation.upstream_ids_are_unique;
+  return UpstreamNotices::Create(notices);
+}
+
 // While the fleet's repeat budget is in force, the budgets of single teams are
 // unlimited.
 constexpr RatioBudgetOptions kUnlimitedBudget{1, 1000, 1000, 1000};
@@ -74,7 +80,8 @@
 std::unique_ptr<Dispatcher> MakeDispatcher(
     const Installation& installation,
     const WorkerOptions& options,
-    const std::shared_ptr<Quarantine>& quarantine) {
+    const std::shared_ptr<Quarantine>& quarantine,
+    const std::shared_ptr<UpstreamNotices>& notices) {
   DispatcherOptions dispatcher;
   dispatcher.max_requests = installation.max_requests;
   dispatcher.features = installation.features.dispatcher;
@@ -90,13 +97,15 @@
   dispatcher.seed = options.seed;
   dispatcher.quarantine =
       installation.features.quarantine ? quarantine : nullptr;
+  dispatcher.notices = notices;
   return Dispatcher::Create(dispatcher);
 }
 
 std::unique_ptr<EntryRouter> MakeRouter(
     const Installation& installation,
     const WorkerOptions& options,
-    const std::shared_ptr<Quarantine>& quarantine) {
+    const std::shared_ptr<Quarantine>& quarantine,
+    const std::shared_ptr<UpstreamNotices>& notices) {
   EntryOptions entry;
   entry.max_requests = installation.max_requests;
   entry.features = installation.features.entry;
@@ -105,6 +114,7 @@
   }
   entry.seed = options.seed + 1;
   entry.quarantine = installation.features.quarantine ? quarantine : nullptr;
+  entry.notices = notices;
   return EntryRouter::Create(entry);
 }
 
@@ -170,11 +180,16 @@
            PoolOptions(settings, installation),
            this->counts),
       quarantine(MakeQuarantine(options)),
-      dispatch_host(MakeDispatcher(installation, options, this->quarantine),
+      notices(MakeNotices(installation)),
+      dispatch_host(MakeDispatcher(installation,
+                                   options,
+                                   this->quarantine,
+                                   this->notices),
                     this->pool),
-      entry_host(MakeRouter(installation, options, this->quarantine),
-                 this->dispatch_host,
-                 *this),
+      entry_host(
+          MakeRouter(installation, options, this->quarantine, this->notices),
+          this->dispatch_host,
+          *this),
       links(this->context->get_executor(),
             LinkOptions(settings, options),
             this->MakeLinkHandlers(),
@@ -353,8 +368,9 @@
                             wire::Open open) {
     this->OnStream(link, std::move(stream), std::move(open));
   };
-  handlers.on_summary = [this](VmHandle from, const ShardSummary& summary) {
-    this->entry_host.OnSummary(from, summary);
+  handlers.on_summary = [this](VmHandle from, const wire::Summary& summary) {
+    this->dispatch_host.ImportNotices(summary.shard.shard, summary.notices);
+    this->entry_host.OnSummary(from, summary.shard);
   };
   handlers.on_link = [this](VmHandle vm, bool usable) {
     this->entry_host.OnLink(vm, usable);
@@ -535,6 +551,13 @@
   this->counts->held_for_rate.Set(this->dispatch_host.counters().held_for_rate);
   this->counts->rate_limited_upstreams.Set(
       static_cast<int64_t>(this->dispatch_host.CountRateLimited()));
+  const TimePoint now = MonotonicClock::now();
+  this->counts->leaving_upstreams.Set(
+      static_cast<int64_t>(this->notices->CountLeaving(now)));
+  this->counts->resting_upstreams.Set(
+      static_cast<int64_t>(this->notices->CountResting(now)));
+  this->counts->refused_for_notice.Set(
+      this->dispatch_host.counters().refused_for_notice);
   this->counts->queued.Set(
       static_cast<int64_t>(this->dispatch_host.CountQueued()));
 }
--- a/packages/node/src/worker.h
+++ b/packages/node/src/worker.h
@@ -199,6 +199,7 @@
   std::shared_ptr<WorkerMetrics> counts = std::make_shared<WorkerMetrics>();
   UpstreamPool pool;
   std::shared_ptr<Quarantine> quarantine;
+  std::shared_ptr<UpstreamNotices> notices;
   DispatchHost dispatch_host;
   EntryHost entry_host;
   LinkTable links;
--- a/packages/wire/include/basilsill/wire/message.h
+++ b/packages/wire/include/basilsill/wire/message.h
@@ -222,6 +222,8 @@
 /// Load of one shard of the sender.
 struct Summary {
   ShardSummary shard;
+  /// What upstreams of the shard said to the sender and still holds.
+  std::vector<UpstreamNoticeReport> notices;
 };
 bool operator==(const Summary& left, const Summary& right);
 
--- a/packages/wire/schema/peer.capnp
+++ b/packages/wire/schema/peer.capnp
@@ -149,6 +149,12 @@
   stream @0 :StreamId;
 }
 
+struct UpstreamNoticeReport {
+  upstream @0 :UInt64;
+  leaving @1 :Bool;
+  rest @2 :Nanos;
+}
+
 struct Summary {
   shard @0 :UInt64;
   slots @1 :UInt16;
@@ -156,6 +162,7 @@
   queued @3 :UInt32;
   serviceTime @4 :Nanos;
   wait @5 :Nanos;
+  notices @6 :List(UpstreamNoticeReport);
 }
 
 struct CrashReport {
--- a/packages/wire/src/message.cc
+++ b/packages/wire/src/message.cc
@@ -35,7 +35,8 @@
 }
 
 bool operator==(const Summary& left, const Summary& right) {
-  return Fields(left.shard) == Fields(right.shard);
+  return Fields(left.shard) == Fields(right.shard) &&
+         left.notices == right.notices;
 }
 
 }  // namespace basilsill::wire
--- a/packages/wire/src/message_check.cc
+++ b/packages/wire/src/message_check.cc
@@ -246,7 +246,15 @@
 }
 
 void Check(Checker& /*check*/, const StateStamp& /*stamp*/) {}
-void Check(Checker& /*check*/, const Summary& /*summary*/) {}
+void Check(Checker& check, const Summary& summary) {
+  check.Require(summary.notices.size() <= limits::kMaxNoticeReports, "/notices",
+                "too many entries");
+  for (const UpstreamNoticeReport& notice : summary.notices) {
+    check.Require(
+        notice.rest >= Duration(0) && notice.rest <= limits::kMaxUpstreamRest,
+        "/notices", "must be a time up to the longest rest");
+  }
+}
 void Check(Checker& /*check*/, const StateDeclined& /*declined*/) {}
 void Check(Checker& /*check*/, const WriteAnswer& /*answer*/) {}
 void Check(Checker& /*check*/, const GoAway& /*go_away*/) {}
--- a/packages/wire/src/message_reader.cc
+++ b/packages/wire/src/message_reader.cc
@@ -181,6 +181,13 @@
   summary.shard.service_time =
       ReadNanos(reader.getServiceTime(), "/service_time");
   summary.shard.wait = ReadNanos(reader.getWait(), "/wait");
+  const auto notices = reader.getNotices();
+  summary.notices.reserve(
+      CheckedSize(notices.size(), limits::kMaxNoticeReports, "/notices"));
+  for (const schema::UpstreamNoticeReport::Reader notice : notices) {
+    summary.notices.push_back({notice.getUpstream(), notice.getLeaving(),
+                               ReadNanos(notice.getRest(), "/notices")});
+  }
   return summary;
 }
 
--- a/packages/wire/src/message_writer.cc
+++ b/packages/wire/src/message_writer.cc
@@ -178,6 +178,13 @@
   builder.setQueued(summary.shard.queued);
   builder.setServiceTime(NanosOf(summary.shard.service_time));
   builder.setWait(NanosOf(summary.shard.wait));
+  auto notices =
+      builder.initNotices(static_cast<unsigned>(summary.notices.size()));
+  for (unsigned i = 0; i < summary.notices.size(); ++i) {
+    notices[i].setUpstream(summary.notices[i].upstream);
+    notices[i].setLeaving(summary.notices[i].leaving);
+    notices[i].setRest(NanosOf(summary.notices[i].rest));
+  }
 }
 
 void Write(const GoAway& /*go_away*/, schema::PeerMessage::Builder message) {
--- a/packages/wire/test/samples.cc
+++ b/packages/wire/test/samples.cc
@@ -23,6 +23,8 @@
 
 Summary SampleSummary() {
   Summary summary;
+  summary.notices = {{7, true, std::chrono::seconds(0)},
+                     {8, false, std::chrono::seconds(3)}};
   summary.shard.shard = 77;
   summary.shard.slots = 128;
   summary.shard.busy = 127;
