Control links: use the newest link to a peer, and close those that were dropped

Cause: a dropped link was only asked to end, which a silent peer never answers, and messages went over the first link in the order of pointers, mostly the old one. Change: the newest link is used; a dropped link is used no more and closed after a second; a link that a peer opens replaces those that it had opened before. Ruled out: that the fault reaches the new connections (the test has none).

--- a/packages/node/src/control_links.cc
+++ b/packages/node/src/control_links.cc
@@ -11,6 +11,9 @@
 namespace basilsill {
 namespace {
 
+// Time for a peer to agree to the end of a dropped link.
+constexpr std::chrono::seconds kDropTime{1};
+
 VmHello ToVmHello(const wire::Hello& hello) {
   VmHello result;
   result.name = hello.vm;
@@ -119,11 +122,28 @@
   }
   Log(Event::kLinkOpened,
       {{"peer", link->peer().vm}, {"leaving", link->peer().leaving}});
-  this->links[link] = {result.vm, link->peer().incarnation};
+  this->ReplaceAccepted(result.vm, expected);
+  Peer& peer = this->links[link];
+  peer.vm = result.vm;
+  peer.incarnation = link->peer().incarnation;
+  peer.number = this->next_number++;
+  peer.accepted = !IsValid(expected);
   this->counts.open.Set(static_cast<int64_t>(this->links.size()));
   this->handlers.on_linked(result.vm);
 }
 
+// Failure: connections go silent for good. The peer opens another link, but the
+// end of the old one never arrives here, so that its socket is kept for as long
+// as the process runs.
+void ControlLinks::ReplaceAccepted(VmHandle vm, VmHandle expected) {
+  const bool is_accepted = !IsValid(expected);
+  for (const PeerLinkPtr& link : this->LinksTo(vm)) {
+    if (is_accepted && this->links.at(link).accepted) {
+      this->DropLink(link);
+    }
+  }
+}
+
 void ControlLinks::OnMessage(const PeerLinkPtr& link,
                              wire::PeerMessage message) {
   const auto found = this->links.find(link);
@@ -148,7 +168,7 @@
     this->links.erase(found);
     this->counts.open.Set(static_cast<int64_t>(this->links.size()));
     // A peer is lost only if it has no other open link.
-    if (!this->Find(peer.vm) && !this->stopped) {
+    if (!peer.dropped && !this->Find(peer.vm) && !this->stopped) {
       this->handlers.on_lost(peer.vm, peer.incarnation);
     }
   } else if (IsValid(expected) && !this->stopped) {
@@ -156,22 +176,49 @@
   }
 }
 
+// Failure: connections go silent for good, and another link is opened. Messages
+// still go over the old link, so that the peer hears nothing and suspects this
+// VM again. So the newest link is used.
 PeerLinkPtr ControlLinks::Find(VmHandle vm) const {
+  PeerLinkPtr newest;
+  uint64_t number = 0;
   for (const auto& [link, peer] : this->links) {
-    if (peer.vm == vm && link->open()) {
-      return link;
+    const bool is_usable = peer.vm == vm && !peer.dropped && link->open();
+    if (is_usable && (!newest || peer.number > number)) {
+      newest = link;
+      number = peer.number;
     }
   }
-  return nullptr;
+  return newest;
 }
 
 void ControlLinks::Drop(VmHandle vm) {
-  const auto open = this->links;
-  for (const auto& [link, peer] : open) {
-    if (peer.vm == vm) {
-      link->Drain();
+  for (const PeerLinkPtr& link : this->LinksTo(vm)) {
+    this->DropLink(link);
+  }
+}
+
+std::vector<PeerLinkPtr> ControlLinks::LinksTo(VmHandle vm) const {
+  std::vector<PeerLinkPtr> found;
+  for (const auto& [link, peer] : this->links) {
+    if (peer.vm == vm && !peer.dropped) {
+      found.push_back(link);
     }
   }
+  return found;
+}
+
+void ControlLinks::DropLink(const PeerLinkPtr& link) {
+  this->links.at(link).dropped = true;
+  link->Drain();
+  boost::asio::co_spawn(this->context, this->CloseLater(link),
+                        DetachedTask{"close-control-link"});
+}
+
+Task<void> ControlLinks::CloseLater(PeerLinkPtr link) {
+  Timer timer(this->context.get_executor(), kDropTime);
+  co_await timer.async_wait(kTask);
+  link->Close();
 }
 
 bool ControlLinks::Send(VmHandle vm, wire::PeerMessage message) {
@@ -193,7 +240,9 @@
 std::vector<VmHandle> ControlLinks::Linked() const {
   std::set<VmHandle> linked;
   for (const auto& [link, peer] : this->links) {
-    linked.insert(peer.vm);
+    if (!peer.dropped) {
+      linked.insert(peer.vm);
+    }
   }
   return {linked.begin(), linked.end()};
 }
--- a/packages/node/src/control_links.h
+++ b/packages/node/src/control_links.h
@@ -5,6 +5,7 @@
 #include <map>
 #include <memory>
 #include <set>
+#include <vector>
 
 #include "basilsill/decision/membership.h"
 #include "net.h"
@@ -54,9 +55,12 @@
   void Leave() { this->options.hello.leaving = true; }
 
   void Open(VmHandle vm, const Endpoint& control);
+
+  /// Uses the links to `vm` no more. They close once the peer agrees, or after
+  /// a second if it is silent.
   void Drop(VmHandle vm);
 
-  /// Sends `message` to `vm` if there is a link to it.
+  /// Sends `message` to `vm` on the newest link to it, if there is one.
   /// @returns false if there is no link, or its send queue is full.
   bool Send(VmHandle vm, wire::PeerMessage message);
 
@@ -72,6 +76,9 @@
   struct Peer {
     VmHandle vm;
     uint64_t incarnation = 0;
+    uint64_t number = 0;    ///< Grows with each link.
+    bool accepted = false;  ///< Opened by the peer.
+    bool dropped = false;
   };
 
   Task<void> Accept();
@@ -80,6 +87,10 @@
   void OnReady(const PeerLinkPtr& link, VmHandle expected);
   void OnMessage(const PeerLinkPtr& link, wire::PeerMessage message);
   void OnClosed(const PeerLinkPtr& link, VmHandle expected);
+  void ReplaceAccepted(VmHandle vm, VmHandle expected);
+  std::vector<PeerLinkPtr> LinksTo(VmHandle vm) const;
+  void DropLink(const PeerLinkPtr& link);
+  Task<void> CloseLater(PeerLinkPtr link);
   PeerLinkPtr Find(VmHandle vm) const;
 
   IoContext& context;
@@ -90,6 +101,7 @@
   LinkCounters& counts;
   Counter& accept_failures;
   std::map<PeerLinkPtr, Peer> links;
+  uint64_t next_number = 0;
   bool stopped = false;
 };
 
