Entry: open a lost data link again after a pause

Cause: after a data link to a VM was lost, the entry side never chose that VM again before its restart, as only the choice leads to another attempt to open the link. Found by reading, while looking for what severed connections do. Change: the VM is tried again after 250 ms, then ever more rarely, up to 2 s. Tests: Choose_LinkToOwnerLostAWhileAgo_OwnerTriedAgain fails without the change; Choose_LinkToOwnerNeverOpens_TriedAFewTimes bounds the tries. The test of the rate limit on the direct path lets a minute pass, so it loses the VMs again after it; its assertions are the same.

--- a/packages/decision/src/entry_choice.cc
+++ b/packages/decision/src/entry_choice.cc
@@ -60,7 +60,7 @@
   }
   const LinkState& link = this->links[handle.index];
   return handle == this->view->self || link.vm != handle ||
-         (!link.lost && link.avoided_until <= now);
+         (link.lost_until <= now && link.avoided_until <= now);
 }
 
 // The first usable owner dispatches for the shard. A silent owner is only
--- a/packages/decision/src/entry_core.h
+++ b/packages/decision/src/entry_core.h
@@ -72,7 +72,9 @@
  private:
   struct LinkState {
     VmHandle vm;
-    bool lost = false;
+    /// The link was lost; another attempt to open one is made then.
+    TimePoint lost_until{};
+    Duration lost_pause{0};
     TimePoint avoided_until{};  ///< The VM has reported that it shuts down.
   };
 
--- a/packages/decision/src/entry_router.cc
+++ b/packages/decision/src/entry_router.cc
@@ -7,6 +7,15 @@
 namespace basilsill {
 namespace {
 
+// Pause before a lost link to a VM is opened again, which costs the request
+// that waits for it up to the time for connecting. It doubles up to the
+// maximum.
+//
+// Failure: connections between VMs are reset, and the VMs at their other ends
+// get no requests of this VM for as long as they run, though they work.
+constexpr Duration kMinLostPause = std::chrono::milliseconds(250);
+constexpr Duration kMaxLostPause = std::chrono::seconds(2);
+
 constexpr Duration kRetryAfter = std::chrono::milliseconds(100);
 
 // How long a VM that shuts down is avoided. The view shows its state by then.
@@ -133,10 +142,16 @@
 }
 
 void EntryCore::OnLink(TimePoint now, VmHandle vm, bool usable) {
-  this->LinkOf(vm).lost = !usable;
+  LinkState& link = this->LinkOf(vm);
   if (usable) {
+    link.lost_until = TimePoint();
+    link.lost_pause = Duration(0);
     this->silence.OnReceived(now, vm);
+    return;
   }
+  link.lost_pause =
+      std::clamp(2 * link.lost_pause, kMinLostPause, kMaxLostPause);
+  link.lost_until = now + link.lost_pause;
 }
 
 void EntryCore::OnRateLimit(TimePoint now,
--- a/packages/decision/test/entry_test.cc
+++ b/packages/decision/test/entry_test.cc
@@ -210,6 +210,35 @@
   CHECK(this->Choose(this->Admit()).vm == owner);
 }
 
+// Failure: connections between VMs are reset, and a VM that works gets no
+// requests of this VM any more.
+TEST(Entry, Choose_LinkToOwnerLostAWhileAgo_OwnerTriedAgain) {
+  const VmHandle owner = this->FarShard().owners.at(0);
+  this->ReportLoad(this->NearShard(), 0ms, 0);
+  this->router->OnLink(this->now, owner, false);
+  this->now += 500ms;
+  this->ReportLoad(this->NearShard(), 0ms, 0);
+  CHECK(this->Choose(this->Admit()).vm == owner);
+}
+
+// An owner that stays out of reach is tried ever more rarely.
+TEST(Entry, Choose_LinkToOwnerNeverOpens_TriedAFewTimes) {
+  const VmHandle owner = this->FarShard().owners.at(0);
+  size_t tries = 0;
+  for (int i = 0; i < 1000; ++i) {
+    this->ReportLoad(this->NearShard(), 0ms, 0);
+    const EntryHandle entry = this->Admit();
+    if (this->Choose(entry).vm == owner) {
+      ++tries;
+      this->router->OnLink(this->now, owner, false);
+    }
+    this->router->Finish(this->now, entry);
+    this->now += 10ms;
+  }
+  CHECK(tries >= 3);
+  CHECK(tries <= 8);
+}
+
 TEST(Entry, Choose_NoDispatcherReachable_DirectToNearUpstreams) {
   this->LoseAllVms();
   size_t on_first = 0;
@@ -231,6 +260,7 @@
     CHECK(UpstreamHandle(0, 0) != this->Choose(this->Admit()).upstream);
   }
   this->now += 61s;
+  this->LoseAllVms();
   bool used = false;
   for (int i = 0; i < 20; ++i) {
     used |= UpstreamHandle(0, 0) == this->Choose(this->Admit()).upstream;
@@ -274,6 +304,7 @@
     CHECK_EQUAL(1, this->Choose(this->Admit()).upstream.index);
   }
   this->now += 3s;
+  this->LoseAllVms();
   size_t used = 0;
   for (int i = 0; i < 20; ++i) {
     used += this->Choose(this->Admit()).upstream.index == 0 ? 1 : 0;
