Data links: renew the links to a VM that is trusted again

Cause: connections go silent, the VM at their other end is suspected, and trusted again over a new control link. The data links from before carry nothing, and requests still go over them. Change: the next request to a VM that is trusted again opens another link; streams on the old one go on. Links that stay idle are closed if the peer does not agree to their end.

--- a/packages/node/src/link_table.cc
+++ b/packages/node/src/link_table.cc
@@ -21,6 +21,8 @@
 // last requests of its own callers, which follow each other within less time
 // than this, a few round trips.
 constexpr std::chrono::milliseconds kMaxLinkIdleWhileDraining{50};
+// Time for a peer to agree to the end of an idle link.
+constexpr std::chrono::seconds kCloseTime{5};
 
 }  // namespace
 
@@ -34,6 +36,7 @@
       counts(counts) {}
 
 void LinkTable::ApplyView(const RoutingViewPtr& view) {
+  this->RenewTrusted(*view);
   this->view = view;
   // A restarted VM has a new handle and gets new links. Entries of the old
   // handle are removed.
@@ -42,6 +45,24 @@
   });
 }
 
+// Failure: connections go silent for good. The VM at their other end is
+// suspected, and trusted again once a new control link carries its messages.
+// Requests then go over the data links from before and get no answer. So the
+// next request to such a VM opens another link; streams on the old one go on.
+void LinkTable::RenewTrusted(const RoutingView& next) {
+  for (const auto& [key, peer] : this->peers) {
+    const VmRow* before = this->view ? FindVm(*this->view, key.vm) : nullptr;
+    const VmRow* after = FindVm(next, key.vm);
+    const bool is_trusted_again = before != nullptr && after != nullptr &&
+                                  before->state == VmState::kSuspected &&
+                                  after->state == VmState::kLive;
+    if (is_trusted_again && peer->link) {
+      peer->link->Drain();
+      peer->link = nullptr;
+    }
+  }
+}
+
 // Failure: a VM that shuts down has sent GoAway on each link, and a peer that
 // does not know yet that the VM is leaving opens another one. Requests then
 // keep arriving until the process ends, and are lost with it. So GoAway is sent
@@ -215,7 +236,13 @@
       this->is_draining ? kMaxLinkIdleWhileDraining : kMaxLinkIdle;
   for (const PeerLinkPtr& link : std::set<PeerLinkPtr>(this->links)) {
     const TimePoint idle = link->idle_since();
-    if (idle != kNever && now - idle > max_idle) {
+    if (idle == kNever || now - idle <= max_idle) {
+      continue;
+    }
+    // A silent peer does not agree to the end of the link.
+    if (now - idle > max_idle + kCloseTime) {
+      link->Close();
+    } else {
       link->Drain();
     }
   }
--- a/packages/node/src/link_table.h
+++ b/packages/node/src/link_table.h
@@ -78,6 +78,7 @@
 
   Task<PeerLinkPtr> Get(PeerKey key);
   Task<PeerLinkPtr> Connect(PeerKey key);
+  void RenewTrusted(const RoutingView& next);
   PeerLinkPtr Add(Socket socket, wire::LinkSide side, VmHandle vm);
   void Remove(const PeerLinkPtr& link, VmHandle vm);
   wire::Open MakeOpen(const RequestMessage& request,
