Data links: test that a peer that is trusted again gets another link

Serve_PeerTrustedAgain_OpensAnotherLink fails without the renewal (no second connection within a second); a peer that was trusted all the while keeps its link.

--- /dev/null
+++ b/packages/node/test/link_table_test.cc
@@ -0,0 +1,156 @@
+// Tests of data links to a VM whose connections go silent: they stay open and
+// carry nothing.
+
+#include "link_table.h"
+
+#include <chrono>
+#include <memory>
+#include <optional>
+#include <thread>
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/post.hpp>
+
+#include "plain_peer.h"
+
+#include <CppUTest/TestHarness.h>
+
+using namespace std::chrono_literals;
+using basilsill::AnswerHead;
+using basilsill::AnswerSink;
+using basilsill::HttpFields;
+using basilsill::IoContext;
+using basilsill::LinkCounters;
+using basilsill::LinkTable;
+using basilsill::LinkTableHandlers;
+using basilsill::MonotonicClock;
+using basilsill::RequestMessage;
+using basilsill::RoutingView;
+using basilsill::Target;
+using basilsill::Task;
+using basilsill::Tcp;
+using basilsill::VmHandle;
+using basilsill::VmRow;
+using basilsill::VmState;
+using basilsill::test::PeerHello;
+namespace wire = basilsill::wire;
+
+namespace {
+
+constexpr VmHandle kPeer{1, 0};
+
+class NullSink final : public AnswerSink {
+ public:
+  Task<bool> Start(const AnswerHead& /*head*/,
+                   std::span<const char> /*piece*/,
+                   bool /*last*/) override {
+    co_return true;
+  }
+  Task<bool> Continue(std::span<const char> /*piece*/,
+                      bool /*last*/,
+                      const HttpFields* /*trailers*/) override {
+    co_return true;
+  }
+  void Break() override {}
+};
+
+}  // namespace
+
+TEST_GROUP(LinkTable) {
+  IoContext context{1};
+  IoContext peer_context{1};
+  Tcp::acceptor acceptor{this->peer_context,
+                         {boost::asio::ip::address_v4::loopback(), 0}};
+  LinkCounters counts;
+  std::unique_ptr<LinkTable> links;
+  NullSink sink;
+  RequestMessage request;
+  std::jthread thread;
+
+  void setup() override {
+    basilsill::LinkTableOptions options;
+    options.hello = PeerHello(wire::LinkRole::kData, "vm-1");
+    LinkTableHandlers handlers;
+    handlers.on_summary = [](VmHandle, const wire::Summary&) {};
+    handlers.on_link = [](VmHandle, bool) {};
+    this->links = std::make_unique<LinkTable>(this->context.get_executor(),
+                                              options, handlers, this->counts);
+    this->request.method = "GET";
+    this->request.target = "/";
+    this->request.entry.deadline = MonotonicClock::now() + 60s;
+    this->Apply(VmState::kLive);
+    this->thread = std::jthread([this] {
+      const auto work = boost::asio::make_work_guard(this->context);
+      this->context.run();
+    });
+  }
+
+  void teardown() override {
+    this->context.stop();
+    this->thread.join();
+  }
+
+  void Apply(VmState state) {
+    auto view = std::make_shared<RoutingView>();
+    view->vms.resize(2);
+    VmRow& vm = view->vms[kPeer.index];
+    vm.handle = kPeer;
+    vm.name = "vm-2";
+    vm.state = state;
+    vm.workers = {{"127.0.0.1", this->acceptor.local_endpoint().port()}};
+    boost::asio::post(this->context,
+                      [this, view] { this->links->ApplyView(view); });
+  }
+
+  void Serve() {
+    Target target;
+    target.vm = kPeer;
+    boost::asio::post(this->context, [this, target] {
+      boost::asio::co_spawn(
+          this->context, this->links->Serve(this->request, target, this->sink),
+          boost::asio::detached);
+    });
+  }
+
+  /// @returns a connection that the table opens within a second.
+  std::optional<Tcp::socket> Accept() {
+    std::optional<Tcp::socket> accepted;
+    this->acceptor.async_accept([&accepted](auto error, Tcp::socket socket) {
+      if (!error) {
+        accepted = std::move(socket);
+      }
+    });
+    this->peer_context.restart();
+    this->peer_context.run_for(1s);
+    if (!accepted) {
+      this->acceptor.cancel();
+      this->peer_context.restart();
+      this->peer_context.run();
+    }
+    return accepted;
+  }
+};
+
+// Failure: the connections between two VMs go silent for good. The peer is
+// suspected, and trusted again over a new control link, but requests still go
+// over the data link from before.
+TEST(LinkTable, Serve_PeerTrustedAgain_OpensAnotherLink) {
+  this->Serve();
+  const auto silent = this->Accept();
+  CHECK(silent.has_value());
+  this->Apply(VmState::kSuspected);
+  this->Apply(VmState::kLive);
+  this->Serve();
+  CHECK(this->Accept().has_value());
+}
+
+TEST(LinkTable, Serve_PeerTrustedAllTheWhile_UsesTheSameLink) {
+  this->Serve();
+  const auto link = this->Accept();
+  CHECK(link.has_value());
+  this->Apply(VmState::kLive);
+  this->Serve();
+  CHECK_FALSE(this->Accept().has_value());
+}
