--- a/soak/node_process.cc
+++ b/soak/node_process.cc
@@ -16,6 +16,7 @@
 #include <boost/process/environment.hpp>
 #include <boost/process/exe.hpp>
 #include <boost/process/extend.hpp>
+#include <boost/process/handles.hpp>
 #include <boost/process/io.hpp>
 
 #include "platform_text.h"
@@ -52,6 +53,8 @@
 
 }  // namespace
 
+// Failure: a restarted node inherits the open sockets of the soak, has no
+// descriptors left and ends at once. So it inherits its standard streams only.
 struct NodeProcess::Process {
   Process(const std::string& program,
           const std::string& settings,
@@ -62,6 +65,7 @@
                 process::env[adapter::test::kSettingsVariable] = settings,
                 process::std_in<process::null, process::std_out> log,
                 process::std_err > log,
+                process::limit_handles,
                 process::extend::on_exec_setup(
                     [descriptors](auto&) { PrepareChild(descriptors); })) {}
 
