Soak: upstreams that say that they leave or ask for rest

Two faults (answers that say that the upstream leaves while its entry does not; 503 with Retry-After for six seconds and more), two promises (leaving-said, rest), each with a table in which it is broken and one in which it is not. Which node sent a request is not observed, so the bound is two requests for each node. The plans of all seeds change, as there are two more kinds.

--- a/soak/main.cc
+++ b/soak/main.cc
@@ -176,8 +176,9 @@
     LoosenBounds(options.bounds);
   }
   const Observations observations = basilsill::soak::RunPlan(plan, options);
-  const auto broken =
-      basilsill::soak::FindViolations(observations, basilsill::soak::Bounds());
+  basilsill::soak::Bounds bounds;
+  bounds.nodes = arguments.nodes;
+  const auto broken = basilsill::soak::FindViolations(observations, bounds);
   // A run without executed requests fails, as most promises can't be broken
   // without any.
   const bool served = !observations.runs.empty();
--- a/soak/observations.h
+++ b/soak/observations.h
@@ -94,6 +94,14 @@
   TimePoint to{};
 };
 
+/// An upstream began to say in its answers that it leaves (while its entry did
+/// not say so), or that it wants rest.
+struct NoticeRow {
+  size_t upstream = 0;
+  TimePoint from{};
+  TimePoint to{};
+};
+
 /// The store accepted a configuration that revokes a team's API key, and the
 /// operator later restored the key.
 struct KeyRow {
@@ -166,6 +174,8 @@
   std::vector<DrainRow> drains;
   std::vector<ColdRow> cold_periods;
   std::vector<LimitRow> limits;
+  std::vector<NoticeRow> said_leaving;
+  std::vector<NoticeRow> rests;
   std::vector<KeyRow> keys;
   std::vector<RouteRow> routes;
   std::vector<Disturbance> disturbances;
--- a/soak/plan.cc
+++ b/soak/plan.cc
@@ -13,13 +13,32 @@
 using std::chrono::milliseconds;
 
 constexpr std::array<std::string_view, static_cast<size_t>(Fault::kCount)>
-    kNames = {
-        "node-kill",     "node-end",       "node-pause",     "node-reload",
-        "all-kill",      "store-down",     "store-busy",     "store-silent",
-        "store-slow",    "store-refuses",  "upstream-crash", "upstream-leave",
-        "upstream-slow", "upstream-fails", "answers-lost",   "answers-cut",
-        "link-slow",     "link-reset",     "link-one-way",   "link-silent",
-        "route-change",  "drain",          "upstream-cold",  "upstream-limit"};
+    kNames = {"node-kill",
+              "node-end",
+              "node-pause",
+              "node-reload",
+              "all-kill",
+              "store-down",
+              "store-busy",
+              "store-silent",
+              "store-slow",
+              "store-refuses",
+              "upstream-crash",
+              "upstream-leave",
+              "upstream-slow",
+              "upstream-fails",
+              "answers-lost",
+              "answers-cut",
+              "link-slow",
+              "link-reset",
+              "link-one-way",
+              "link-silent",
+              "route-change",
+              "drain",
+              "upstream-cold",
+              "upstream-limit",
+              "upstream-says-leaving",
+              "upstream-rests"};
 
 constexpr milliseconds kMinDuration{200};
 constexpr milliseconds kMaxDuration{3000};
@@ -35,9 +54,10 @@
 // promises that hold only for undisturbed nodes could rarely be checked.
 constexpr uint32_t kMaxKinds = 7;
 // These occur in every seed, as they exercise the promises with a time bound.
-constexpr std::array<Fault, 5> kCommonFaults = {
-    Fault::kRouteChange, Fault::kUpstreamLeave, Fault::kDataCentreDrain,
-    Fault::kUpstreamCold, Fault::kUpstreamLimit};
+constexpr std::array<Fault, 7> kCommonFaults = {
+    Fault::kRouteChange,  Fault::kUpstreamLeave, Fault::kDataCentreDrain,
+    Fault::kUpstreamCold, Fault::kUpstreamLimit, Fault::kUpstreamSaysLeaving,
+    Fault::kUpstreamRests};
 
 uint32_t Draw(pcg32& random, uint32_t below) {
   return std::uniform_int_distribution<uint32_t>(0, below - 1)(random);
--- a/soak/plan.h
+++ b/soak/plan.h
@@ -32,9 +32,11 @@
   kLinkOneWay,  ///< Bytes from the upstream are held.
   kLinkSilent,  ///< Stays open and carries no bytes.
   kRouteChange,
-  kDataCentreDrain,  ///< Drained for the duration.
-  kUpstreamCold,     ///< Cold for the duration, without a restart.
-  kUpstreamLimit,    ///< Advertises a rate limit for a while.
+  kDataCentreDrain,      ///< Drained for the duration.
+  kUpstreamCold,         ///< Cold for the duration, without a restart.
+  kUpstreamLimit,        ///< Advertises a rate limit for a while.
+  kUpstreamSaysLeaving,  ///< In its answers; its entry does not say so.
+  kUpstreamRests,        ///< Turns requests away and asks for rest.
   kCount
 };
 
--- a/soak/promises.cc
+++ b/soak/promises.cc
@@ -15,12 +15,13 @@
 using std::chrono::milliseconds;
 
 constexpr std::array<std::string_view, static_cast<size_t>(Promise::kCount)>
-    kNames = {"own-answer",  "once",       "not-run",
-              "leaving",     "shutdown",   "configuration",
-              "no-return",   "repeats",    "recovery",
-              "caller-gone", "timeout",    "stays-up",
-              "drained",     "cold",       "rate-limit",
-              "key-revoked", "team-quota", "ready-takes-connections"};
+    kNames = {"own-answer",   "once",       "not-run",
+              "leaving",      "shutdown",   "configuration",
+              "no-return",    "repeats",    "recovery",
+              "caller-gone",  "timeout",    "stays-up",
+              "drained",      "cold",       "rate-limit",
+              "key-revoked",  "team-quota", "ready-takes-connections",
+              "leaving-said", "rest"};
 
 // Number of late requests that kCallerGone and kTimeout tolerate, as single
 // requests can fall between two observations.
@@ -69,15 +70,16 @@
   std::vector<Violation> Run() {
     using Check = void (PromiseChecker::*)();
     constexpr std::array<Check, static_cast<size_t>(Promise::kCount)> checks = {
-        &PromiseChecker::CheckOwnAnswer, &PromiseChecker::CheckOnce,
-        &PromiseChecker::CheckNotRun,    &PromiseChecker::CheckLeaving,
-        &PromiseChecker::CheckShutdown,  &PromiseChecker::CheckConfiguration,
-        &PromiseChecker::CheckNoReturn,  &PromiseChecker::CheckRepeats,
-        &PromiseChecker::CheckRecovery,  &PromiseChecker::CheckCallerGone,
-        &PromiseChecker::CheckTimeout,   &PromiseChecker::CheckStaysUp,
-        &PromiseChecker::CheckDrained,   &PromiseChecker::CheckCold,
-        &PromiseChecker::CheckRateLimit, &PromiseChecker::CheckKeyRevoked,
-        &PromiseChecker::CheckTeamQuota, &PromiseChecker::CheckReadyTakes};
+        &PromiseChecker::CheckOwnAnswer,   &PromiseChecker::CheckOnce,
+        &PromiseChecker::CheckNotRun,      &PromiseChecker::CheckLeaving,
+        &PromiseChecker::CheckShutdown,    &PromiseChecker::CheckConfiguration,
+        &PromiseChecker::CheckNoReturn,    &PromiseChecker::CheckRepeats,
+        &PromiseChecker::CheckRecovery,    &PromiseChecker::CheckCallerGone,
+        &PromiseChecker::CheckTimeout,     &PromiseChecker::CheckStaysUp,
+        &PromiseChecker::CheckDrained,     &PromiseChecker::CheckCold,
+        &PromiseChecker::CheckRateLimit,   &PromiseChecker::CheckKeyRevoked,
+        &PromiseChecker::CheckTeamQuota,   &PromiseChecker::CheckReadyTakes,
+        &PromiseChecker::CheckLeavingSaid, &PromiseChecker::CheckRest};
     for (const Check check : checks) {
       (this->*check)();
     }
@@ -608,6 +610,42 @@
     }
   }
 
+  void CheckLeavingSaid() {
+    for (const NoticeRow& row : this->observations.said_leaving) {
+      this->CheckNotice(Promise::kLeavingSaid, row, this->bounds.drain);
+    }
+  }
+
+  void CheckRest() {
+    for (const NoticeRow& row : this->observations.rests) {
+      this->CheckNotice(Promise::kRest, row, this->bounds.rest_delay);
+    }
+  }
+
+  // Which node sent a request is not observed, so the nodes are checked
+  // together.
+  void CheckNotice(Promise promise, const NoticeRow& notice, Duration delay) {
+    const TimePoint from = notice.from + delay + this->slack;
+    const size_t bound = this->bounds.nodes * this->bounds.notice_requests;
+    size_t count = 0;
+    for (const ArrivalRow& row : this->observations.arrivals) {
+      const bool is_late = row.upstream == notice.upstream && row.at >= from &&
+                           row.at < notice.to;
+      count += is_late ? 1 : 0;
+      if (is_late && count > bound &&
+          this->IsUndisturbed(
+              {DisturbanceKind::kUpstream, DisturbanceKind::kNode,
+               DisturbanceKind::kShutdown},
+              std::nullopt, notice.from, row.at)) {
+        this->Add(promise, {row.id}, row.at,
+                  "upstream " + std::to_string(row.upstream) + ", " +
+                      std::to_string(count) + ", bound " +
+                      std::to_string(bound));
+        return;
+      }
+    }
+  }
+
   const Observations& observations;
   const Bounds& bounds;
   const Duration slack;
--- a/soak/promises.h
+++ b/soak/promises.h
@@ -32,6 +32,8 @@
   kKeyRevoked,     ///< A revoked API key is refused.
   kTeamQuota,      ///< A team gets no more than its quota.
   kReadyTakes,     ///< A ready node accepts new connections.
+  kLeavingSaid,    ///< An upstream that says that it leaves gets no requests.
+  kRest,           ///< An upstream that asks for rest gets it.
   kCount
 };
 
@@ -71,6 +73,13 @@
   /// single miss is allowed, as the node may have become unready since the
   /// report.
   std::chrono::milliseconds new_connection_answer{1000};
+  /// Nodes of the installation. Each may send to an upstream that leaves or
+  /// rests until an answer tells that node: notice_requests requests, from
+  /// rest_delay after the first such answer or, for leaving, from the drain
+  /// bound after it.
+  size_t nodes = 4;
+  size_t notice_requests = 2;
+  std::chrono::milliseconds rest_delay{500};
   std::chrono::milliseconds grace{6000};
   std::chrono::milliseconds loss_slack{200};
   std::chrono::milliseconds caller_gone{500};
--- a/soak/test/promises_test.cc
+++ b/soak/test/promises_test.cc
@@ -415,6 +415,36 @@
   CHECK(FindViolations(this->observations, this->bounds).empty());
 }
 
+// Failure: an upstream that says that it leaves, or asks for rest, gets more
+// than two requests from each node.
+TEST(Promises, Notice_OneRequestAboveBound_Found) {
+  this->observations.said_leaving = {{0, kStart + 10s, kStart + 15s}};
+  this->observations.rests = {{1, kStart + 10s, kStart + 15s}};
+  for (int i = 0; i < 9; ++i) {
+    const Duration at = 13s + i * 100ms;
+    this->observations.arrivals.push_back({"", 0, 0, kStart + at});
+    this->observations.arrivals.push_back({"", 1, 0, kStart + at});
+  }
+  CHECK(this->IsBroken(Promise::kLeavingSaid));
+  CHECK(this->IsBroken(Promise::kRest));
+}
+
+// Before the bound, at the bound, and after the notice.
+TEST(Promises, Notice_AtBoundOrAtOtherTimes_Allowed) {
+  this->observations.said_leaving = {{0, kStart + 10s, kStart + 15s}};
+  this->observations.rests = {{1, kStart + 10s, kStart + 15s}};
+  for (int i = 0; i < 8; ++i) {
+    const Duration at = 13s + i * 100ms;
+    this->observations.arrivals.push_back({"", 0, 0, kStart + at});
+    this->observations.arrivals.push_back({"", 1, 0, kStart + at});
+    this->observations.arrivals.push_back({"", 0, 0, kStart + at - 3s});
+    this->observations.arrivals.push_back({"", 1, 0, kStart + 10s});
+    this->observations.arrivals.push_back({"", 1, 0, kStart + 16s});
+  }
+  CHECK_FALSE(this->IsBroken(Promise::kLeavingSaid));
+  CHECK_FALSE(this->IsBroken(Promise::kRest));
+}
+
 // Failure: a node keeps reporting ready and accepts no connection.
 TEST(Promises, ReadyTakes_TwoConsecutiveMisses_Found) {
   this->observations.connections = {
--- a/soak/upstreams.cc
+++ b/soak/upstreams.cc
@@ -23,6 +23,9 @@
 // A draining instance keeps serving for a little longer than the drain bound.
 constexpr milliseconds kDrainTime{3000};
 constexpr milliseconds kRestartPause{500};
+// Beyond the drain bound there must be time in which requests could arrive.
+constexpr milliseconds kSaidLeavingTime{5000};
+constexpr milliseconds kExtraRestTime{6000};
 // The platform removes an entry after three missed heartbeat intervals.
 constexpr milliseconds kEntryExpiry{4500};
 constexpr milliseconds kSlowWork{200};
@@ -107,12 +110,14 @@
     co_return;
   }
   host.has_fault = true;
-  // An orderly drain, a cold period and an advertised rate limit are normal
-  // operation, not disturbances.
+  // An orderly drain, a cold period, an advertised rate limit and a rest are
+  // normal operation, not disturbances.
   std::optional<size_t> row;
   if (step.fault != Fault::kUpstreamLeave &&
       step.fault != Fault::kUpstreamCold &&
-      step.fault != Fault::kUpstreamLimit) {
+      step.fault != Fault::kUpstreamLimit &&
+      step.fault != Fault::kUpstreamSaysLeaving &&
+      step.fault != Fault::kUpstreamRests) {
     row = this->observations.BeginDisturbance(DisturbanceKind::kUpstream,
                                               std::nullopt);
   }
@@ -129,6 +134,12 @@
     case Fault::kUpstreamLimit:
       co_await this->AdvertiseLimit(host, step);
       break;
+    case Fault::kUpstreamSaysLeaving:
+      co_await this->SayLeaving(host);
+      break;
+    case Fault::kUpstreamRests:
+      co_await this->AskForRest(host, step);
+      break;
     case Fault::kLinkSlow:
     case Fault::kLinkReset:
     case Fault::kLinkOneWay:
@@ -204,6 +215,32 @@
   }
 }
 
+boost::asio::awaitable<void> Upstreams::SayLeaving(Host& host) {
+  host.instance->behaviour().leaving = true;
+  const TimePoint from = MonotonicClock::now();
+  this->observations.said_leaving.push_back(
+      {host.number, from, from + kSaidLeavingTime});
+  co_await Sleep(kSaidLeavingTime);
+  if (this->stopped) {
+    co_return;
+  }
+  this->store.Remove(adapter::test::kUpstreamTopic, host.instance->id());
+  host.instance->Stop();
+  co_await Sleep(kRestartPause);
+  if (!this->stopped) {
+    this->StartInstance(host);
+  }
+}
+
+boost::asio::awaitable<void> Upstreams::AskForRest(Host& host,
+                                                   const Step& step) {
+  const TimePoint from = MonotonicClock::now();
+  const TimePoint to = from + step.duration + kExtraRestTime;
+  host.instance->behaviour().rest_until = to;
+  this->observations.rests.push_back({host.number, from, to});
+  co_await Sleep(to - from);
+}
+
 boost::asio::awaitable<void> Upstreams::InjectResponseFault(Host& host,
                                                             const Step& step) {
   adapter::test::FakeUpstreamBehaviour faulty;
--- a/soak/upstreams.h
+++ b/soak/upstreams.h
@@ -59,6 +59,8 @@
   boost::asio::awaitable<void> InjectLinkFault(Host& host, const Step& step);
   boost::asio::awaitable<void> TurnCold(Host& host, const Step& step);
   boost::asio::awaitable<void> AdvertiseLimit(Host& host, const Step& step);
+  boost::asio::awaitable<void> SayLeaving(Host& host);
+  boost::asio::awaitable<void> AskForRest(Host& host, const Step& step);
 
   boost::asio::io_context& io;
   adapter::test::FakeStore& store;
