Data links: do not use a link that is silent while its peer owes answers

Cause: only the suspicion of the peer, by its control link, ended the use of a data link. Change: a dispatcher sends the summary of the shard after 100 ms without another message while its peer waits for answers; a link on which nothing arrives for 0.3 s though answers are owed is not used for new requests, which open another one, at most once a second. What waits on the old link may still be answered there, so a VM that only stands still loses nothing. Ruled out: TCP options (the kernel's time-out of unacknowledged data says nothing of a process that stands still, and differs between systems). Weighed and not done: repeating what waits on a silent link; it spends repeats wherever a VM is slow for 0.3 s, and needs measuring on its own. Tests: three of LinkTable.

--- a/packages/node/src/link_server.cc
+++ b/packages/node/src/link_server.cc
@@ -77,6 +77,12 @@
   link.Forget(stream);
 }
 
+void PostSummary(PeerLink& link, const DispatchHost& dispatch, ShardKey shard) {
+  const wire::Summary summary{dispatch.Summarize(shard),
+                              dispatch.NoticesOf(shard)};
+  link.TrySend([&summary](wire::LinkMux& mux) { return mux.Post(summary); });
+}
+
 Task<void> ServeLinkStream(RoutingViewPtr view,
                            DispatchHost& dispatch,
                            PeerLinkPtr link,
@@ -112,9 +118,7 @@
   if (!outcome.answered && !stream->closed) {
     Refuse(*link, *stream, outcome);
   }
-  const wire::Summary summary{dispatch.Summarize(target.shard),
-                              dispatch.NoticesOf(target.shard)};
-  link->TrySend([&summary](wire::LinkMux& mux) { return mux.Post(summary); });
+  PostSummary(*link, dispatch, target.shard);
   link->Forget(*stream);
 }
 
--- a/packages/node/src/link_server.h
+++ b/packages/node/src/link_server.h
@@ -20,6 +20,9 @@
                            wire::Open open,
                            std::string request_id_header);
 
+/// Sends the summary of `shard` and the notices of its upstreams to the peer.
+void PostSummary(PeerLink& link, const DispatchHost& dispatch, ShardKey shard);
+
 /// Refuses a stream that a peer opened. Its request must not have been started.
 void RefuseLinkStream(PeerLink& link, LinkStream& stream, Refusal refusal);
 
--- a/packages/node/src/link_table.cc
+++ b/packages/node/src/link_table.cc
@@ -21,6 +21,14 @@
 // last requests of its own callers, which follow each other within less time
 // than this, a few round trips.
 constexpr std::chrono::milliseconds kMaxLinkIdleWhileDraining{50};
+// A dispatcher sends something on a link at least this often while its peer
+// waits for answers.
+constexpr std::chrono::milliseconds kKeepAliveTime{100};
+// A link on which nothing arrives for this long, though its peer owes answers,
+// is not used for new requests.
+constexpr std::chrono::milliseconds kMaxSilence{300};
+// Least time between two links to a worker that are opened because of silence.
+constexpr std::chrono::seconds kRenewPause{1};
 // Time for a peer to agree to the end of an idle link.
 constexpr std::chrono::seconds kCloseTime{5};
 
@@ -57,8 +65,21 @@
                                   before->state == VmState::kSuspected &&
                                   after->state == VmState::kLive;
     if (is_trusted_again && peer->link) {
-      peer->link->Drain();
-      peer->link = nullptr;
+      Renew(MonotonicClock::now(), *peer);
+    }
+  }
+}
+
+void LinkTable::Renew(TimePoint now, Peer& peer) {
+  peer.link->Drain();
+  peer.link = nullptr;
+  peer.renewed_at = now;
+}
+
+void LinkTable::KeepAlive(TimePoint now) {
+  for (const auto& [link, shard] : this->served) {
+    if (link->IsQuiet(now, kKeepAliveTime)) {
+      this->handlers.on_quiet(*link, shard);
     }
   }
 }
@@ -77,7 +98,11 @@
 
 PeerLinkPtr LinkTable::Add(Socket socket, wire::LinkSide side, VmHandle vm) {
   LinkHandlers link_handlers;
-  link_handlers.on_open = this->handlers.on_open;
+  link_handlers.on_open = [this](const PeerLinkPtr& link, LinkStreamPtr stream,
+                                 wire::Open open) {
+    this->served[link] = open.shard;
+    this->handlers.on_open(link, std::move(stream), std::move(open));
+  };
   link_handlers.on_message = [this, vm](const PeerLinkPtr& link,
                                         const wire::PeerMessage& message) {
     if (const auto* summary = std::get_if<wire::Summary>(&message)) {
@@ -91,6 +116,7 @@
   link_handlers.on_closed = [this, vm](const PeerLinkPtr& link) {
     this->Remove(link, vm);
     this->links.erase(link);
+    this->served.erase(link);
     this->counts.open.Set(static_cast<int64_t>(this->links.size()));
   };
   wire::LinkMuxOptions mux;
@@ -133,6 +159,15 @@
   while (peer->connecting) {
     co_await peer->changed.Wait();
   }
+  // Failure: a connection goes silent for good, and requests go over it until
+  // its peer is suspected, seconds later. A peer that works sends something
+  // several times in kMaxSilence, so the request takes another link. What waits
+  // on the silent one may still be answered there.
+  const TimePoint now = MonotonicClock::now();
+  if (peer->link && peer->link->IsSilent(now, kMaxSilence) &&
+      now - peer->renewed_at >= kRenewPause) {
+    Renew(now, *peer);
+  }
   if (peer->link && peer->link->usable()) {
     co_return peer->link;
   }
--- a/packages/node/src/link_table.h
+++ b/packages/node/src/link_table.h
@@ -23,6 +23,9 @@
   std::function<void(const PeerLinkPtr&, LinkStreamPtr, wire::Open)> on_open;
   std::function<void(VmHandle, const wire::Summary&)> on_summary;
   std::function<void(VmHandle, bool usable)> on_link;
+  /// Nothing was sent for a while on a link whose peer waits for answers of the
+  /// dispatcher of `shard`.
+  std::function<void(PeerLink&, ShardKey shard)> on_quiet;
 };
 
 struct LinkTableOptions {
@@ -56,6 +59,9 @@
   /// now.
   size_t CountBusy(TimePoint now) const;
 
+  /// Calls `on_quiet` where that is due. To be called many times a second.
+  void KeepAlive(TimePoint now);
+
   /// Closes links that have been idle for too long.
   void Tick(TimePoint now);
 
@@ -72,6 +78,7 @@
     explicit Peer(const Executor& executor) : changed(executor) {}
 
     PeerLinkPtr link;
+    TimePoint renewed_at{};
     bool connecting = false;
     AsyncBroadcast changed;
   };
@@ -79,6 +86,7 @@
   Task<PeerLinkPtr> Get(PeerKey key);
   Task<PeerLinkPtr> Connect(PeerKey key);
   void RenewTrusted(const RoutingView& next);
+  static void Renew(TimePoint now, Peer& peer);
   PeerLinkPtr Add(Socket socket, wire::LinkSide side, VmHandle vm);
   void Remove(const PeerLinkPtr& link, VmHandle vm);
   wire::Open MakeOpen(const RequestMessage& request,
@@ -92,6 +100,8 @@
   RoutingViewPtr view;
   std::map<PeerKey, std::shared_ptr<Peer>> peers;
   std::set<PeerLinkPtr> links;
+  /// Links on which peers have opened streams, and the shard of the latest.
+  std::map<PeerLinkPtr, ShardKey> served;
   bool is_draining = false;
 };
 
--- a/packages/node/src/peer_link.cc
+++ b/packages/node/src/peer_link.cc
@@ -115,11 +115,28 @@
     return nullptr;
   }
   stream->id = id.value();
-  this->streams.emplace(stream->id, stream);
+  this->AddStream(stream);
   this->Flush();
   return stream;
 }
 
+void PeerLink::AddStream(const LinkStreamPtr& stream) {
+  if (this->streams.empty()) {
+    this->streams_since = MonotonicClock::now();
+  }
+  this->streams.emplace(stream->id, stream);
+}
+
+bool PeerLink::IsSilent(TimePoint now, Duration limit) const {
+  const TimePoint last = std::max(this->last_received(), this->streams_since);
+  return this->is_ready && !this->streams.empty() && now - last > limit;
+}
+
+bool PeerLink::IsQuiet(TimePoint now, Duration interval) const {
+  const TimePoint last = std::max(this->written_at, this->streams_since);
+  return !this->is_closed && !this->streams.empty() && now - last >= interval;
+}
+
 void PeerLink::Cancel(LinkStream& stream) {
   this->mux.CancelStream(stream.id);
   this->Forget(stream);
@@ -208,12 +225,13 @@
   if (event.kind == wire::LinkEventKind::kOpened) {
     const auto stream = std::make_shared<LinkStream>(this->run_on);
     stream->id = event.stream;
-    this->streams.emplace(stream->id, stream);
+    this->AddStream(stream);
     Notify(this->handlers.on_open, self, stream,
            std::get<wire::Open>(std::move(event.message)));
     return;
   }
   if (event.kind == wire::LinkEventKind::kReady) {
+    this->is_ready = true;
     Notify(this->handlers.on_ready, self);
     return;
   }
--- a/packages/node/src/peer_link.h
+++ b/packages/node/src/peer_link.h
@@ -105,9 +105,18 @@
   /// open, or the bytes written last may not have arrived yet.
   bool IsBusy(TimePoint now) const;
   TimePoint last_received() const { return this->mux.last_received(); }
+
+  /// @returns true if a stream is open and nothing has arrived for longer than
+  /// `limit`. A peer that works sends something while a stream is open, though
+  /// it has no answer yet.
+  bool IsSilent(TimePoint now, Duration limit) const;
+
+  /// @returns true if a stream is open and nothing was sent for `interval`.
+  bool IsQuiet(TimePoint now, Duration interval) const;
   const Executor& executor() const { return this->run_on; }
 
  private:
+  void AddStream(const LinkStreamPtr& stream);
   Task<void> WriteLoop();
   Task<void> CloseGently();
   void Flush();
@@ -125,6 +134,8 @@
   AsyncEvent output;
   Timer* close_timer = nullptr;  ///< Set while waiting for the peer to close.
   TimePoint written_at{};
+  TimePoint streams_since{};  ///< Since when some stream is open.
+  bool is_ready = false;      ///< The hello of the peer has arrived.
   bool is_writing = false;
   bool is_closed = false;
 };
--- a/packages/node/src/worker.cc
+++ b/packages/node/src/worker.cc
@@ -375,6 +375,9 @@
   handlers.on_link = [this](VmHandle vm, bool usable) {
     this->entry_host.OnLink(vm, usable);
   };
+  handlers.on_quiet = [this](PeerLink& link, ShardKey shard) {
+    PostSummary(link, this->dispatch_host, shard);
+  };
   return handlers;
 }
 
@@ -514,6 +517,7 @@
     return;
   }
   this->sessions_ticked = now;
+  this->links.KeepAlive(now);
   this->TakeCounters();
   for (const auto& session : this->sessions) {
     session->Tick(now);
--- a/packages/node/test/link_table_test.cc
+++ b/packages/node/test/link_table_test.cc
@@ -3,6 +3,7 @@
 
 #include "link_table.h"
 
+#include <atomic>
 #include <chrono>
 #include <memory>
 #include <optional>
@@ -13,6 +14,7 @@
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/post.hpp>
 
+#include "fleet.h"
 #include "plain_peer.h"
 
 #include <CppUTest/TestHarness.h>
@@ -23,11 +25,15 @@
 using basilsill::HttpFields;
 using basilsill::IoContext;
 using basilsill::LinkCounters;
+using basilsill::LinkStreamPtr;
 using basilsill::LinkTable;
 using basilsill::LinkTableHandlers;
 using basilsill::MonotonicClock;
+using basilsill::PeerLink;
+using basilsill::PeerLinkPtr;
 using basilsill::RequestMessage;
 using basilsill::RoutingView;
+using basilsill::ShardKey;
 using basilsill::Target;
 using basilsill::Task;
 using basilsill::Tcp;
@@ -35,12 +41,21 @@
 using basilsill::VmRow;
 using basilsill::VmState;
 using basilsill::test::PeerHello;
+using basilsill::test::PeerRequest;
+using basilsill::test::PlainPeer;
+using basilsill::test::WaitUntil;
 namespace wire = basilsill::wire;
 
 namespace {
 
 constexpr VmHandle kPeer{1, 0};
 
+void AwaitHello(PlainPeer& peer) {
+  peer.Flush();
+  while (peer.mux.peer().vm.empty() && peer.Read()) {
+  }
+}
+
 class NullSink final : public AnswerSink {
  public:
   Task<bool> Start(const AnswerHead& /*head*/,
@@ -67,6 +82,7 @@
   std::unique_ptr<LinkTable> links;
   NullSink sink;
   RequestMessage request;
+  std::atomic<size_t> quiet = 0;
   std::jthread thread;
 
   void setup() override {
@@ -75,6 +91,8 @@
     LinkTableHandlers handlers;
     handlers.on_summary = [](VmHandle, const wire::Summary&) {};
     handlers.on_link = [](VmHandle, bool) {};
+    handlers.on_open = [](const PeerLinkPtr&, LinkStreamPtr, wire::Open) {};
+    handlers.on_quiet = [this](PeerLink&, ShardKey) { ++this->quiet; };
     this->links = std::make_unique<LinkTable>(this->context.get_executor(),
                                               options, handlers, this->counts);
     this->request.method = "GET";
@@ -146,6 +164,52 @@
   CHECK(this->Accept().has_value());
 }
 
+// Failure: the connections between two VMs go silent, and requests go over them
+// until the peer is suspected.
+TEST(LinkTable, Serve_LinkSilentWithOpenRequest_OpensAnotherLink) {
+  this->Serve();
+  PlainPeer silent(*this->Accept(), PeerHello(wire::LinkRole::kData, "vm-2"));
+  silent.Flush();
+  std::this_thread::sleep_for(500ms);
+  this->Serve();
+  CHECK(this->Accept().has_value());
+}
+
+// A request that takes long is no sign of a silent link.
+TEST(LinkTable, Serve_PeerWorksOnALongRequest_UsesTheSameLink) {
+  this->Serve();
+  PlainPeer peer(*this->Accept(), PeerHello(wire::LinkRole::kData, "vm-2"));
+  AwaitHello(peer);
+  for (int i = 0; i < 5; ++i) {
+    CHECK(peer.mux.Post(wire::Summary{}).has_value());
+    peer.Flush();
+    std::this_thread::sleep_for(100ms);
+  }
+  this->Serve();
+  CHECK_FALSE(this->Accept().has_value());
+}
+
+TEST(LinkTable, KeepAlive_PeerWaitsForAnswer_Reported) {
+  boost::asio::ip::tcp::acceptor own(
+      this->context, {boost::asio::ip::address_v4::loopback(), 0});
+  Tcp::socket connecting(this->peer_context);
+  connecting.connect(own.local_endpoint());
+  auto accepted = std::make_shared<basilsill::Socket>(this->context);
+  own.accept(*accepted);
+  boost::asio::post(this->context, [this, accepted] {
+    this->links->Accept(std::move(*accepted));
+  });
+  PlainPeer peer(std::move(connecting),
+                 PeerHello(wire::LinkRole::kData, "vm-2"));
+  AwaitHello(peer);
+  CHECK(peer.mux.OpenStream(PeerRequest(7)).has_value());
+  peer.Flush();
+  std::this_thread::sleep_for(200ms);
+  boost::asio::post(this->context,
+                    [this] { this->links->KeepAlive(MonotonicClock::now()); });
+  CHECK(WaitUntil([this] { return this->quiet.load() == 1; }));
+}
+
 TEST(LinkTable, Serve_PeerTrustedAllTheWhile_UsesTheSameLink) {
   this->Serve();
   const auto link = this->Accept();
