Remove parameters, a member and includes that nothing uses

ClearSuspect and MergeReport of the quarantine took a time, TakeRepeat a third parameter that no caller passed; UpstreamConnection had an idle time that nothing set.

--- a/packages/decision/src/dispatcher.cc
+++ b/packages/decision/src/dispatcher.cc
@@ -263,9 +263,7 @@
 // Takes one repeat from this shard's share of the fleet-wide limit for the
 // service.
 // @returns false if the share is used up.
-bool DispatcherCore::TakeRepeat(TimePoint now,
-                                ShardState& shard,
-                                double reserved) {
+bool DispatcherCore::TakeRepeat(TimePoint now, ShardState& shard) {
   if (!this->options.repeats) {
     return true;
   }
@@ -275,7 +273,7 @@
   RepeatBudgetOptions part = is_settled ? parts.dispatchers : parts.unsettled;
   part.slack /= std::max<uint32_t>(1, shard.siblings);
   part.slack /= is_settled ? 1 : CountVms(*this->shards.view());
-  return shard.repeats->Take(now, part, reserved);
+  return shard.repeats->Take(now, part);
 }
 
 void DispatcherCore::Activate(uint32_t row) {
--- a/packages/decision/src/dispatcher_core.h
+++ b/packages/decision/src/dispatcher_core.h
@@ -115,7 +115,7 @@
                    const UpstreamSlots& upstream,
                    Fingerprint fingerprint = 0);
   void Activate(uint32_t shard);
-  bool TakeRepeat(TimePoint now, ShardState& shard, double reserved = 0);
+  bool TakeRepeat(TimePoint now, ShardState& shard);
 
   // dispatcher_start.cc
   void Pump(TimePoint now, uint32_t shard);
--- a/packages/decision/src/quarantine.cc
+++ b/packages/decision/src/quarantine.cc
@@ -73,8 +73,8 @@
  private:
   void RemoveExpired(TimePoint now);
   void Add(TimePoint now, const Crash& crash);
-  void MergeReport(TimePoint now, Crash& known, const CrashReport& report);
-  void ClearSuspect(TimePoint now, Crash& crash, Fingerprint fingerprint);
+  void MergeReport(Crash& known, const CrashReport& report);
+  void ClearSuspect(Crash& crash, Fingerprint fingerprint);
   bool IsInAnyReport(Fingerprint fingerprint) const;
   void QuarantineIfRuleMet(Fingerprint fingerprint);
   bool MeetsRule(Fingerprint fingerprint) const;
@@ -134,21 +134,19 @@
   });
 }
 
-void QuarantineTable::OnAnswered(TimePoint now, Fingerprint fingerprint) {
+void QuarantineTable::OnAnswered(TimePoint /*now*/, Fingerprint fingerprint) {
   if (this->suspects.empty() || !this->suspects.contains(fingerprint)) {
     return;
   }
   for (Crash& crash : this->crashes) {
-    this->ClearSuspect(now, crash, fingerprint);
+    this->ClearSuspect(crash, fingerprint);
   }
   this->suspects.erase(fingerprint);
 }
 
 // Removes a cleared request from the suspects of a crash. With fewer suspects,
 // the rule may now apply to one of the others, so they are evaluated again.
-void QuarantineTable::ClearSuspect(TimePoint,
-                                   Crash& crash,
-                                   Fingerprint fingerprint) {
+void QuarantineTable::ClearSuspect(Crash& crash, Fingerprint fingerprint) {
   if (!RemoveSuspect(crash.report, fingerprint)) {
     return;
   }
@@ -253,7 +251,7 @@
       this->crashes.begin(), this->crashes.end(),
       [&report](const Crash& crash) { return crash.report.id == report.id; });
   if (known != this->crashes.end()) {
-    this->MergeReport(now, *known, report);
+    this->MergeReport(*known, report);
     return;
   }
   const bool valid = report.suspect_count <= CrashReport::kMaxSuspects &&
@@ -264,15 +262,13 @@
   }
 }
 
-void QuarantineTable::MergeReport(TimePoint now,
-                                  Crash& known,
-                                  const CrashReport& report) {
+void QuarantineTable::MergeReport(Crash& known, const CrashReport& report) {
   const CrashReport before = known.report;
   for (const Fingerprint fingerprint : SuspectsOf(before)) {
     if (HasSuspect(report, fingerprint)) {
       continue;
     }
-    this->ClearSuspect(now, known, fingerprint);
+    this->ClearSuspect(known, fingerprint);
     if (!this->IsInAnyReport(fingerprint)) {
       this->suspects.erase(fingerprint);
     }
--- a/packages/node/src/peer_link.cc
+++ b/packages/node/src/peer_link.cc
@@ -5,7 +5,6 @@
 #include <utility>
 
 #include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 #include <boost/asio/write.hpp>
 
 #include "basilsill/node/log.h"
--- a/packages/node/src/upstream_attempt.cc
+++ b/packages/node/src/upstream_attempt.cc
@@ -9,7 +9,6 @@
 
 #include <boost/asio/buffer.hpp>
 #include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 #include <boost/asio/write.hpp>
 #include <boost/beast/http/chunk_encode.hpp>
 
--- a/packages/node/src/upstream_pool.h
+++ b/packages/node/src/upstream_pool.h
@@ -44,9 +44,6 @@
   std::shared_ptr<WorkerMetrics> metrics;
   AttemptTarget target;
   TimePoint idle_since;
-  /// Idle time after which the upstream may close the connection, as announced
-  /// by the upstream.
-  Duration keep_alive_timeout{Duration::max()};
   bool reused = false;  ///< It has carried an earlier request.
 };
 using UpstreamConnectionPtr = std::unique_ptr<UpstreamConnection>;
