Entry: one request at a time tries to open a lost link; slots of upstreams as small as before

Change: the request that tries begins the next pause; the model reports the failure. Change: the key of the incarnation is computed where a notice exists, the end of a rest is recorded with the time itself, the trickle pause has four octets. Serve_PeerTrustedAgain_OpensAnotherLink failed once beside load: the test went on before the table had taken the first link; it waits now.

--- a/bench/model/fleet_entry.cc
+++ b/bench/model/fleet_entry.cc
@@ -101,7 +101,9 @@
   }
   const Duration one_way = this->cluster.VmToVmLatency(from, vm);
   if (this->nodes[from].lost_links[vm]) {
-    this->cluster.simulation().After(2 * one_way, [this, id] {
+    this->cluster.simulation().After(2 * one_way, [this, id, from, vm] {
+      this->nodes[from].router->OnLink(this->cluster.now(),
+                                       {static_cast<uint32_t>(vm), 0}, false);
       this->OnRefused(id, Refusal::kPeerUnreachable, Duration{0}, 0);
     });
     return;
--- a/packages/decision/src/dispatch_tables.h
+++ b/packages/decision/src/dispatch_tables.h
@@ -90,7 +90,6 @@
 struct UpstreamSlots {
   UpstreamHandle handle;
   UpstreamKey key = 0;
-  uint64_t incarnation = 0;  ///< From KeyOfIncarnation.
   uint16_t slots = 0;
   uint16_t busy = 0;
   uint16_t bulk = 0;        ///< Busy slots that hold bulk requests.
@@ -104,13 +103,13 @@
   uint8_t failures = 0;     ///< Consecutive failures; they set the next pause.
   uint16_t ramp_left = 0;   ///< Good answers left until it gets its full share.
   uint32_t running = kNoRow;  ///< First of its running attempts.
+  ShortMillis trickle_pause{0};
   TimePoint paused_until{};
-  TimePoint leaving_until{};   ///< From UpstreamNotices.
-  TimePoint rest_until{};      ///< From UpstreamNotices.
-  bool rest_logged = false;    ///< Until the event that it has ended.
+  TimePoint leaving_until{};  ///< From UpstreamNotices.
+  /// From UpstreamNotices; zero once its end is recorded as an event.
+  TimePoint rest_until{};
   TimePoint no_ahead_until{};  ///< Set when it sheds a request sent ahead.
   TimePoint next_trickle{};
-  Duration trickle_pause{0};
   double error_share = 0;  ///< Recent share of errors.
   UpstreamHealth health;
 };
--- a/packages/decision/src/dispatcher_core.h
+++ b/packages/decision/src/dispatcher_core.h
@@ -214,7 +214,10 @@
                     ShardState& shard,
                     UpstreamHandle upstream,
                     const UpstreamNotice& notice);
-  void ApplyNotice(TimePoint now, ShardState& shard, UpstreamSlots& upstream);
+  void ApplyNotice(TimePoint now,
+                   ShardState& shard,
+                   uint64_t incarnation,
+                   UpstreamSlots& upstream);
   void RecordEndedRests(TimePoint now, ShardState& shard);
   void CountNoticeRefusals(TimePoint now,
                            const ShardState& shard,
--- a/packages/decision/src/dispatcher_notice.cc
+++ b/packages/decision/src/dispatcher_notice.cc
@@ -48,7 +48,8 @@
     return;
   }
   if (UpstreamSlots* slots = FindSlots(this->shards.at(open), upstream)) {
-    this->ApplyNotice(now, this->shards.at(open), *slots);
+    this->ApplyNotice(now, this->shards.at(open),
+                      KeyOfIncarnation(*row, *found), *slots);
   }
 }
 
@@ -66,8 +67,9 @@
 // Takes over what is known of the upstream since the last call.
 void DispatcherCore::ApplyNotice(TimePoint now,
                                  ShardState& shard,
+                                 uint64_t incarnation,
                                  UpstreamSlots& upstream) {
-  const NoticeTimes times = this->options.notices->Find(upstream.incarnation);
+  const NoticeTimes times = this->options.notices->Find(incarnation);
   const bool took_work = TakesWork(now, upstream);
   const bool rested = upstream.rest_until > now;
   upstream.leaving_until = times.leaving_until;
@@ -77,7 +79,6 @@
     upstream.ramp_left = this->options.features.ramp ? kRampAnswers : 0;
   }
   if (!rested && upstream.rest_until > now) {
-    upstream.rest_logged = true;
     this->RecordEvent(UpstreamEventKind::kResting, shard, upstream);
     this->emitted_events.back().rest = upstream.rest_until - now;
   }
@@ -107,7 +108,7 @@
         row != kNoRow ? FindSlots(this->shards.at(row), upstream.handle)
                       : nullptr;
     if (slots != nullptr) {
-      this->ApplyNotice(now, this->shards.at(row), *slots);
+      this->ApplyNotice(now, this->shards.at(row), incarnation, *slots);
     }
   }
 }
@@ -116,17 +117,19 @@
     TimePoint now,
     ShardKey key) const {
   std::vector<UpstreamNoticeReport> reports;
-  const uint32_t row = this->shards.Find(key);
-  if (row == kNoRow || this->options.notices->empty()) {
+  if (this->options.notices->empty()) {
     return reports;
   }
-  for (const UpstreamSlots& upstream : this->shards.at(row).upstreams) {
-    if (!upstream.present || reports.size() == limits::kMaxNoticeReports) {
-      continue;
-    }
-    const UpstreamNoticeReport report =
-        this->options.notices->MakeReport(now, upstream.incarnation);
-    if (report.leaving || report.rest > Duration(0)) {
+  const ShardTable::InView found = this->shards.Locate(key);
+  if (found.shard == nullptr) {
+    return reports;
+  }
+  for (const uint32_t position : found.shard->upstreams) {
+    const UpstreamNoticeReport report = this->options.notices->MakeReport(
+        now,
+        KeyOfIncarnation(*found.service, found.service->upstreams[position]));
+    const bool says_any = report.leaving || report.rest > Duration(0);
+    if (says_any && reports.size() < limits::kMaxNoticeReports) {
       reports.push_back(report);
     }
   }
@@ -135,8 +138,8 @@
 
 void DispatcherCore::RecordEndedRests(TimePoint now, ShardState& shard) {
   for (UpstreamSlots& upstream : shard.upstreams) {
-    if (upstream.rest_logged && upstream.rest_until <= now) {
-      upstream.rest_logged = false;
+    if (upstream.rest_until != TimePoint() && upstream.rest_until <= now) {
+      upstream.rest_until = TimePoint();
       this->RecordEvent(UpstreamEventKind::kRestEnded, shard, upstream);
     }
   }
--- a/packages/decision/src/dispatcher_outcome.cc
+++ b/packages/decision/src/dispatcher_outcome.cc
@@ -22,8 +22,8 @@
 
 // Pause between trickle requests to a marked upstream that has not recovered.
 // It doubles up to the maximum.
-constexpr Duration kTricklePause = std::chrono::milliseconds(100);
-constexpr Duration kMaxTricklePause = std::chrono::seconds(2);
+constexpr ShortMillis kTricklePause{100};
+constexpr ShortMillis kMaxTricklePause{2000};
 
 // An answer is good if the logarithm of its duration divided by the median is
 // below this.
@@ -222,7 +222,7 @@
   }
   upstream.next_trickle = now + upstream.trickle_pause;
   upstream.trickle_pause =
-      std::min(2 * upstream.trickle_pause, kMaxTricklePause);
+      std::min<ShortMillis>(2 * upstream.trickle_pause, kMaxTricklePause);
 }
 
 // Reports all requests that ran on a crashed upstream to the quarantine. Their
--- a/packages/decision/src/entry_choice.cc
+++ b/packages/decision/src/entry_choice.cc
@@ -269,6 +269,11 @@
     this->direct.Begin(now, target.upstream);
     return;
   }
+  // Only this request waits for another attempt to open a lost link.
+  LinkState& link = this->LinkOf(target.vm);
+  if (link.lost_pause > Duration(0)) {
+    link.lost_until = now + link.lost_pause;
+  }
   entry.counts_for_silence = target.vm != this->view->self &&
                              RingOf(traffic_class) == RingKind::kInteractive;
   if (entry.counts_for_silence) {
--- a/packages/decision/src/shard_table.cc
+++ b/packages/decision/src/shard_table.cc
@@ -244,7 +244,6 @@
     }
     place->handle = row.handle;
     place->key = KeyOf(row.endpoint);
-    place->incarnation = KeyOfIncarnation(service, row);
     // Upstreams that exist when the shard is opened are assumed to be warm.
     // Only those that appear later are assumed to have just started.
     place->ramp_left = this->options.ramp && !fresh ? kRampAnswers : 0;
@@ -262,7 +261,7 @@
       quota->AssumeCold(now + service.cold.time);
     }
   }
-  this->RefreshNotice(service, row, *place);
+  this->RefreshNotice(now, service, row, *place);
   place->present = true;
   place->leaving = row.leaving;
   place->cold = row.cold;
@@ -272,17 +271,20 @@
 
 // Failure: a VM stops dispatching a shard and takes it again, or a view changes
 // the shard, and the VM has forgotten which upstreams leave or rest.
-void ShardTable::RefreshNotice(const ServiceRow& service,
+void ShardTable::RefreshNotice(TimePoint now,
+                               const ServiceRow& service,
                                const UpstreamRow& row,
                                UpstreamSlots& upstream) {
   if (this->options.notices->empty()) {
     return;
   }
-  this->options.notices->Rebind(upstream.incarnation, service.handle,
-                                row.handle);
-  const NoticeTimes times = this->options.notices->Find(upstream.incarnation);
+  const uint64_t incarnation = KeyOfIncarnation(service, row);
+  this->options.notices->Rebind(incarnation, service.handle, row.handle);
+  const NoticeTimes times = this->options.notices->Find(incarnation);
   upstream.leaving_until = times.leaving_until;
-  upstream.rest_until = times.rest_until;
+  if (times.rest_until > now) {
+    upstream.rest_until = times.rest_until;
+  }
 }
 
 }  // namespace basilsill
--- a/packages/decision/src/shard_table.h
+++ b/packages/decision/src/shard_table.h
@@ -64,7 +64,8 @@
                        const ServiceRow& service,
                        const UpstreamRow& row,
                        bool fresh);
-  void RefreshNotice(const ServiceRow& service,
+  void RefreshNotice(TimePoint now,
+                     const ServiceRow& service,
                      const UpstreamRow& row,
                      UpstreamSlots& upstream);
   uint32_t TakeRow();
--- a/packages/decision/test/entry_test.cc
+++ b/packages/decision/test/entry_test.cc
@@ -221,6 +221,19 @@
   CHECK(this->Choose(this->Admit()).vm == owner);
 }
 
+// Failure: all requests wait until the attempt to open a lost link times out.
+TEST(Entry, Choose_LinkToOwnerTriedAgain_OnlyOneRequestWaits) {
+  const VmHandle owner = this->FarShard().owners.at(0);
+  this->ReportLoad(this->NearShard(), 0ms, 0);
+  this->router->OnLink(this->now, owner, false);
+  this->now += 500ms;
+  this->ReportLoad(this->NearShard(), 0ms, 0);
+  CHECK(this->Choose(this->Admit()).vm == owner);
+  CHECK(this->Choose(this->Admit()).vm != owner);
+  this->router->OnLink(this->now, owner, true);
+  CHECK(this->Choose(this->Admit()).vm == owner);
+}
+
 // An owner that stays out of reach is tried ever more rarely.
 TEST(Entry, Choose_LinkToOwnerNeverOpens_TriedAFewTimes) {
   const VmHandle owner = this->FarShard().owners.at(0);
--- a/packages/node/test/link_table_test.cc
+++ b/packages/node/test/link_table_test.cc
@@ -132,6 +132,11 @@
     });
   }
 
+  /// Waits until the table uses the link that was accepted last.
+  void AwaitLink() {
+    CHECK(WaitUntil([this] { return this->counts.open.value() == 1; }));
+  }
+
   /// @returns a connection that the table opens within a second.
   std::optional<Tcp::socket> Accept() {
     std::optional<Tcp::socket> accepted;
@@ -158,6 +163,7 @@
   this->Serve();
   const auto silent = this->Accept();
   CHECK(silent.has_value());
+  this->AwaitLink();
   this->Apply(VmState::kSuspected);
   this->Apply(VmState::kLive);
   this->Serve();
@@ -214,6 +220,7 @@
   this->Serve();
   const auto link = this->Accept();
   CHECK(link.has_value());
+  this->AwaitLink();
   this->Apply(VmState::kLive);
   this->Serve();
   CHECK_FALSE(this->Accept().has_value());
