--- a/packages/decision/src/dispatcher_notice.cc
+++ b/packages/decision/src/dispatcher_notice.cc
@@ -73,7 +73,8 @@
   const bool took_work = TakesWork(now, upstream);
   const bool rested = upstream.rest_until > now;
   upstream.leaving_until = times.leaving_until;
-  upstream.rest_until = times.rest_until;
+  upstream.rest_until =
+      times.rest_until > now ? times.rest_until : upstream.rest_until;
   if (took_work && !TakesWork(now, upstream)) {
     this->RecordEvent(UpstreamEventKind::kDraining, shard, upstream);
     upstream.ramp_left = this->options.features.ramp ? kRampAnswers : 0;
--- a/packages/decision/test/upstream_notice_test.cc
+++ b/packages/decision/test/upstream_notice_test.cc
@@ -377,6 +377,10 @@
   this->harness.Advance(60ms);
   CHECK_EQUAL(1, this->harness.RunningOn(this->first));
   CHECK_EQUAL(1, this->CountEvents(UpstreamEventKind::kRestEnded));
+  this->Note(this->first, Leaves());
+  this->harness.Offer();
+  this->harness.Advance(100ms);
+  CHECK_EQUAL(1, this->CountEvents(UpstreamEventKind::kRestEnded));
 }
 
 // An answer that was sent before the rest was asked for must not end it.
