Decision: one search for an upstream's place and one for its shard

Cause: the notices brought a search for the slots of an upstream, which dispatcher_rate_limit.cc and OnLoadQueryEnd each had, and one for the shard of an upstream, which MakeRateLimitReport had. Change: PlaceOf in upstream_choice.h and FindShardOf in view.h serve all; ApplyNotice finds its slots itself, so both callers lose their own look-up. No behaviour changes.

--- a/packages/decision/include/basilsill/decision/view.h
+++ b/packages/decision/include/basilsill/decision/view.h
@@ -284,6 +284,11 @@
 /// @returns the shard of `service` with this key, or nullptr.
 const ShardRow* FindShard(const ServiceRow& service, ShardKey key);
 
+/// @param upstream A row of `service`.
+/// @returns the shard of `service` to which `upstream` belongs, or nullptr.
+const ShardRow* FindShardOf(const ServiceRow& service,
+                            const UpstreamRow& upstream);
+
 /// @returns the live VMs in the order in which they are chosen for work that
 /// one VM does for all others.
 std::vector<VmHandle> RankLiveVms(const std::vector<VmRow>& vms);
--- a/packages/decision/src/dispatcher_core.h
+++ b/packages/decision/src/dispatcher_core.h
@@ -215,9 +215,9 @@
                     UpstreamHandle upstream,
                     const UpstreamNotice& notice);
   void ApplyNotice(TimePoint now,
-                   ShardState& shard,
-                   uint64_t incarnation,
-                   UpstreamSlots& upstream);
+                   ShardKey shard,
+                   const ServiceRow& service,
+                   const UpstreamRow& row);
   void RecordEndedRests(TimePoint now, ShardState& shard);
   void CountNoticeRefusals(TimePoint now,
                            const ShardState& shard,
--- a/packages/decision/src/dispatcher_notice.cc
+++ b/packages/decision/src/dispatcher_notice.cc
@@ -4,28 +4,6 @@
 #include "upstream_choice.h"
 
 namespace basilsill {
-namespace {
-
-// @returns the shard of `service` that has the upstream at `position`; nullptr
-// if none has.
-const ShardRow* FindShardOf(const ServiceRow& service, uint32_t position) {
-  const auto found = std::find_if(
-      service.shards.begin(), service.shards.end(),
-      [position](const ShardRow& shard) {
-        return std::find(shard.upstreams.begin(), shard.upstreams.end(),
-                         position) != shard.upstreams.end();
-      });
-  return found == service.shards.end() ? nullptr : &*found;
-}
-
-UpstreamSlots* FindSlots(ShardState& shard, UpstreamHandle handle) {
-  const auto found = std::find_if(
-      shard.upstreams.begin(), shard.upstreams.end(),
-      [handle](const UpstreamSlots& up) { return up.handle == handle; });
-  return found == shard.upstreams.end() ? nullptr : &*found;
-}
-
-}  // namespace
 
 void DispatcherCore::OnNotice(TimePoint now,
                               ServiceHandle service,
@@ -40,16 +18,8 @@
     return;
   }
   this->options.notices->Record(now, *row, *found, notice);
-  const auto position = static_cast<uint32_t>(found - row->upstreams.data());
-  const ShardRow* shard = FindShardOf(*row, position);
-  const uint32_t open =
-      shard != nullptr ? this->shards.Find(shard->key) : kNoRow;
-  if (open == kNoRow) {
-    return;
-  }
-  if (UpstreamSlots* slots = FindSlots(this->shards.at(open), upstream)) {
-    this->ApplyNotice(now, this->shards.at(open),
-                      KeyOfIncarnation(*row, *found), *slots);
+  if (const ShardRow* shard = FindShardOf(*row, *found)) {
+    this->ApplyNotice(now, shard->key, *row, *found);
   }
 }
 
@@ -64,12 +34,21 @@
   }
 }
 
-// Takes over what is known of the upstream since the last call.
+// Takes over what is known of `row` since the last call, if its shard is open.
 void DispatcherCore::ApplyNotice(TimePoint now,
-                                 ShardState& shard,
-                                 uint64_t incarnation,
-                                 UpstreamSlots& upstream) {
-  const NoticeTimes times = this->options.notices->Find(incarnation);
+                                 ShardKey key,
+                                 const ServiceRow& service,
+                                 const UpstreamRow& row) {
+  const uint32_t open = this->shards.Find(key);
+  const uint32_t place =
+      open != kNoRow ? PlaceOf(this->shards.at(open), row.handle) : kNoRow;
+  if (place == kNoRow) {
+    return;
+  }
+  ShardState& shard = this->shards.at(open);
+  UpstreamSlots& upstream = shard.upstreams[place];
+  const NoticeTimes times =
+      this->options.notices->Find(KeyOfIncarnation(service, row));
   const bool took_work = TakesWork(now, upstream);
   const bool rested = upstream.rest_until > now;
   upstream.leaving_until = times.leaving_until;
@@ -94,22 +73,15 @@
   if (found.shard == nullptr || reports.empty()) {
     return;
   }
-  const uint32_t row = this->shards.Find(key);
   for (const uint32_t position : found.shard->upstreams) {
     const UpstreamRow& upstream = found.service->upstreams[position];
     const uint64_t incarnation = KeyOfIncarnation(*found.service, upstream);
     const auto report = std::find_if(
         reports.begin(), reports.end(),
         [incarnation](const auto& r) { return r.upstream == incarnation; });
-    if (report == reports.end()) {
-      continue;
-    }
-    this->options.notices->Import(now, *found.service, upstream, *report);
-    UpstreamSlots* slots =
-        row != kNoRow ? FindSlots(this->shards.at(row), upstream.handle)
-                      : nullptr;
-    if (slots != nullptr) {
-      this->ApplyNotice(now, this->shards.at(row), incarnation, *slots);
+    if (report != reports.end()) {
+      this->options.notices->Import(now, *found.service, upstream, *report);
+      this->ApplyNotice(now, key, *found.service, upstream);
     }
   }
 }
--- a/packages/decision/src/dispatcher_rate_limit.cc
+++ b/packages/decision/src/dispatcher_rate_limit.cc
@@ -3,6 +3,7 @@
 
 #include "dispatcher_core.h"
 #include "shard_rate.h"
+#include "upstream_choice.h"
 
 namespace basilsill {
 namespace {
@@ -29,15 +30,6 @@
   return shard.rate_limited.emplace_back(limited);
 }
 
-uint32_t PlaceOfUpstream(const ShardState& shard, UpstreamHandle handle) {
-  const auto found = std::find_if(
-      shard.upstreams.begin(), shard.upstreams.end(),
-      [handle](const UpstreamSlots& up) { return up.handle == handle; });
-  return found == shard.upstreams.end()
-             ? kNoRow
-             : static_cast<uint32_t>(found - shard.upstreams.begin());
-}
-
 }  // namespace
 
 void DispatcherCore::RecordRateLimit(TimePoint now,
@@ -92,7 +84,7 @@
     const UpstreamRow& upstream = found.service->upstreams[position];
     const std::optional<double> limit = this->received_limits.Find(
         now, KeyOfIncarnation(*found.service, upstream));
-    const uint32_t place = PlaceOfUpstream(shard, upstream.handle);
+    const uint32_t place = PlaceOf(shard, upstream.handle);
     if (limit && FindRateLimit(shard, place) == nullptr) {
       LimitOf(shard, place)
           .quota.Update(now, now, {RateLimitPresence::kNamed, *limit});
@@ -134,8 +126,8 @@
   for (const uint32_t position : found.shard->upstreams) {
     const UpstreamRow& upstream = found.service->upstreams[position];
     if (KeyOfIncarnation(*found.service, upstream) == report.upstream) {
-      return PlaceOfUpstream(this->shards.at(this->shards.Find(report.shard)),
-                             upstream.handle);
+      return PlaceOf(this->shards.at(this->shards.Find(report.shard)),
+                     upstream.handle);
     }
   }
   return kNoRow;
--- a/packages/decision/src/dispatcher_speed.cc
+++ b/packages/decision/src/dispatcher_speed.cc
@@ -250,16 +250,13 @@
                                     const LoadQueryReport& report) {
   for (const uint32_t row : this->active) {
     ShardState& shard = this->shards.at(row);
-    const auto found = std::find_if(
-        shard.upstreams.begin(), shard.upstreams.end(),
-        [handle](const UpstreamSlots& up) { return up.handle == handle; });
-    if (found == shard.upstreams.end()) {
+    const uint32_t place = PlaceOf(shard, handle);
+    if (place == kNoRow) {
       continue;
     }
     UpstreamNotice notice;
     notice.replaced = report.foreign;
     this->RecordNotice(now, shard, handle, notice);
-    const auto place = static_cast<uint32_t>(found - shard.upstreams.begin());
     if (report.cold_for && !report.foreign &&
         place < shard.cold_quotas.size()) {
       shard.cold_quotas[place].OnColdTimeReported(now, *report.cold_for);
--- a/packages/decision/src/rate_limit_cache.cc
+++ b/packages/decision/src/rate_limit_cache.cc
@@ -21,14 +21,8 @@
   report.upstream = KeyOfIncarnation(service, upstream);
   report.named = advertised.presence == RateLimitPresence::kNamed;
   report.requests_per_second = advertised.requests_per_second;
-  const auto position =
-      static_cast<uint32_t>(&upstream - service.upstreams.data());
-  for (const ShardRow& shard : service.shards) {
-    const auto& all = shard.upstreams;
-    if (std::find(all.begin(), all.end(), position) != all.end()) {
-      report.shard = shard.key;
-    }
-  }
+  const ShardRow* shard = FindShardOf(service, upstream);
+  report.shard = shard != nullptr ? shard->key : 0;
   return report;
 }
 
--- a/packages/decision/src/upstream_choice.cc
+++ b/packages/decision/src/upstream_choice.cc
@@ -141,6 +141,15 @@
 
 }  // namespace
 
+uint32_t PlaceOf(const ShardState& shard, UpstreamHandle handle) {
+  const auto found = std::find_if(
+      shard.upstreams.begin(), shard.upstreams.end(),
+      [handle](const UpstreamSlots& up) { return up.handle == handle; });
+  return found == shard.upstreams.end()
+             ? kNoRow
+             : static_cast<uint32_t>(found - shard.upstreams.begin());
+}
+
 bool TakesWork(TimePoint now, const UpstreamSlots& upstream) {
   return upstream.present && !upstream.leaving && !upstream.drained &&
          upstream.slots > 0 && upstream.leaving_until <= now;
--- a/packages/decision/src/upstream_choice.h
+++ b/packages/decision/src/upstream_choice.h
@@ -12,6 +12,10 @@
 /// Good answers until a new or returned upstream gets its full share.
 inline constexpr uint16_t kRampAnswers = 8;
 
+/// @returns the position of upstream `handle` in `shard`; kNoRow if it is not
+/// there.
+uint32_t PlaceOf(const ShardState& shard, UpstreamHandle handle);
+
 /// @returns true if the upstream accepts work, now or after a pause.
 bool TakesWork(TimePoint now, const UpstreamSlots& upstream);
 
--- a/packages/decision/src/view.cc
+++ b/packages/decision/src/view.cc
@@ -275,6 +275,19 @@
   return found == service.shards.end() ? nullptr : &*found;
 }
 
+const ShardRow* FindShardOf(const ServiceRow& service,
+                            const UpstreamRow& upstream) {
+  const auto position =
+      static_cast<uint32_t>(&upstream - service.upstreams.data());
+  const auto found = std::find_if(
+      service.shards.begin(), service.shards.end(),
+      [position](const ShardRow& shard) {
+        return std::find(shard.upstreams.begin(), shard.upstreams.end(),
+                         position) != shard.upstreams.end();
+      });
+  return found == service.shards.end() ? nullptr : &*found;
+}
+
 ShardKey MakeShardKey(std::string_view service,
                       std::string_view data_centre,
                       uint16_t number) {
