Node: one reader of headers that may stand once; links without copied state

Cause: the header of leaving repeated the look-up and the check for duplicates of decimal headers; PeerLink kept whether the hello has arrived, which its mux knows (ready); ControlLinks walked its links in three ways, one of them with a condition that is the same in every turn. Change: FindSingleHeader serves both; PeerLink asks the mux; LinksTo serves Find and both drops, and only accepted links ask to replace accepted ones. No behaviour changes.

--- a/packages/node/src/control_links.cc
+++ b/packages/node/src/control_links.cc
@@ -122,12 +122,12 @@
   }
   Log(Event::kLinkOpened,
       {{"peer", link->peer().vm}, {"leaving", link->peer().leaving}});
-  this->ReplaceAccepted(result.vm, expected);
-  Peer& peer = this->links[link];
-  peer.vm = result.vm;
-  peer.incarnation = link->peer().incarnation;
-  peer.number = this->next_number++;
-  peer.accepted = !IsValid(expected);
+  const bool is_accepted = !IsValid(expected);
+  if (is_accepted) {
+    this->DropAccepted(result.vm);
+  }
+  this->links[link] = {result.vm, link->peer().incarnation, this->next_number++,
+                       is_accepted};
   this->counts.open.Set(static_cast<int64_t>(this->links.size()));
   this->handlers.on_linked(result.vm);
 }
@@ -135,10 +135,9 @@
 // Failure: connections go silent for good. The peer opens another link, but the
 // end of the old one never arrives here, so that its socket is kept for as long
 // as the process runs.
-void ControlLinks::ReplaceAccepted(VmHandle vm, VmHandle expected) {
-  const bool is_accepted = !IsValid(expected);
+void ControlLinks::DropAccepted(VmHandle vm) {
   for (const PeerLinkPtr& link : this->LinksTo(vm)) {
-    if (is_accepted && this->links.at(link).accepted) {
+    if (this->links.at(link).accepted) {
       this->DropLink(link);
     }
   }
@@ -181,12 +180,10 @@
 // VM again. So the newest link is used.
 PeerLinkPtr ControlLinks::Find(VmHandle vm) const {
   PeerLinkPtr newest;
-  uint64_t number = 0;
-  for (const auto& [link, peer] : this->links) {
-    const bool is_usable = peer.vm == vm && !peer.dropped && link->open();
-    if (is_usable && (!newest || peer.number > number)) {
+  for (const PeerLinkPtr& link : this->LinksTo(vm)) {
+    if (link->open() && (!newest || this->links.at(link).number >
+                                        this->links.at(newest).number)) {
       newest = link;
-      number = peer.number;
     }
   }
   return newest;
--- a/packages/node/src/control_links.h
+++ b/packages/node/src/control_links.h
@@ -87,7 +87,7 @@
   void OnReady(const PeerLinkPtr& link, VmHandle expected);
   void OnMessage(const PeerLinkPtr& link, wire::PeerMessage message);
   void OnClosed(const PeerLinkPtr& link, VmHandle expected);
-  void ReplaceAccepted(VmHandle vm, VmHandle expected);
+  void DropAccepted(VmHandle vm);
   std::vector<PeerLinkPtr> LinksTo(VmHandle vm) const;
   void DropLink(const PeerLinkPtr& link);
   Task<void> CloseLater(PeerLinkPtr link);
--- a/packages/node/src/peer_link.cc
+++ b/packages/node/src/peer_link.cc
@@ -128,7 +128,7 @@
 
 bool PeerLink::IsSilent(TimePoint now, Duration limit) const {
   const TimePoint last = std::max(this->last_received(), this->streams_since);
-  return this->is_ready && !this->streams.empty() && now - last > limit;
+  return this->mux.ready() && !this->streams.empty() && now - last > limit;
 }
 
 bool PeerLink::IsQuiet(TimePoint now, Duration interval) const {
@@ -230,7 +230,6 @@
     return;
   }
   if (event.kind == wire::LinkEventKind::kReady) {
-    this->is_ready = true;
     Notify(this->handlers.on_ready, self);
     return;
   }
--- a/packages/node/src/peer_link.h
+++ b/packages/node/src/peer_link.h
@@ -135,7 +135,6 @@
   Timer* close_timer = nullptr;  ///< Set while waiting for the peer to close.
   TimePoint written_at{};
   TimePoint streams_since{};  ///< Since when some stream is open.
-  bool is_ready = false;      ///< The hello of the peer has arrived.
   bool is_writing = false;
   bool is_closed = false;
 };
--- a/packages/node/src/rate_limit_header.cc
+++ b/packages/node/src/rate_limit_header.cc
@@ -3,7 +3,7 @@
 #include <optional>
 
 #include "basilsill/node/log.h"
-#include "decimal_header.h"
+#include "single_header.h"
 
 namespace basilsill {
 
--- a/packages/node/src/upstream_notice_header.cc
+++ b/packages/node/src/upstream_notice_header.cc
@@ -10,7 +10,7 @@
 
 #include "basilsill/base/limits.h"
 #include "basilsill/node/log.h"
-#include "decimal_header.h"
+#include "single_header.h"
 
 namespace basilsill {
 namespace {
@@ -30,19 +30,16 @@
 }  // namespace
 
 Result<bool> ParseLeaving(const HttpFields& answer, const std::string& name) {
-  const auto found = name.empty() ? answer.end() : answer.find(name);
-  if (found == answer.end()) {
-    return false;
-  }
-  if (answer.count(name) > 1) {
-    return Failure{FailureKind::kDuplicate, name,
-                   "header appears more than once"};
+  const Result<std::optional<std::string_view>> text =
+      FindSingleHeader(answer, name);
+  if (!text) {
+    return text.error();
   }
-  const std::string_view text(found->value().data(), found->value().size());
-  if (text == "1" || text == "true") {
+  const std::string_view value = text.value().value_or("0");
+  if (value == "1" || value == "true") {
     return true;
   }
-  if (text == "0" || text == "false") {
+  if (value == "0" || value == "false") {
     return false;
   }
   return Failure{FailureKind::kSyntax, name, "expected 1, 0, true or false"};
