Soak: one way to replace an upstream that left

Cause: the fault of leaving by word repeated the last steps of the ordinary one (remove the entry, stop, pause, start). Change: Replace serves both.

--- a/soak/upstreams.cc
+++ b/soak/upstreams.cc
@@ -175,6 +175,15 @@
   }
 }
 
+boost::asio::awaitable<void> Upstreams::Replace(Host& host) {
+  this->store.Remove(adapter::test::kUpstreamTopic, host.instance->id());
+  host.instance->Stop();
+  co_await Sleep(kRestartPause);
+  if (!this->stopped) {
+    this->StartInstance(host);
+  }
+}
+
 boost::asio::awaitable<void> Upstreams::Drain(Host& host) {
   this->PublishEntry(host, "draining");
   this->observations.leaving.push_back({host.number, MonotonicClock::now()});
@@ -183,12 +192,7 @@
   if (this->stopped) {
     co_return;
   }
-  this->store.Remove(adapter::test::kUpstreamTopic, host.instance->id());
-  host.instance->Stop();
-  co_await Sleep(kRestartPause);
-  if (!this->stopped) {
-    this->StartInstance(host);
-  }
+  co_await this->Replace(host);
 }
 
 // The cold state is not in the store entry. The instance reports it only in its
@@ -224,12 +228,7 @@
   if (this->stopped) {
     co_return;
   }
-  this->store.Remove(adapter::test::kUpstreamTopic, host.instance->id());
-  host.instance->Stop();
-  co_await Sleep(kRestartPause);
-  if (!this->stopped) {
-    this->StartInstance(host);
-  }
+  co_await this->Replace(host);
 }
 
 boost::asio::awaitable<void> Upstreams::AskForRest(Host& host,
--- a/soak/upstreams.h
+++ b/soak/upstreams.h
@@ -53,6 +53,8 @@
   void StartInstance(Host& host);
   void PublishEntry(const Host& host, const std::string& state);
   boost::asio::awaitable<void> Crash(Host& host, const Step& step);
+  /// The instance and its entry go, and another one starts in its place.
+  boost::asio::awaitable<void> Replace(Host& host);
   boost::asio::awaitable<void> Drain(Host& host);
   boost::asio::awaitable<void> InjectResponseFault(Host& host,
                                                    const Step& step);
