Entry tests: share the set-up of a lost link

Cause: three tests began with the same three lines. Change: a method of the fixture; every assertion stays as it is.

--- a/packages/decision/test/entry_test.cc
+++ b/packages/decision/test/entry_test.cc
@@ -96,6 +96,15 @@
     }
   }
 
+  /// Only the far shard has room, and the link to its owner is lost.
+  /// @returns that owner.
+  VmHandle LoseLinkToFarOwner() {
+    const VmHandle owner = this->FarShard().owners.at(0);
+    this->ReportLoad(this->NearShard(), 0ms, 0);
+    this->router->OnLink(this->now, owner, false);
+    return owner;
+  }
+
   void ReportLoad(const ShardRow& shard, Duration wait, uint16_t slots = 4) {
     ShardSummary summary;
     summary.shard = shard.key;
@@ -200,9 +209,7 @@
 }
 
 TEST(Entry, Choose_LinkToOwnerLost_NextOwnerOfTheShard) {
-  const VmHandle owner = this->FarShard().owners.at(0);
-  this->ReportLoad(this->NearShard(), 0ms, 0);
-  this->router->OnLink(this->now, owner, false);
+  const VmHandle owner = this->LoseLinkToFarOwner();
   const Target target = this->Choose(this->Admit());
   CHECK_EQUAL(this->FarShard().key, target.shard);
   CHECK(target.vm == this->FarShard().owners.at(1));
@@ -213,9 +220,7 @@
 // Failure: connections between VMs are reset, and a VM that works gets no
 // requests of this VM any more.
 TEST(Entry, Choose_LinkToOwnerLostAWhileAgo_OwnerTriedAgain) {
-  const VmHandle owner = this->FarShard().owners.at(0);
-  this->ReportLoad(this->NearShard(), 0ms, 0);
-  this->router->OnLink(this->now, owner, false);
+  const VmHandle owner = this->LoseLinkToFarOwner();
   this->now += 500ms;
   this->ReportLoad(this->NearShard(), 0ms, 0);
   CHECK(this->Choose(this->Admit()).vm == owner);
@@ -223,9 +228,7 @@
 
 // Failure: all requests wait until the attempt to open a lost link times out.
 TEST(Entry, Choose_LinkToOwnerTriedAgain_OnlyOneRequestWaits) {
-  const VmHandle owner = this->FarShard().owners.at(0);
-  this->ReportLoad(this->NearShard(), 0ms, 0);
-  this->router->OnLink(this->now, owner, false);
+  const VmHandle owner = this->LoseLinkToFarOwner();
   this->now += 500ms;
   this->ReportLoad(this->NearShard(), 0ms, 0);
   CHECK(this->Choose(this->Admit()).vm == owner);
