Events that tell where a change of the configuration is held up

Cause: 500 is written for the first failed call only and does not say on which connection it was made; 510 is written for each view, ten times a second while peers are suspected; nothing says from whom a version came, nor when the workers use it, nor which configuration decided a 404.

A refusal for want of a route tells offset and age.

--- a/packages/base/src/event.cc
+++ b/packages/base/src/event.cc
@@ -7,6 +7,7 @@
 namespace basilsill {
 namespace {
 
+constexpr Severity kDebug = Severity::kDebug;
 constexpr Severity kInfo = Severity::kInfo;
 constexpr Severity kWarning = Severity::kWarning;
 constexpr Severity kError = Severity::kError;
@@ -73,12 +74,16 @@
     EventInfo{Event::kAnnouncementFailed, kWarning, "announcement-failed"},
     EventInfo{Event::kAnnouncedAnew, kWarning, "announced-anew"},
     EventInfo{Event::kStateTold, kInfo, "state-told"},
+    EventInfo{Event::kPlatformCallFailed, kInfo, "platform-call-failed"},
     EventInfo{Event::kConfigurationApplied, kInfo, "configuration-applied"},
     EventInfo{Event::kChangeAccepted, kInfo, "change-accepted"},
     EventInfo{Event::kChangeRejected, kInfo, "change-rejected"},
     EventInfo{Event::kCheckpointWritten, kInfo, "checkpoint-written"},
     EventInfo{Event::kSnapshotTaken, kInfo, "snapshot-taken"},
     EventInfo{Event::kLogTrimmed, kWarning, "log-trimmed"},
+    EventInfo{Event::kViewBuilt, kDebug, "view-built"},
+    EventInfo{Event::kConfigurationReceived, kInfo, "configuration-received"},
+    EventInfo{Event::kConfigurationInForce, kInfo, "configuration-in-force"},
     EventInfo{Event::kClaimLost, kInfo, "claim-lost"},
     EventInfo{Event::kClaimUnresolved, kWarning, "claim-unresolved"},
     EventInfo{Event::kDoneRecorded, kInfo, "done-recorded"},
--- a/packages/node/src/control.cc
+++ b/packages/node/src/control.cc
@@ -455,6 +455,22 @@
   }
 }
 
+void Control::LogView(bool has_new_offset) const {
+  Log(has_new_offset ? Event::kConfigurationApplied : Event::kViewBuilt,
+      {{"offset", this->current_view->applied_offset},
+       {"view", this->current_view->version}});
+}
+
+std::function<void()> Control::MakeInForceHandler() const {
+  return [applied_at = MonotonicClock::now(),
+          offset = this->current_view->applied_offset] {
+    const auto took = std::chrono::duration_cast<std::chrono::milliseconds>(
+        MonotonicClock::now() - applied_at);
+    Log(Event::kConfigurationInForce,
+        {{"offset", offset}, {"took_ms", took.count()}});
+  };
+}
+
 void Control::RebuildIfChanged() {
   const bool changed = this->configuration_changed ||
                        this->members->version() != this->built_membership;
@@ -484,16 +500,15 @@
       static_cast<int64_t>(this->current_view->version));
   this->counts.applied_offset.Set(
       static_cast<int64_t>(this->current_view->applied_offset));
-  Log(Event::kConfigurationApplied,
-      {{"offset", this->current_view->applied_offset},
-       {"view", this->current_view->version}});
+  this->LogView(offset_changed);
   if (is_first) {
     Log(Event::kNodeReady, {{"vm", this->settings.vm.name}});
   }
   ReportDrainChanges(before.get(), *this->current_view, this->counts);
   this->source->OnFleetChanged();
   this->quotas.ApplyView(*this->current_view);
-  this->handlers.publish(this->current_view);
+  this->handlers.publish(this->current_view,
+                         offset_changed ? this->MakeInForceHandler() : nullptr);
   if (offset_changed) {
     this->links.Broadcast(this->MakeHeartbeat(false));
   }
--- a/packages/node/src/control.h
+++ b/packages/node/src/control.h
@@ -34,7 +34,11 @@
 
 /// Callbacks from the control side to the rest of the node.
 struct ControlHandlers {
-  std::function<void(RoutingViewPtr)> publish;
+  /// Gives the workers a view. `on_in_force` may be null; it is called on the
+  /// control thread once all workers use the view.
+  std::function<void(const RoutingViewPtr& view,
+                     const std::function<void()>& on_in_force)>
+      publish;
   /// Peers reported crashes of upstreams.
   std::function<void(const std::vector<CrashReport>&)> on_crashes;
   /// Other VMs reported rate limits.
@@ -123,6 +127,8 @@
   void CollectNeeds();
   std::set<VmHandle> CollectWorkers() const;
   void RebuildIfChanged();
+  void LogView(bool has_new_offset) const;
+  std::function<void()> MakeInForceHandler() const;
   void OnLinked(VmHandle vm);
   void OnHeartbeat(VmHandle from, const wire::Heartbeat& heartbeat);
   void OnMessage(VmHandle from, const wire::PeerMessage& message);
--- a/packages/node/src/node.cc
+++ b/packages/node/src/node.cc
@@ -1,6 +1,7 @@
 #include "node.h"
 
 #include <algorithm>
+#include <atomic>
 #include <chrono>
 #include <random>
 #include <utility>
@@ -139,10 +140,9 @@
 
 Result<void> Node::CreateControl() {
   ControlHandlers handlers;
-  handlers.publish = [this](const RoutingViewPtr& view) {
-    for (const auto& worker : this->traffic) {
-      worker->Publish(view);
-    }
+  handlers.publish = [this](const RoutingViewPtr& view,
+                            const std::function<void()>& on_in_force) {
+    this->PublishView(view, on_in_force);
   };
   handlers.on_crashes = [this](const std::vector<CrashReport>& crashes) {
     for (const auto& worker : this->traffic) {
@@ -189,6 +189,19 @@
   return boost::outcome_v2::success();
 }
 
+void Node::PublishView(const RoutingViewPtr& view,
+                       const std::function<void()>& on_in_force) {
+  const auto missing =
+      std::make_shared<std::atomic<size_t>>(this->traffic.size());
+  for (const auto& worker : this->traffic) {
+    worker->Publish(view, [this, missing, on_in_force] {
+      if (missing->fetch_sub(1) == 1 && on_in_force) {
+        boost::asio::post(this->context, on_in_force);
+      }
+    });
+  }
+}
+
 Result<std::unique_ptr<StateSource>> Node::MakeSource(const Endpoint& control) {
   if (this->installation.make_source) {
     return this->installation.make_source(this->context,
--- a/packages/node/src/node.h
+++ b/packages/node/src/node.h
@@ -62,6 +62,8 @@
 
   Result<void> CreateWorkers();
   Result<void> CreateControl();
+  void PublishView(const RoutingViewPtr& view,
+                   const std::function<void()>& on_in_force);
   Result<std::unique_ptr<StateSource>> MakeSource(const Endpoint& control);
   Result<void> CreateAdmin();
   Result<void> CreateReadiness();
--- a/packages/node/src/worker.cc
+++ b/packages/node/src/worker.cc
@@ -131,6 +131,15 @@
               {"elapsed_ms", elapsed}});
 }
 
+// @returns the time since `as_of`; -1 if that is unknown.
+int64_t AgeInMilliseconds(LeaseTime as_of) {
+  if (as_of == LeaseTime::min() || as_of == LeaseTime::max()) {
+    return -1;
+  }
+  return std::chrono::duration_cast<milliseconds>(LeaseClock::now() - as_of)
+      .count();
+}
+
 CallerLimits LimitsOf(const Settings& settings) {
   CallerLimits limits;
   limits.header_bytes = settings.limits.header_bytes;
@@ -196,9 +205,6 @@
             this->counts->links),
       current_caller_limits(LimitsOf(settings)),
       splits(options.seed),
-      api_keys_until(installation.api_key_max_age.count() == 0
-                         ? LeaseTime::max()
-                         : LeaseTime::min()),
       via_text("1.1 " + settings.vm.name),
       tick_timer(this->context->get_executor()) {}
 
@@ -218,9 +224,11 @@
   this->thread = std::thread([this] { this->context->run(); });
 }
 
-void Worker::Publish(RoutingViewPtr view) {
-  boost::asio::post(*this->context, [this, view = std::move(view)] {
+void Worker::Publish(RoutingViewPtr view, std::function<void()> on_installed) {
+  boost::asio::post(*this->context, [this, view = std::move(view),
+                                     on_installed = std::move(on_installed)] {
     this->InstallView(view);
+    on_installed();
   });
 }
 
@@ -250,14 +258,19 @@
 }
 
 void Worker::ImportConfigurationAsOf(LeaseTime as_of) {
-  const milliseconds age = this->installation.api_key_max_age;
-  if (age.count() == 0 || as_of == LeaseTime::min()) {
+  if (as_of == LeaseTime::min()) {
     return;
   }
-  boost::asio::post(*this->context, [this, as_of, age] {
-    this->api_keys_until =
-        as_of == LeaseTime::max() ? as_of : LeaseTime(as_of + age);
-  });
+  boost::asio::post(*this->context,
+                    [this, as_of] { this->configuration_as_of = as_of; });
+}
+
+bool Worker::IsYoungerThan(milliseconds max_age) const {
+  if (max_age.count() == 0 || this->configuration_as_of == LeaseTime::max()) {
+    return true;
+  }
+  return this->configuration_as_of != LeaseTime::min() &&
+         LeaseClock::now() - this->configuration_as_of < max_age;
 }
 
 void Worker::ImportQuota(QuotaAnswer answer) {
@@ -632,8 +645,21 @@
   } else {
     this->counts->CountOutcome(traffic_class, Outcome::kRefused);
     this->counts->CountRefusal(end.refusal);
+    this->LogRefusal(request, end);
+  }
+}
+
+void Worker::LogRefusal(const RequestMessage& request,
+                        const RequestEnd& end) const {
+  if (end.refusal != Refusal::kNoRoute) {
     LogRequestEnd(Event::kRequestRefused, request, this->TeamOf(request), end);
+    return;
   }
+  Log(Event::kRequestRefused,
+      {{"request", request.request_id},
+       {"reason", end.refusal},
+       {"offset", this->current_view->applied_offset},
+       {"age_ms", AgeInMilliseconds(this->configuration_as_of)}});
 }
 
 bool Worker::IsLocal(VmHandle vm, ShardKey shard) const {
--- a/packages/node/src/worker.h
+++ b/packages/node/src/worker.h
@@ -64,8 +64,9 @@
 
   // The methods below may be called from any thread.
 
-  /// Publishes a view; the worker applies it on its own thread.
-  void Publish(RoutingViewPtr view);
+  /// Publishes a view; the worker applies it on its own thread and then calls
+  /// `on_installed` there.
+  void Publish(RoutingViewPtr view, std::function<void()> on_installed);
 
   /// Applies crashes of upstreams that other workers observed.
   void ImportCrashes(std::vector<CrashReport> crashes);
@@ -145,6 +146,10 @@
   std::string_view TeamOf(const RequestMessage& request) const;
   void TakeCounters();
   void InstallView(const RoutingViewPtr& view);
+  /// @returns true if the configuration is known to be younger than `max_age`;
+  /// with 0, any age will do.
+  bool IsYoungerThan(std::chrono::milliseconds max_age) const;
+  void LogRefusal(const RequestMessage& request, const RequestEnd& end) const;
   void StartSession(Socket socket);
   void BeginDrain();
 
@@ -173,7 +178,7 @@
   OnceServices once_services() override;
   uint64_t NextOnceSequence() override;
   bool api_keys_verified() const override {
-    return LeaseClock::now() < this->api_keys_until;
+    return this->IsYoungerThan(this->installation.api_key_max_age);
   }
   Task<QuotaDecision> TakeQuota(TeamKey team) override;
   void ReturnQuota(TeamKey team, const QuotaCredit& credit) override;
@@ -207,7 +212,8 @@
   std::unordered_set<std::shared_ptr<CallerSession>> sessions;
   CallerLimits current_caller_limits;
   SplitChooser splits;
-  LeaseTime api_keys_until;  ///< Keys count as verified until then.
+  /// The configuration is known to have been the newest at that time.
+  LeaseTime configuration_as_of = LeaseTime::min();
   QuotaBorrower borrower;
   std::map<uint64_t, QuotaWait*> quota_waits;  ///< By ticket.
   bool uses_quotas = false;
--- a/packages/platform/include/basilsill/platform/http_client.h
+++ b/packages/platform/include/basilsill/platform/http_client.h
@@ -19,6 +19,7 @@
   /// At least one byte of the call may have reached the server, so it is
   /// unknown whether the call took effect.
   bool sent = false;
+  CallConnection connection = CallConnection::kNone;
 };
 using HttpResult =
     boost::outcome_v2::basic_result<HttpAnswer, HttpFailure, ThrowFailure>;
--- a/packages/platform/include/basilsill/platform/http_message.h
+++ b/packages/platform/include/basilsill/platform/http_message.h
@@ -21,6 +21,17 @@
 /// @returns the HTTP name of `method`, such as "GET".
 std::string_view NameOf(HttpMethod method);
 
+/// The connection on which a call was made.
+enum class CallConnection : uint8_t {
+  kNone,  ///< It could not be opened.
+  kNew,
+  kKept,  ///< It had served an earlier call.
+  kCount
+};
+
+/// @returns the name of `connection` in logs.
+std::string_view NameOf(CallConnection connection);
+
 /// One HTTP request.
 struct HttpCall {
   HttpMethod method = HttpMethod::kGet;
@@ -40,6 +51,7 @@
 struct HttpAnswer {
   unsigned status = 0;
   std::string body;
+  CallConnection connection = CallConnection::kNew;
 };
 
 }  // namespace basilsill
--- a/packages/platform/src/http_client.cc
+++ b/packages/platform/src/http_client.cc
@@ -48,9 +48,13 @@
   return is_quiet && now - connection.idle_since < limits::kPlatformIdleTimeout;
 }
 
+constexpr std::array<std::string_view,
+                     static_cast<size_t>(CallConnection::kCount)>
+    kConnectionNames = {"none", "new", "kept"};
+
 HttpFailure MakeFailure(const Endpoint& endpoint,
                         beast::error_code error,
-                        bool sent) {
+                        CallConnection connection) {
   FailureKind kind = FailureKind::kNetwork;
   if (error == http::error::body_limit || error == http::error::header_limit) {
     kind = FailureKind::kOversizedFrame;
@@ -60,7 +64,9 @@
              error != http::error::partial_message) {
     kind = FailureKind::kSyntax;
   }
-  return {{kind, ToString(endpoint), error.message()}, sent};
+  return {{kind, ToString(endpoint), error.message()},
+          connection != CallConnection::kNone,
+          connection};
 }
 
 http::request<http::string_body> MakeRequest(const Endpoint& endpoint,
@@ -103,6 +109,10 @@
   return kMethodNames.at(static_cast<size_t>(method));
 }
 
+std::string_view NameOf(CallConnection connection) {
+  return kConnectionNames.at(static_cast<size_t>(connection));
+}
+
 struct HttpClient::Pool {
   explicit Pool(asio::any_io_executor on) : executor(std::move(on)) {}
 
@@ -179,16 +189,18 @@
   if (is_new) {
     const beast::error_code error = co_await Connect(connection);
     if (error || pool->closed) {
-      co_return MakeFailure(endpoint, error, false);
+      co_return MakeFailure(endpoint, error, CallConnection::kNone);
     }
   }
+  const CallConnection kind =
+      is_new ? CallConnection::kNew : CallConnection::kKept;
   connection->stream.expires_after(call.timeout);
   const size_t max_answer_bytes = call.max_answer_bytes;
   const auto request = MakeRequest(endpoint, std::move(call));
   const auto [write_error, written] =
       co_await http::async_write(connection->stream, request, kNoThrow);
   if (write_error) {
-    co_return MakeFailure(endpoint, write_error, true);
+    co_return MakeFailure(endpoint, write_error, kind);
   }
   http::response_parser<http::string_body> parser;
   parser.body_limit(max_answer_bytes);
@@ -196,13 +208,13 @@
   const auto [read_error, received] = co_await http::async_read(
       connection->stream, connection->buffer, parser, kNoThrow);
   if (read_error) {
-    co_return MakeFailure(endpoint, read_error, true);
+    co_return MakeFailure(endpoint, read_error, kind);
   }
   auto answer = parser.release();
   if (answer.keep_alive() && connection->buffer.size() == 0) {
     pool->Release(connection);
   }
-  co_return HttpAnswer{answer.result_int(), std::move(answer.body())};
+  co_return HttpAnswer{answer.result_int(), std::move(answer.body()), kind};
 }
 
 void HttpClient::Close() {
