Store calls: make a read again on a new connection when a kept one is silent

Seen by callers: 404 for a route of an acknowledged version, 3.2 s after the acknowledgement where 2.5 s are allowed, after all connections had gone silent.

Cause: a kept connection that carries nothing is taken for a store that does not answer. Each call on it lasts its whole limit of 1.2 s, the failure counts as trouble of the store, and the next call takes the next kept connection (eight at most), which is dead too.

If that takes as long, the server is slow, and for two seconds silence repeats nothing.

--- a/packages/platform/include/basilsill/platform/http_message.h
+++ b/packages/platform/include/basilsill/platform/http_message.h
@@ -45,6 +45,9 @@
   /// The call is idempotent: if it is interrupted, it may be sent to another
   /// endpoint.
   bool repeatable = true;
+  /// If a kept connection delivers no answer within this time, a repeatable
+  /// call is made again on a new one, within `timeout`; 0: it is not.
+  std::chrono::milliseconds max_silence{0};
 };
 
 /// A complete HTTP response with any status.
@@ -52,6 +55,8 @@
   unsigned status = 0;
   std::string body;
   CallConnection connection = CallConnection::kNew;
+  /// Time since the call was made on `connection`.
+  Duration took{0};
 };
 
 }  // namespace basilsill
--- a/packages/platform/src/http_client.cc
+++ b/packages/platform/src/http_client.cc
@@ -21,8 +21,15 @@
 namespace beast = boost::beast;
 namespace http = beast::http;
 
+using Request = http::request<http::string_body>;
+using Parser = http::response_parser<http::string_body>;
+
 constexpr auto kNoThrow = asio::as_tuple(asio::use_awaitable);
 
+// How long a server counts as slow after a call on a new connection took longer
+// than a kept one may be silent.
+constexpr std::chrono::seconds kSlowServerTime{2};
+
 constexpr std::array<std::string_view, static_cast<size_t>(HttpMethod::kCount)>
     kMethodNames = {"GET", "POST", "PUT", "DELETE"};
 
@@ -69,9 +76,19 @@
           connection};
 }
 
-http::request<http::string_body> MakeRequest(const Endpoint& endpoint,
-                                             HttpCall call) {
-  http::request<http::string_body> request;
+// When the head of the answer, and the whole of it, must have arrived.
+struct ExchangeEnd {
+  TimePoint head;
+  TimePoint whole;
+};
+
+void ExpireAt(beast::tcp_stream& stream, TimePoint at) {
+  const Duration left = at - MonotonicClock::now();
+  stream.expires_after(std::max(left, Duration(0)));
+}
+
+Request MakeRequest(const Endpoint& endpoint, HttpCall call) {
+  Request request;
   request.version(11);
   request.method_string(NameOf(call.method));
   request.target(call.target);
@@ -141,12 +158,64 @@
     }
   }
 
+  void CloseIdle(const Endpoint& endpoint) {
+    std::erase_if(this->idle, [&endpoint](const auto& connection) {
+      return connection->endpoint == endpoint;
+    });
+  }
+
+  asio::awaitable<HttpResult> Exchange(std::shared_ptr<Connection> connection,
+                                       CallConnection kind,
+                                       const Request& request,
+                                       size_t max_answer_bytes,
+                                       ExchangeEnd end);
+
   asio::any_io_executor executor;
   std::vector<std::shared_ptr<Connection>> idle;
   std::set<std::shared_ptr<Connection>> busy;
+  /// Until then, silence does not show that a connection is dead, since the
+  /// server was slow on a new one, too.
+  TimePoint slow_until{};
   bool closed = false;
 };
 
+// Makes a call on an open connection, which is kept if it can serve more calls.
+asio::awaitable<HttpResult> HttpClient::Pool::Exchange(
+    std::shared_ptr<Connection> connection,
+    CallConnection kind,
+    const Request& request,
+    size_t max_answer_bytes,
+    ExchangeEnd end) {
+  const Endpoint& endpoint = connection->endpoint;
+  const TimePoint sent = MonotonicClock::now();
+  ExpireAt(connection->stream, end.head);
+  const auto [write_error, written] =
+      co_await http::async_write(connection->stream, request, kNoThrow);
+  if (write_error) {
+    co_return MakeFailure(endpoint, write_error, kind);
+  }
+  Parser parser;
+  parser.body_limit(max_answer_bytes);
+  parser.header_limit(limits::kMaxHeaderBytes);
+  const auto [head_error, head_bytes] = co_await http::async_read_header(
+      connection->stream, connection->buffer, parser, kNoThrow);
+  if (head_error) {
+    co_return MakeFailure(endpoint, head_error, kind);
+  }
+  ExpireAt(connection->stream, end.whole);
+  const auto [read_error, received] = co_await http::async_read(
+      connection->stream, connection->buffer, parser, kNoThrow);
+  if (read_error) {
+    co_return MakeFailure(endpoint, read_error, kind);
+  }
+  auto answer = parser.release();
+  if (answer.keep_alive() && connection->buffer.size() == 0) {
+    this->Release(connection);
+  }
+  co_return HttpAnswer{answer.result_int(), std::move(answer.body()), kind,
+                       MonotonicClock::now() - sent};
+}
+
 namespace {
 
 /// Keeps a connection in `Pool::busy` for the duration of a call, so that Close
@@ -176,45 +245,54 @@
   return CallOn(this->pool, std::move(endpoint), std::move(call));
 }
 
+// Failure: connections go silent for good, without an end or a reset. Each call
+// on a kept one lasts until its timeout, and the next call is made on the next
+// kept one, which is silent too. So a repeatable call is made again on a new
+// connection soon, and the other kept connections are closed.
 asio::awaitable<HttpResult> HttpClient::CallOn(std::shared_ptr<Pool> pool,
                                                Endpoint endpoint,
                                                HttpCall call) {
+  const TimePoint begun = MonotonicClock::now();
+  const Duration max_silence = call.max_silence;
+  const bool may_repeat =
+      call.repeatable && max_silence > Duration(0) && begun >= pool->slow_until;
+  const ExchangeEnd whole{begun + call.timeout, begun + call.timeout};
+  const Duration timeout = call.timeout;
+  const size_t max_answer_bytes = call.max_answer_bytes;
+  const Request request = MakeRequest(endpoint, std::move(call));
   auto connection = pool->Acquire(endpoint);
-  const bool is_new = connection == nullptr;
-  if (is_new) {
-    connection = std::make_shared<Connection>(pool->executor);
-    connection->endpoint = endpoint;
-  }
-  const BusyGuard guard(*pool, connection);
-  if (is_new) {
-    const beast::error_code error = co_await Connect(connection);
-    if (error || pool->closed) {
-      co_return MakeFailure(endpoint, error, CallConnection::kNone);
+  const bool is_repeat = connection != nullptr;
+  if (is_repeat) {
+    const BusyGuard guard(*pool, connection);
+    ExchangeEnd end = whole;
+    if (may_repeat) {
+      end.head = std::min(whole.head, begun + max_silence);
     }
+    HttpResult result = co_await pool->Exchange(
+        connection, CallConnection::kKept, request, max_answer_bytes, end);
+    const bool is_lost =
+        !result && result.error().kind == FailureKind::kNetwork;
+    if (!is_lost || !may_repeat || pool->closed) {
+      co_return result;
+    }
+    pool->CloseIdle(endpoint);
   }
-  const CallConnection kind =
-      is_new ? CallConnection::kNew : CallConnection::kKept;
-  connection->stream.expires_after(call.timeout);
-  const size_t max_answer_bytes = call.max_answer_bytes;
-  const auto request = MakeRequest(endpoint, std::move(call));
-  const auto [write_error, written] =
-      co_await http::async_write(connection->stream, request, kNoThrow);
-  if (write_error) {
-    co_return MakeFailure(endpoint, write_error, kind);
-  }
-  http::response_parser<http::string_body> parser;
-  parser.body_limit(max_answer_bytes);
-  parser.header_limit(limits::kMaxHeaderBytes);
-  const auto [read_error, received] = co_await http::async_read(
-      connection->stream, connection->buffer, parser, kNoThrow);
-  if (read_error) {
-    co_return MakeFailure(endpoint, read_error, kind);
+  connection = std::make_shared<Connection>(pool->executor);
+  connection->endpoint = endpoint;
+  const BusyGuard guard(*pool, connection);
+  const beast::error_code error = co_await Connect(connection);
+  if (error || pool->closed) {
+    co_return MakeFailure(endpoint, error, CallConnection::kNone);
   }
-  auto answer = parser.release();
-  if (answer.keep_alive() && connection->buffer.size() == 0) {
-    pool->Release(connection);
+  const TimePoint sent = MonotonicClock::now();
+  const ExchangeEnd rest{sent + timeout, sent + timeout};
+  const ExchangeEnd end = is_repeat ? whole : rest;
+  HttpResult result = co_await pool->Exchange(connection, CallConnection::kNew,
+                                              request, max_answer_bytes, end);
+  if (is_repeat && MonotonicClock::now() - sent > max_silence) {
+    pool->slow_until = MonotonicClock::now() + kSlowServerTime;
   }
-  co_return HttpAnswer{answer.result_int(), std::move(answer.body()), kind};
+  co_return result;
 }
 
 void HttpClient::Close() {
--- a/soak/proxy.cc
+++ b/soak/proxy.cc
@@ -47,6 +47,7 @@
 
   tcp::socket near;
   tcp::socket far;
+  bool is_silent = false;  ///< For good.
 };
 
 }  // namespace
@@ -60,9 +61,10 @@
   asio::awaitable<void> Connect(std::shared_ptr<SocketPair> pair);
   asio::awaitable<void> Forward(std::shared_ptr<SocketPair> pair,
                                 Direction direction);
-  asio::awaitable<void> Delay(Direction direction);
-  bool IsHeld(Direction direction) const {
-    return this->link == LinkState::kSilent ||
+  asio::awaitable<void> Delay(std::shared_ptr<SocketPair> pair,
+                              Direction direction);
+  bool IsHeld(const SocketPair& pair, Direction direction) const {
+    return pair.is_silent || this->link == LinkState::kSilent ||
            (this->link == LinkState::kOneWay &&
             direction == Direction::kFromTarget);
   }
@@ -123,7 +125,7 @@
     const auto [error, size] =
         co_await from.async_read_some(asio::buffer(buffer), kNoThrow);
     failed = error;
-    co_await this->Delay(direction);
+    co_await this->Delay(pair, direction);
     if (!failed) {
       const auto [unwritten, written] =
           co_await asio::async_write(to, asio::buffer(buffer, size), kNoThrow);
@@ -139,13 +141,14 @@
   to.shutdown(tcp::socket::shutdown_send, ignored);
 }
 
-asio::awaitable<void> Proxy::State::Delay(Direction direction) {
+asio::awaitable<void> Proxy::State::Delay(std::shared_ptr<SocketPair> pair,
+                                          Direction direction) {
   asio::steady_timer timer(this->acceptor.get_executor());
   if (this->link == LinkState::kSlow) {
     timer.expires_after(kAddedDelay);
     co_await timer.async_wait(kNoThrow);
   }
-  while (this->IsHeld(direction) && !this->stopped) {
+  while (this->IsHeld(*pair, direction) && !this->stopped) {
     timer.expires_after(kHoldPollInterval);
     co_await timer.async_wait(kNoThrow);
   }
@@ -175,6 +178,12 @@
   this->state->link = next;
 }
 
+void Proxy::Silence() {
+  for (const auto& pair : this->state->pairs) {
+    pair->is_silent = true;
+  }
+}
+
 void Proxy::Reset() {
   const auto pairs = std::exchange(this->state->pairs, {});
   for (const auto& pair : pairs) {
--- a/soak/proxy.h
+++ b/soak/proxy.h
@@ -40,6 +40,9 @@
   /// Resets all open connections.
   void Reset();
 
+  /// Open connections stay open and carry nothing any more.
+  void Silence();
+
  private:
   struct State;
   std::shared_ptr<State> state;
