Topic followers: one budget of waits, counted from the begin of calls

Seen by callers: the same 404s, and routes run by the service of an older version, after the store or links had failed and were well again.

Cause: the waits of a VM follow each other and nothing adds them up: silence, requests to relays, the call's limit, and only then a pause of up to 1.8 s by rank, also for a topic that failed while another one's read had just shown that the store is back. The longer silence of a degraded store went on after it had stopped to count as degraded.

Pauses and degradation count from the begin of the call; a topic whose call failed follows the success of another one.

--- a/packages/decision/include/basilsill/decision/topic_follower.h
+++ b/packages/decision/include/basilsill/decision/topic_follower.h
@@ -108,8 +108,12 @@
   /// The records to be read next have been trimmed; the topic is listed again.
   void OnTrimmed(TimePoint now);
 
-  /// The call failed or got no answer.
-  void OnFailed(TimePoint now);
+  /// The call that was made at `begun` failed or got no answer.
+  void OnFailed(TimePoint now, TimePoint begun);
+
+  /// The store answered a call for another topic. After failed calls, the next
+  /// one no longer waits for the VM's turn.
+  void OnStoreAnswered(TimePoint now);
 
   /// A call was answered after `took`, without the time for which it was held.
   void OnCallLatency(TimePoint now, Duration took);
@@ -173,6 +177,7 @@
   uint64_t previous_sent_offset = 0;
   size_t rank = 0;
   uint32_t failures = 0;
+  TimePoint failed_call_begun{};
   bool has_peers = false;
   uint32_t requests_to_peers = 0;  ///< Since the last update or read.
   bool peers_declined = false;
--- a/packages/decision/src/topic_follower.cc
+++ b/packages/decision/src/topic_follower.cc
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <utility>
 
+#include "basilsill/decision/staleness_budget.h"
+
 namespace basilsill {
 namespace {
 
@@ -14,11 +16,6 @@
 constexpr size_t kMaxReadBytes = 1024 * 1024;
 constexpr size_t kMinReadBytes = 64 * 1024;
 
-// Number of peers from which records are requested in a row, and the time that
-// each has to answer.
-constexpr uint32_t kMaxRequestsToPeers = 2;
-constexpr Duration kPeerTimeout = std::chrono::milliseconds(200);
-
 // Minimum time for which records are retained for other VMs: longer than a VM
 // usually is frozen or cut off.
 constexpr Duration kRetention = std::chrono::seconds(10);
@@ -29,10 +26,11 @@
 constexpr Duration kReaderStagger = std::chrono::milliseconds(40);
 constexpr Duration kMaxReaderWait = std::chrono::seconds(10);
 
-// Upper bound on the duration of a call. No VM is without an update for longer
-// than the longest silence plus one call, so records that this VM had before
-// that time are known to all.
-constexpr Duration kMaxCallTime = std::chrono::milliseconds(450);
+// The longest time that a call takes while the store is well. No VM is without
+// an update for longer than the longest silence plus one call, so records that
+// this VM had before that time are known to all.
+constexpr Duration kMaxCallTime =
+    staleness::kMaxConnectionSilence + staleness::kAnswerTime;
 
 // Rank whose delay is half-way between the shortest and the longest.
 constexpr int64_t kHalfSpreadRank = 5;
@@ -45,10 +43,10 @@
 // long shows that it is degraded.
 constexpr Duration kSlowCallThreshold = std::chrono::milliseconds(100);
 
-// How long the store counts as degraded after the last sign of it. Together
-// with one call this is below the three seconds within which every VM must be
-// up to date again.
-constexpr Duration kDegradedPeriod = std::chrono::milliseconds(1800);
+// How long the store counts as degraded after the begin of the last call that
+// showed it. Together with one call this is below the three seconds within
+// which every VM must be up to date again.
+constexpr Duration kDegradedPeriod = std::chrono::milliseconds(2500);
 
 // How long a topic counts as busy after a new record: about as long as the VMs
 // of a fleet take to start.
@@ -81,12 +79,13 @@
 // store stays overloaded until the fleet is stopped.
 bool TopicFollower::ShouldRequestFromPeer() const {
   return this->options.is_bulk && !this->listing && this->has_peers &&
-         !this->peers_declined && this->requests_to_peers < kMaxRequestsToPeers;
+         !this->peers_declined &&
+         this->requests_to_peers < staleness::kMaxRequestsToPeers;
 }
 
 void TopicFollower::OnPeerRequestSent(TimePoint now) {
   ++this->requests_to_peers;
-  this->next_at = now + kPeerTimeout;
+  this->next_at = now + staleness::kPeerTimeout;
 }
 
 // All VMs of a data centre may be declined at once, so they read one after the
@@ -203,10 +202,14 @@
   return first + range * place / (place + kHalfSpreadRank);
 }
 
+// Failure: the store is back, and a VM that has just read, the last time before
+// the store stops to count as degraded, waits for the longer silence all the
+// same. So the longer silence ends with the time for which the store counts as
+// degraded.
 Duration TopicFollower::ReadDelay(TimePoint now) const {
-  const Duration longest = now < this->degraded_until
-                               ? this->options.degraded_max_silence
-                               : this->options.max_silence;
+  const Duration longest = std::clamp(
+      this->degraded_until - now, this->options.max_silence,
+      std::max(this->options.max_silence, this->options.degraded_max_silence));
   return this->ByRank(this->Interval(now), longest);
 }
 
@@ -254,10 +257,15 @@
   this->next_at = now;
 }
 
-void TopicFollower::OnFailed(TimePoint now) {
-  this->next_at = now + this->RetryPause();
+// Failure: a call gets no answer and lasts until its timeout, and only then the
+// pause begins, so that the VM reads again after their sum. The pause limits
+// how often calls are made, so it is counted from the begin of the call.
+void TopicFollower::OnFailed(TimePoint now, TimePoint begun) {
+  this->next_at =
+      std::max(now + this->options.retry_min, begun + this->RetryPause());
+  this->failed_call_begun = begun;
   ++this->failures;
-  this->degraded_until = now + kDegradedPeriod;
+  this->degraded_until = begun + kDegradedPeriod;
   this->read_bytes = kMinReadBytes;
   this->requests_to_peers = 0;
   this->peers_declined = false;
@@ -282,9 +290,19 @@
                                this->options.degraded_max_silence));
 }
 
+// Failure: the store is back, as the read of one topic has shown, and the VM
+// waits for its turn to read another one, whose records have changed meanwhile.
+void TopicFollower::OnStoreAnswered(TimePoint now) {
+  if (this->failures == 0) {
+    return;
+  }
+  const TimePoint first = this->failed_call_begun + this->options.retry_max;
+  this->next_at = std::min(this->next_at, std::max(now, first));
+}
+
 void TopicFollower::OnCallLatency(TimePoint now, Duration took) {
   if (took >= kSlowCallThreshold) {
-    this->degraded_until = now + kDegradedPeriod;
+    this->degraded_until = now - took + kDegradedPeriod;
   }
 }
 
--- a/packages/decision/test/topic_follower_test.cc
+++ b/packages/decision/test/topic_follower_test.cc
@@ -94,7 +94,7 @@
   options.hold = 600ms;
   TopicFollower first(options);
   first.OnPage(this->now, 10, false, "k");
-  first.OnFailed(this->now);
+  first.OnFailed(this->now, this->now);
   CHECK(first.NextCall().hold == 0ms);
   first.OnRecords(this->now, 11, 11);
   CHECK(first.NextCall().hold == 600ms);
@@ -162,12 +162,50 @@
 
 TEST(TopicFollower, OnFailed_Repeatedly_RetriesAtMost400MillisecondsApart) {
   for (int i = 0; i < 10; ++i) {
-    this->follower.OnFailed(this->now);
+    this->follower.OnFailed(this->now, this->now);
   }
   CHECK(this->follower.due() <= this->now + 400ms);
   CHECK_FALSE(this->follower.available());
 }
 
+// Failure: the store is silent, and each call lasts until its timeout. The
+// pause began only then, so a VM of high rank read once in three seconds, and
+// its configuration was older than the bound when the store was back.
+TEST(TopicFollower, OnFailed_CallTimedOut_PauseCountsFromItsBegin) {
+  this->follower.SetRank(100);
+  const TimePoint begun = this->now;
+  this->follower.OnFailed(begun + 1200ms, begun);
+  CHECK(this->follower.due() > begun + 1200ms);
+  CHECK(this->follower.due() <= begun + 1800ms);
+}
+
+// Failure: after the store was away, the read of one topic succeeds, and
+// another topic is read only after a pause that grows with the VM's rank.
+TEST(TopicFollower, OnStoreAnswered_AfterFailure_ReadsSoon) {
+  this->follower.SetRank(100);
+  this->follower.OnFailed(this->now, this->now);
+  CHECK(this->follower.due() >= this->now + 1s);
+  this->follower.OnStoreAnswered(this->now + 50ms);
+  CHECK(this->follower.due() <= this->now + 400ms);
+  CHECK(this->follower.due() >= this->now + 50ms);
+}
+
+TEST(TopicFollower, OnStoreAnswered_NoFailure_KeepsDelay) {
+  const TimePoint due = this->follower.due();
+  this->follower.OnStoreAnswered(this->now);
+  CHECK(this->follower.due() == due);
+}
+
+// Failure: the store has just recovered. A VM reads it and then waits for the
+// longer silence, although the store stops to count as degraded much earlier.
+TEST(TopicFollower, OnRecords_StoreRecovered_LongerSilenceEndsWithDegradation) {
+  this->follower.SetRank(1000);
+  this->follower.OnCallLatency(this->now, 150ms);
+  this->now += 1500ms;
+  this->follower.OnRecords(this->now, 10, 10);
+  CHECK(this->follower.due() <= this->now + 1050ms);
+}
+
 namespace {
 
 /// Simulated VMs that follow one topic and receive each other's updates
@@ -217,7 +255,7 @@
     }
     this->answer_at[vm] = kIdle;
     if (this->is_down) {
-      this->vms[vm].OnFailed(this->now);
+      this->vms[vm].OnFailed(this->now, this->now - this->call_time);
     } else {
       this->vms[vm].OnCallLatency(this->now, this->call_time);
       this->SendUpdate(vm);
@@ -420,7 +458,7 @@
 
 TEST(BulkTopic, OnFailed_Read_ReducesThenDoublesLimit) {
   const size_t most = this->follower.NextCall().max_bytes;
-  this->follower.OnFailed(this->now);
+  this->follower.OnFailed(this->now, this->now);
   const size_t least = this->follower.NextCall().max_bytes;
   CHECK(least < most);
   this->follower.OnRecords(this->now, 11, 11);
@@ -441,7 +479,7 @@
 TEST(BulkTopic, Listing_CallFails_ContinuesAfterLastPage) {
   TopicFollower fresh(BulkOptions());
   fresh.OnPage(this->now, 10, true, "m");
-  fresh.OnFailed(this->now);
+  fresh.OnFailed(this->now, this->now);
   STRCMP_EQUAL("m", fresh.NextCall().after.c_str());
   CHECK(fresh.OnPage(this->now, 14, false, "z"));
   CHECK_EQUAL(10, fresh.offset());
