Entry: answer 404 only while the configuration is known to be young enough

Seen by callers: 404, which is final, for a route that had been added.

Cause: a VM that has heard of no change for longer than one may take to be in force answers by what it knows as if that were the newest. For unknown API keys the same place asks first how old the configuration may be.

A VM that is cut off for long serves the routes that it knows, since that is the best there is; a request that an older rule sends to another service is served, too, because the VM can't know which rules have changed and refusing all would cost more.

Store_SilentForLong_UnknownRouteRefusedAsNotRun: without the change the node answers 404 for as long as the store is silent (the test waits in vain).

--- a/packages/base/include/basilsill/base/reason.h
+++ b/packages/base/include/basilsill/base/reason.h
@@ -58,6 +58,7 @@
   kApiKeyMalformed,
   kApiKeysUnverified,
   kQuotaUnavailable,
+  kConfigurationUnverified,
   kCount
 };
 
--- a/packages/base/src/reason.cc
+++ b/packages/base/src/reason.cc
@@ -51,6 +51,7 @@
         {"api-key-malformed", 401, kNotRun, false, false},
         {"api-keys-unverified", 503, kNotRun, true, false},
         {"quota-unavailable", 503, kNotRun, true, false},
+        {"configuration-unverified", 503, kNotRun, true, false},
     }};
 
 constexpr std::array<std::string_view, static_cast<size_t>(Retry::kCount)>
--- a/packages/node/include/basilsill/node/installation.h
+++ b/packages/node/include/basilsill/node/installation.h
@@ -68,6 +68,9 @@
   /// API keys are relied on only while the configuration is known to be younger
   /// than this; 0 accepts a configuration of any age.
   std::chrono::milliseconds api_key_max_age{0};
+  /// A request that matches no route is refused for good only while the
+  /// configuration is known to be younger than this; 0: at any age.
+  std::chrono::milliseconds route_max_age{0};
   /// Each start of an upstream has an id of its own.
   bool upstream_ids_are_unique = false;
   /// All data centres; each has an equal share of the teams' quotas. Used if
--- a/packages/node/src/caller_exchange.cc
+++ b/packages/node/src/caller_exchange.cc
@@ -124,7 +124,7 @@
   head.find_header = &FindHeader;
   const RuleRow* rule = MatchRule(*view, head);
   if (rule == nullptr) {
-    this->fault = Refusal::kNoRoute;
+    this->SetNoRoute();
     return false;
   }
   if (!this->CheckApiKey(message, *rule)) {
@@ -143,6 +143,15 @@
   return true;
 }
 
+// Failure: a VM has not heard of a change for longer than it may take effect,
+// and answers 404 for a route that stands in it. The caller takes that for
+// final.
+void CallerExchange::SetNoRoute() {
+  this->fault = this->host.routes_verified()
+                    ? Refusal::kNoRoute
+                    : Refusal::kConfigurationUnverified;
+}
+
 // Authenticates each request of a connection by its own API key. An unknown key
 // may belong to a configuration that has not arrived yet, so the key is refused
 // as unknown only while the configuration is verified to be recent.
--- a/packages/node/src/caller_exchange.h
+++ b/packages/node/src/caller_exchange.h
@@ -80,6 +80,7 @@
   TimePoint began_at() const { return this->began; }
 
  private:
+  void SetNoRoute();
   bool CheckApiKey(const HttpFields& headers, const RuleRow& rule);
   void FillRequest(const RequestReader::Parser& parser, const RuleRow& rule);
   void SetDeadline(const HttpFields& headers, const RuleRow& rule);
--- a/packages/node/src/caller_host.h
+++ b/packages/node/src/caller_host.h
@@ -67,6 +67,8 @@
 
   /// @returns true while the configuration is recent enough to check API keys.
   virtual bool api_keys_verified() const = 0;
+  /// @returns false if routes may have been added that this VM does not know.
+  virtual bool routes_verified() const = 0;
 
   /// Takes one credit of `team`'s quota for a request; borrows it from the
   /// quota's lender if necessary.
--- a/packages/node/src/worker.cc
+++ b/packages/node/src/worker.cc
@@ -651,7 +651,10 @@
 
 void Worker::LogRefusal(const RequestMessage& request,
                         const RequestEnd& end) const {
-  if (end.refusal != Refusal::kNoRoute) {
+  const bool is_route_missing =
+      end.refusal == Refusal::kNoRoute ||
+      end.refusal == Refusal::kConfigurationUnverified;
+  if (!is_route_missing) {
     LogRequestEnd(Event::kRequestRefused, request, this->TeamOf(request), end);
     return;
   }
--- a/packages/node/src/worker.h
+++ b/packages/node/src/worker.h
@@ -180,6 +180,9 @@
   bool api_keys_verified() const override {
     return this->IsYoungerThan(this->installation.api_key_max_age);
   }
+  bool routes_verified() const override {
+    return this->IsYoungerThan(this->installation.route_max_age);
+  }
   Task<QuotaDecision> TakeQuota(TeamKey team) override;
   void ReturnQuota(TeamKey team, const QuotaCredit& credit) override;
   void OnRequestStarted() override;
