Relays: forward each record once

A relay forwards records that it has sent or forwarded before as an update without records. A VM that lost the first copy detects the gap and reads.

--- a/packages/decision/include/basilsill/decision/topic_follower.h
+++ b/packages/decision/include/basilsill/decision/topic_follower.h
@@ -141,6 +141,12 @@
   /// sent four to five times over the links to all VMs.
   uint64_t BeginUpdate();
 
+  /// Starts to forward an update that covers the records from `first` up to
+  /// `next`.
+  /// @returns the offset from which on it must contain records: `next` if this
+  /// VM has sent or forwarded them already.
+  uint64_t BeginForward(uint64_t first, uint64_t next);
+
   /// @returns an offset such that every VM that recently received an update has
   /// all records before it.
   uint64_t settled() const { return this->settled_offset; }
--- a/packages/decision/src/topic_follower.cc
+++ b/packages/decision/src/topic_follower.cc
@@ -193,6 +193,20 @@
   return start;
 }
 
+// Failure: after an outage of the store or of links, all relays read for
+// themselves and each sends what it has read to all others, which forward it: a
+// VM gets each record from every relay of the fleet, and a configuration of 80
+// KB fills a link of 10 Mbit/s for seconds. A VM that lacks records that are
+// not forwarded again detects the gap and reads.
+uint64_t TopicFollower::BeginForward(uint64_t first, uint64_t next) {
+  if (next <= this->sent_offset) {
+    return next;
+  }
+  this->previous_sent_offset = this->sent_offset;
+  this->sent_offset = next;
+  return first;
+}
+
 // Each rank gets a different delay. Those of the first ranks are far apart,
 // since an update of one must arrive before the next VM reads; those of the
 // last ranks are close together, since these VMs hardly ever read.
--- a/packages/decision/test/topic_follower_test.cc
+++ b/packages/decision/test/topic_follower_test.cc
@@ -400,6 +400,38 @@
   }
 }
 
+// Failure: all relays read for themselves, and each one's update is forwarded
+// by all others, so that a narrow link carries the same configuration ten
+// times.
+TEST(TopicFollower, BeginForward_SameRecordsFromManyReaders_ForwardedOnce) {
+  TopicFollower receiver(DefaultOptions());
+  receiver.OnPage(this->now, 10, false, "k");
+  CHECK_EQUAL(10, this->follower.BeginForward(10, 12));
+  CHECK(receiver.OnPeerUpdate(this->now, 10, 12));
+  for (int reader = 1; reader < 10; ++reader) {
+    CHECK_EQUAL(12, this->follower.BeginForward(10, 12));
+    receiver.OnPeerUpdate(this->now, 12, 12);
+  }
+  CHECK(receiver.due() > this->now);
+  CHECK_EQUAL(12, receiver.offset());
+}
+
+// The first copy was lost with its link: the next update, without records,
+// makes the VM read.
+TEST(TopicFollower, BeginForward_FirstCopyLost_ReceiverReadsAtOnce) {
+  TopicFollower receiver(DefaultOptions());
+  receiver.OnPage(this->now, 10, false, "k");
+  this->follower.BeginForward(10, 12);
+  const uint64_t first = this->follower.BeginForward(10, 12);
+  CHECK_FALSE(receiver.OnPeerUpdate(this->now, first, 12));
+  CHECK(receiver.due() <= this->now);
+}
+
+TEST(TopicFollower, BeginForward_NewRecords_Forwarded) {
+  CHECK_EQUAL(10, this->follower.BeginForward(10, 12));
+  CHECK_EQUAL(11, this->follower.BeginForward(11, 13));
+}
+
 TEST_GROUP(BulkTopic) {
   TopicFollower follower{BulkOptions()};
   TimePoint now{1s};
