--- a/packages/decision/include/basilsill/decision/state_send_budget.h
+++ b/packages/decision/include/basilsill/decision/state_send_budget.h
@@ -5,8 +5,9 @@
 
 #include "basilsill/base/time.h"
 
-/// Token bucket that limits the bandwidth which this VM spends on sending the
-/// full state to starting VMs that request it. Pure.
+/// Token bucket that limits the bandwidth which this VM spends on sending state
+/// to other VMs: in one use the full state to starting VMs that request it, in
+/// another updates to all VMs. Pure.
 ///
 /// Failure: a VM with a narrow link becomes the first in the order of
 /// RankLiveVms, because larger VMs restart or because it started before them.
