--- a/packages/node/src/accept_loop.cc
+++ b/packages/node/src/accept_loop.cc
@@ -84,4 +84,11 @@
   }
 }
 
+bool HasFreeDescriptor(const Executor& executor) {
+  Socket probe(executor);
+  NetError error;
+  probe.open(Tcp::v4(), error);
+  return !error;
+}
+
 }  // namespace basilsill
--- a/packages/node/src/accept_loop.h
+++ b/packages/node/src/accept_loop.h
@@ -26,6 +26,10 @@
 /// pending, so an immediate retry would fail again and keep the thread busy.
 Task<void> AcceptLoop(Acceptor& acceptor, AcceptLoopOptions options);
 
+/// @returns true if the process has a file descriptor left, which a connection
+/// that is accepted needs.
+bool HasFreeDescriptor(const Executor& executor);
+
 }  // namespace basilsill
 
 #endif  // BASILSILL_NODE_ACCEPT_LOOP_H_
--- a/packages/node/src/worker.cc
+++ b/packages/node/src/worker.cc
@@ -464,11 +464,14 @@
                                   std::min(connection_limit, unavailable));
 }
 
+// Failure: a failed accept is forgotten after a while, although all descriptors
+// stay in use, and the node says that it is ready and resets the next caller.
 bool Worker::AcceptsCallers(TimePoint now) const {
   const size_t free = this->RoomForCallers();
   const size_t callers = this->sessions.size() + free;
   return !this->is_draining && free > callers / kFreeDivisor &&
-         now - this->accept_failed >= kAcceptRecovery;
+         now - this->accept_failed >= kAcceptRecovery &&
+         HasFreeDescriptor(this->run_on);
 }
 
 void Worker::QueryAcceptsCallers(std::function<void(bool accepts)> answer) {
--- a/packages/node/test/accept_loop_test.cc
+++ b/packages/node/test/accept_loop_test.cc
@@ -104,3 +104,16 @@
   CHECK(error == boost::asio::error::connection_reset);
   CHECK(this->accepted.empty());
 }
+
+// Failure: all descriptors of a VM are in use, and between two connections that
+// it resets it says that it takes callers.
+TEST(AcceptLoop, HasFreeDescriptor_DescriptorsUsedUp_IsFalseUntilOneIsFree) {
+  CHECK(basilsill::HasFreeDescriptor(this->io.get_executor()));
+  {
+    const int next = ::dup(0);
+    ::close(next);
+    const DescriptorLimit none(static_cast<rlim_t>(next));
+    CHECK_FALSE(basilsill::HasFreeDescriptor(this->io.get_executor()));
+  }
+  CHECK(basilsill::HasFreeDescriptor(this->io.get_executor()));
+}
