--- a/packages/decision/include/basilsill/decision/staleness_budget.h
+++ b/packages/decision/include/basilsill/decision/staleness_budget.h
@@ -31,6 +31,12 @@
 /// From the answer until all workers use the new view.
 inline constexpr Duration kApplyTime = std::chrono::milliseconds(200);
 
+/// Shares of the bound, in thousandths. A longer silence would not make reads
+/// rarer, since a VM usually receives an update in each interval.
+inline constexpr int kMaxSilenceShare = 525;
+inline constexpr int kIntervalShare = 300;
+inline constexpr int kWholeShare = 1000;
+
 }  // namespace staleness
 
 struct StalenessBudget {
@@ -61,11 +67,6 @@
 
 constexpr StalenessBudget StalenessBudget::For(Duration bound,
                                                bool asks_peers) {
-  // More than this part of the bound would not make reads rarer, since a VM
-  // usually receives an update in each interval.
-  constexpr int kMaxSilencePermille = 525;
-  constexpr int kIntervalPermille = 300;
-  constexpr int kWhole = 1000;
   bound = bound < kShortestBound ? kShortestBound : bound;
   StalenessBudget budget;
   if (asks_peers) {
@@ -73,12 +74,14 @@
         staleness::kMaxRequestsToPeers * staleness::kPeerTimeout;
   }
   const Duration left = bound - budget.Worst();
-  const Duration most = bound * kMaxSilencePermille / kWhole;
+  const Duration most =
+      bound * staleness::kMaxSilenceShare / staleness::kWholeShare;
   budget.max_silence = left < most ? left : most;
   // The other VMs wait longer than the interval, by their rank.
-  const Duration longest =
-      budget.max_silence * kIntervalPermille / kMaxSilencePermille;
-  const Duration usual = bound * kIntervalPermille / kWhole;
+  const Duration longest = budget.max_silence * staleness::kIntervalShare /
+                           staleness::kMaxSilenceShare;
+  const Duration usual =
+      bound * staleness::kIntervalShare / staleness::kWholeShare;
   budget.interval = longest < usual ? longest : usual;
   return budget;
 }
--- a/packages/platform/src/http_client.cc
+++ b/packages/platform/src/http_client.cc
@@ -101,6 +101,32 @@
   return request;
 }
 
+/// A call in the form in which it is made, perhaps twice.
+struct PreparedCall {
+  Request request;
+  size_t max_answer_bytes = 0;
+  Duration timeout{0};
+  Duration max_silence{0};
+  TimePoint begun;
+  TimePoint end;
+  bool may_repeat = false;
+};
+
+PreparedCall Prepare(const Endpoint& endpoint,
+                     HttpCall call,
+                     TimePoint slow_until) {
+  PreparedCall prepared;
+  prepared.max_answer_bytes = call.max_answer_bytes;
+  prepared.timeout = call.timeout;
+  prepared.max_silence = call.max_silence;
+  prepared.begun = MonotonicClock::now();
+  prepared.end = prepared.begun + call.timeout;
+  prepared.may_repeat = call.repeatable && call.max_silence.count() > 0 &&
+                        prepared.begun >= slow_until;
+  prepared.request = MakeRequest(endpoint, std::move(call));
+  return prepared;
+}
+
 asio::awaitable<beast::error_code> Connect(
     std::shared_ptr<Connection> connection) {
   beast::error_code error;
@@ -164,10 +190,25 @@
     });
   }
 
+  // If a new connection was as slow as the kept one, silence is the server's.
+  void NoteRepeat(const PreparedCall& call, Duration took) {
+    if (took > call.max_silence) {
+      this->slow_until = MonotonicClock::now() + kSlowServerTime;
+    }
+  }
+
+  asio::awaitable<HttpResult> CallKept(std::shared_ptr<Connection> connection,
+                                       const PreparedCall& call);
+
+  // Opens a connection for the call. The answer must arrive by `end`, and
+  // within the call's timeout once the connection is open.
+  asio::awaitable<HttpResult> CallNew(Endpoint endpoint,
+                                      const PreparedCall& call,
+                                      TimePoint end);
+
   asio::awaitable<HttpResult> Exchange(std::shared_ptr<Connection> connection,
                                        CallConnection kind,
-                                       const Request& request,
-                                       size_t max_answer_bytes,
+                                       const PreparedCall& call,
                                        ExchangeEnd end);
 
   asio::any_io_executor executor;
@@ -183,19 +224,18 @@
 asio::awaitable<HttpResult> HttpClient::Pool::Exchange(
     std::shared_ptr<Connection> connection,
     CallConnection kind,
-    const Request& request,
-    size_t max_answer_bytes,
+    const PreparedCall& call,
     ExchangeEnd end) {
   const Endpoint& endpoint = connection->endpoint;
   const TimePoint sent = MonotonicClock::now();
   ExpireAt(connection->stream, end.head);
   const auto [write_error, written] =
-      co_await http::async_write(connection->stream, request, kNoThrow);
+      co_await http::async_write(connection->stream, call.request, kNoThrow);
   if (write_error) {
     co_return MakeFailure(endpoint, write_error, kind);
   }
   Parser parser;
-  parser.body_limit(max_answer_bytes);
+  parser.body_limit(call.max_answer_bytes);
   parser.header_limit(limits::kMaxHeaderBytes);
   const auto [head_error, head_bytes] = co_await http::async_read_header(
       connection->stream, connection->buffer, parser, kNoThrow);
@@ -238,6 +278,36 @@
 
 }  // namespace
 
+asio::awaitable<HttpResult> HttpClient::Pool::CallKept(
+    std::shared_ptr<Connection> connection,
+    const PreparedCall& call) {
+  const BusyGuard guard(*this, connection);
+  ExchangeEnd end{call.end, call.end};
+  if (call.may_repeat) {
+    end.head = std::min(call.end, call.begun + call.max_silence);
+  }
+  HttpResult result =
+      co_await this->Exchange(connection, CallConnection::kKept, call, end);
+  co_return result;
+}
+
+asio::awaitable<HttpResult> HttpClient::Pool::CallNew(Endpoint endpoint,
+                                                      const PreparedCall& call,
+                                                      TimePoint end) {
+  const auto connection = std::make_shared<Connection>(this->executor);
+  connection->endpoint = endpoint;
+  const BusyGuard guard(*this, connection);
+  const beast::error_code error = co_await Connect(connection);
+  if (error || this->closed) {
+    co_return MakeFailure(endpoint, error, CallConnection::kNone);
+  }
+  const TimePoint last = std::min(end, MonotonicClock::now() + call.timeout);
+  const ExchangeEnd both{last, last};
+  HttpResult result =
+      co_await this->Exchange(connection, CallConnection::kNew, call, both);
+  co_return result;
+}
+
 HttpClient::HttpClient(asio::any_io_executor executor)
     : pool(std::make_shared<Pool>(std::move(executor))) {}
 
@@ -252,46 +322,22 @@
 asio::awaitable<HttpResult> HttpClient::CallOn(std::shared_ptr<Pool> pool,
                                                Endpoint endpoint,
                                                HttpCall call) {
-  const TimePoint begun = MonotonicClock::now();
-  const Duration max_silence = call.max_silence;
-  const bool may_repeat =
-      call.repeatable && max_silence > Duration(0) && begun >= pool->slow_until;
-  const ExchangeEnd whole{begun + call.timeout, begun + call.timeout};
-  const Duration timeout = call.timeout;
-  const size_t max_answer_bytes = call.max_answer_bytes;
-  const Request request = MakeRequest(endpoint, std::move(call));
-  auto connection = pool->Acquire(endpoint);
-  const bool is_repeat = connection != nullptr;
-  if (is_repeat) {
-    const BusyGuard guard(*pool, connection);
-    ExchangeEnd end = whole;
-    if (may_repeat) {
-      end.head = std::min(whole.head, begun + max_silence);
-    }
-    HttpResult result = co_await pool->Exchange(
-        connection, CallConnection::kKept, request, max_answer_bytes, end);
-    const bool is_lost =
-        !result && result.error().kind == FailureKind::kNetwork;
-    if (!is_lost || !may_repeat || pool->closed) {
-      co_return result;
-    }
-    pool->CloseIdle(endpoint);
+  const PreparedCall prepared =
+      Prepare(endpoint, std::move(call), pool->slow_until);
+  const std::shared_ptr<Connection> kept = pool->Acquire(endpoint);
+  if (!kept) {
+    HttpResult only = co_await pool->CallNew(endpoint, prepared, kNever);
+    co_return only;
   }
-  connection = std::make_shared<Connection>(pool->executor);
-  connection->endpoint = endpoint;
-  const BusyGuard guard(*pool, connection);
-  const beast::error_code error = co_await Connect(connection);
-  if (error || pool->closed) {
-    co_return MakeFailure(endpoint, error, CallConnection::kNone);
-  }
-  const TimePoint sent = MonotonicClock::now();
-  const ExchangeEnd rest{sent + timeout, sent + timeout};
-  const ExchangeEnd end = is_repeat ? whole : rest;
-  HttpResult result = co_await pool->Exchange(connection, CallConnection::kNew,
-                                              request, max_answer_bytes, end);
-  if (is_repeat && MonotonicClock::now() - sent > max_silence) {
-    pool->slow_until = MonotonicClock::now() + kSlowServerTime;
+  HttpResult result = co_await pool->CallKept(kept, prepared);
+  const bool is_lost = !result && result.error().kind == FailureKind::kNetwork;
+  if (!is_lost || !prepared.may_repeat || pool->closed) {
+    co_return result;
   }
+  pool->CloseIdle(endpoint);
+  const TimePoint repeated = MonotonicClock::now();
+  result = co_await pool->CallNew(endpoint, prepared, prepared.end);
+  pool->NoteRepeat(prepared, MonotonicClock::now() - repeated);
   co_return result;
 }
 
