Observe which data centres' upstreams a VM can connect to, and whom a refused request asked

UpstreamReach draws that conclusion from connections that fail in a row, with probes of two other upstreams after the first failure; events 321 and 322, the gauge basilsill_unreachable_data_centres, and the field asked of event 200. Nothing reads the conclusion yet.

TCP_USER_TIMEOUT is set nowhere in the code, and Asio and Beast set none.

--- a/packages/base/include/basilsill/base/event.h
+++ b/packages/base/include/basilsill/base/event.h
@@ -59,6 +59,8 @@
   kDataCentreTakenBack = 317,
   kUpstreamRestEnded = 318,
   kFingerprintQuarantined = 320,
+  kUpstreamsUnreachable = 321,
+  kUpstreamsReachable = 322,
   // 330: teams
   kApiKeysUnverified = 330,
   kApiKeysVerified = 331,
--- a/packages/base/src/event.cc
+++ b/packages/base/src/event.cc
@@ -57,6 +57,8 @@
     EventInfo{Event::kUpstreamRestEnded, kInfo, "upstream-rest-ended"},
     EventInfo{Event::kFingerprintQuarantined, kWarning,
               "fingerprint-quarantined"},
+    EventInfo{Event::kUpstreamsUnreachable, kWarning, "upstreams-unreachable"},
+    EventInfo{Event::kUpstreamsReachable, kInfo, "upstreams-reachable"},
     EventInfo{Event::kApiKeysUnverified, kWarning, "api-keys-unverified"},
     EventInfo{Event::kApiKeysVerified, kInfo, "api-keys-verified"},
     EventInfo{Event::kQuotaLeaseTaken, kInfo, "quota-lease-taken"},
--- /dev/null
+++ b/packages/decision/include/basilsill/decision/upstream_reach.h
@@ -0,0 +1,97 @@
+#ifndef BASILSILL_DECISION_UPSTREAM_REACH_H_
+#define BASILSILL_DECISION_UPSTREAM_REACH_H_
+
+#include <cstdint>
+#include <memory>
+#include <vector>
+
+#include <pcg_random.hpp>
+
+#include "basilsill/base/time.h"
+#include "basilsill/decision/view.h"
+
+/// Which data centres' upstreams this VM can connect to. A connection that
+/// fails says that the upstream is down or that this VM has lost its path to
+/// it. If connections to several upstreams of a data centre fail in a row and
+/// none succeeds, the path is lost, or the whole data centre is down.
+
+namespace basilsill {
+
+enum class ReachEventKind : uint8_t {
+  kUnreachable,  ///< Connections to upstreams of `data_centre` fail.
+  kReachable,    ///< A connection was opened there again.
+  kCount
+};
+
+struct ReachEvent {
+  ReachEventKind kind = ReachEventKind::kCount;
+  DataCentreHandle data_centre;
+  size_t failed = 0;   ///< For kUnreachable: number of upstreams that failed.
+  Duration lasted{0};  ///< For kReachable: time since kUnreachable.
+};
+
+/// State of one worker. Used by one thread only.
+class UpstreamReach {
+ public:
+  static std::unique_ptr<UpstreamReach> Create(uint64_t seed);
+
+  /// Adopts `view`. While many VMs can't reach a data centre, each probes less
+  /// often; once one of them reaches it again, the others probe at once.
+  void ApplyView(TimePoint now, const RoutingViewPtr& view);
+
+  /// Reports that a connection to `upstream`, which is in `data_centre`, was
+  /// opened or could not be.
+  void OnConnect(TimePoint now,
+                 DataCentreHandle data_centre,
+                 UpstreamHandle upstream,
+                 bool connected);
+
+  /// Schedules probes of data centres that can't be reached.
+  void Tick(TimePoint now);
+
+  /// @returns true if no upstream in `data_centre` can be connected to.
+  bool IsUnreachable(DataCentreHandle data_centre) const;
+
+  /// @returns the data centres that can't be reached, in order of handles.
+  std::vector<DataCentreHandle> Unreachable() const;
+
+  /// @returns the upstreams to which a connection is to be opened now; its
+  /// result is to be reported by OnConnect.
+  std::vector<UpstreamHandle> TakeProbes();
+
+  /// @returns the changes since the last call, in order.
+  std::vector<ReachEvent> TakeEvents();
+
+ private:
+  struct DataCentreState {
+    /// Upstreams to which connections failed since the last one that succeeded.
+    std::vector<UpstreamHandle> failed;
+    TimePoint failed_at{};
+    TimePoint unreachable_since = kNever;  ///< kNever: reachable.
+    TimePoint probe_at = kNever;
+    uint32_t other_vms = 0;  ///< Other VMs that can't reach the data centre.
+  };
+
+  explicit UpstreamReach(uint64_t seed) : random(seed) {}
+
+  DataCentreState& StateOf(DataCentreHandle data_centre);
+  std::vector<UpstreamHandle> CandidatesIn(DataCentreHandle data_centre) const;
+  void OnConnected(TimePoint now, DataCentreHandle data_centre);
+  void OnFailed(TimePoint now,
+                DataCentreHandle data_centre,
+                UpstreamHandle upstream);
+  void SetUnreachable(TimePoint now, DataCentreHandle data_centre);
+  void ProbeOthers(const DataCentreState& state,
+                   std::vector<UpstreamHandle> candidates);
+  Duration ProbePause(const DataCentreState& state);
+
+  RoutingViewPtr view;
+  std::vector<DataCentreState> states;  ///< By index of the handle.
+  std::vector<UpstreamHandle> probes;
+  std::vector<ReachEvent> events;
+  pcg32 random;
+};
+
+}  // namespace basilsill
+
+#endif  // BASILSILL_DECISION_UPSTREAM_REACH_H_
--- a/packages/decision/include/basilsill/decision/view.h
+++ b/packages/decision/include/basilsill/decision/view.h
@@ -202,8 +202,14 @@
   VmState state = VmState::kLive;
   /// Processor time available to it, in thousandths of a core; 0: not reported.
   uint32_t capacity = 0;
+  /// Data centres whose upstreams it can't connect to, as it reports itself.
+  std::vector<DataCentreHandle> unreachable;
 };
 
+/// @returns false if `vm` has reported that it can't connect to the upstreams
+/// of `data_centre`.
+bool Reaches(const VmRow& vm, DataCentreHandle data_centre);
+
 /// @returns true if `a` ranks before `b` as a VM that does work for others:
 /// larger VMs first and, among VMs of about the same size, the one with the
 /// higher `score`, a hash. Every VM computes the same order.
--- a/packages/decision/src/view.cc
+++ b/packages/decision/src/view.cc
@@ -118,6 +118,11 @@
 
 }  // namespace
 
+bool Reaches(const VmRow& vm, DataCentreHandle data_centre) {
+  return std::find(vm.unreachable.begin(), vm.unreachable.end(), data_centre) ==
+         vm.unreachable.end();
+}
+
 // Capacities with the same highest bit, thus within a factor of two, count as
 // equal, so that work is spread over all VMs of about one size.
 bool RanksBefore(const VmRow& a,
--- /dev/null
+++ b/packages/decision/test/upstream_reach_test.cc
@@ -0,0 +1,182 @@
+// Tests of what a VM concludes from connections to upstreams that fail.
+
+#include "basilsill/decision/upstream_reach.h"
+
+#include "decision_fixture.h"
+
+#include <CppUTest/TestHarness.h>
+
+using namespace std::chrono_literals;
+using basilsill::DataCentreHandle;
+using basilsill::Duration;
+using basilsill::ReachEvent;
+using basilsill::ReachEventKind;
+using basilsill::TimePoint;
+using basilsill::UpstreamHandle;
+using basilsill::UpstreamReach;
+using basilsill::UpstreamRow;
+using basilsill::ViewFixture;
+using basilsill::VmRow;
+
+namespace {
+
+constexpr DataCentreHandle kNear{0, 0};
+constexpr DataCentreHandle kFar{1, 0};
+
+}  // namespace
+
+TEST_GROUP(UpstreamReachTest) {
+  void setup() override {
+    for (uint32_t i = 0; i < 4; ++i) {
+      this->near.push_back(this->fixture.AddUpstream(0));
+      this->far.push_back(this->fixture.AddUpstream(1));
+    }
+    this->Apply();
+  }
+
+  void Apply() {
+    this->reach->ApplyView(this->now, this->fixture.Build());
+  }
+
+  void Connect(UpstreamHandle upstream, bool connected) {
+    const UpstreamRow& row = this->fixture.service.upstreams[upstream.index];
+    this->reach->OnConnect(this->now, row.data_centre, upstream, connected);
+  }
+
+  void LosePath() {
+    for (const UpstreamHandle upstream : this->near) {
+      this->Connect(upstream, false);
+    }
+    this->reach->TakeEvents();
+    this->reach->TakeProbes();
+  }
+
+  size_t CountProbes(Duration time) {
+    size_t probes = 0;
+    for (const TimePoint end = this->now + time; this->now < end;) {
+      this->now += 10ms;
+      this->reach->Tick(this->now);
+      probes += this->reach->TakeProbes().size();
+    }
+    return probes;
+  }
+
+  ViewFixture fixture;
+  std::vector<UpstreamHandle> near;
+  std::vector<UpstreamHandle> far;
+  std::unique_ptr<UpstreamReach> reach = UpstreamReach::Create(1);
+  TimePoint now{100s};
+};
+
+TEST(UpstreamReachTest, Path_SeveralConnectionsFail_IsUnreachable) {
+  this->Connect(this->near[0], false);
+  this->Connect(this->near[1], false);
+  CHECK_FALSE(this->reach->IsUnreachable(kNear));
+  this->Connect(this->near[2], false);
+  CHECK(this->reach->IsUnreachable(kNear));
+  CHECK_FALSE(this->reach->IsUnreachable(kFar));
+  const std::vector<ReachEvent> events = this->reach->TakeEvents();
+  CHECK_EQUAL(1, events.size());
+  CHECK(events[0].kind == ReachEventKind::kUnreachable);
+  CHECK(events[0].data_centre == kNear);
+}
+
+// Failure: an upstream that is down is taken for a lost path of this VM.
+TEST(UpstreamReachTest, Path_OneUpstreamFailsAgainAndAgain_IsReachable) {
+  for (int i = 0; i < 10; ++i) {
+    this->Connect(this->near[0], false);
+  }
+  CHECK_FALSE(this->reach->IsUnreachable(kNear));
+}
+
+TEST(UpstreamReachTest, Path_ConnectionOpensBetweenFailures_IsReachable) {
+  this->Connect(this->near[0], false);
+  this->Connect(this->near[1], false);
+  this->Connect(this->near[3], true);
+  this->Connect(this->near[2], false);
+  CHECK_FALSE(this->reach->IsUnreachable(kNear));
+}
+
+TEST(UpstreamReachTest, Path_FailuresFarApart_IsReachable) {
+  for (const UpstreamHandle upstream : this->near) {
+    this->Connect(upstream, false);
+    this->now += 2s;
+  }
+  CHECK_FALSE(this->reach->IsUnreachable(kNear));
+}
+
+// Failure: upstreams that leave close their ports before the view shows them as
+// gone, and this VM believes that it has lost its path.
+TEST(UpstreamReachTest, Path_LeavingUpstreamsFail_IsReachable) {
+  for (size_t i = 0; i < 3; ++i) {
+    this->fixture.service.upstreams[this->near[i].index].leaving = true;
+  }
+  this->Apply();
+  for (size_t i = 0; i < 3; ++i) {
+    this->Connect(this->near[i], false);
+  }
+  CHECK_FALSE(this->reach->IsUnreachable(kNear));
+}
+
+// A data centre with fewer upstreams than the evidence that is usually needed.
+TEST(UpstreamReachTest, Path_OnlyUpstreamFails_IsUnreachable) {
+  for (size_t i = 1; i < this->near.size(); ++i) {
+    this->fixture.service.upstreams[this->near[i].index].leaving = true;
+  }
+  this->Apply();
+  this->Connect(this->near[0], false);
+  CHECK(this->reach->IsUnreachable(kNear));
+}
+
+TEST(UpstreamReachTest, FirstFailure_OtherUpstreams_AreProbedAtOnce) {
+  this->Connect(this->near[0], false);
+  const std::vector<UpstreamHandle> probes = this->reach->TakeProbes();
+  CHECK_EQUAL(2, probes.size());
+  CHECK(probes[0] != probes[1]);
+  for (const UpstreamHandle probe : probes) {
+    CHECK(probe != this->near[0]);
+    this->Connect(probe, false);
+  }
+  CHECK(this->reach->IsUnreachable(kNear));
+}
+
+TEST(UpstreamReachTest, UnreachableDataCentre_ConnectionOpens_IsReachable) {
+  this->LosePath();
+  this->now += 3s;
+  this->Connect(this->near[1], true);
+  CHECK_FALSE(this->reach->IsUnreachable(kNear));
+  const std::vector<ReachEvent> events = this->reach->TakeEvents();
+  CHECK_EQUAL(1, events.size());
+  CHECK(events[0].kind == ReachEventKind::kReachable);
+  CHECK(events[0].lasted == 3s);
+}
+
+// Failure: a VM that others pass over gets no requests, and never finds out
+// that its path is back.
+TEST(UpstreamReachTest,
+     UnreachableDataCentre_NoRequests_IsProbedAFewTimesASecond) {
+  this->LosePath();
+  const size_t probes = this->CountProbes(10s);
+  CHECK(probes >= 30);
+  CHECK(probes <= 80);
+}
+
+// Failure: a data centre is down, and a large fleet storms its upstreams.
+TEST(UpstreamReachTest, UnreachableDataCentre_ForManyVms_IsProbedLessOften) {
+  while (this->fixture.view.vms.size() < 81) {
+    VmRow vm;
+    vm.handle = {static_cast<uint32_t>(this->fixture.view.vms.size()), 0};
+    vm.name = "vm-" + std::to_string(vm.handle.index);
+    vm.unreachable = {kNear};
+    this->fixture.view.vms.push_back(vm);
+  }
+  this->Apply();
+  this->LosePath();
+  const size_t probes = this->CountProbes(20s);
+  CHECK(probes >= 5);
+  CHECK(probes <= 20);
+  this->fixture.view.vms.back().unreachable.clear();
+  this->Apply();
+  this->reach->Tick(this->now);
+  CHECK_EQUAL(1, this->reach->TakeProbes().size());
+}
--- a/packages/node/src/dispatch_host.cc
+++ b/packages/node/src/dispatch_host.cc
@@ -11,42 +11,12 @@
 
 #include "attempt_log.h"
 #include "basilsill/node/task_end.h"
+#include "found_upstream.h"
 #include "load_query.h"
 
 namespace basilsill {
 namespace {
 
-/// An upstream's rows in the view; null if the view has none.
-struct FoundUpstream {
-  const ServiceRow* service = nullptr;
-  const UpstreamRow* row = nullptr;
-
-  AttemptTarget target() const {
-    return {this->row->endpoint, IncarnationOf(*this->service, *this->row)};
-  }
-};
-
-FoundUpstream Locate(const RoutingView& view,
-                     ServiceHandle service,
-                     UpstreamHandle upstream) {
-  const ServiceRow* row = FindService(view, service);
-  if (row == nullptr) {
-    return {};
-  }
-  return {row, FindUpstream(*row, upstream)};
-}
-
-FoundUpstream LocateAnywhere(const RoutingView& view, UpstreamHandle upstream) {
-  for (const auto& service : view.services) {
-    const UpstreamRow* row =
-        service ? FindUpstream(*service, upstream) : nullptr;
-    if (row != nullptr) {
-      return {service.get(), row};
-    }
-  }
-  return {};
-}
-
 // @returns the time left to meet the request's latency target, at least 1 ms; 0
 // if it has no target.
 ShortMillis GoodFor(TimePoint now, const RequestMessage& request) {
@@ -186,7 +156,7 @@
                                              UpstreamHandle upstream,
                                              AnswerSink& sink) {
   const FoundUpstream found =
-      Locate(*this->view, request.entry.service, upstream);
+      FindIn(*this->view, request.entry.service, upstream);
   if (found.row == nullptr) {
     co_return ServeOutcome{false, Refusal::kNoUpstream, Duration(0)};
   }
@@ -282,7 +252,7 @@
 }
 
 void DispatchHost::Report(const UpstreamEvent& event) const {
-  const FoundUpstream found = LocateAnywhere(*this->view, event.upstream);
+  const FoundUpstream found = FindInAny(*this->view, event.upstream);
   if (found.row != nullptr) {
     LogUpstreamEvent(event, found.row->endpoint);
   }
@@ -315,7 +285,7 @@
 }
 
 void DispatchHost::StartLoadQuery(const DispatchAction& action) {
-  const FoundUpstream found = LocateAnywhere(*this->view, action.upstream);
+  const FoundUpstream found = FindInAny(*this->view, action.upstream);
   if (found.row != nullptr && !found.service->health_path.empty()) {
     this->pool.metrics().rate_limited_probes.Add(action.rate_limited ? 1 : 0);
     boost::asio::co_spawn(
@@ -366,7 +336,7 @@
 void DispatchHost::StartAttempt(const JobPtr& job,
                                 const DispatchAction& action) {
   const FoundUpstream found =
-      Locate(*this->view, job->request.entry.service, action.upstream);
+      FindIn(*this->view, job->request.entry.service, action.upstream);
   if (found.row == nullptr) {
     AttemptReport report;
     report.end = AttemptEnd::kConnectFailed;
--- a/packages/node/src/entry_host.cc
+++ b/packages/node/src/entry_host.cc
@@ -37,6 +37,7 @@
     if (outcome.answered || request.caller_gone) {
       co_return outcome;
     }
+    request.failed_choices.push_back({target, outcome.refusal});
     const RetryDecision decision = this->router->OnRefused(
         MonotonicClock::now(), entry, outcome.refusal, outcome.sends);
     if (!decision.retry) {
--- a/packages/node/src/http_message.h
+++ b/packages/node/src/http_message.h
@@ -7,6 +7,7 @@
 #include <span>
 #include <string>
 #include <string_view>
+#include <vector>
 
 #include <boost/beast/http/fields.hpp>
 
@@ -58,6 +59,13 @@
   virtual const HttpFields* trailers() const { return nullptr; }
 };
 
+/// A dispatcher, or an upstream on the direct path, that was asked to serve a
+/// request and did not.
+struct FailedChoice {
+  Target target;
+  Refusal refusal = Refusal::kNone;
+};
+
 /// A request that is passed on. Belongs to the coroutine that serves it.
 struct RequestMessage {
   std::string method;
@@ -75,6 +83,8 @@
   /// Latency target: an answer after this time is worth little; kNever: none.
   TimePoint good_until = kNever;
 
+  std::vector<FailedChoice> failed_choices;  ///< In order, at the entry VM.
+
   /// Set by the component that works on the request at the moment; called when
   /// the caller has disconnected.
   std::function<void()> on_caller_gone;
--- a/packages/node/src/metrics.h
+++ b/packages/node/src/metrics.h
@@ -97,6 +97,7 @@
   Gauge queued;  ///< Requests that wait for a slot of an upstream.
   Gauge attempts_in_flight;
   Counter attempts;
+  Gauge unreachable_data_centres;  ///< Whose upstreams can't be connected to.
   Counter upstream_connections_opened;
   Gauge upstream_connections;
   Counter upstream_bytes_sent;
--- a/packages/node/src/metrics_table.cc
+++ b/packages/node/src/metrics_table.cc
@@ -339,6 +339,10 @@
                "Requests that waited where rate limits bind all upstreams.",
                WorkerCounter<&Worker::held_for_rate>),
 
+    GaugeRow("basilsill_unreachable_data_centres",
+             "worker",
+             "Data centres in which no upstream can be connected to.",
+             WorkerGauge<&Worker::unreachable_data_centres>),
     GaugeRow("basilsill_leaving_upstreams",
              "worker",
              "Upstreams that say in their answers that they leave.",
--- a/packages/node/src/upstream_pool.cc
+++ b/packages/node/src/upstream_pool.cc
@@ -39,6 +39,9 @@
 Task<UpstreamConnectionPtr> UpstreamPool::Open(const AttemptTarget& target) {
   Result<Socket> socket = co_await ConnectTo(this->run_on, target.endpoint,
                                              this->options.connect_timeout);
+  if (this->on_connect) {
+    this->on_connect(target, socket.has_value());
+  }
   if (!socket) {
     co_return nullptr;
   }
--- a/packages/node/src/upstream_pool.h
+++ b/packages/node/src/upstream_pool.h
@@ -3,8 +3,10 @@
 
 #include <chrono>
 #include <cstdint>
+#include <functional>
 #include <memory>
 #include <unordered_map>
+#include <utility>
 #include <vector>
 
 #include "basilsill/base/limits.h"
@@ -23,6 +25,8 @@
 struct AttemptTarget {
   Endpoint endpoint;
   UpstreamIncarnation incarnation{};
+  UpstreamHandle upstream{};
+  DataCentreHandle data_centre{};
 
   friend bool operator==(const AttemptTarget&, const AttemptTarget&) = default;
 };
@@ -63,6 +67,9 @@
   bool hold_answers = false;
 };
 
+/// Called with the result of each attempt to open a connection.
+using OnConnect = std::function<void(const AttemptTarget&, bool connected)>;
+
 class UpstreamPool {
  public:
   /// @param metrics Shared, because connections that are still open when the
@@ -89,6 +96,10 @@
   /// Closes connections that have been idle for too long.
   void Tick(TimePoint now);
 
+  void SetOnConnect(OnConnect on_connect) {
+    this->on_connect = std::move(on_connect);
+  }
+
   const HeaderNames& names() const { return this->options.names; }
   bool buffers_answers() const { return this->options.hold_answers; }
   size_t idle_count() const { return this->idle_connections; }
@@ -105,6 +116,7 @@
   Executor run_on;
   UpstreamPoolOptions options;
   std::shared_ptr<WorkerMetrics> counts;
+  OnConnect on_connect;
   std::unordered_map<AttemptTarget, IdleList, TargetHash> idle;
   size_t idle_connections = 0;
 };
--- a/packages/node/src/worker.cc
+++ b/packages/node/src/worker.cc
@@ -10,6 +10,7 @@
 #include "basilsill/node/log.h"
 #include "basilsill/node/task_end.h"
 #include "link_server.h"
+#include "request_log.h"
 
 namespace basilsill {
 namespace {
@@ -36,6 +37,8 @@
 // Bits of an attempt's sequence number that count attempts; the bits above
 // contain the worker's number.
 constexpr unsigned kOnceSequenceBits = 48;
+// The components of a worker draw from different random sequences.
+constexpr uint64_t kReachSeedOffset = 2;
 
 UpstreamPoolOptions PoolOptions(const Settings& settings,
                                 const Installation& installation) {
@@ -118,19 +121,6 @@
   return EntryRouter::Create(entry);
 }
 
-void LogRequestEnd(Event event,
-                   const RequestMessage& request,
-                   std::string_view team,
-                   const RequestEnd& end) {
-  const auto elapsed =
-      std::chrono::duration_cast<milliseconds>(end.elapsed).count();
-  Log(event, {{"request", request.request_id},
-              {"reason", end.refusal},
-              {"class", NameOf(request.entry.traffic_class)},
-              {"team", team},
-              {"elapsed_ms", elapsed}});
-}
-
 // @returns the time since `as_of`; -1 if that is unknown.
 int64_t AgeInMilliseconds(LeaseTime as_of) {
   if (as_of == LeaseTime::min() || as_of == LeaseTime::max()) {
@@ -199,6 +189,9 @@
           MakeRouter(installation, options, this->quarantine, this->notices),
           this->dispatch_host,
           *this),
+      reach_host(UpstreamReach::Create(options.seed + kReachSeedOffset),
+                 this->pool,
+                 [this](const ReachEvent& event) { this->OnReach(event); }),
       links(this->context->get_executor(),
             LinkOptions(settings, options),
             this->MakeLinkHandlers(),
@@ -252,6 +245,7 @@
   this->current_view = view;
   this->current_caller_limits =
       view->caller_limits.value_or(LimitsOf(this->settings));
+  this->reach_host.ApplyView(now, view);
   this->dispatch_host.ApplyView(now, view);
   this->entry_host.ApplyView(now, view);
   this->links.ApplyView(view);
@@ -447,6 +441,11 @@
   }
 }
 
+void Worker::OnReach(const ReachEvent& /*event*/) {
+  this->counts->unreachable_data_centres.Set(
+      static_cast<int64_t>(this->reach_host.Unreachable().size()));
+}
+
 size_t Worker::RoomForCallers() const {
   const uint32_t threads = this->settings.threads.traffic;
   const size_t limit = this->settings.limits.caller_connections / threads;
@@ -519,6 +518,7 @@
 
 // Updates the components of the worker, in this order.
 void Worker::Tick(TimePoint now) {
+  this->reach_host.Tick(now);
   this->dispatch_host.Tick(now);
   this->entry_host.Tick(now);
   this->TickQuota();
@@ -639,10 +639,12 @@
   const TrafficClass traffic_class = request.entry.traffic_class;
   if (end.broken) {
     this->counts->CountOutcome(traffic_class, Outcome::kBroken);
-    LogRequestEnd(Event::kAnswerBroken, request, this->TeamOf(request), end);
+    LogRequestEnd(Event::kAnswerBroken, *this->current_view, request,
+                  this->TeamOf(request), end);
   } else if (request.caller_gone) {
     this->counts->CountOutcome(traffic_class, Outcome::kCallerGone);
-    LogRequestEnd(Event::kCallerGone, request, this->TeamOf(request), end);
+    LogRequestEnd(Event::kCallerGone, *this->current_view, request,
+                  this->TeamOf(request), end);
   } else if (end.refusal == Refusal::kNone) {
     this->counts->CountOutcome(traffic_class, Outcome::kAnswered);
   } else {
@@ -658,7 +660,8 @@
       end.refusal == Refusal::kNoRoute ||
       end.refusal == Refusal::kConfigurationUnverified;
   if (!is_route_missing) {
-    LogRequestEnd(Event::kRequestRefused, request, this->TeamOf(request), end);
+    LogRequestEnd(Event::kRequestRefused, *this->current_view, request,
+                  this->TeamOf(request), end);
     return;
   }
   Log(Event::kRequestRefused,
--- a/packages/node/src/worker.h
+++ b/packages/node/src/worker.h
@@ -22,6 +22,7 @@
 #include "metrics.h"
 #include "net.h"
 #include "once_exchange.h"
+#include "reach_host.h"
 #include "upstream_pool.h"
 
 /// One traffic thread and everything that belongs to it: callers, dispatchers,
@@ -134,6 +135,7 @@
   void OnStream(const PeerLinkPtr& link, LinkStreamPtr stream, wire::Open open);
   void ReportCrashes(TimePoint now);
   void ReportRateLimits(TimePoint now);
+  void OnReach(const ReachEvent& event);
   void WakeTick();
   Task<void> TickLoop();
   std::chrono::milliseconds TickInterval() const;
@@ -210,6 +212,7 @@
   std::shared_ptr<UpstreamNotices> notices;
   DispatchHost dispatch_host;
   EntryHost entry_host;
+  ReachHost reach_host;
   LinkTable links;
   RoutingViewPtr current_view;
   std::unordered_set<std::shared_ptr<CallerSession>> sessions;
