Upstream connections: give up data that is not acknowledged for 700 ms

A request that is sent on a kept connection whose path is lost waits until its deadline: nothing ends the connection. TCP_USER_TIMEOUT ends it, so that an idempotent request can be made elsewhere. Two retransmissions fit into the time, so that single lost segments change nothing.

It was set nowhere, neither here nor by Asio or Beast.

--- a/packages/base/include/basilsill/base/limits.h
+++ b/packages/base/include/basilsill/base/limits.h
@@ -51,6 +51,9 @@
 // Upstream connections.
 inline constexpr milliseconds kUpstreamConnectTimeout = milliseconds(500);
 inline constexpr milliseconds kUpstreamIdleTimeout = seconds(20);
+/// A connection ends if data sent on it is not acknowledged for this long. Two
+/// retransmissions fit into it.
+inline constexpr milliseconds kUpstreamUserTimeout = milliseconds(700);
 
 // Links between nodes.
 inline constexpr size_t kMaxFrameBytes = 256 * 1024;
--- a/packages/node/src/net.cc
+++ b/packages/node/src/net.cc
@@ -1,5 +1,6 @@
 #include "net.h"
 
+#include <netinet/tcp.h>
 #include <sys/socket.h>
 
 #include <memory>
@@ -13,6 +14,9 @@
 using ReusePort =
     boost::asio::detail::socket_option::boolean<SOL_SOCKET, SO_REUSEPORT>;
 
+using UserTimeout =
+    boost::asio::detail::socket_option::integer<IPPROTO_TCP, TCP_USER_TIMEOUT>;
+
 Failure NetworkFailure(const Endpoint& endpoint, const NetError& error) {
   return {FailureKind::kNetwork,
           endpoint.address + ":" + std::to_string(endpoint.port),
@@ -104,6 +108,11 @@
   co_return std::move(*socket);
 }
 
+void SetUserTimeout(Socket& socket, std::chrono::milliseconds timeout) {
+  NetError ignored;
+  socket.set_option(UserTimeout(static_cast<int>(timeout.count())), ignored);
+}
+
 void CloseWithReset(Socket& socket) {
   NetError ignored;
   socket.set_option(boost::asio::socket_base::linger(true, 0), ignored);
--- a/packages/node/src/net.h
+++ b/packages/node/src/net.h
@@ -61,6 +61,10 @@
                                Endpoint endpoint,
                                std::chrono::milliseconds timeout);
 
+/// Makes the kernel end the connection if data sent on it is not acknowledged
+/// for `timeout` (TCP_USER_TIMEOUT).
+void SetUserTimeout(Socket& socket, std::chrono::milliseconds timeout);
+
 /// Closes the connection with a reset, never with a clean end.
 void CloseWithReset(Socket& socket);
 
