Requests go to VMs that can connect to the upstreams

Callers of all VMs were refused with no-upstream while 5 of 13 VMs reached every upstream. A dispatcher that could not connect took the upstreams for down, and the entry VM wrote off the shard instead of the dispatcher: nobody asked the shard's other owners, and the summary of the cut dispatcher kept further requests away.

The dispatcher now says upstreams-unreachable when connections fail, and tells no summary of a shard that it can't reach; the entry VM asks the next owner and remembers for a short time which VM can't reach which shard. A VM that can connect to no upstream of a data centre tells the others (Heartbeat), which rank it last for that data centre's shards, and refuses what waits there at once. VMs that take over check their own paths, and a cut VM probes until its path is back.

Evidence from one service only flapped; upstreams of up to four services have to fail.

--- a/packages/base/include/basilsill/base/reason.h
+++ b/packages/base/include/basilsill/base/reason.h
@@ -59,6 +59,7 @@
   kApiKeysUnverified,
   kQuotaUnavailable,
   kConfigurationUnverified,
+  kUpstreamsUnreachable,  ///< The dispatcher's VM can't connect to them.
   kCount
 };
 
--- a/packages/base/src/reason.cc
+++ b/packages/base/src/reason.cc
@@ -52,6 +52,7 @@
         {"api-keys-unverified", 503, kNotRun, true, false},
         {"quota-unavailable", 503, kNotRun, true, false},
         {"configuration-unverified", 503, kNotRun, true, false},
+        {"upstreams-unreachable", 503, kNotRun, true, true},
     }};
 
 constexpr std::array<std::string_view, static_cast<size_t>(Retry::kCount)>
--- a/packages/decision/include/basilsill/decision/dispatch.h
+++ b/packages/decision/include/basilsill/decision/dispatch.h
@@ -287,6 +287,14 @@
   virtual std::vector<UpstreamNoticeReport> NoticesOf(TimePoint now,
                                                       ShardKey shard) const = 0;
 
+  /// Reports that this VM has lost its path to the upstreams of `data_centre`,
+  /// or has it again. While it is lost, requests for them are refused at once
+  /// with kUpstreamsUnreachable, so that entry VMs send them to VMs that reach
+  /// them.
+  virtual void OnReach(TimePoint now,
+                       DataCentreHandle data_centre,
+                       bool reachable) = 0;
+
   /// Applies a rate limit that another VM received from an upstream.
   virtual void OnRateLimitReport(TimePoint now,
                                  const RateLimitReport& report) = 0;
@@ -311,6 +319,10 @@
 
   virtual ShardSummary Summarize(TimePoint now, ShardKey shard) const = 0;
 
+  /// @returns false if this VM can't connect to the upstreams of `shard` that
+  /// accept work. Its summary would then say nothing about the shard.
+  virtual bool ReachesShard(TimePoint now, ShardKey shard) const = 0;
+
   /// @returns actions since the last call of `ClearActions`, in order.
   virtual const std::vector<DispatchAction>& actions() const = 0;
   /// @returns events since the last call of `ClearActions`, in order.
--- a/packages/decision/include/basilsill/decision/membership.h
+++ b/packages/decision/include/basilsill/decision/membership.h
@@ -146,6 +146,13 @@
   /// `incarnation` of `vm` announced that it is leaving.
   virtual void OnLeaving(TimePoint now, VmHandle vm, uint64_t incarnation) = 0;
 
+  /// `incarnation` of `vm`, which may be this VM, reported the data centres
+  /// whose upstreams it can't connect to.
+  virtual void OnReach(TimePoint now,
+                       VmHandle vm,
+                       uint64_t incarnation,
+                       std::vector<DataCentreHandle> unreachable) = 0;
+
   /// Replaces the set of peers to which this VM needs links. If there are more
   /// than `max_peers`, the most important are kept.
   virtual void SetNeeds(TimePoint now, const std::vector<PeerNeed>& needs) = 0;
--- a/packages/decision/include/basilsill/decision/upstream_reach.h
+++ b/packages/decision/include/basilsill/decision/upstream_reach.h
@@ -12,8 +12,8 @@
 
 /// Which data centres' upstreams this VM can connect to. A connection that
 /// fails says that the upstream is down or that this VM has lost its path to
-/// it. If connections to several upstreams of a data centre fail in a row and
-/// none succeeds, the path is lost, or the whole data centre is down.
+/// it. If connections to upstreams of several services of a data centre fail in
+/// a row and none succeeds, the path is lost, or the whole data centre is down.
 
 namespace basilsill {
 
@@ -35,8 +35,10 @@
  public:
   static std::unique_ptr<UpstreamReach> Create(uint64_t seed);
 
-  /// Adopts `view`. While many VMs can't reach a data centre, each probes less
-  /// often; once one of them reaches it again, the others probe at once.
+  /// Adopts `view`. If another VM has lost its path to a data centre and this
+  /// VM may dispatch there, its own path is checked. While many VMs can't reach
+  /// a data centre, each probes less often; once one of them reaches it again,
+  /// the others probe at once.
   void ApplyView(TimePoint now, const RoutingViewPtr& view);
 
   /// Reports that a connection to `upstream`, which is in `data_centre`, was
@@ -63,26 +65,39 @@
   std::vector<ReachEvent> TakeEvents();
 
  private:
+  struct Candidate {
+    UpstreamHandle upstream;
+    ServiceHandle service;
+  };
   struct DataCentreState {
     /// Upstreams to which connections failed since the last one that succeeded.
-    std::vector<UpstreamHandle> failed;
+    std::vector<Candidate> failed;
     TimePoint failed_at{};
     TimePoint unreachable_since = kNever;  ///< kNever: reachable.
     TimePoint probe_at = kNever;
     uint32_t other_vms = 0;  ///< Other VMs that can't reach the data centre.
+    TimePoint next_check{};  ///< Of other upstreams, after one has failed.
+    Duration check_pause{0};
+    /// Upstreams that can be connected to, in the view of that version.
+    std::vector<Candidate> candidates;
+    uint64_t candidates_version = 0;
   };
 
   explicit UpstreamReach(uint64_t seed) : random(seed) {}
 
   DataCentreState& StateOf(DataCentreHandle data_centre);
-  std::vector<UpstreamHandle> CandidatesIn(DataCentreHandle data_centre) const;
+  const std::vector<Candidate>& CandidatesIn(DataCentreHandle data_centre);
   void OnConnected(TimePoint now, DataCentreHandle data_centre);
   void OnFailed(TimePoint now,
                 DataCentreHandle data_centre,
                 UpstreamHandle upstream);
+  void CheckPath(TimePoint now, DataCentreHandle data_centre);
+  static bool TakeCheck(TimePoint now, DataCentreState& state);
   void SetUnreachable(TimePoint now, DataCentreHandle data_centre);
-  void ProbeOthers(const DataCentreState& state,
-                   std::vector<UpstreamHandle> candidates);
+  static bool IsEvidence(const std::vector<Candidate>& failed,
+                         const std::vector<Candidate>& candidates);
+  void ProbeOthers(const Candidate& failed,
+                   const std::vector<Candidate>& candidates);
   Duration ProbePause(const DataCentreState& state);
 
   RoutingViewPtr view;
--- a/packages/decision/include/basilsill/decision/view.h
+++ b/packages/decision/include/basilsill/decision/view.h
@@ -323,8 +323,9 @@
 
 /// Splits a service's upstreams into shards by data centre, of at most
 /// `max_upstreams` each, and ranks the VMs of each shard: live VMs of the
-/// shard's data centre first, then other live VMs, then those that are not
-/// live; within each group by RanksBefore with a rendezvous hash. Fills
+/// shard's data centre first, then other live VMs, then live VMs that have lost
+/// their paths to upstreams, then those that are not live; within each group by
+/// RanksBefore with a rendezvous hash. Fills
 /// `service.shards`.
 void AssignShards(const RoutingView& view,
                   ServiceRow& service,
--- a/packages/decision/src/dispatcher.cc
+++ b/packages/decision/src/dispatcher.cc
@@ -93,6 +93,7 @@
   ShardState& shard = this->shards.at(shard_row);
   if (is_new) {
     this->ApplyReceivedLimits(now, shard);
+    this->ApplyReach(now, shard);
   }
   const uint32_t lane = this->OpenLane(shard, request);
   Verdict verdict = this->Check(now, shard, lane, request);
--- a/packages/decision/src/dispatcher_admit.cc
+++ b/packages/decision/src/dispatcher_admit.cc
@@ -77,11 +77,13 @@
 
 // While all upstreams are failing, requests are not queued. One at a time is
 // let through to each upstream that may be tried; the others are refused at
-// once.
+// once. If connections fail, the path of this VM may be lost, and another VM
+// may reach the upstreams.
 DispatcherCore::Verdict DispatcherCore::CheckUsable(TimePoint now,
                                                     const ShardState& shard) {
   TimePoint soonest = kNever;
   bool may_try = false;
+  bool is_unreachable = false;
   for (const UpstreamSlots& upstream : shard.upstreams) {
     if (!TakesWork(now, upstream)) {
       continue;
@@ -93,13 +95,16 @@
     may_try |=
         AcceptsNow(now, upstream) && upstream.busy == 0 && shard.queued == 0;
     soonest = std::min(soonest, FreeAt(upstream));
+    is_unreachable |= upstream.unreachable;
   }
   if (may_try) {
     return {};
   }
   const Duration retry_after =
       soonest == kNever ? kNoUpstreamRetryAfter : soonest - now;
-  return {Refusal::kNoUpstream, this->WithJitter(retry_after)};
+  const Refusal refusal =
+      is_unreachable ? Refusal::kUpstreamsUnreachable : Refusal::kNoUpstream;
+  return {refusal, this->WithJitter(retry_after)};
 }
 
 DispatcherCore::Verdict DispatcherCore::CheckQueue(TimePoint now,
--- a/packages/decision/src/dispatcher_core.h
+++ b/packages/decision/src/dispatcher_core.h
@@ -21,6 +21,7 @@
 /// - dispatcher_outcome.cc: effect of an attempt's end on the upstream's state
 /// - dispatcher_notice.cc: upstreams that say that they leave or rest
 /// - dispatcher_rate_limit.cc: rate limits of upstreams
+/// - dispatcher_reach.cc: data centres that this VM can't connect to
 /// - dispatcher_tick.cc: timers, hedges and periodic scans
 
 namespace basilsill {
@@ -42,6 +43,9 @@
   void OnLoadQueryEnd(TimePoint now,
                       UpstreamHandle upstream,
                       const LoadQueryReport& report) override;
+  void OnReach(TimePoint now,
+               DataCentreHandle data_centre,
+               bool reachable) override;
   void OnRateLimitReport(TimePoint now, const RateLimitReport& report) override;
   std::vector<RateLimitUpdate> TakeRateLimitUpdates(TimePoint now) override;
   void Cancel(TimePoint now, DispatchHandle request) override;
@@ -59,6 +63,7 @@
   void HandBack(TimePoint now) override;
   size_t CountRateLimited() const override;
   ShardSummary Summarize(TimePoint now, ShardKey shard) const override;
+  bool ReachesShard(TimePoint now, ShardKey shard) const override;
   const std::vector<DispatchAction>& actions() const override;
   const std::vector<UpstreamEvent>& events() const override;
   void ClearActions() override;
@@ -222,6 +227,9 @@
                            const ShardState& shard,
                            uint64_t requests);
 
+  // dispatcher_reach.cc
+  void ApplyReach(TimePoint now, ShardState& shard);
+
   // dispatcher_rate_limit.cc
   void RecordRateLimit(TimePoint now,
                        TimePoint request_sent_at,
@@ -263,6 +271,7 @@
   FairQueue queue;
   IndexedHeap<TimePoint> timers;  ///< Rows are those of requests.
   std::vector<uint32_t> active;   ///< Shards with queued or running requests.
+  std::vector<DataCentreHandle> unreachable;  ///< Paths to them are lost.
   RateLimitCache received_limits;
   std::vector<RateLimitReport> ended_limits;  ///< Not yet sent to other VMs.
   bool handing_back = false;
--- a/packages/decision/src/dispatcher_end.cc
+++ b/packages/decision/src/dispatcher_end.cc
@@ -201,7 +201,8 @@
 }
 
 // If the request did not run and no upstream of the shard is usable, the
-// refusal says so (kNoUpstream), so that the entry VM tries another shard.
+// refusal says so, so that the entry VM tries another shard (kNoUpstream) or
+// another VM (kUpstreamsUnreachable).
 DispatcherCore::Verdict DispatcherCore::VerdictOf(TimePoint now,
                                                   const RequestRow& request,
                                                   AttemptEnd end) {
@@ -214,6 +215,12 @@
   if (this->handing_back) {
     elsewhere = {Refusal::kShuttingDown, own.retry_after};
   }
+  // Other upstreams may be usable, but this request has no attempts left and
+  // has reached none.
+  if (elsewhere.refusal == Refusal::kNone && request.sends == 0 &&
+      end == AttemptEnd::kConnectFailed) {
+    elsewhere = {Refusal::kUpstreamsUnreachable, own.retry_after};
+  }
   if (elsewhere.refusal == Refusal::kNone) {
     return own;
   }
--- a/packages/decision/src/dispatcher_outcome.cc
+++ b/packages/decision/src/dispatcher_outcome.cc
@@ -121,6 +121,9 @@
   if (report.end == AttemptEnd::kDied && !attempt.crash_reported) {
     this->ReportCrash(now, attempt.shard, upstream);
   }
+  if (report.end != AttemptEnd::kCancelled) {
+    upstream.unreachable = report.end == AttemptEnd::kConnectFailed;
+  }
   if (IsError(report)) {
     this->RecordError(now, attempt, report.end);
   } else if (answered) {
--- a/packages/decision/src/entry_choice.cc
+++ b/packages/decision/src/entry_choice.cc
@@ -63,8 +63,9 @@
          (link.lost_until <= now && link.avoided_until <= now);
 }
 
-// The first usable owner dispatches for the shard. A silent owner is only
-// skipped in favour of another that is not silent.
+// The first usable owner dispatches for the shard. An owner that is silent or
+// that can't reach the shard's data centre is only skipped in favour of
+// another.
 VmHandle EntryCore::OwnerOf(TimePoint now,
                             const EntryRow& entry,
                             const ShardRow& shard) const {
@@ -72,18 +73,21 @@
       this->shard_estimates.WaitAt(now, shard.key, entry.request.traffic_class,
                                    1) +
       this->shard_estimates.ServiceTimeAt(shard.key);
-  VmHandle silent;
+  VmHandle doubtful;
   for (const VmHandle owner : shard.owners) {
-    if (Contains(entry.tried_vms, owner) || !this->IsUsable(now, owner)) {
+    if (Contains(entry.tried_vms, owner) || !this->IsUsable(now, owner) ||
+        !this->unreachable.MayAsk(now, owner, shard.key)) {
       continue;
     }
-    if (!this->options.features.silence ||
-        !this->silence.IsSilent(now, owner, expected)) {
+    const bool is_silent = this->options.features.silence &&
+                           this->silence.IsSilent(now, owner, expected);
+    const VmRow& vm = this->view->vms[owner.index];
+    if (!is_silent && Reaches(vm, shard.data_centre)) {
       return owner;
     }
-    silent = IsValid(silent) ? silent : owner;
+    doubtful = IsValid(doubtful) ? doubtful : owner;
   }
-  return silent;
+  return doubtful;
 }
 
 // The first choice may be a shard that seems to have no upstream; later choices
@@ -141,7 +145,9 @@
     const uint32_t place = seen <= 2 ? seen - 1 : this->random(seen);
     if (place < drawn.size()) {
       const Duration cost =
-          this->CostOf(now, shard, entry.request.traffic_class);
+          Reaches(this->view->vms[owner.index], shard.data_centre)
+              ? this->CostOf(now, shard, entry.request.traffic_class)
+              : kUnusableWait;
       drawn[place] = {&shard, owner, cost, near};
     }
   }
@@ -170,9 +176,11 @@
   target.vm = chosen.owner;
   target.shard = chosen.shard->key;
   const EntryFeatures& features = this->options.features;
+  // After a detour it is not clear what the other shard can do.
   const bool may_move = overflow && features.hand_back && features.retry &&
-                        entry.choices == 0 && chosen.near &&
-                        far.shard != nullptr && entry.request.replayable;
+                        entry.choices == 0 && entry.detours == 0 &&
+                        chosen.near && far.shard != nullptr &&
+                        entry.request.replayable;
   if (may_move) {
     target.max_wait = this->MaxWait(now, entry, far);
   }
@@ -269,6 +277,7 @@
     this->direct.Begin(now, target.upstream);
     return;
   }
+  this->unreachable.OnChosen(now, target.vm, target.shard);
   // Only this request waits for another attempt to open a lost link.
   LinkState& link = this->LinkOf(target.vm);
   if (link.lost_pause > Duration(0)) {
--- a/packages/decision/src/entry_core.h
+++ b/packages/decision/src/entry_core.h
@@ -14,6 +14,7 @@
 #include "peer_silence.h"
 #include "shard_load_estimates.h"
 #include "team_admission.h"
+#include "unreachable_shards.h"
 
 /// Implementation of the entry router. entry_router.cc admits requests, decides
 /// on retries and finishes requests; entry_choice.cc chooses where requests go.
@@ -23,11 +24,16 @@
 /// Maximum number of attempts that the entry side makes for a request.
 inline constexpr uint32_t kMaxChoices = 3;
 
+/// Maximum number of further attempts at VMs that turn out to have lost their
+/// paths to the upstreams. Nothing was sent to an upstream in these.
+inline constexpr uint8_t kMaxDetours = 4;
+
 struct EntryRow {
   EntryRequest request;
   Target target;
   TimePoint admitted;
   uint32_t choices = 0;
+  uint8_t detours = 0;  ///< Attempts that are not counted in `choices`.
   uint8_t sends = 0;  ///< Sent to upstreams so often, as far as this VM knows.
   /// Shards that refused the request, and VMs that could not dispatch it.
   std::array<ShardKey, kMaxChoices> tried_shards{};
@@ -132,6 +138,7 @@
   ShardLoadEstimates shard_estimates;
   DirectPath direct;
   PeerSilence silence;
+  UnreachableShards unreachable;
   std::vector<LinkState> links;  ///< By index of the VM's handle.
   /// Retry budgets, by service and team.
   boost::unordered_flat_map<uint64_t, RatioBudget> budgets;
--- a/packages/decision/src/entry_router.cc
+++ b/packages/decision/src/entry_router.cc
@@ -57,6 +57,7 @@
     case Refusal::kNoUpstream:
     case Refusal::kShuttingDown:
     case Refusal::kPeerUnreachable:
+    case Refusal::kUpstreamsUnreachable:
       return true;
     case Refusal::kQueueFull:
     case Refusal::kDeadlineUnmeetable:
@@ -126,6 +127,9 @@
   if (IsValid(from)) {
     this->silence.OnReceived(now, from);
   }
+  if (summary.slots > 0) {
+    this->unreachable.OnReached(from, summary.shard);
+  }
   this->shard_estimates.OnSummary(now, summary);
 }
 
@@ -162,6 +166,7 @@
 
 void EntryCore::Tick(TimePoint now) {
   this->shard_estimates.Tick(now);
+  this->unreachable.Tick(now);
 }
 
 const EntryCounters& EntryCore::counters() const {
@@ -258,6 +263,13 @@
     entry.failed_upstream = target.upstream;
   } else if (target.kind == TargetKind::kDispatcher && IsPeerFailure(refusal)) {
     entry.tried_vms[entry.choices - 1] = target.vm;
+  } else if (refusal == Refusal::kUpstreamsUnreachable) {
+    // Other owners of the shard may reach its upstreams.
+    this->unreachable.OnRefused(now, target.vm, target.shard);
+    if (entry.detours < kMaxDetours) {
+      ++entry.detours;
+      --entry.choices;
+    }
   } else if (target.kind == TargetKind::kDispatcher) {
     entry.tried_shards[entry.choices - 1] = target.shard;
   }
--- a/packages/decision/src/membership.cc
+++ b/packages/decision/src/membership.cc
@@ -32,6 +32,7 @@
   row.capacity = member.capacity;
   row.workers = member.workers;
   row.state = StateOf(member);
+  row.unreachable = member.unreachable;
   return row;
 }
 
@@ -39,7 +40,8 @@
   return a.handle == b.handle && a.name == b.name &&
          a.incarnation == b.incarnation && a.data_centre == b.data_centre &&
          a.control == b.control && a.workers == b.workers &&
-         a.state == b.state && a.capacity == b.capacity;
+         a.state == b.state && a.capacity == b.capacity &&
+         a.unreachable == b.unreachable;
 }
 
 }  // namespace
@@ -167,6 +169,7 @@
     }
     member.incarnation = hello.incarnation;
     member.announced_leaving = false;
+    member.unreachable.clear();
   }
   member.announced_leaving |= hello.leaving;
   member.data_centre = this->InternDataCentre(hello.data_centre);
@@ -185,6 +188,18 @@
   this->UpdateRow(vm);
 }
 
+void MembershipTable::OnReach(TimePoint now,
+                              VmHandle vm,
+                              uint64_t incarnation,
+                              std::vector<DataCentreHandle> unreachable) {
+  const bool is_current =
+      vm == this->own || this->OnMessageReceived(now, vm, incarnation);
+  if (is_current) {
+    this->members.Find(vm)->unreachable = std::move(unreachable);
+    this->UpdateRow(vm);
+  }
+}
+
 void MembershipTable::Leave(TimePoint /*now*/) {
   this->members.Find(this->own)->announced_leaving = true;
   this->UpdateRow(this->own);
--- a/packages/decision/src/membership_table.h
+++ b/packages/decision/src/membership_table.h
@@ -34,6 +34,8 @@
   bool listed = false;
   bool listed_leaving = false;
   bool announced_leaving = false;  ///< By the current incarnation.
+  /// As the current incarnation reported last.
+  std::vector<DataCentreHandle> unreachable;
 
   PeerTrust trust;
   PeerLink link = PeerLink::kNone;
@@ -60,6 +62,10 @@
   void OnLinkLost(TimePoint now, VmHandle vm, uint64_t incarnation) override;
   void OnOpenFailed(TimePoint now, VmHandle vm) override;
   void OnLeaving(TimePoint now, VmHandle vm, uint64_t incarnation) override;
+  void OnReach(TimePoint now,
+               VmHandle vm,
+               uint64_t incarnation,
+               std::vector<DataCentreHandle> unreachable) override;
   void SetNeeds(TimePoint now, const std::vector<PeerNeed>& needs) override;
   void Leave(TimePoint now) override;
   void Tick(TimePoint now) override;
--- a/packages/decision/src/upstream_choice.cc
+++ b/packages/decision/src/upstream_choice.cc
@@ -200,6 +200,7 @@
 void MarkReturned(TimePoint now, UpstreamSlots& upstream, bool ramp) {
   upstream.health.Reset();
   upstream.failures = 0;
+  upstream.unreachable = false;
   upstream.paused_until = now;
   upstream.ramp_left = ramp ? kRampAnswers : 0;
 }
--- a/packages/decision/src/upstream_reach.cc
+++ b/packages/decision/src/upstream_reach.cc
@@ -6,8 +6,10 @@
 namespace basilsill {
 namespace {
 
-// Upstreams of a data centre that must fail in a row, if it has so many.
-constexpr size_t kEvidence = 3;
+// Upstreams of a data centre, and services, that must fail in a row, if it has
+// so many.
+constexpr size_t kUpstreamEvidence = 3;
+constexpr size_t kServiceEvidence = 4;
 
 // Failures that are further apart have nothing to do with each other.
 constexpr Duration kMaxFailureGap = std::chrono::seconds(1);
@@ -18,12 +20,49 @@
 constexpr uint32_t kProbersPerPause = 8;
 constexpr uint32_t kJitterPercent = 50;
 
+// Pause between checks whether a path is lost. It doubles up to the maximum
+// while checks find that it is not.
+//
+// Failure: a VM can't connect to some upstreams of a data centre for long. Each
+// check fails in part and causes the next one, and the VM does nothing else.
+constexpr Duration kMinCheckPause = std::chrono::milliseconds(500);
+constexpr Duration kMaxCheckPause = std::chrono::seconds(8);
+
 bool CanBeProbed(const UpstreamRow& row) {
   return !row.leaving && row.slots > 0;
 }
 
-bool Contains(const std::vector<UpstreamHandle>& all, UpstreamHandle upstream) {
-  return std::find(all.begin(), all.end(), upstream) != all.end();
+// Adds `service` unless `services` has it or is full.
+// @returns true if it was added.
+bool AddService(std::vector<ServiceHandle>& services, ServiceHandle service) {
+  const bool is_known =
+      std::find(services.begin(), services.end(), service) != services.end();
+  if (is_known || services.size() == kServiceEvidence) {
+    return false;
+  }
+  services.push_back(service);
+  return true;
+}
+
+// @returns the number of different services, at most kServiceEvidence.
+template <typename Candidates>
+size_t CountServices(const Candidates& candidates) {
+  std::vector<ServiceHandle> services;
+  for (const auto& candidate : candidates) {
+    AddService(services, candidate.service);
+    if (services.size() == kServiceEvidence) {
+      break;
+    }
+  }
+  return services.size();
+}
+
+template <typename Candidates>
+auto FindCandidate(const Candidates& candidates, UpstreamHandle upstream) {
+  return std::find_if(candidates.begin(), candidates.end(),
+                      [upstream](const auto& candidate) {
+                        return candidate.upstream == upstream;
+                      });
 }
 
 // @returns the number of VMs other than that of `view` that can't reach
@@ -37,6 +76,20 @@
       }));
 }
 
+// @returns true if the VM of `view` is an owner of a shard in `data_centre`.
+bool OwnsShardIn(const RoutingView& view, DataCentreHandle data_centre) {
+  const auto is_own = [&](const ShardRow& shard) {
+    return shard.data_centre == data_centre &&
+           std::find(shard.owners.begin(), shard.owners.end(), view.self) !=
+               shard.owners.end();
+  };
+  return std::any_of(
+      view.services.begin(), view.services.end(), [&](const auto& service) {
+        return service && std::any_of(service->shards.begin(),
+                                      service->shards.end(), is_own);
+      });
+}
+
 }  // namespace
 
 std::unique_ptr<UpstreamReach> UpstreamReach::Create(uint64_t seed) {
@@ -53,33 +106,55 @@
 
 void UpstreamReach::ApplyView(TimePoint now, const RoutingViewPtr& new_view) {
   this->view = new_view;
-  for (uint32_t index = 0; index < this->states.size(); ++index) {
-    DataCentreState& state = this->states[index];
-    if (state.unreachable_since == kNever) {
-      continue;
-    }
+  for (const DataCentreRow& row : new_view->data_centres) {
+    DataCentreState& state = this->StateOf(row.handle);
     const uint32_t before = std::exchange(
-        state.other_vms, CountOthersWithout(*new_view, {index, 0}));
-    if (state.other_vms < before) {
+        state.other_vms, CountOthersWithout(*new_view, row.handle));
+    if (state.unreachable_since == kNever) {
+      if (state.other_vms > before) {
+        this->CheckPath(now, row.handle);
+      }
+    } else if (state.other_vms < before) {
       state.probe_at = std::min(state.probe_at, now);
     }
   }
 }
 
-std::vector<UpstreamHandle> UpstreamReach::CandidatesIn(
-    DataCentreHandle data_centre) const {
-  std::vector<UpstreamHandle> candidates;
+// A VM that takes over a shard from one that has lost its path may have lost
+// its own without knowing, since it had nothing to send.
+void UpstreamReach::CheckPath(TimePoint now, DataCentreHandle data_centre) {
+  if (!OwnsShardIn(*this->view, data_centre)) {
+    return;
+  }
+  const std::vector<Candidate>& candidates = this->CandidatesIn(data_centre);
+  if (candidates.empty() || !TakeCheck(now, this->StateOf(data_centre))) {
+    return;
+  }
+  const auto count = static_cast<uint32_t>(candidates.size());
+  const Candidate first = candidates[this->random(count)];
+  this->probes.push_back(first.upstream);
+  this->ProbeOthers(first, candidates);
+}
+
+const std::vector<UpstreamReach::Candidate>& UpstreamReach::CandidatesIn(
+    DataCentreHandle data_centre) {
+  DataCentreState& state = this->StateOf(data_centre);
+  if (state.candidates_version == this->view->version) {
+    return state.candidates;
+  }
+  state.candidates_version = this->view->version;
+  state.candidates.clear();
   for (const auto& service : this->view->services) {
     if (!service) {
       continue;
     }
     for (const UpstreamRow& row : service->upstreams) {
       if (row.data_centre == data_centre && CanBeProbed(row)) {
-        candidates.push_back(row.handle);
+        state.candidates.push_back({row.handle, service->handle});
       }
     }
   }
-  return candidates;
+  return state.candidates;
 }
 
 void UpstreamReach::OnConnect(TimePoint now,
@@ -116,43 +191,74 @@
   if (state.unreachable_since != kNever) {
     return;
   }
-  std::vector<UpstreamHandle> candidates = this->CandidatesIn(data_centre);
-  if (!Contains(candidates, upstream)) {
+  const std::vector<Candidate>& candidates = this->CandidatesIn(data_centre);
+  const auto candidate = FindCandidate(candidates, upstream);
+  if (candidate == candidates.end()) {
     return;
   }
   if (now - state.failed_at > kMaxFailureGap) {
     state.failed.clear();
   }
   state.failed_at = now;
-  if (!Contains(state.failed, upstream)) {
-    state.failed.push_back(upstream);
+  if (FindCandidate(state.failed, upstream) == state.failed.end()) {
+    state.failed.push_back(*candidate);
   }
-  if (state.failed.size() >= std::min(kEvidence, candidates.size())) {
+  if (IsEvidence(state.failed, candidates)) {
     this->SetUnreachable(now, data_centre);
-  } else if (state.failed.size() == 1) {
-    this->ProbeOthers(state, std::move(candidates));
+  } else if (TakeCheck(now, state)) {
+    this->ProbeOthers(state.failed.front(), candidates);
+  }
+}
+
+bool UpstreamReach::IsEvidence(const std::vector<Candidate>& failed,
+                               const std::vector<Candidate>& candidates) {
+  return failed.size() >= std::min(kUpstreamEvidence, candidates.size()) &&
+         CountServices(failed) >= CountServices(candidates);
+}
+
+bool UpstreamReach::TakeCheck(TimePoint now, DataCentreState& state) {
+  if (now < state.next_check) {
+    return false;
   }
+  const bool is_recent = now < state.next_check + kMaxCheckPause;
+  const Duration before = is_recent ? state.check_pause : Duration(0);
+  state.check_pause = std::clamp(2 * before, kMinCheckPause, kMaxCheckPause);
+  state.next_check = now + state.check_pause;
+  return true;
 }
 
 void UpstreamReach::SetUnreachable(TimePoint now,
                                    DataCentreHandle data_centre) {
   DataCentreState& state = this->StateOf(data_centre);
   state.unreachable_since = now;
+  state.check_pause = Duration(0);
   state.other_vms = CountOthersWithout(*this->view, data_centre);
   state.probe_at = now + this->ProbePause(state);
   this->events.push_back({ReachEventKind::kUnreachable, data_centre,
                           state.failed.size(), Duration(0)});
 }
 
-void UpstreamReach::ProbeOthers(const DataCentreState& state,
-                                std::vector<UpstreamHandle> candidates) {
-  std::erase(candidates, state.failed.front());
-  for (size_t i = 1; i < kEvidence && !candidates.empty(); ++i) {
-    const uint32_t place =
-        this->random(static_cast<uint32_t>(candidates.size()));
-    this->probes.push_back(candidates[place]);
-    candidates.erase(candidates.begin() + place);
+// Draws one upstream of each of some other services, and further ones of the
+// same service if there are too few.
+void UpstreamReach::ProbeOthers(const Candidate& failed,
+                                const std::vector<Candidate>& candidates) {
+  std::vector<Candidate> shuffled = candidates;
+  std::shuffle(shuffled.begin(), shuffled.end(), this->random);
+  std::vector<ServiceHandle> services = {failed.service};
+  std::vector<UpstreamHandle> drawn;
+  std::vector<UpstreamHandle> others;
+  for (const Candidate& candidate : shuffled) {
+    if (AddService(services, candidate.service)) {
+      drawn.push_back(candidate.upstream);
+    } else if (candidate.upstream != failed.upstream) {
+      others.push_back(candidate.upstream);
+    }
+  }
+  while (drawn.size() + 1 < kUpstreamEvidence && !others.empty()) {
+    drawn.push_back(others.back());
+    others.pop_back();
   }
+  this->probes.insert(this->probes.end(), drawn.begin(), drawn.end());
 }
 
 Duration UpstreamReach::ProbePause(const DataCentreState& state) {
@@ -169,11 +275,10 @@
       continue;
     }
     state.probe_at = now + this->ProbePause(state);
-    const std::vector<UpstreamHandle> candidates =
-        this->CandidatesIn({index, 0});
+    const std::vector<Candidate>& candidates = this->CandidatesIn({index, 0});
     if (!candidates.empty()) {
-      this->probes.push_back(
-          candidates[this->random(static_cast<uint32_t>(candidates.size()))]);
+      const auto count = static_cast<uint32_t>(candidates.size());
+      this->probes.push_back(candidates[this->random(count)].upstream);
     }
   }
 }
--- a/packages/decision/src/view.cc
+++ b/packages/decision/src/view.cc
@@ -86,6 +86,21 @@
   }
 }
 
+// @returns the rank of a live VM among the owners of a shard in `data_centre`,
+// best first: VMs in the data centre, other VMs, those that have lost paths to
+// other upstreams and probably to these too, and those that can't reach these.
+int GroupOf(const VmRow& vm, DataCentreHandle data_centre) {
+  if (!Reaches(vm, data_centre)) {
+    return 3;
+  }
+  if (vm.data_centre == data_centre) {
+    return 0;
+  }
+  return vm.unreachable.empty() ? 1 : 2;
+}
+
+constexpr int kNotLiveGroup = 4;
+
 // Fills `shard.owners` and `shard.contested`.
 void RankOwners(const RoutingView& view, ShardRow& shard) {
   std::vector<RankedVm> ranked;
@@ -93,8 +108,9 @@
     if (!IsValid(vm.handle)) {
       continue;
     }
-    const bool near = vm.data_centre == shard.data_centre;
-    const int group = vm.state != VmState::kLive ? 2 : (near ? 0 : 1);
+    const int group = vm.state == VmState::kLive
+                          ? GroupOf(vm, shard.data_centre)
+                          : kNotLiveGroup;
     ranked.push_back({group, HashText(vm.name, shard.key), &vm});
   }
   const size_t kept = std::min(ShardRow::kOwners, ranked.size());
@@ -110,7 +126,7 @@
   shard.contested =
       std::any_of(ranked.begin(), ranked.end(), [&](const RankedVm& vm) {
         RankedVm if_live = vm;
-        if_live.group = vm.vm->data_centre == shard.data_centre ? 0 : 1;
+        if_live.group = GroupOf(*vm.vm, shard.data_centre);
         return vm.vm->state == VmState::kSuspected &&
                ranks_before(if_live, ranked.front());
       });
--- a/packages/decision/src/view_builder.cc
+++ b/packages/decision/src/view_builder.cc
@@ -16,6 +16,7 @@
   VmHandle handle;
   DataCentreHandle data_centre;
   bool is_live;
+  std::vector<DataCentreHandle> unreachable;
 
   friend bool operator==(const VmPlacement&, const VmPlacement&) = default;
 };
@@ -120,7 +121,8 @@
   std::vector<VmPlacement> now;
   now.reserve(vms.size());
   for (const VmRow& vm : vms) {
-    now.push_back({vm.handle, vm.data_centre, vm.state == VmState::kLive});
+    now.push_back({vm.handle, vm.data_centre, vm.state == VmState::kLive,
+                   vm.unreachable});
   }
   const bool is_changed = now != this->placements;
   this->placements = std::move(now);
--- a/packages/decision/test/reach_simulation.cc
+++ b/packages/decision/test/reach_simulation.cc
@@ -14,8 +14,11 @@
 constexpr Duration kConnectTime = 1ms;
 constexpr Duration kConnectTimeout = 150ms;
 constexpr Duration kDeadline = 1200ms;
+constexpr uint8_t kMaxAttempts = 3;
+// A connection ends when data that was sent is not acknowledged for this long.
+constexpr Duration kUserTimeout = limits::kUpstreamUserTimeout;
 // Time until the other VMs use a view with what a VM tells them.
-constexpr Duration kViewDelay = 110ms;
+constexpr Duration kViewDelay = 40ms;
 // The cookie of a request at a dispatcher consists of the request's id and the
 // number of the hop.
 constexpr unsigned kHopBits = 8;
@@ -106,6 +109,7 @@
         attempt.upstream.index % this->options.data_centres == data_centre &&
         attempt.outcome.end == AttemptEnd::kAnswered;
     if (is_hit && state == PathState::kHangs) {
+      // The upstream has acknowledged the request, so nothing ends it.
       attempt.outcome.end = AttemptEnd::kCount;
     } else if (is_hit) {
       attempt.outcome.end = AttemptEnd::kDied;
@@ -167,6 +171,7 @@
   request.deadline = this->now + kDeadline;
   request.idempotent = true;
   request.replayable = true;
+  request.max_attempts = kMaxAttempts;
   const Admission admission = vm.router->Admit(this->now, request);
   const uint64_t id = this->next_id++;
   Request& row = this->open_requests[id];
@@ -212,7 +217,7 @@
   offer.deadline = request.made + kDeadline;
   offer.idempotent = true;
   offer.max_wait = request.target.max_wait;
-  offer.max_attempts = 3;
+  offer.max_attempts = kMaxAttempts;
   offer.sends = request.target.sends;
   offer.cookie = id << kHopBits | request.hops;
   const uint32_t to = request.target.vm.index;
@@ -275,9 +280,10 @@
   outcome.end = AttemptEnd::kAnswered;
   if (!outcome.on_new_connection) {
     --kept;
-    const bool is_dead =
-        path == PathState::kHangs || path == PathState::kResets;
-    outcome.end = is_dead ? AttemptEnd::kCount : outcome.end;
+    if (path == PathState::kHangs || path == PathState::kResets) {
+      outcome.time = kUserTimeout;
+      outcome.end = AttemptEnd::kDied;
+    }
     return outcome;
   }
   if (path != PathState::kOpen) {
@@ -318,8 +324,14 @@
   for (const UpstreamHandle upstream : vm.reach->TakeProbes()) {
     this->Probe(number, upstream);
   }
-  if (!vm.reach->TakeEvents().empty()) {
+  const std::vector<ReachEvent> events = vm.reach->TakeEvents();
+  for (const ReachEvent& event : events) {
+    vm.dispatcher->OnReach(this->now, event.data_centre,
+                           event.kind == ReachEventKind::kReachable);
+  }
+  if (!events.empty()) {
     this->Tell(number);
+    this->HandleActions(number);
   }
 }
 
@@ -372,12 +384,15 @@
                                  uint8_t sends) {
   const uint64_t id = cookie >> kHopBits;
   const Request& request = this->open_requests.at(id);
-  const ShardSummary summary =
-      this->vms[from].dispatcher->Summarize(this->now, request.target.shard);
+  const Dispatcher& dispatcher = *this->vms[from].dispatcher;
+  const ShardKey shard = request.target.shard;
+  const ShardSummary summary = dispatcher.Summarize(this->now, shard);
   const uint32_t to = request.entry_vm;
-  this->Post(kNetworkDelay, [this, to, from, summary] {
-    this->vms[to].router->OnSummary(this->now, {from, 0}, summary);
-  });
+  if (dispatcher.ReachesShard(this->now, shard)) {
+    this->Post(kNetworkDelay, [this, to, from, summary] {
+      this->vms[to].router->OnSummary(this->now, {from, 0}, summary);
+    });
+  }
   this->Reply(id, cookie & kHopMask, refusal, sends);
 }
 
--- a/packages/decision/test/reach_simulation.h
+++ b/packages/decision/test/reach_simulation.h
@@ -36,7 +36,8 @@
   uint16_t slots = 2;
   double requests_per_second = 60;
   std::chrono::milliseconds request_duration{60};
-  RepeatBudgetOptions repeats{0.2, 58, std::chrono::seconds(10)};
+  /// The window is short, so that budgets are settled when paths are lost.
+  RepeatBudgetOptions repeats{0.2, 58, std::chrono::milliseconds(500)};
 };
 
 class ReachSimulation {
--- a/packages/decision/test/upstream_reach_test.cc
+++ b/packages/decision/test/upstream_reach_test.cc
@@ -180,3 +180,19 @@
   this->reach->Tick(this->now);
   CHECK_EQUAL(1, this->reach->TakeProbes().size());
 }
+
+// Failure: a VM can't connect to half of the upstreams of a data centre. Each
+// check fails in part and causes the next one.
+TEST(UpstreamReachTest, SomeUpstreamsFail_ForLong_ChecksBecomeRare) {
+  size_t probes = 0;
+  for (int i = 0; i < 6000; ++i) {
+    this->now += 10ms;
+    this->Connect(this->near[0], false);
+    for (const UpstreamHandle probe : this->reach->TakeProbes()) {
+      ++probes;
+      this->Connect(probe, probe.index % 4 != 0);
+    }
+  }
+  CHECK(probes <= 40);
+  CHECK_FALSE(this->reach->IsUnreachable(kNear));
+}
--- a/packages/node/src/control.cc
+++ b/packages/node/src/control.cc
@@ -222,7 +222,7 @@
 }
 
 void Control::OnLinked(VmHandle vm) {
-  if (this->leaving) {
+  if (this->leaving || !this->unreachable.empty()) {
     this->links.Send(vm, this->MakeHeartbeat(false));
   }
   this->source->OnLinked(vm);
@@ -405,8 +405,32 @@
   return workers;
 }
 
+void Control::ApplyReach(VmHandle from, const wire::Heartbeat& heartbeat) {
+  std::vector<DataCentreHandle> data_centres;
+  for (const std::string& name : heartbeat.unreachable) {
+    const DataCentreHandle handle = this->members->InternDataCentre(name);
+    if (IsValid(handle)) {
+      data_centres.push_back(handle);
+    }
+  }
+  this->SetReach(from, heartbeat.incarnation, std::move(data_centres));
+}
+
+// A view is built at once: until then requests go to a VM that refuses them.
+void Control::SetReach(VmHandle vm,
+                       uint64_t vm_incarnation,
+                       std::vector<DataCentreHandle> data_centres) {
+  const uint64_t before = this->members->version();
+  this->members->OnReach(MonotonicClock::now(), vm, vm_incarnation,
+                         std::move(data_centres));
+  if (this->members->version() != before) {
+    this->RebuildIfChanged();
+  }
+}
+
 void Control::OnHeartbeat(VmHandle from, const wire::Heartbeat& heartbeat) {
   this->in_force_table.OnApplied(from, heartbeat.applied_offset);
+  this->ApplyReach(from, heartbeat);
   if (heartbeat.state == VmState::kLeaving) {
     this->members->OnLeaving(MonotonicClock::now(), from,
                              heartbeat.incarnation);
@@ -430,9 +454,30 @@
       this->current_view ? this->current_view->applied_offset : 0;
   heartbeat.answer_wanted = answer_wanted;
   heartbeat.state = this->leaving ? VmState::kLeaving : VmState::kLive;
+  const VmRow& own = this->members->rows().at(this->members->self().index);
+  for (const DataCentreHandle data_centre : own.unreachable) {
+    heartbeat.unreachable.push_back(
+        this->members->data_centres().at(data_centre.index).name);
+  }
   return heartbeat;
 }
 
+// The VM counts as cut from a data centre while one of its workers is: the
+// requests of a shard all go to the same worker.
+void Control::SetUnreachable(uint16_t worker,
+                             std::vector<DataCentreHandle> data_centres) {
+  this->unreachable[worker] = std::move(data_centres);
+  std::erase_if(this->unreachable,
+                [](const auto& entry) { return entry.second.empty(); });
+  std::set<DataCentreHandle> all;
+  for (const auto& [number, lost] : this->unreachable) {
+    all.insert(lost.begin(), lost.end());
+  }
+  this->SetReach(this->members->self(), this->incarnation,
+                 {all.begin(), all.end()});
+  this->links.Broadcast(this->MakeHeartbeat(false));
+}
+
 void Control::SendCrashes(std::vector<CrashReport> crashes) {
   wire::Heartbeat heartbeat = this->MakeHeartbeat(false);
   heartbeat.crashes = std::move(crashes);
--- a/packages/node/src/control.h
+++ b/packages/node/src/control.h
@@ -2,6 +2,7 @@
 #define BASILSILL_NODE_CONTROL_H_
 
 #include <functional>
+#include <map>
 #include <memory>
 #include <set>
 #include <vector>
@@ -77,6 +78,10 @@
   /// Sends each VM the rate limits that are addressed to it.
   void SendRateLimits(const std::vector<RateLimitUpdate>& updates);
 
+  /// Tells peers to which data centres' upstreams a worker can't connect.
+  void SetUnreachable(uint16_t worker,
+                      std::vector<DataCentreHandle> data_centres);
+
   /// Requests credits of teams' quotas for a worker.
   void RequestQuotaCredits(uint16_t worker, QuotaRequest request) {
     this->quotas.RequestCredits(worker, std::move(request));
@@ -130,6 +135,10 @@
   void LogView(bool has_new_offset) const;
   std::function<void()> MakeInForceHandler() const;
   void OnLinked(VmHandle vm);
+  void ApplyReach(VmHandle from, const wire::Heartbeat& heartbeat);
+  void SetReach(VmHandle vm,
+                uint64_t vm_incarnation,
+                std::vector<DataCentreHandle> data_centres);
   void OnHeartbeat(VmHandle from, const wire::Heartbeat& heartbeat);
   void OnMessage(VmHandle from, const wire::PeerMessage& message);
   void PublishAsOf();
@@ -161,6 +170,8 @@
   /// False while there are API keys that can't be relied on, because the
   /// configuration may be outdated.
   bool api_keys_verified = true;
+  /// Data centres whose upstreams can't be connected to, by worker.
+  std::map<uint16_t, std::vector<DataCentreHandle>> unreachable;
   bool leaving = false;
   bool configuration_changed = false;
   bool stopped = false;
--- a/packages/node/src/dispatch_host.cc
+++ b/packages/node/src/dispatch_host.cc
@@ -219,6 +219,11 @@
   this->Pump();
 }
 
+void DispatchHost::OnReach(DataCentreHandle data_centre, bool reachable) {
+  this->dispatcher->OnReach(MonotonicClock::now(), data_centre, reachable);
+  this->Pump();
+}
+
 ShardSummary DispatchHost::Summarize(ShardKey shard) const {
   return this->dispatcher->Summarize(MonotonicClock::now(), shard);
 }
--- a/packages/node/src/dispatch_host.h
+++ b/packages/node/src/dispatch_host.h
@@ -60,8 +60,17 @@
     return this->dispatcher->NoticesOf(MonotonicClock::now(), shard);
   }
 
+  /// This worker has lost its path to the upstreams of `data_centre`, or has it
+  /// again.
+  void OnReach(DataCentreHandle data_centre, bool reachable);
+
   ShardSummary Summarize(ShardKey shard) const;
 
+  /// @returns false if this VM can't connect to the upstreams of `shard`.
+  bool ReachesShard(ShardKey shard) const {
+    return this->dispatcher->ReachesShard(MonotonicClock::now(), shard);
+  }
+
   const DispatchCounters& counters() const {
     return this->dispatcher->counters();
   }
--- a/packages/node/src/entry_host.cc
+++ b/packages/node/src/entry_host.cc
@@ -61,8 +61,10 @@
   }
   const ServeOutcome outcome =
       co_await this->dispatch.Serve(request, target, sink);
-  this->router->OnSummary(MonotonicClock::now(), target.vm,
-                          this->dispatch.Summarize(target.shard));
+  if (this->dispatch.ReachesShard(target.shard)) {
+    this->router->OnSummary(MonotonicClock::now(), target.vm,
+                            this->dispatch.Summarize(target.shard));
+  }
   co_return outcome;
 }
 
--- a/packages/node/src/link_server.cc
+++ b/packages/node/src/link_server.cc
@@ -78,6 +78,9 @@
 }
 
 void PostSummary(PeerLink& link, const DispatchHost& dispatch, ShardKey shard) {
+  if (!dispatch.ReachesShard(shard)) {
+    return;
+  }
   const wire::Summary summary{dispatch.Summarize(shard),
                               dispatch.NoticesOf(shard)};
   link.TrySend([&summary](wire::LinkMux& mux) { return mux.Post(summary); });
--- a/packages/node/src/link_server.h
+++ b/packages/node/src/link_server.h
@@ -20,7 +20,8 @@
                            wire::Open open,
                            std::string request_id_header);
 
-/// Sends the summary of `shard` and the notices of its upstreams to the peer.
+/// Sends the summary of `shard` and the notices of its upstreams to the peer,
+/// unless this VM can't connect to the upstreams.
 void PostSummary(PeerLink& link, const DispatchHost& dispatch, ShardKey shard);
 
 /// Refuses a stream that a peer opened. Its request must not have been started.
--- a/packages/node/src/node.cc
+++ b/packages/node/src/node.cc
@@ -115,6 +115,15 @@
         this->control_side->SendRateLimits(updates);
       });
     };
+    options.on_unreachable = [this,
+                              i](std::vector<DataCentreHandle> data_centres) {
+      boost::asio::post(
+          this->context,
+          [this, i, data_centres = std::move(data_centres)]() mutable {
+            this->control_side->SetUnreachable(static_cast<uint16_t>(i),
+                                               std::move(data_centres));
+          });
+    };
     options.on_quota_request = [this, i](QuotaRequest request) {
       boost::asio::post(this->context,
                         [this, i, request = std::move(request)]() mutable {
--- a/packages/node/src/worker.cc
+++ b/packages/node/src/worker.cc
@@ -441,9 +441,15 @@
   }
 }
 
-void Worker::OnReach(const ReachEvent& /*event*/) {
+void Worker::OnReach(const ReachEvent& event) {
+  std::vector<DataCentreHandle> unreachable = this->reach_host.Unreachable();
   this->counts->unreachable_data_centres.Set(
-      static_cast<int64_t>(this->reach_host.Unreachable().size()));
+      static_cast<int64_t>(unreachable.size()));
+  this->dispatch_host.OnReach(event.data_centre,
+                              event.kind == ReachEventKind::kReachable);
+  if (this->options.on_unreachable) {
+    this->options.on_unreachable(std::move(unreachable));
+  }
 }
 
 size_t Worker::RoomForCallers() const {
--- a/packages/node/src/worker.h
+++ b/packages/node/src/worker.h
@@ -40,6 +40,9 @@
   /// Called on the worker's thread with rate limit updates to propagate to
   /// other VMs.
   std::function<void(std::vector<RateLimitUpdate>)> on_rate_limits;
+  /// Called on the worker's thread with the data centres whose upstreams it
+  /// can't connect to, when they have changed.
+  std::function<void(std::vector<DataCentreHandle>)> on_unreachable;
   /// Called on the worker's thread with a request to a lender of quotas.
   std::function<void(QuotaRequest)> on_quota_request;
 };
--- a/packages/wire/include/basilsill/wire/message.h
+++ b/packages/wire/include/basilsill/wire/message.h
@@ -25,7 +25,7 @@
 namespace basilsill::wire {
 
 /// Version of the protocol. Links to peers of another version are rejected.
-inline constexpr uint32_t kProtocolVersion = 7;
+inline constexpr uint32_t kProtocolVersion = 8;
 
 /// Octets of a body. Large ones are moved, not copied, up to the socket write.
 using Bytes = std::string;
@@ -242,6 +242,8 @@
   bool answer_wanted = false;        ///< The receiver must answer at once.
   /// Rate limits of upstreams to which the receiver may dispatch in future.
   std::vector<RateLimitReport> rate_limits;
+  /// Names of the data centres whose upstreams the sender can't connect to.
+  std::vector<std::string> unreachable;
 };
 bool operator==(const Heartbeat& left, const Heartbeat& right);
 
--- a/packages/wire/schema/peer.capnp
+++ b/packages/wire/schema/peer.capnp
@@ -187,6 +187,8 @@
   crashes @4 :List(CrashReport);
   answerWanted @5 :Bool;
   rateLimits @6 :List(RateLimitReport);
+  # Names of data centres whose upstreams the sender can't connect to.
+  unreachable @7 :List(Text);
 }
 
 struct SnapshotRequest {
--- a/packages/wire/src/message.cc
+++ b/packages/wire/src/message.cc
@@ -19,7 +19,8 @@
 auto Fields(const Heartbeat& heartbeat) {
   return std::tie(heartbeat.incarnation, heartbeat.applied_offset,
                   heartbeat.state, heartbeat.vm_list_version,
-                  heartbeat.answer_wanted, heartbeat.rate_limits);
+                  heartbeat.answer_wanted, heartbeat.rate_limits,
+                  heartbeat.unreachable);
 }
 
 bool AreEqual(const CrashReport& left, const CrashReport& right) {
--- a/packages/wire/src/message_check.cc
+++ b/packages/wire/src/message_check.cc
@@ -202,6 +202,8 @@
                 "/crashes", "too many entries");
   check.Require(heartbeat.rate_limits.size() <= limits::kMaxRateLimitReports,
                 "/rate_limits", "too many entries");
+  check.Require(heartbeat.unreachable.size() <= limits::kMaxDataCentres,
+                "/unreachable", "too many entries");
   for (const RateLimitReport& report : heartbeat.rate_limits) {
     check.Require(std::isfinite(report.requests_per_second) &&
                       report.requests_per_second >= 0,
--- a/packages/wire/src/message_reader.cc
+++ b/packages/wire/src/message_reader.cc
@@ -233,6 +233,12 @@
   for (const schema::RateLimitReport::Reader report : rate_limits) {
     heartbeat.rate_limits.push_back(ReadRateLimit(report));
   }
+  const auto unreachable = reader.getUnreachable();
+  heartbeat.unreachable.reserve(
+      CheckedSize(unreachable.size(), limits::kMaxDataCentres, "/unreachable"));
+  for (const capnp::Text::Reader name : unreachable) {
+    heartbeat.unreachable.emplace_back(name.begin(), name.size());
+  }
   return heartbeat;
 }
 
--- a/packages/wire/src/message_writer.cc
+++ b/packages/wire/src/message_writer.cc
@@ -227,6 +227,11 @@
   for (unsigned i = 0; i < heartbeat.rate_limits.size(); ++i) {
     WriteRateLimit(heartbeat.rate_limits[i], rate_limits[i]);
   }
+  auto unreachable = builder.initUnreachable(
+      static_cast<unsigned>(heartbeat.unreachable.size()));
+  for (unsigned i = 0; i < heartbeat.unreachable.size(); ++i) {
+    unreachable.set(i, heartbeat.unreachable[i]);
+  }
 }
 
 void Write(const SnapshotRequest& request,
--- a/packages/wire/test/samples.cc
+++ b/packages/wire/test/samples.cc
@@ -44,6 +44,7 @@
   heartbeat.crashes = {{1, 2, microseconds(3), 2, {7, 8}},
                        {4, 5, microseconds(6), 0, {}}};
   heartbeat.rate_limits = {{1, 2, true, 1.7}, {3, 4, false, 0}};
+  heartbeat.unreachable = {"lyulin", "druzhba"};
   return heartbeat;
 }
 
