--- a/packages/decision/test/dispatch_failures_test.cc
+++ b/packages/decision/test/dispatch_failures_test.cc
@@ -458,3 +458,53 @@
   CHECK_EQUAL(0, this->harness.Count(Retry::kShed));
   CHECK_EQUAL(1, this->harness.Count(Retry::kDeniedBudget));
 }
+
+// Failure: a VM that can't connect to any upstream says that there is none, and
+// its entry VMs believe it.
+TEST(DispatchFailures, AllUpstreams_ConnectionsFail_RefusedAsUnreachable) {
+  const uint64_t cookie = this->harness.Offer();
+  while (IsValid(this->harness.RunOf(cookie).attempt)) {
+    this->harness.End(cookie, AttemptEnd::kConnectFailed);
+  }
+  CHECK(this->harness.RefusalFor(cookie) == Refusal::kUpstreamsUnreachable);
+}
+
+TEST(DispatchFailures, Path_IsLost_WaitingAndNewRequestsAreRefusedAtOnce) {
+  for (int i = 0; i < 8; ++i) {
+    this->harness.Offer();
+  }
+  const uint64_t waiting = this->harness.Offer();
+  this->harness.dispatcher->OnReach(this->harness.now, {0, 0}, false);
+  this->harness.Collect();
+  CHECK(this->harness.RefusalFor(waiting) == Refusal::kUpstreamsUnreachable);
+  const uint64_t later = this->harness.Offer();
+  CHECK(this->harness.RefusalFor(later) == Refusal::kUpstreamsUnreachable);
+  CHECK_FALSE(this->harness.dispatcher->ReachesShard(this->harness.now,
+                                                     this->harness.shard));
+}
+
+// Failure: connections that are open live on while new ones are refused, and
+// the VM refuses what it could serve if no other VM reaches the upstreams
+// either.
+TEST(DispatchFailures, Path_IsLostButOpenConnectionAnswers_RequestsAreServed) {
+  const uint64_t running = this->harness.Offer();
+  this->harness.dispatcher->OnReach(this->harness.now, {0, 0}, false);
+  this->harness.End(running, AttemptEnd::kAnswered);
+  const uint64_t next = this->harness.Offer();
+  CHECK(this->harness.RefusalFor(next) == Refusal::kNone);
+}
+
+TEST(DispatchFailures, Path_IsBack_RequestsAreServedAtOnce) {
+  this->harness.dispatcher->OnReach(this->harness.now, {0, 0}, false);
+  this->harness.Offer();
+  this->harness.dispatcher->OnReach(this->harness.now, {0, 0}, true);
+  const uint64_t cookie = this->harness.Offer();
+  CHECK(IsValid(this->harness.RunOf(cookie).attempt));
+}
+
+// Failure: a shard that is opened while the path is lost starts requests there.
+TEST(DispatchFailures, Path_IsLostBeforeFirstRequest_RefusedAtOnce) {
+  this->harness.dispatcher->OnReach(this->harness.now, {0, 0}, false);
+  const uint64_t cookie = this->harness.Offer();
+  CHECK(this->harness.RefusalFor(cookie) == Refusal::kUpstreamsUnreachable);
+}
--- a/packages/decision/test/entry_test.cc
+++ b/packages/decision/test/entry_test.cc
@@ -442,3 +442,55 @@
   this->Refuse(entry, Refusal::kPeerLost);
   CHECK_EQUAL(3, this->Choose(entry).sends);
 }
+
+// Failure: the first owner of a shard has lost its path to the upstreams, and
+// the shard is written off although its other owners reach them.
+TEST(Entry, Owner_CannotReachUpstreams_NextOwnerIsAsked) {
+  const EntryHandle entry = this->Admit();
+  const Target first = this->Choose(entry);
+  CHECK(this->Refuse(entry, Refusal::kUpstreamsUnreachable).retry);
+  const Target second = this->Choose(entry);
+  CHECK(second.kind == TargetKind::kDispatcher);
+  CHECK(second.shard == first.shard);
+  CHECK(second.vm != first.vm);
+  CHECK(this->Choose(this->Admit()).vm != first.vm);
+}
+
+TEST(Entry, Owner_CannotReachUpstreams_OneRequestAsksAgainLater) {
+  const EntryHandle entry = this->Admit();
+  const Target first = this->Choose(entry);
+  this->Refuse(entry, Refusal::kUpstreamsUnreachable);
+  this->now += 300ms;
+  int asked = 0;
+  for (int i = 0; i < 20; ++i) {
+    const Target target = this->Choose(this->Admit());
+    asked += target.vm == first.vm && target.shard == first.shard ? 1 : 0;
+  }
+  CHECK_EQUAL(1, asked);
+}
+
+// Failure: all upstreams are down, and a request asks one VM after another.
+TEST(Entry, AllOwners_CannotReachUpstreams_RefusedAfterFewChoices) {
+  const EntryHandle entry = this->Admit();
+  int choices = 0;
+  while (this->Choose(entry).kind == TargetKind::kDispatcher) {
+    ++choices;
+    this->Refuse(entry, Refusal::kUpstreamsUnreachable);
+  }
+  CHECK(choices <= 7);
+  const EntryHandle next = this->Admit();
+  CHECK(this->Choose(next).kind != TargetKind::kDispatcher);
+}
+
+// Failure: a VM tells that it can't reach a data centre, and is asked because
+// it is the first owner of a shard there.
+TEST(Entry, Owner_TellsThatItCannotReachDataCentre_AnotherIsAsked) {
+  const VmHandle owner = this->NearShard().owners.at(0);
+  this->fixture.view.vms.at(owner.index).unreachable = {{0, 0}};
+  this->Apply();
+  CHECK(this->NearShard().owners.at(0) != owner);
+  for (int i = 0; i < 20; ++i) {
+    const Target target = this->Choose(this->Admit());
+    CHECK(target.vm != owner || target.shard != this->NearShard().key);
+  }
+}
--- a/packages/decision/test/membership_test.cc
+++ b/packages/decision/test/membership_test.cc
@@ -100,6 +100,17 @@
   }
 };
 
+TEST(Membership, Vm_ReportsUnreachableDataCentre_ForgottenAfterRestart) {
+  const VmHandle vm = this->Connect("a", 10);
+  const DataCentreHandle lost = this->members->InternDataCentre("druzhba");
+  this->members->OnReach(this->now, vm, 9, {lost});
+  CHECK(Reaches(*RowNamed(*this->members, "a"), lost));
+  this->members->OnReach(this->now, vm, 10, {lost});
+  CHECK_FALSE(Reaches(*RowNamed(*this->members, "a"), lost));
+  this->Connect("a", 11);
+  CHECK(Reaches(*RowNamed(*this->members, "a"), lost));
+}
+
 TEST(Membership, MakeIncarnation_LaterOrSameMillisecond_IsDistinct) {
   const WallTime then{hours(480'000)};
   CHECK(MakeIncarnation(then, 1) != MakeIncarnation(then, 2));
