Upstream reach: a single upstream is no evidence; the slots of an upstream as small as before

The only upstream of a data centre that misses one connection would have its requests refused for a second. With one upstream a lost path can't be told from one that is down, so the shard's own refusals have to do.

--- a/packages/decision/src/dispatch_tables.h
+++ b/packages/decision/src/dispatch_tables.h
@@ -92,16 +92,17 @@
   UpstreamKey key = 0;
   uint16_t slots = 0;
   uint16_t busy = 0;
-  uint16_t bulk = 0;         ///< Busy slots that hold bulk requests.
-  bool present = false;      ///< Part of the current view.
-  bool superseded = false;   ///< It has restarted: its attempts are lost.
-  bool leaving = false;      ///< According to the view.
-  bool cold = false;         ///< According to the view.
-  bool drained = false;      ///< According to the view.
-  bool isolated = false;     ///< Reserved for a suspect request.
-  bool recovering = false;   ///< Slow or failing; its last answer was good.
-  bool unreachable = false;  ///< The last connection could not be opened.
-  uint8_t failures = 0;      ///< Consecutive failures; they set the next pause.
+  uint16_t bulk = 0;        ///< Busy slots that hold bulk requests.
+  bool present = false;     ///< Part of the current view.
+  bool superseded = false;  ///< It has restarted: its attempts are lost.
+  bool leaving = false;     ///< According to the view.
+  bool cold = false;        ///< According to the view.
+  bool drained = false;     ///< According to the view.
+  bool isolated = false;    ///< Reserved for a suspect request.
+  // Bit fields, as there are thousands of rows; these share one byte.
+  bool recovering : 1 = false;   ///< Slow or failing; its last answer was good.
+  bool unreachable : 1 = false;  ///< The last connection could not be opened.
+  uint8_t failures = 0;    ///< Consecutive failures; they set the next pause.
   uint16_t ramp_left = 0;  ///< Good answers left until it gets its full share.
   uint32_t running = kNoRow;  ///< First of its running attempts.
   ShortMillis trickle_pause{0};
@@ -172,7 +173,6 @@
   ShardKey key = 0;
   uint32_t serial = 0;  ///< Identifies the shard to lanes, as rows are reused.
   bool in_use = false;
-  DataCentreHandle data_centre;
   std::vector<UpstreamSlots> upstreams;
   /// Parallel to `upstreams`; empty if they take no load queries.
   std::vector<ReportedSpeed> speeds;
--- a/packages/decision/src/dispatcher_reach.cc
+++ b/packages/decision/src/dispatcher_reach.cc
@@ -36,7 +36,9 @@
   }
   for (uint32_t row = 0; row < this->shards.size(); ++row) {
     ShardState& shard = this->shards.at(row);
-    if (!shard.in_use || shard.data_centre != data_centre) {
+    const ShardRow* in_view =
+        shard.in_use ? this->shards.Locate(shard.key).shard : nullptr;
+    if (in_view == nullptr || in_view->data_centre != data_centre) {
       continue;
     }
     if (!reachable) {
@@ -56,9 +58,11 @@
 }
 
 void DispatcherCore::ApplyReach(TimePoint now, ShardState& shard) {
+  const ShardRow* in_view = this->shards.Locate(shard.key).shard;
   const bool is_lost =
+      in_view != nullptr &&
       std::find(this->unreachable.begin(), this->unreachable.end(),
-                shard.data_centre) != this->unreachable.end();
+                in_view->data_centre) != this->unreachable.end();
   if (!is_lost) {
     return;
   }
--- a/packages/decision/src/shard_table.cc
+++ b/packages/decision/src/shard_table.cc
@@ -197,7 +197,6 @@
   if (found.shard != nullptr) {
     const ServiceRow& service = *found.service;
     const ShardRow& row = *found.shard;
-    shard.data_centre = row.data_centre;
     shard.can_be_queried = !service.health_path.empty();
     shard.reports_cold = shard.can_be_queried && this->options.cold_is_reported;
     const bool is_first = !row.contested && !row.owners.empty() &&
--- a/packages/decision/src/upstream_reach.cc
+++ b/packages/decision/src/upstream_reach.cc
@@ -9,6 +9,8 @@
 // Upstreams of a data centre, and services, that must fail in a row, if it has
 // so many.
 constexpr size_t kUpstreamEvidence = 3;
+// With fewer upstreams, a lost path can't be told from one that is down.
+constexpr size_t kMinUpstreams = 2;
 constexpr size_t kServiceEvidence = 4;
 
 // Failures that are further apart have nothing to do with each other.
@@ -212,7 +214,9 @@
 
 bool UpstreamReach::IsEvidence(const std::vector<Candidate>& failed,
                                const std::vector<Candidate>& candidates) {
-  return failed.size() >= std::min(kUpstreamEvidence, candidates.size()) &&
+  const size_t needed =
+      std::clamp(candidates.size(), kMinUpstreams, kUpstreamEvidence);
+  return failed.size() >= needed &&
          CountServices(failed) >= CountServices(candidates);
 }
 
