Decision package: a folder a subject in src/

111 files lay flat in packages/decision/src. They stand in claims, configuration, dispatch, entry, membership, quota, state and view now; no file changes but for one early return where nothing is marked. basilsill_package and basilsill_test look into the folders of src/.

--- a/cmake/Package.cmake
+++ b/cmake/Package.cmake
@@ -20,16 +20,32 @@
     -fsanitize=${BASILSILL_SANITIZE})
 endif()
 
+# basilsill_source_folders(RESULT)
+# Sets RESULT to src/ and the folders in it, one a subject, which large packages
+# have.
+function(basilsill_source_folders RESULT)
+  file(GLOB entries LIST_DIRECTORIES true CONFIGURE_DEPENDS src/*)
+  set(folders ${CMAKE_CURRENT_SOURCE_DIR}/src)
+  foreach(entry ${entries})
+    if(IS_DIRECTORY ${entry})
+      list(APPEND folders ${entry})
+    endif()
+  endforeach()
+  set(${RESULT} ${folders} PARENT_SCOPE)
+endfunction()
+
 # basilsill_package(NAME DEPS ...)
 # Declares a static library `basilsill_NAME` with its public headers in include/
-# and its sources and private headers in src/: every .cc there except main.cc.
+# and its sources and private headers in src/ and its folders: every .cc there
+# except main.cc.
 function(basilsill_package NAME)
   cmake_parse_arguments(ARG "" "" "DEPS" ${ARGN})
-  file(GLOB sources CONFIGURE_DEPENDS src/*.cc)
+  file(GLOB sources CONFIGURE_DEPENDS src/*.cc src/*/*.cc)
   list(FILTER sources EXCLUDE REGEX "/main\\.cc$")
+  basilsill_source_folders(folders)
   add_library(basilsill_${NAME} STATIC ${sources})
   target_include_directories(basilsill_${NAME}
-    PUBLIC include PRIVATE src)
+    PUBLIC include PRIVATE ${folders})
   target_include_directories(basilsill_${NAME} SYSTEM
     PUBLIC ${Boost_INCLUDE_DIRS})
   target_link_libraries(basilsill_${NAME}
@@ -42,7 +58,8 @@
   cmake_parse_arguments(ARG "" "" "SOURCES;DEPS" ${ARGN})
   add_executable(${NAME} ${ARG_SOURCES}
     ${PROJECT_SOURCE_DIR}/packages/base/test/test_main.cc)
-  target_include_directories(${NAME} PRIVATE src test)
+  basilsill_source_folders(folders)
+  target_include_directories(${NAME} PRIVATE ${folders} test)
   target_link_libraries(${NAME}
     PRIVATE basilsill_options ${ARG_DEPS} PkgConfig::CPPUTEST
     Threads::Threads)
--- a/packages/decision/src/unreachable_shards.cc
+++ b/packages/decision/src/entry/unreachable_shards.cc
@@ -64,6 +64,9 @@
 }
 
 void UnreachableShards::Tick(TimePoint now) {
+  if (this->marks.empty()) {
+    return;
+  }
   boost::unordered::erase_if(this->marks, [now](auto& entry) {
     std::erase_if(entry.second, [now](const Mark& mark) {
       return mark.until + kForgetAfter < now;
