--- a/packages/decision/test/reach_history_test.cc
+++ b/packages/decision/test/reach_history_test.cc
@@ -11,7 +11,6 @@
 using basilsill::Duration;
 using basilsill::PathState;
 using basilsill::ReachSimulation;
-using basilsill::ReachSimulationOptions;
 
 namespace {
 
