--- a/packages/node/src/reach_host.cc
+++ b/packages/node/src/reach_host.cc
@@ -34,7 +34,7 @@
 
 void ReachHost::Pump() {
   for (const ReachEvent& event : this->reach->TakeEvents()) {
-    this->Log(event);
+    this->Report(event);
     this->on_event(event);
   }
   for (const UpstreamHandle upstream : this->reach->TakeProbes()) {
@@ -46,18 +46,18 @@
   }
 }
 
-void ReachHost::Log(const ReachEvent& event) const {
+void ReachHost::Report(const ReachEvent& event) const {
   const std::string& data_centre =
       this->view->data_centres.at(event.data_centre.index).name;
   if (event.kind == ReachEventKind::kUnreachable) {
-    basilsill::Log(Event::kUpstreamsUnreachable,
-                   {{"data_centre", data_centre}, {"failed", event.failed}});
+    Log(Event::kUpstreamsUnreachable,
+        {{"data_centre", data_centre}, {"failed", event.failed}});
     return;
   }
   const auto lasted =
       std::chrono::duration_cast<std::chrono::milliseconds>(event.lasted);
-  basilsill::Log(Event::kUpstreamsReachable,
-                 {{"data_centre", data_centre}, {"lasted_ms", lasted.count()}});
+  Log(Event::kUpstreamsReachable,
+      {{"data_centre", data_centre}, {"lasted_ms", lasted.count()}});
 }
 
 // The pool reports how it ended. The connection is kept for a request.
--- a/packages/node/src/reach_host.h
+++ b/packages/node/src/reach_host.h
@@ -30,7 +30,7 @@
 
  private:
   void Pump();
-  void Log(const ReachEvent& event) const;
+  void Report(const ReachEvent& event) const;
   Task<void> Probe(AttemptTarget target);
 
   std::unique_ptr<UpstreamReach> reach;
