--- a/bench/model/fleet.cc
+++ b/bench/model/fleet.cc
@@ -10,6 +10,9 @@
 constexpr uint16_t kStatusError = 500;
 constexpr uint16_t kStatusUnavailable = 503;
 
+// As on real VMs, the fleet's limit takes the place of these budgets.
+constexpr RatioBudgetOptions kUnlimitedBudget{1, 1000, 1000, 1000};
+
 }  // namespace
 
 uint64_t CookieOf(RequestId id, uint32_t forwards) {
@@ -71,6 +74,15 @@
   EntryOptions entry;
   entry.seed = vm + 1;
   entry.features = features.entry;
+  if (const auto& repeats = this->cluster.current_scenario().repeats) {
+    dispatch.repeats = SplitRepeatBudget(*repeats);
+    dispatch.retry_budget = kUnlimitedBudget;
+    dispatch.hedge_budget = kUnlimitedBudget;
+    dispatch.features.class_caps = false;
+    dispatch.features.reserve = false;
+    dispatch.features.send_ahead = false;
+    entry.repeats = SplitRepeatBudget(*repeats).entries;
+  }
   QuarantineOptions quarantine;
   quarantine.seed = vm + 1;
   Node node;
--- a/bench/model/fleet_core.h
+++ b/bench/model/fleet_core.h
@@ -111,7 +111,9 @@
   void OnAttemptEnd(size_t vm,
                     uint64_t cookie,
                     AttemptHandle attempt,
-                    JobEnd end);
+                    const AttemptReport& report);
+  /// @returns the report of an attempt that ended at `instance` a moment ago.
+  AttemptReport ReportOf(size_t instance, JobEnd end);
   void SendReply(size_t vm,
                  uint64_t cookie,
                  const Outcome& outcome,
--- a/bench/model/fleet_dispatch.cc
+++ b/bench/model/fleet_dispatch.cc
@@ -78,7 +78,7 @@
       [this, vm, cookie = action.cookie, handle,
        instance = action.upstream.index](JobEnd end) {
         this->TellNotice(vm, RequestOf(cookie), instance, end);
-        this->OnAttemptEnd(vm, cookie, handle, end);
+        this->OnAttemptEnd(vm, cookie, handle, ReportOf(instance, end));
       });
 }
 
@@ -89,15 +89,22 @@
   const auto service = static_cast<uint32_t>(this->cluster.flow_of(id).service);
   this->nodes[vm].dispatcher->OnNotice(this->cluster.now(), {service, 0},
                                        {static_cast<uint32_t>(instance), 0},
-                                       ReportOf(end).notice);
+                                       bench::ReportOf(end).notice);
+}
+
+AttemptReport FleetStrategy::ReportOf(size_t instance, JobEnd end) {
+  AttemptReport report = bench::ReportOf(end);
+  if (this->cluster.current_scenario().reports_load && report.status != 0) {
+    report.load = this->cluster.upstreams().LoadOf(instance);
+  }
+  return report;
 }
 
 void FleetStrategy::OnAttemptEnd(size_t vm,
                                  uint64_t cookie,
                                  AttemptHandle attempt,
-                                 JobEnd end) {
+                                 const AttemptReport& report) {
   Dispatcher& dispatcher = *this->nodes[vm].dispatcher;
-  const AttemptReport report = ReportOf(end);
   if (report.status != 0) {
     dispatcher.OnFirstByte(this->cluster.now(), attempt);
   }
--- a/bench/model/fleet_entry.cc
+++ b/bench/model/fleet_entry.cc
@@ -92,6 +92,7 @@
   request.fingerprint = this->FingerprintOf(id);
   request.max_wait = target.max_wait;
   request.sends = target.sends;
+  request.good_for = std::chrono::duration_cast<ShortMillis>(flow.target);
   request.cookie = CookieOf(id, routed.forwards);
   const size_t vm = routed.dispatcher;
   const size_t from = this->EntryVm(id);
@@ -123,7 +124,7 @@
 }
 
 void FleetStrategy::OnDirectEnd(RequestId id, size_t instance, JobEnd end) {
-  const AttemptReport report = ReportOf(end);
+  const AttemptReport report = ReportOf(instance, end);
   this->TellNotice(this->EntryVm(id), id, instance, end);
   if (report.end == AttemptEnd::kAnswered) {
     this->FinishEntry(id, {report.status == kStatusOk ? OutcomeKind::kAnswered
--- a/bench/model/metrics.h
+++ b/bench/model/metrics.h
@@ -35,6 +35,14 @@
   /// In milliseconds. A request without an answer counts with its deadline, so
   /// that a strategy can't improve its percentiles by refusing slow requests.
   std::vector<float> latencies;
+  /// Requests of callers with a latency target, each counted once however often
+  /// its caller sent it: answered by the target, answered later, and never
+  /// answered.
+  uint64_t in_time = 0;
+  uint64_t late = 0;
+  uint64_t lost = 0;
+  uint64_t sends = 0;  ///< Attempts that reached an upstream.
+  uint64_t sheds = 0;
 
   uint64_t requests() const { return this->latencies.size(); }
   uint64_t Count(OutcomeKind kind) const {
--- a/bench/model/simulated_cluster.cc
+++ b/bench/model/simulated_cluster.cc
@@ -104,7 +104,8 @@
 
 RequestId SimulatedCluster::NewRequest(uint32_t flow,
                                        uint32_t number,
-                                       uint32_t resend) {
+                                       uint32_t resend,
+                                       TimePoint first_arrival) {
   Request request;
   request.flow = flow;
   request.number = number;
@@ -114,7 +115,10 @@
     request.vm = static_cast<uint32_t>(DrawIndex(random, this->alive.size()));
   } while (!this->alive[request.vm]);
   request.arrival = this->now();
-  request.deadline = this->now() + this->scenario.flows[flow].deadline;
+  request.first_arrival = std::min(first_arrival, this->now());
+  const bool keeps_deadline = this->scenario.flows[flow].target > Duration{0};
+  request.deadline = (keeps_deadline ? request.first_arrival : this->now()) +
+                     this->scenario.flows[flow].deadline;
   const auto id = static_cast<RequestId>(this->requests.size());
   this->requests.push_back(request);
   this->clock.At(request.deadline + kCallerGracePeriod, [this, id] {
@@ -128,8 +132,11 @@
 
 bool SimulatedCluster::IsCounted(const Request& request) const {
   const TimePoint begin(this->scenario.warm_up);
-  return request.arrival >= begin &&
-         request.arrival < begin + this->scenario.length;
+  const bool has_target =
+      this->scenario.flows[request.flow].target > Duration{0};
+  const TimePoint arrival =
+      has_target ? request.first_arrival : request.arrival;
+  return arrival >= begin && arrival < begin + this->scenario.length;
 }
 
 void SimulatedCluster::Finish(RequestId id, const Outcome& outcome) {
@@ -149,11 +156,48 @@
   }
   const bool may_resend = outcome.kind == OutcomeKind::kRefused ||
                           outcome.kind == OutcomeKind::kCallerTimeout;
-  if (may_resend && request.resend < flow.resends) {
+  const bool resends =
+      may_resend && request.resend < flow.resends &&
+      (flow.target == Duration{0} || this->now() < request.deadline);
+  if (flow.target > Duration{0}) {
+    this->CountTarget(request, outcome, resends);
+  }
+  if (resends && flow.target > Duration{0}) {
+    this->Return(id, outcome);
+  } else if (resends) {
     this->Resend(id, outcome);
   }
 }
 
+void SimulatedCluster::CountTarget(const Request& request,
+                                   const Outcome& outcome,
+                                   bool returns) {
+  if (returns || !this->IsCounted(request)) {
+    return;
+  }
+  FlowMetrics& counts = this->metrics.flows[request.flow];
+  const Duration took =
+      this->now() - request.first_arrival + this->scenario.caller_round_trip;
+  const bool served = outcome.kind == OutcomeKind::kAnswered;
+  const bool in_time =
+      served && took <= this->scenario.flows[request.flow].target;
+  counts.in_time += in_time ? 1 : 0;
+  counts.late += served && !in_time ? 1 : 0;
+  counts.lost += served ? 0 : 1;
+}
+
+void SimulatedCluster::Return(RequestId id, const Outcome& outcome) {
+  constexpr int kPartOfTimeLeft = 3;
+  const Request first = this->requests[id];
+  const Duration left = first.deadline - this->now();
+  const Duration pause = std::min(outcome.retry_after, left / kPartOfTimeLeft) +
+                         this->scenario.caller_round_trip;
+  this->clock.After(pause, [this, first] {
+    this->strategy->OnArrival(this->NewRequest(
+        first.flow, first.number, first.resend + 1, first.first_arrival));
+  });
+}
+
 void SimulatedCluster::Resend(RequestId id, const Outcome& outcome) {
   const Duration pause = outcome.retry_after > Duration{0}
                              ? outcome.retry_after
@@ -230,7 +274,8 @@
   const Demand demand = this->DemandOf(request);
   ++request.attempts;
   const auto number = static_cast<uint32_t>(this->attempts.size());
-  this->attempts.push_back({static_cast<uint32_t>(vm),
+  this->attempts.push_back({id,
+                            static_cast<uint32_t>(vm),
                             static_cast<uint32_t>(instance),
                             true,
                             {},
@@ -249,11 +294,17 @@
   if (!this->attempts[number].open) {
     return;
   }
+  this->CountSend(this->attempts[number].request);
   this->attempts[number].job = this->servers.Submit(
       instance, demand,
       [this, number](JobEnd end) { this->OnServed(number, end); });
 }
 
+void SimulatedCluster::CountSend(RequestId id) {
+  const Request& request = this->requests[id];
+  this->metrics.flows[request.flow].sends += this->IsCounted(request) ? 1 : 0;
+}
+
 void SimulatedCluster::OnServed(uint32_t number, JobEnd end) {
   const Attempt& attempt = this->attempts[number];
   this->clock.After(this->VmToInstanceLatency(attempt.vm, attempt.instance),
@@ -266,6 +317,10 @@
     return;
   }
   attempt.open = false;
+  const Request& request = this->requests[attempt.request];
+  if (end == JobEnd::kShed && this->IsCounted(request)) {
+    ++this->metrics.flows[request.flow].sheds;
+  }
   if (end == JobEnd::kAnswered || end == JobEnd::kFailed) {
     ++this->IdleConnections(attempt.vm, attempt.instance);
   }
--- a/bench/model/simulated_cluster.h
+++ b/bench/model/simulated_cluster.h
@@ -4,9 +4,11 @@
 #include <cstdint>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
+#include "basilsill/decision/repeat_budget.h"
 #include "basilsill/decision/view.h"
 #include "model/deployment.h"
 #include "model/metrics.h"
@@ -40,6 +42,11 @@
   /// Number of times that a caller resends a request that was refused or timed
   /// out.
   unsigned resends = 0;
+  /// Latency target, counted from the caller's first attempt, with the network
+  /// round trip between caller and VM; 0: none. A caller with a target keeps
+  /// its first deadline when it resends, and waits as long as it was told, up
+  /// to a third of the time that it has left.
+  Duration target{0};
   /// Identical requests, each of which crashes the instance that runs it.
   bool crashes_instance = false;
   bool measured = true;  ///< Counts towards the case's main figures.
@@ -68,6 +75,11 @@
   Duration idle = std::chrono::seconds(2);
   /// Opening a connection takes kConnectTime.
   bool models_connect_time = false;
+  /// Upstreams report their load with each answer.
+  bool reports_load = false;
+  Duration caller_round_trip{0};
+  /// Limit of the fleet on repeats; none: each VM has budgets of its own.
+  std::optional<RepeatBudgetOptions> repeats;
   uint64_t seed = 1;
 };
 
@@ -82,6 +94,7 @@
   uint32_t resend = 0;    ///< 0 for the original, then 1 for the first resend.
   uint32_t attempts = 0;  ///< Attempts at upstreams.
   TimePoint arrival{};
+  TimePoint first_arrival{};  ///< Of the original.
   TimePoint deadline{};
   bool done = false;
 };
@@ -111,6 +124,7 @@
   Metrics Run(Strategy& strategy);
 
   Simulation& simulation() { return this->clock; }
+  const Scenario& current_scenario() const { return this->scenario; }
   Upstreams& upstreams() { return this->servers; }
   const Deployment& deployment() const { return this->scenario.deployment; }
   Request& request(RequestId id) { return this->requests[id]; }
@@ -159,6 +173,7 @@
 
  private:
   struct Attempt {
+    RequestId request = 0;
     uint32_t vm = 0;
     uint32_t instance = 0;
     bool open = false;  ///< The answer is still awaited.
@@ -171,8 +186,16 @@
   /// Highest arrival rate, in requests per second.
   double PeakRate(const Flow& flow) const;
   bool AcceptsArrival(const Flow& flow, Random& random) const;
-  RequestId NewRequest(uint32_t flow, uint32_t number, uint32_t resend);
+  RequestId NewRequest(uint32_t flow,
+                       uint32_t number,
+                       uint32_t resend,
+                       TimePoint first_arrival = kNever);
   void Resend(RequestId request, const Outcome& outcome);
+  void CountSend(RequestId request);
+  void Return(RequestId request, const Outcome& outcome);
+  void CountTarget(const Request& request,
+                   const Outcome& outcome,
+                   bool returns);
   bool IsCounted(const Request& request) const;
   Demand DemandOf(const Request& request) const;
   Duration ConnectDelay(size_t vm, size_t instance);
--- a/bench/model/upstreams.cc
+++ b/bench/model/upstreams.cc
@@ -18,10 +18,13 @@
 /// time after which kBreakingConnections breaks a connection.
 constexpr Duration kCrashDelay = std::chrono::milliseconds(1);
 
+constexpr uint64_t kShedSeed = 5;
+
 }  // namespace
 
 Upstreams::Upstreams(Simulation& simulation, const Deployment& deployment)
     : simulation(simulation),
+      shed_random(kShedSeed),
       jobs(deployment.instances.size() * kConnectionsPerInstance) {
   for (const InstanceSpec& spec : deployment.instances) {
     Instance instance;
@@ -71,8 +74,7 @@
       end = JobEnd::kConnectFailed;
       break;
     default:
-      if (instance.running.size() + instance.waiting.size() <
-          kConnectionsPerInstance) {
+      if (!this->IsShed(instance)) {
         return false;
       }
       end = JobEnd::kShed;
@@ -81,6 +83,15 @@
   return true;
 }
 
+// No number is drawn for an instance without a share, so that its presence does
+// not change the runs of other cases.
+bool Upstreams::IsShed(const Instance& instance) {
+  const size_t in_flight = instance.running.size() + instance.waiting.size();
+  return in_flight >= instance.max_in_flight ||
+         (instance.shed_share > 0 &&
+          DrawUnit(this->shed_random) < instance.shed_share);
+}
+
 void Upstreams::StartWaiting(Instance& instance) {
   while (instance.running.size() < instance.slots &&
          !instance.waiting.empty()) {
@@ -171,6 +182,26 @@
   }
 }
 
+void Upstreams::SetShedShare(size_t position, double share) {
+  this->instances.at(position).shed_share = share;
+}
+
+void Upstreams::SetCapacity(size_t position, unsigned slots, size_t queue) {
+  Instance& instance = this->instances.at(position);
+  instance.slots = slots;
+  instance.max_in_flight = slots + queue;
+}
+
+UpstreamLoad Upstreams::LoadOf(size_t position) const {
+  const Instance& instance = this->instances.at(position);
+  UpstreamLoad load;
+  load.known = true;
+  load.running = static_cast<uint16_t>(instance.running.size());
+  load.waiting = static_cast<uint16_t>(instance.waiting.size());
+  load.slots = static_cast<uint16_t>(instance.slots);
+  return load;
+}
+
 void Upstreams::Crash(size_t position) {
   if (this->instances.at(position).mode != InstanceMode::kServing) {
     return;
--- a/bench/model/upstreams.h
+++ b/bench/model/upstreams.h
@@ -8,7 +8,9 @@
 #include <vector>
 
 #include "basilsill/base/handle.h"
+#include "basilsill/decision/dispatch.h"
 #include "model/deployment.h"
+#include "model/random.h"
 #include "model/simulation.h"
 
 /// Simulated upstream instances: slots, a FIFO queue for requests beyond the
@@ -81,6 +83,17 @@
   /// queued and running requests.
   void SetMode(size_t instance, InstanceMode mode);
 
+  /// Makes `instance` shed `share` of its requests at random, whether or not
+  /// it has free slots.
+  void SetShedShare(size_t instance, double share);
+
+  /// Gives `instance` `slots` slots, and makes it shed requests while `queue`
+  /// requests wait for one.
+  void SetCapacity(size_t instance, unsigned slots, size_t queue);
+
+  /// @returns the load that `instance` reports with an answer.
+  UpstreamLoad LoadOf(size_t instance) const;
+
   LoadReport Report(size_t instance) const;
   uint32_t InFlight(size_t instance) const;
 
@@ -120,6 +133,8 @@
     unsigned slots = 0;
     double slowdown = 1;
     InstanceMode mode = InstanceMode::kServing;
+    double shed_share = 0;
+    size_t max_in_flight = kConnectionsPerInstance;
     TimePoint draining_since{};
     std::vector<JobHandle> running;
     std::deque<JobHandle> waiting;
@@ -136,8 +151,10 @@
   void RecordLatency(Instance& instance, const Job& job);
   void Crash(size_t instance);
   void BreakAll(Instance& instance);
+  bool IsShed(const Instance& instance);
 
   Simulation& simulation;
+  Random shed_random;
   std::vector<Instance> instances;
   HandleTable<Job, JobTag> jobs;
   size_t submitted = 0;
