Tell causes of sheds apart, and retry, hedge and return by cause

shed_monitor counts, for each upstream of a shard, the recent sends and sheds and whether slots were free by the upstream's own report. It tells one shedding upstream, all upstreams with free slots, and overload apart. With free slots no upstream is paused, repeats are kept for requests that can be in time and for more urgent classes that are shed too, and callers return within 10 to 60 ms. In overload a shed request is repeated only if a slot is free elsewhere and it can be in time, and callers return no sooner than the expected wait. Requests are not hedged in either case. The mechanism is called shed-triage.

--- a/bench/shed_bench.cc
+++ b/bench/shed_bench.cc
@@ -7,6 +7,7 @@
 
 #include <tclap/CmdLine.h>
 
+#include "basilsill/decision/mechanism.h"
 #include "model/fleet.h"
 #include "model/shed_cases.h"
 
@@ -21,6 +22,11 @@
 /// Worth of an answer after the caller's target, as a share of one before it.
 constexpr double kWorthLate = 0.1;
 
+// Bounds on the share in time compared with the oracle's, and on the loss of
+// value compared with the policy without the mechanism.
+constexpr double kShareOfOracle = 0.95;
+constexpr double kMaxLoss = 0.01;
+
 struct ShedFigures {
   double in_time = 0;
   double late = 0;
@@ -63,11 +69,26 @@
               figures.lost, figures.sends, figures.shed);
 }
 
-void RunCause(const ShedDeployment& deployment, ShedCause cause, double share) {
-  Scenario scenario = MakeShedScenario(deployment, cause, share);
+// @returns true if the bounds hold. The policy may be worse than the oracle by
+// a twentieth where slots are free, and hardly worse than without the mechanism
+// anywhere.
+bool IsWithinBounds(ShedCause cause,
+                    const ShedFigures& without,
+                    const ShedFigures& policy,
+                    const ShedFigures& oracle) {
+  const bool near_oracle = cause == ShedCause::kFull ||
+                           policy.in_time >= kShareOfOracle * oracle.in_time;
+  return near_oracle && policy.value() >= without.value() - kMaxLoss;
+}
+
+bool RunCause(const ShedDeployment& deployment, ShedCause cause, double share) {
+  const Scenario scenario = MakeShedScenario(deployment, cause, share);
   const std::string name = std::string(deployment.name) + ", " +
                            std::string(NameOf(cause)) + ", " +
                            std::to_string(share).substr(0, 4);
+  const ShedFigures without = RunCase(scenario, [](SimulatedCluster& cluster) {
+    return MakeFleetStrategy(cluster, FeaturesWithout("shed-triage").value());
+  });
   const ShedFigures policy = RunCase(scenario, [](SimulatedCluster& cluster) {
     return MakeFleetStrategy(cluster, {});
   });
@@ -75,24 +96,28 @@
       RunCase(scenario, [cause](SimulatedCluster& cluster) {
         return MakeShedOracle(cluster, cause);
       });
+  Print(name, "without", without);
   Print(name, "policy", policy);
   Print(name, "oracle", oracle);
+  return IsWithinBounds(cause, without, policy, oracle);
 }
 
 int Main(int argc, char** argv) {
   TCLAP::CmdLine line("Benchmark of shedding upstreams, in virtual time");
+  TCLAP::SwitchArg check("", "check", "Exit 1 if a bound is broken", line);
   line.parse(argc, argv);
   std::printf(
       "| case | strategy | in time | late | lost | sends | shed |\n"
       "| --- | --- | ---: | ---: | ---: | ---: | ---: |\n");
+  bool within_bounds = true;
   for (const ShedDeployment& deployment : ShedDeployments()) {
     for (size_t i = 0; i < static_cast<size_t>(ShedCause::kCount); ++i) {
       for (const double share : kShares) {
-        RunCause(deployment, static_cast<ShedCause>(i), share);
+        within_bounds &= RunCause(deployment, static_cast<ShedCause>(i), share);
       }
     }
   }
-  return 0;
+  return check.getValue() && !within_bounds ? 1 : 0;
 }
 
 }  // namespace
--- a/packages/base/include/basilsill/base/reason.h
+++ b/packages/base/include/basilsill/base/reason.h
@@ -79,6 +79,7 @@
   kDeniedDeadline,
   kDeniedNotIdempotent,
   kDeniedBodyGone,  ///< Part of the body was consumed by the failed attempt.
+  kDeniedOverload,  ///< All upstreams are full, or the answer would be late.
   kCount
 };
 
--- a/packages/base/src/reason.cc
+++ b/packages/base/src/reason.cc
@@ -71,6 +71,7 @@
         "denied-deadline",
         "denied-not-idempotent",
         "denied-body-gone",
+        "denied-overload",
 };
 
 }  // namespace
--- a/packages/decision/include/basilsill/decision/dispatch.h
+++ b/packages/decision/include/basilsill/decision/dispatch.h
@@ -14,6 +14,7 @@
 #include "basilsill/decision/rate_limit.h"
 #include "basilsill/decision/ratio_budget.h"
 #include "basilsill/decision/repeat_budget.h"
+#include "basilsill/decision/shed_case.h"
 #include "basilsill/decision/upstream_notice.h"
 #include "basilsill/decision/view.h"
 
@@ -159,6 +160,7 @@
   bool send_ahead = true;      ///< Long queue: one request beyond the slots.
   bool ramp = true;            ///< Slow start of new and returned upstreams.
   bool shed_backoff = true;    ///< Pause after a shed answer.
+  bool shed_triage = true;     ///< Tell causes of sheds apart.
   bool retry = true;           ///< Retries inside the shard.
   bool hedge = true;           ///< Send a second attempt if one is slow.
   bool speed = true;           ///< Wait until upstreams are fast again.
@@ -201,6 +203,7 @@
   kRateLimitEnded,
   kResting,    ///< Asked for no requests for `rest`.
   kRestEnded,  ///< That time is over.
+  kShedCase,   ///< The cause of the shard's sheds changed to `shed_case`.
   kCount
 };
 
@@ -211,6 +214,8 @@
   Fingerprint fingerprint = 0;
   double requests_per_second = 0;  ///< For kRateLimited: the limit.
   Duration rest{0};                ///< For kResting.
+  ShedCase shed_case = ShedCase::kNone;
+  double shed_share = 0;  ///< For kShedCase: recent share of sheds.
 };
 
 /// Totals since the start, by reason.
@@ -224,6 +229,9 @@
   uint64_t held_for_rate = 0;
   /// Requests refused because upstreams that could take them leave or rest.
   uint64_t refused_for_notice = 0;
+  /// Requests that upstreams shed, by the case of the shard at the time. None
+  /// is counted while the mechanism is off.
+  std::array<uint64_t, static_cast<size_t>(ShedCase::kCount)> sheds{};
 };
 
 /// Dispatch state of all shards of one worker. Used by one thread only.
--- a/packages/decision/include/basilsill/decision/repeat_budget.h
+++ b/packages/decision/include/basilsill/decision/repeat_budget.h
@@ -45,7 +45,8 @@
  public:
   void OnRequest(TimePoint now, const RepeatBudgetOptions& options);
 
-  /// @param reserved Repeats that must remain for more important ones.
+  /// @param reserved Share of the allowed repeats that must remain for more
+  /// important ones.
   /// @returns true if one repeat may be made; it is then counted.
   bool Take(TimePoint now,
             const RepeatBudgetOptions& options,
--- a/packages/decision/src/configuration/mechanism.cc
+++ b/packages/decision/src/configuration/mechanism.cc
@@ -48,6 +48,8 @@
               InDispatcher<&Dispatch::ramp>},
     Mechanism{"shed-backoff", "An upstream that sheds is paused.",
               InDispatcher<&Dispatch::shed_backoff>},
+    Mechanism{"shed-triage", "Reactions to sheds depend on their cause.",
+              InDispatcher<&Dispatch::shed_triage>},
     Mechanism{"shard-retry", "Requests are retried inside a shard.",
               InDispatcher<&Dispatch::retry>},
     Mechanism{"hedge", "A slow attempt may get a second one.",
--- a/packages/decision/src/dispatch/dispatch_tables.h
+++ b/packages/decision/src/dispatch/dispatch_tables.h
@@ -13,6 +13,7 @@
 #include "indexed_heap.h"
 #include "latency_stats.h"
 #include "rate_limit_quota.h"
+#include "shed_monitor.h"
 #include "upstream_health.h"
 #include "upstream_speed.h"
 
@@ -203,7 +204,11 @@
   bool rate_bound = false;
   uint32_t siblings = 1;  ///< Number of shards of the service, with this one.
   std::unique_ptr<RepeatBudget> repeats;  ///< Set if the fleet has a limit.
-  uint32_t open_slots = 0;                ///< Of upstreams with full share.
+  /// Set while upstreams shed. It has a row for each of `upstreams`.
+  std::unique_ptr<ShedMonitor> sheds;
+  ShedCase logged_shed_case = ShedCase::kNone;
+  TimePoint shed_case_logged_at{};
+  uint32_t open_slots = 0;  ///< Of upstreams with full share.
   uint32_t starts_since_trickle = 0;
   uint32_t first_pick = 0;  ///< Start of the next search for a slot.
   double error_rate = 0;    ///< Error share of the siblings at the last error.
@@ -217,6 +222,15 @@
   TimePoint next_scan{};
   TimePoint last_scan{};
   TimePoint last_used{};
+
+  ShedCase shed_case() const {
+    return this->sheds ? this->sheds->current() : ShedCase::kNone;
+  }
+  /// @returns true if more than half of its upstreams shed.
+  bool AllShed() const {
+    return this->shed_case() == ShedCase::kWithRoom ||
+           this->shed_case() == ShedCase::kOverload;
+  }
 };
 
 /// @returns the ring in which requests of class `queue` wait.
--- a/packages/decision/src/dispatch/dispatcher.cc
+++ b/packages/decision/src/dispatch/dispatcher.cc
@@ -263,8 +263,11 @@
 
 // Takes one repeat from this shard's share of the fleet-wide limit for the
 // service.
+// @param reserved Part of the share that must remain for other requests.
 // @returns false if the share is used up.
-bool DispatcherCore::TakeRepeat(TimePoint now, ShardState& shard) {
+bool DispatcherCore::TakeRepeat(TimePoint now,
+                                ShardState& shard,
+                                double reserved) {
   if (!this->options.repeats) {
     return true;
   }
@@ -274,7 +277,7 @@
   RepeatBudgetOptions part = is_settled ? parts.dispatchers : parts.unsettled;
   part.slack /= std::max<uint32_t>(1, shard.siblings);
   part.slack /= is_settled ? 1 : CountVms(*this->shards.view());
-  return shard.repeats->Take(now, part);
+  return shard.repeats->Take(now, part, reserved);
 }
 
 void DispatcherCore::Activate(uint32_t row) {
--- a/packages/decision/src/dispatch/dispatcher_admit.cc
+++ b/packages/decision/src/dispatch/dispatcher_admit.cc
@@ -210,7 +210,11 @@
 }
 
 Duration DispatcherCore::WithJitter(Duration duration) {
-  const int spread = static_cast<int>(this->random(kPercent / 2 + 1));
+  return this->WithJitter(duration, kPercent / 2);
+}
+
+Duration DispatcherCore::WithJitter(Duration duration, uint32_t most_percent) {
+  const int spread = static_cast<int>(this->random(most_percent + 1));
   return std::max(kMinRetryAfter, duration * (kPercent + spread) / kPercent);
 }
 
--- a/packages/decision/src/dispatch/dispatcher_core.h
+++ b/packages/decision/src/dispatch/dispatcher_core.h
@@ -21,6 +21,7 @@
 /// - dispatcher_outcome.cc: effect of an attempt's end on the upstream's state
 /// - dispatcher_notice.cc: upstreams that say that they leave or rest
 /// - dispatcher_rate_limit.cc: rate limits of upstreams
+/// - dispatcher_shed.cc: causes of sheds, and retries and returns by cause
 /// - dispatcher_reach.cc: data centres that this VM can't connect to
 /// - dispatcher_tick.cc: timers, hedges and periodic scans
 
@@ -101,6 +102,7 @@
                         RingKind ring,
                         uint32_t ahead) const;
   Duration WithJitter(Duration duration);
+  Duration WithJitter(Duration duration, uint32_t most_percent);
 
   // dispatcher.cc
   void RefuseOffer(const DispatchRequest& request, const Verdict& verdict);
@@ -120,7 +122,7 @@
                    const UpstreamSlots& upstream,
                    Fingerprint fingerprint = 0);
   void Activate(uint32_t shard);
-  bool TakeRepeat(TimePoint now, ShardState& shard);
+  bool TakeRepeat(TimePoint now, ShardState& shard, double reserved = 0);
 
   // dispatcher_start.cc
   void Pump(TimePoint now, uint32_t shard);
@@ -209,7 +211,7 @@
   void RecordError(TimePoint now, const AttemptRow& attempt, AttemptEnd end);
   void RecordShed(TimePoint now,
                   const AttemptRow& attempt,
-                  const UpstreamNotice& notice);
+                  const AttemptReport& report);
   void ScheduleTrickle(TimePoint now, UpstreamSlots& upstream, bool good);
   void ReportCrash(TimePoint now, uint32_t shard, UpstreamSlots& upstream);
   void UpdateGrade(TimePoint now, ShardState& shard, uint32_t upstream);
@@ -227,6 +229,23 @@
                            const ShardState& shard,
                            uint64_t requests);
 
+  // dispatcher_shed.cc
+  void TrackShed(TimePoint now,
+                 const AttemptRow& attempt,
+                 const UpstreamLoad& load);
+  void UpdateShedCase(TimePoint now, ShardState& shard, uint32_t place);
+  void ScanSheds(TimePoint now, ShardState& shard);
+  bool MayRepeatShed(TimePoint now,
+                     const RequestRow& request,
+                     const AttemptRow& attempt) const;
+  static double ReservedRepeats(TimePoint now,
+                                const ShardState& shard,
+                                const RequestRow& request);
+  Duration ReturnAfter(TimePoint now,
+                       const ShardState& shard,
+                       const RequestRow& request,
+                       AttemptEnd end);
+
   // dispatcher_reach.cc
   void ApplyReach(TimePoint now, ShardState& shard);
 
--- a/packages/decision/src/dispatch/dispatcher_end.cc
+++ b/packages/decision/src/dispatch/dispatcher_end.cc
@@ -10,7 +10,6 @@
 
 constexpr uint8_t kMaxStarts = 3;
 constexpr int kSlotTimeWeight = 64;  // Window of the moving mean, in requests.
-constexpr Duration kRetryAfter = std::chrono::milliseconds(100);
 constexpr uint16_t kServerError = 500;
 
 // @returns true if the upstream ran the request and answered with a server
@@ -206,11 +205,11 @@
 DispatcherCore::Verdict DispatcherCore::VerdictOf(TimePoint now,
                                                   const RequestRow& request,
                                                   AttemptEnd end) {
-  const Verdict own{RefusalOf(end), this->WithJitter(kRetryAfter)};
+  ShardState& shard = this->shards.at(request.shard);
+  const Verdict own{RefusalOf(end), this->ReturnAfter(now, shard, request, end)};
   if (MayHaveRun(end)) {
     return own;
   }
-  ShardState& shard = this->shards.at(request.shard);
   Verdict elsewhere = this->CheckUsable(now, shard);
   if (this->handing_back) {
     elsewhere = {Refusal::kShuttingDown, own.retry_after};
@@ -227,7 +226,9 @@
   // The entry VM does not charge its own budget for trying another shard. If
   // the request was sent to an upstream here, that is a repeat, so this shard's
   // budget has to cover it.
-  const bool may_repeat = request.sends == 0 || this->TakeRepeat(now, shard);
+  const bool may_repeat =
+      request.sends == 0 ||
+      this->TakeRepeat(now, shard, ReservedRepeats(now, shard, request));
   return may_repeat ? elsewhere : own;
 }
 
@@ -274,11 +275,16 @@
   if (reason == Retry::kNone || !allowed) {
     return Retry::kNone;
   }
+  const double reserved = ReservedRepeats(now, shard, request);
+  RatioBudget& team = this->queue.lane(request.lane).retry_budget;
+  const double reserved_of_team = reserved * this->options.retry_budget.burst;
   if (!IsDenied(reason) && !in_time) {
     reason = Retry::kDeniedDeadline;
-  } else if (!IsDenied(reason) &&
-             ((!free && !this->queue.lane(request.lane).retry_budget.Take()) ||
-              !this->TakeRepeat(now, shard))) {
+  } else if (reason == Retry::kShed && !free &&
+             !this->MayRepeatShed(now, request, attempt)) {
+    reason = Retry::kDeniedOverload;
+  } else if (!IsDenied(reason) && ((!free && !team.Take(reserved_of_team)) ||
+                                   !this->TakeRepeat(now, shard, reserved))) {
     reason = Retry::kDeniedBudget;
   }
   ++this->counts.retries[static_cast<size_t>(reason)];
--- a/packages/decision/src/dispatch/dispatcher_outcome.cc
+++ b/packages/decision/src/dispatch/dispatcher_outcome.cc
@@ -89,15 +89,6 @@
   upstream.failures = std::min<uint8_t>(upstream.failures + 1, kMaxFailures);
 }
 
-// Ends the pauses of all upstreams after one of them answered again: failures
-// with a common cause end together.
-void LiftPauses(TimePoint now, ShardState& shard) {
-  for (UpstreamSlots& upstream : shard.upstreams) {
-    upstream.paused_until = std::min(upstream.paused_until, now);
-  }
-  RecountSlots(now, shard);
-}
-
 }  // namespace
 
 void DispatcherCore::RecordAttemptEnd(TimePoint now,
@@ -129,7 +120,7 @@
   } else if (answered) {
     this->RecordAnswer(now, attempt);
   } else if (report.end == AttemptEnd::kShed) {
-    this->RecordShed(now, attempt, report.notice);
+    this->RecordShed(now, attempt, report);
   }
   this->UpdateGrade(now, shard, attempt.upstream);
 }
@@ -155,6 +146,10 @@
     stats.Add(took);
   }
   upstream.error_share -= kErrorWeight * upstream.error_share;
+  if (shard.sheds) {
+    shard.sheds->OnAnswer();
+  }
+  // Failures with a common cause end together.
   if (upstream.failures > 0) {
     LiftPauses(now, shard);
   }
@@ -194,14 +189,20 @@
 // guess.
 void DispatcherCore::RecordShed(TimePoint now,
                                 const AttemptRow& attempt,
-                                const UpstreamNotice& notice) {
+                                const AttemptReport& report) {
+  const UpstreamNotice& notice = report.notice;
   ShardState& shard = this->shards.at(attempt.shard);
   UpstreamSlots& upstream = shard.upstreams[attempt.upstream];
   if (attempt.ahead) {
     upstream.no_ahead_until = now + kNoAheadTime;
     return;
   }
-  if (!this->options.features.shed_backoff || notice.rest > Duration(0)) {
+  if (!notice.leaving) {
+    this->TrackShed(now, attempt, report.load);
+  }
+  // Pauses of all upstreams would take away the slots that are free.
+  if (!this->options.features.shed_backoff || notice.rest > Duration(0) ||
+      shard.shed_case() == ShedCase::kWithRoom) {
     return;
   }
   const LatencyStats& stats =
--- a/packages/decision/src/dispatch/dispatcher_tick.cc
+++ b/packages/decision/src/dispatch/dispatcher_tick.cc
@@ -148,7 +148,7 @@
   LaneRow& lane = this->queue.lane(request.lane);
   const Ring& waiting =
       shard.rings[static_cast<size_t>(RingKind::kInteractive)];
-  const bool slots_left = rescue || waiting.queued == 0;
+  const bool slots_left = (rescue || waiting.queued == 0) && !shard.AllShed();
   const uint32_t other = slots_left && !this->IsSuspect(now, request)
                              ? PickUpstream(now, shard, choice)
                              : kNoRow;
@@ -185,6 +185,7 @@
   shard.next_scan = now + std::clamp(slot_time / 2, kMinScan, kMaxScan);
   RecountSlots(now, shard);
   this->RecordEndedRests(now, shard);
+  this->ScanSheds(now, shard);
   for (uint32_t i = 0; i < shard.upstreams.size(); ++i) {
     shard.upstreams[i].health.Decay(decay_factor);
     this->UpdateGrade(now, shard, i);
--- a/packages/decision/src/dispatch/repeat_budget.cc
+++ b/packages/decision/src/dispatch/repeat_budget.cc
@@ -76,7 +76,8 @@
     requests += bucket.requests;
     repeats += bucket.repeats;
   }
-  if (repeats + 1 + reserved > options.ratio * requests + options.slack) {
+  const double allowed = options.ratio * requests + options.slack;
+  if (repeats + 1 > allowed * (1 - reserved)) {
     return false;
   }
   ++current.repeats;
--- a/packages/decision/src/dispatch/upstream_choice.cc
+++ b/packages/decision/src/dispatch/upstream_choice.cc
@@ -197,6 +197,13 @@
   shard.rate_bound = IsRateBound(now, shard);
 }
 
+void LiftPauses(TimePoint now, ShardState& shard) {
+  for (UpstreamSlots& upstream : shard.upstreams) {
+    upstream.paused_until = std::min(upstream.paused_until, now);
+  }
+  RecountSlots(now, shard);
+}
+
 void MarkReturned(TimePoint now, UpstreamSlots& upstream, bool ramp) {
   upstream.health.Reset();
   upstream.failures = 0;
@@ -244,7 +251,7 @@
                  uint32_t place,
                  const ChoiceOptions& options) {
   ChoiceOptions any = options;
-  any.speed = SpeedRule::kPrefer;
+  any.speed = shard.speeds.empty() ? SpeedRule::kIgnore : SpeedRule::kPrefer;
   any.ahead = false;
   return CostOf(now, shard, place, any) != kNotFree;
 }
--- a/packages/decision/src/dispatch/upstream_choice.h
+++ b/packages/decision/src/dispatch/upstream_choice.h
@@ -45,6 +45,9 @@
 /// full share, and whether rate limits bound the shard.
 void RecountSlots(TimePoint now, ShardState& shard);
 
+/// Ends the pauses of all upstreams.
+void LiftPauses(TimePoint now, ShardState& shard);
+
 /// Resets the state of an upstream that is back after it was leaving or
 /// drained, apart from what it said itself. With `ramp` it starts slowly.
 void MarkReturned(TimePoint now, UpstreamSlots& upstream, bool ramp);
