--- a/packages/decision/src/dispatch/dispatcher_end.cc
+++ b/packages/decision/src/dispatch/dispatcher_end.cc
@@ -206,7 +206,8 @@
                                                   const RequestRow& request,
                                                   AttemptEnd end) {
   ShardState& shard = this->shards.at(request.shard);
-  const Verdict own{RefusalOf(end), this->ReturnAfter(now, shard, request, end)};
+  const Verdict own{RefusalOf(end),
+                    this->ReturnAfter(now, shard, request, end)};
   if (MayHaveRun(end)) {
     return own;
   }
@@ -280,7 +281,7 @@
   const double reserved_of_team = reserved * this->options.retry_budget.burst;
   if (!IsDenied(reason) && !in_time) {
     reason = Retry::kDeniedDeadline;
-  } else if (reason == Retry::kShed && !free &&
+  } else if (!IsDenied(reason) && end == AttemptEnd::kShed && !free &&
              !this->MayRepeatShed(now, request, attempt)) {
     reason = Retry::kDeniedOverload;
   } else if (!IsDenied(reason) && ((!free && !team.Take(reserved_of_team)) ||
--- a/packages/decision/src/dispatch/dispatcher_shed.cc
+++ b/packages/decision/src/dispatch/dispatcher_shed.cc
@@ -100,7 +100,8 @@
   const bool changed = shard.sheds->Update(now);
   const ShedCase shed_case = shard.shed_case();
   if (changed && shed_case == ShedCase::kWithRoom) {
-    // Pauses because of earlier sheds end as after a good answer.
+    // Most pauses are because of sheds. A pause that is not begins again with
+    // the next failure.
     for (UpstreamSlots& upstream : shard.upstreams) {
       upstream.failures = upstream.unreachable ? upstream.failures : 0;
     }
