Quotas: a VM that reaches the store takes over from a lender that lost it

Cause: another VM had to see the lease's record unchanged for 3.7 s, began to look only after the first renewal that failed, and only candidates looked. With three of four VMs of a data centre without the store, nobody lent its share for more than a second.

Change: a holder that can't renew its lease says for how long it still lends and under which record (lease_left and lease_end of QuotaRequest, absent in messages of earlier versions). Whoever reads this record may take the share over after that time, counted from the receipt; if the holder renews after all, the log's end differs and the write fails. The holder tells one more VM beside the candidates with each failure. Such a VM tells the candidates that it lends, and releases the lease once a candidate reads its record.

--- a/packages/decision/include/basilsill/decision/quota.h
+++ b/packages/decision/include/basilsill/decision/quota.h
@@ -61,6 +61,13 @@
   bool of_lender = false;
   std::vector<QuotaWant> wants;
   std::vector<QuotaReturn> returns;
+  /// End of the log of the share's lease as the sender knows it; 0 if it tells
+  /// nothing about the lease.
+  uint64_t lease_end = 0;
+  /// The sender holds the lease with the record at `lease_end`, may fail to
+  /// renew it, and lends for no longer than this time unless it does. 0: the
+  /// sender has read that record, and does not hold the lease.
+  Duration lease_left{0};
 
   friend bool operator==(const QuotaRequest&, const QuotaRequest&) = default;
 };
--- a/packages/decision/include/basilsill/decision/quota_coordinator.h
+++ b/packages/decision/include/basilsill/decision/quota_coordinator.h
@@ -97,8 +97,11 @@
   void SetCandidates(const RoutingView& view);
   void SyncWithLease(LeaseTime now);
   void BeginToLend(LeaseTime now);
-  void AskHolder(const std::optional<QuotaLeaseRecord>& record);
-  void AskForTakeover(VmHandle vm);
+  bool IsCandidate() const;
+  void Announce();
+  void AskHolder(LeaseTime now, const std::optional<QuotaLeaseRecord>& record);
+  void AskForTakeover(LeaseTime now, VmHandle vm);
+  void OnLeaseNews(LeaseTime now, const QuotaRequest& request);
   void Lend(LeaseTime now,
             const QuotaRequester& from,
             const QuotaRequest& request);
@@ -116,7 +119,10 @@
   std::optional<QuotaStart> last_start;
   /// Fraction of each quota that this VM may lend.
   double part = 1;
-  /// Names of `candidates`.
+  /// Other VMs of this data centre, in the order of RankLiveVms.
+  std::vector<VmHandle> others;
+  size_t failed_calls = 0;  ///< In a row.
+  /// All VMs of this data centre that seem to run.
   std::map<std::string, VmHandle, std::less<>> vms_by_name;
   bool is_lending = false;
 };
--- a/packages/decision/include/basilsill/decision/quota_lease.h
+++ b/packages/decision/include/basilsill/decision/quota_lease.h
@@ -85,6 +85,17 @@
   /// expire.
   void OnAsked() { this->is_asked = true; }
 
+  /// The holder of the record at `end` lends for at most `left` unless another
+  /// record follows.
+  void OnPromise(LeaseTime now, uint64_t end, Duration left);
+
+  /// Another VM has read a record at `end`: this one's may be older.
+  void OnNewerRecord(uint64_t end);
+
+  /// Releases the lease as soon as the call in flight has ended, so that
+  /// another VM may take it. This VM does not take it for a while.
+  void Release() { this->must_release = true; }
+
   /// Releases the lease as soon as the call in flight has ended.
   void GiveUp() { this->given_up = true; }
 
@@ -100,6 +111,9 @@
   void OnConflict(LeaseTime now);
   void OnFailed(LeaseTime now);
 
+  /// @returns how long the lease is valid; 0 if it is not held.
+  Duration TimeLeft(LeaseTime now) const;
+
   bool Holds(LeaseTime now) const { return now < this->held_until; }
 
   /// @returns what was known when the present lease began.
@@ -114,6 +128,8 @@
   bool IsOwn(const std::optional<QuotaLeaseRecord>& record) const;
   bool IsOfEarlierProcess() const;
   bool MustRead(LeaseTime now) const;
+  bool HasPromise() const;
+  QuotaLeaseCall BeginRelease(LeaseTime now);
   QuotaShareHistory HistoryOfRecord(LeaseTime now) const;
   std::optional<uint32_t> RecentStarts(LeaseTime now) const;
   void PrepareWrite(LeaseTime now);
@@ -136,6 +152,10 @@
   LeaseTime call_begun{};
   LeaseTime next_call_at{};
   QuotaLeaseCall call_in_flight = QuotaLeaseCall::kNone;
+  uint64_t promised_end = 0;
+  /// When the holder of the record at `promised_end` has ended to lend.
+  LeaseTime promised_free_at{};
+  bool must_release = false;
   bool given_up = false;
   LeaseTime held_since{};
   /// What the newest record of another process told when this process first
--- a/packages/decision/include/basilsill/decision/quota_lender.h
+++ b/packages/decision/include/basilsill/decision/quota_lender.h
@@ -112,6 +112,9 @@
   void Begin() { this->lends = true; }
   void BeginFull(LeaseTime now);
   void BeginAt(LeaseTime now, const QuotaStart& start);
+  /// `vm` lends this VM's share although it is no candidate.
+  void SetGuestLender(VmHandle vm) { this->sibling.SetCandidates({vm}); }
+
   void End() { this->lends = false; }
   bool is_lending() const { return this->lends; }
 
--- a/packages/decision/src/quota/quota_coordinator.cc
+++ b/packages/decision/src/quota/quota_coordinator.cc
@@ -11,6 +11,14 @@
 // The high bits of a request's number identify the requester on this VM: 0 for
 // its lender, otherwise the worker plus one.
 constexpr unsigned kWorkerShift = 48;
+// Number of an answer to no request: its sender has begun to lend this data
+// centre's share, and is no candidate.
+constexpr uint64_t kAnnouncement = 0;
+
+// Number of VMs beside the candidates that are told of a lease that may not be
+// renewed: one more with each call that fails, up to this many.
+constexpr size_t kMaxOthersTold = 4;
+
 constexpr uint64_t kNumberMask = (uint64_t{1} << kWorkerShift) - 1;
 
 uint64_t NumberOf(uint16_t worker, uint64_t number) {
@@ -76,8 +84,17 @@
     }
   }
   this->vms_by_name.clear();
-  for (const VmHandle vm : this->candidates) {
-    this->vms_by_name[view.vms[vm.index].name] = vm;
+  this->others.clear();
+  for (const VmHandle vm : RankLiveVms(view.vms)) {
+    const VmRow& row = view.vms[vm.index];
+    if (row.data_centre != view.vms[this->self.index].data_centre) {
+      continue;
+    }
+    this->vms_by_name[row.name] = vm;
+    if (std::find(this->candidates.begin(), this->candidates.end(), vm) ==
+        this->candidates.end()) {
+      this->others.push_back(vm);
+    }
   }
   std::vector<VmHandle> siblings = this->candidates;
   std::erase(siblings, this->self);
@@ -89,6 +106,11 @@
   return !this->candidates.empty() && this->candidates.front() == this->self;
 }
 
+bool QuotaCoordinator::IsCandidate() const {
+  return std::find(this->candidates.begin(), this->candidates.end(),
+                   this->self) != this->candidates.end();
+}
+
 void QuotaCoordinator::OnWorkerRequest(LeaseTime now,
                                        uint16_t worker,
                                        QuotaRequest request) {
@@ -138,11 +160,28 @@
   }
   const bool is_empty = request.wants.empty() && request.returns.empty();
   if (this->HasShares() && request.of_lender && is_empty) {
-    this->own_lease.OnAsked();
+    this->OnLeaseNews(now, request);
   }
   this->Lend(now, {from, 0}, request);
 }
 
+void QuotaCoordinator::OnLeaseNews(LeaseTime now, const QuotaRequest& request) {
+  this->own_lease.OnAsked();
+  if (request.lease_end == 0) {
+    return;
+  }
+  if (request.lease_left > Duration(0)) {
+    this->own_lease.OnPromise(now, request.lease_end, request.lease_left);
+    return;
+  }
+  this->own_lease.OnNewerRecord(request.lease_end);
+  // A candidate that reaches the store asks for the share: entry VMs know the
+  // candidates, and reach other lenders only by way of these.
+  if (this->own_lease.Holds(now) && !this->IsCandidate()) {
+    this->own_lease.Release();
+  }
+}
+
 void QuotaCoordinator::Lend(LeaseTime now,
                             const QuotaRequester& from,
                             const QuotaRequest& request) {
@@ -161,6 +200,10 @@
                                 VmHandle from,
                                 const QuotaAnswer& answer) {
   const uint64_t requester = answer.number >> kWorkerShift;
+  if (answer.number == kAnnouncement && answer.lends) {
+    this->lender.SetGuestLender(from);
+    return;
+  }
   if (requester == 0) {
     this->lender.OnAnswer(now, from, answer);
     return;
@@ -198,6 +241,9 @@
 
 void QuotaCoordinator::BeginToLend(LeaseTime now) {
   const QuotaShareHistory& history = this->own_lease.history();
+  if (!this->IsCandidate()) {
+    this->Announce();
+  }
   this->last_start.reset();
   if (history.kind == QuotaShareHistory::Kind::kOwn) {
     this->lender.Begin();
@@ -211,6 +257,15 @@
   }
 }
 
+void QuotaCoordinator::Announce() {
+  for (const VmHandle vm : this->candidates) {
+    QuotaAnswer announcement;
+    announcement.number = kAnnouncement;
+    announcement.lends = true;
+    this->lender.Enqueue({{vm, 0}, std::move(announcement)});
+  }
+}
+
 QuotaLeaseCall QuotaCoordinator::NextLeaseCall(LeaseTime now) {
   if (!this->HasShares()) {
     return QuotaLeaseCall::kNone;
@@ -225,44 +280,68 @@
     const std::optional<QuotaLeaseRecord>& record,
     uint64_t end) {
   this->own_lease.OnRead(now, record, end);
-  this->AskHolder(record);
+  this->failed_calls = 0;
+  this->AskHolder(now, record);
 }
 
 // Failure: the lender's VM restarts and is not the first candidate any more.
 // Its new process could lend at once, but does not know that it is needed, and
 // the first candidate has to see the record unchanged for a whole term.
 void QuotaCoordinator::AskHolder(
+    LeaseTime now,
     const std::optional<QuotaLeaseRecord>& record) {
   if (!record || this->is_lending) {
     return;
   }
   const auto holder = this->vms_by_name.find(record->holder);
   if (holder != this->vms_by_name.end() && holder->second != this->self) {
-    this->AskForTakeover(holder->second);
+    this->AskForTakeover(now, holder->second);
   }
 }
 
-void QuotaCoordinator::AskForTakeover(VmHandle vm) {
+// While this VM holds the lease, it tells for how long: the other one need not
+// see the record for a whole term then.
+void QuotaCoordinator::AskForTakeover(LeaseTime now, VmHandle vm) {
   QuotaRequest empty_request;
   empty_request.of_lender = true;
+  empty_request.lease_left = this->own_lease.TimeLeft(now);
+  // A VM whose calls fail does not know the newest record unless it wrote it.
+  if (this->failed_calls == 0 || empty_request.lease_left > Duration(0)) {
+    empty_request.lease_end = this->own_lease.end();
+  }
   this->lender.Enqueue({{vm, 0}, std::move(empty_request)});
 }
 
 void QuotaCoordinator::OnLeaseWritten(LeaseTime now, uint64_t end) {
   this->own_lease.OnWritten(now, end);
+  this->failed_calls = 0;
   this->SyncWithLease(now);
+  if (this->own_lease.record().holder.empty()) {
+    for (const VmHandle vm : this->candidates) {
+      this->AskForTakeover(now, vm);
+    }
+  }
 }
 
-// Another candidate must see the same record for a whole term before it may
-// lend. So an empty request makes it start observing the record as soon as this
-// VM may fail to renew its lease.
+// Another VM must see the same record until the lease of its holder has ended.
+// So it is told as soon as this VM may fail to renew its lease. A holder tells
+// VMs beside the candidates, too, since these may all have lost the store.
 void QuotaCoordinator::OnLeaseFailed(LeaseTime now) {
   this->own_lease.OnFailed(now);
+  ++this->failed_calls;
   for (const VmHandle vm : this->candidates) {
     if (vm != this->self) {
-      this->AskForTakeover(vm);
+      this->AskForTakeover(now, vm);
     }
   }
+  if (!this->own_lease.Holds(now)) {
+    return;
+  }
+  const size_t told =
+      std::min({this->failed_calls, kMaxOthersTold, this->others.size()});
+  for (size_t i = 0; i < told; ++i) {
+    this->AskForTakeover(now, this->others[i]);
+  }
 }
 
 void QuotaCoordinator::Leave(LeaseTime now) {
--- a/packages/decision/src/quota/quota_lease.cc
+++ b/packages/decision/src/quota/quota_lease.cc
@@ -1,5 +1,6 @@
 #include "basilsill/decision/quota_lease.h"
 
+#include <algorithm>
 #include <array>
 #include <utility>
 
@@ -22,6 +23,9 @@
 
 constexpr milliseconds kRetryPause{200};
 
+// A VM that released the lease leaves the share to others for this time.
+constexpr milliseconds kReleasePause{1000};
+
 // Time that another VM waits beyond the term, in case the clocks of the two VMs
 // run at different speeds.
 constexpr milliseconds kClockMargin{200};
@@ -62,6 +66,9 @@
   if (this->Holds(now) || this->needed_first || this->IsOfEarlierProcess()) {
     return true;
   }
+  if (this->HasPromise() && now >= this->promised_free_at) {
+    return true;
+  }
   return now - this->needed_at < kNeedGap &&
          this->needed_at - this->needed_since >= kTakeoverDelay;
 }
@@ -71,6 +78,9 @@
       this->known_record->holder == this->self.holder) {
     return true;
   }
+  if (this->HasPromise() && now >= this->promised_free_at) {
+    return true;
+  }
   return now - this->unchanged_since >= kTerm + kClockMargin;
 }
 
@@ -86,6 +96,32 @@
          !this->IsOwn(this->known_record);
 }
 
+// A promise counts for one record only: the holder lends on if it writes
+// another one, and then this VM's write fails.
+bool QuotaLease::HasPromise() const {
+  return this->is_known && this->promised_end != 0 &&
+         this->promised_end == this->log_end;
+}
+
+void QuotaLease::OnPromise(LeaseTime now, uint64_t end, Duration left) {
+  const Duration longest =
+      std::min<Duration>(left, kTerm) + (kLongestTerm - kTerm);
+  if (end != this->promised_end || now + longest < this->promised_free_at) {
+    this->promised_free_at = now + longest;
+  }
+  this->promised_end = end;
+}
+
+void QuotaLease::OnNewerRecord(uint64_t end) {
+  if (end > this->log_end) {
+    this->must_reread = true;
+  }
+}
+
+Duration QuotaLease::TimeLeft(LeaseTime now) const {
+  return this->Holds(now) ? this->held_until - now : Duration(0);
+}
+
 bool QuotaLease::MustRead(LeaseTime now) const {
   if (this->is_asked && !this->Holds(now) && !this->given_up &&
       (!this->is_known || now - this->read_at >= kRereadInterval)) {
@@ -109,6 +145,10 @@
     history.unlent_since = this->started;
   } else {
     history.unlent_since = this->unchanged_since + kLongestTerm;
+    if (this->HasPromise()) {
+      history.unlent_since =
+          std::min(history.unlent_since, this->promised_free_at);
+    }
   }
   // Whoever the record counts had begun before it was written.
   if (now - this->unchanged_since >= kStartWindow) {
@@ -136,7 +176,8 @@
   if (!this->IsOwn(this->known_record)) {
     this->known_history = this->HistoryOfRecord(now);
   }
-  this->to_write = this->given_up ? QuotaLeaseRecord{} : this->self;
+  const bool is_release = this->given_up || this->must_release;
+  this->to_write = is_release ? QuotaLeaseRecord{} : this->self;
   this->to_write.recent_starts = this->RecentStarts(now);
 }
 
@@ -146,16 +187,22 @@
   return call;
 }
 
+// Stops lending now, whether or not the write succeeds.
+QuotaLeaseCall QuotaLease::BeginRelease(LeaseTime now) {
+  this->PrepareWrite(now);
+  this->must_release = false;
+  this->held_until = LeaseTime::min();
+  this->needed_at = LeaseTime::min();
+  return this->Begin(now, QuotaLeaseCall::kWrite);
+}
+
 QuotaLeaseCall QuotaLease::NextCall(LeaseTime now) {
   if (this->call_in_flight != QuotaLeaseCall::kNone ||
       now < this->next_call_at) {
     return QuotaLeaseCall::kNone;
   }
-  if (this->given_up && this->Holds(now)) {
-    this->PrepareWrite(now);
-    // Stops lending now, whether or not the write succeeds.
-    this->held_until = LeaseTime::min();
-    return this->Begin(now, QuotaLeaseCall::kWrite);
+  if ((this->given_up || this->must_release) && this->Holds(now)) {
+    return this->BeginRelease(now);
   }
   if (this->MustRead(now)) {
     this->is_asked = false;
@@ -188,6 +235,7 @@
   this->unchanged_since = now;
   this->known_record = this->to_write;
   if (this->to_write.holder.empty()) {
+    this->next_call_at = now + kReleasePause;
     return;
   }
   if (!this->Holds(now)) {
--- a/packages/decision/test/quota_history_test.cc
+++ b/packages/decision/test/quota_history_test.cc
@@ -414,7 +414,7 @@
     });
     cut.erase(spared + static_cast<ptrdiff_t>(seed % 2));
     simulation.CutStore(cut, 12s);
-    longest = std::max(longest, LongestUnlent(simulation, 1, 12s));
+    longest = std::max(longest, LongestUnlent(simulation, 1, 20s));
   }
   CHECK_TRUE(longest <= 1s);
 }
--- a/packages/decision/test/quota_test.cc
+++ b/packages/decision/test/quota_test.cc
@@ -387,6 +387,44 @@
   CHECK(this->lease.NextCall(this->now + 10ms) == QuotaLeaseCall::kNone);
 }
 
+// The holder can't renew its lease and tells how long it is still valid.
+TEST(QuotaLease, Promise_ItsTimeIsOver_TakesShareBeforeAWholeTerm) {
+  this->lease.OnAsked();
+  this->lease.OnPromise(this->now, 4, 1s);
+  CHECK(this->lease.NextCall(this->now) == QuotaLeaseCall::kRead);
+  this->lease.OnNeeded(this->now, false);
+  this->lease.OnRead(this->now, QuotaLeaseRecord{"vm-b", 1, 0}, 4);
+  CHECK(this->lease.NextCall(this->now + 1s) == QuotaLeaseCall::kNone);
+  this->now += 1200ms;
+  this->Write();
+  CHECK(this->lease.Holds(this->now));
+  CHECK(this->lease.history().unlent_since < this->now);
+}
+
+// Failure: the holder renews its lease after all, and lends at the same time as
+// the VM that relied on its promise.
+TEST(QuotaLease, Promise_AnotherRecordFollowed_DoesNotCount) {
+  this->lease.OnAsked();
+  this->lease.OnPromise(this->now, 4, 1s);
+  this->lease.OnNeeded(this->now, true);
+  CHECK(this->lease.NextCall(this->now) == QuotaLeaseCall::kRead);
+  this->lease.OnRead(this->now, QuotaLeaseRecord{"vm-b", 1, 0}, 5);
+  CHECK(this->lease.NextCall(this->now + 2s) == QuotaLeaseCall::kNone);
+}
+
+TEST(QuotaLease, Release_Holding_LeavesTheShareToOthers) {
+  this->Read(std::nullopt, 0);
+  this->Write();
+  this->lease.Release();
+  CHECK(this->lease.NextCall(this->now + 1s) == QuotaLeaseCall::kWrite);
+  CHECK(this->lease.record().holder.empty());
+  CHECK_FALSE(this->lease.Holds(this->now + 1s));
+  this->now += 1s;
+  this->lease.OnWritten(this->now, 2);
+  this->lease.OnNeeded(this->now, true);
+  CHECK(this->lease.NextCall(this->now) == QuotaLeaseCall::kNone);
+}
+
 TEST(QuotaLease, Write_AnswerIsLate_CountsFromTheCall) {
   this->Read(std::nullopt, 0);
   CHECK(this->lease.NextCall(this->now) == QuotaLeaseCall::kWrite);
--- a/packages/wire/schema/peer.capnp
+++ b/packages/wire/schema/peer.capnp
@@ -264,6 +264,8 @@
   ofLender @1 :Bool;
   wants @2 :List(QuotaWant);
   returns @3 :List(QuotaReturn);
+  leaseEnd @4 :UInt64;
+  leaseLeft @5 :Nanos;
 }
 
 struct QuotaGrant {
--- a/packages/wire/src/message_reader.cc
+++ b/packages/wire/src/message_reader.cc
@@ -272,6 +272,8 @@
   QuotaRequest request;
   request.number = reader.getNumber();
   request.of_lender = reader.getOfLender();
+  request.lease_end = reader.getLeaseEnd();
+  request.lease_left = ReadNanos(reader.getLeaseLeft(), "/leaseLeft");
   const auto wants = reader.getWants();
   request.wants.reserve(
       CheckedSize(wants.size(), limits::kMaxQuotaTeams, "/wants"));
--- a/packages/wire/src/message_writer.cc
+++ b/packages/wire/src/message_writer.cc
@@ -275,6 +275,8 @@
   auto builder = message.initQuotaRequest();
   builder.setNumber(request.number);
   builder.setOfLender(request.of_lender);
+  builder.setLeaseEnd(request.lease_end);
+  builder.setLeaseLeft(NanosOf(request.lease_left));
   auto wants = builder.initWants(static_cast<unsigned>(request.wants.size()));
   for (unsigned i = 0; i < request.wants.size(); ++i) {
     wants[i].setTeam(request.wants[i].team);
--- a/packages/wire/test/samples.cc
+++ b/packages/wire/test/samples.cc
@@ -155,7 +155,8 @@
                 FreshnessVouch{9, milliseconds(3), milliseconds(70)}},
       StateQuestion{{{0, 3}}, 12, true},
       StateStamp{11},
-      QuotaRequest{5, true, {{1, 2}, {3, 4}}, {{1, 1, 99}}},
+      QuotaRequest{
+          5, true, {{1, 2}, {3, 4}}, {{1, 1, 99}}, 77, milliseconds(2500)},
       QuotaAnswer{
           5, true, 98, {{1, 2, milliseconds(30)}, {3, 0, milliseconds(1000)}}},
   };
