Quotas: a lender beside the candidates stays known when the view changes

The candidates forgot which VM lends the share as a guest with the next view, and forwarded requests to each other until it announced itself again, which it does only when it begins to lend. The coordinator keeps it now, until that VM answers that it does not lend.

--- a/packages/decision/include/basilsill/decision/quota_coordinator.h
+++ b/packages/decision/include/basilsill/decision/quota_coordinator.h
@@ -99,6 +99,8 @@
   void BeginToLend(LeaseTime now);
   bool IsCandidate() const;
   void Announce();
+  void SetGuestLender(VmHandle vm);
+  std::vector<VmHandle> Siblings() const;
   void AskHolder(LeaseTime now, const std::optional<QuotaLeaseRecord>& record);
   void AskForTakeover(LeaseTime now, VmHandle vm);
   void OnLeaseNews(LeaseTime now, const QuotaRequest& request);
@@ -121,6 +123,8 @@
   double part = 1;
   /// Other VMs of this data centre, in the order of RankLiveVms.
   std::vector<VmHandle> others;
+  /// A VM that lends this data centre's share although it is no candidate.
+  VmHandle guest_lender;
   size_t failed_calls = 0;  ///< In a row.
   /// All VMs of this data centre that seem to run.
   std::map<std::string, VmHandle, std::less<>> vms_by_name;
--- a/packages/decision/include/basilsill/decision/quota_lender.h
+++ b/packages/decision/include/basilsill/decision/quota_lender.h
@@ -112,8 +112,10 @@
   void Begin() { this->lends = true; }
   void BeginFull(LeaseTime now);
   void BeginAt(LeaseTime now, const QuotaStart& start);
-  /// `vm` lends this VM's share although it is no candidate.
-  void SetGuestLender(VmHandle vm) { this->sibling.SetCandidates({vm}); }
+  /// Sets the other VMs that may lend this VM's share, in order of preference.
+  void SetSiblings(std::vector<VmHandle> siblings) {
+    this->sibling.SetCandidates(std::move(siblings));
+  }
 
   void End() { this->lends = false; }
   bool is_lending() const { return this->lends; }
--- a/packages/decision/src/quota/quota_coordinator.cc
+++ b/packages/decision/src/quota/quota_coordinator.cc
@@ -96,10 +96,26 @@
       this->others.push_back(vm);
     }
   }
-  std::vector<VmHandle> siblings = this->candidates;
-  std::erase(siblings, this->self);
   this->lender_choice.SetCandidates(this->candidates);
-  this->lender.SetOtherLenders(others, std::move(siblings));
+  this->lender.SetOtherLenders(others, this->Siblings());
+}
+
+// A guest lender that is gone is passed over once it answers that it does not
+// lend, or can't be reached.
+std::vector<VmHandle> QuotaCoordinator::Siblings() const {
+  std::vector<VmHandle> siblings;
+  if (IsValid(this->guest_lender)) {
+    siblings.push_back(this->guest_lender);
+  }
+  siblings.insert(siblings.end(), this->candidates.begin(),
+                  this->candidates.end());
+  std::erase(siblings, this->self);
+  return siblings;
+}
+
+void QuotaCoordinator::SetGuestLender(VmHandle vm) {
+  this->guest_lender = vm;
+  this->lender.SetSiblings(this->Siblings());
 }
 
 bool QuotaCoordinator::IsFirstCandidate() const {
@@ -201,9 +217,12 @@
                                 const QuotaAnswer& answer) {
   const uint64_t requester = answer.number >> kWorkerShift;
   if (answer.number == kAnnouncement && answer.lends) {
-    this->lender.SetGuestLender(from);
+    this->SetGuestLender(from);
     return;
   }
+  if (!answer.lends && from == this->guest_lender) {
+    this->SetGuestLender({});
+  }
   if (requester == 0) {
     this->lender.OnAnswer(now, from, answer);
     return;
