--- a/bench/model/shed_oracle.cc
+++ b/bench/model/shed_oracle.cc
@@ -39,8 +39,8 @@
  private:
   static constexpr uint32_t kNone = UINT32_MAX;
 
-  // Requests that can still be in time come first, then urgent classes, then the
-  // newest: under overload, older ones are just too late when they end.
+  // Requests that can still be in time come first, then urgent classes, then
+  // the newest: under overload, older ones are just too late when they end.
   bool GoesBefore(RequestId a, RequestId b) {
     const bool late_a = !this->CanBeInTime(a);
     const bool late_b = !this->CanBeInTime(b);
--- a/bench/model/simulated_cluster.cc
+++ b/bench/model/simulated_cluster.cc
@@ -11,6 +11,9 @@
 /// Delay before a resend if the refusal has no retry-after time.
 constexpr Duration kDefaultResendDelay = std::chrono::milliseconds(100);
 
+/// Callers wait as long as they are told, up to this part of their time left.
+constexpr int kPartOfTimeLeft = 3;
+
 /// Time for the last requests to end before the idle period starts.
 constexpr Duration kSettleTime = std::chrono::seconds(3);
 
@@ -187,7 +190,6 @@
 }
 
 void SimulatedCluster::Return(RequestId id, const Outcome& outcome) {
-  constexpr int kPartOfTimeLeft = 3;
   const Request first = this->requests[id];
   const Duration left = first.deadline - this->now();
   const Duration pause = std::min(outcome.retry_after, left / kPartOfTimeLeft) +
