--- a/packages/base/include/basilsill/base/event.h
+++ b/packages/base/include/basilsill/base/event.h
@@ -58,6 +58,7 @@
   kDataCentreDrained = 316,
   kDataCentreTakenBack = 317,
   kUpstreamRestEnded = 318,
+  kShedCaseChanged = 319,
   kFingerprintQuarantined = 320,
   kUpstreamsUnreachable = 321,
   kUpstreamsReachable = 322,
--- a/packages/base/src/event.cc
+++ b/packages/base/src/event.cc
@@ -55,6 +55,7 @@
     EventInfo{Event::kDataCentreDrained, kWarning, "data-centre-drained"},
     EventInfo{Event::kDataCentreTakenBack, kInfo, "data-centre-taken-back"},
     EventInfo{Event::kUpstreamRestEnded, kInfo, "upstream-rest-ended"},
+    EventInfo{Event::kShedCaseChanged, kWarning, "shed-case-changed"},
     EventInfo{Event::kFingerprintQuarantined, kWarning,
               "fingerprint-quarantined"},
     EventInfo{Event::kUpstreamsUnreachable, kWarning, "upstreams-unreachable"},
--- a/packages/node/src/attempt_log.cc
+++ b/packages/node/src/attempt_log.cc
@@ -35,6 +35,8 @@
       return Event::kUpstreamResting;
     case UpstreamEventKind::kRestEnded:
       return Event::kUpstreamRestEnded;
+    case UpstreamEventKind::kShedCase:
+      return Event::kShedCaseChanged;
     default:
       return std::nullopt;
   }
@@ -75,6 +77,10 @@
         {{"upstream", endpoint}, {"limit", event.requests_per_second}});
   } else if (event.kind == UpstreamEventKind::kResting) {
     Log(*logged, {{"upstream", endpoint}, {"rest_ms", Millis(event.rest)}});
+  } else if (event.kind == UpstreamEventKind::kShedCase) {
+    Log(*logged, {{"upstream", endpoint},
+                  {"case", NameOf(event.shed_case)},
+                  {"share", event.shed_share}});
   } else {
     Log(*logged, {{"upstream", endpoint}});
   }
--- a/packages/node/src/metrics.h
+++ b/packages/node/src/metrics.h
@@ -9,6 +9,7 @@
 
 #include "basilsill/base/reason.h"
 #include "basilsill/base/time.h"
+#include "basilsill/decision/shed_case.h"
 #include "basilsill/decision/view.h"
 #include "basilsill/node/state_source.h"
 #include "metrics_latency.h"
@@ -115,6 +116,8 @@
   Gauge resting_upstreams;
   Counter refused_for_notice;  ///< Requests refused because of that.
   Counter held_for_rate;       ///< Requests that waited because of rate limits.
+  /// Requests that upstreams shed, by the case of the shard.
+  std::array<Counter, static_cast<size_t>(ShedCase::kCount)> sheds;
 
   // Links to other workers.
   LinkCounters links;
--- a/packages/node/src/metrics_table.cc
+++ b/packages/node/src/metrics_table.cc
@@ -91,6 +91,15 @@
   });
 }
 
+void Sheds(const MetricsPage& page, MetricsWriter& writer) {
+  ForEachValue<ShedCase>([&](ShedCase shed_case) {
+    const auto pick = [shed_case](const WorkerMetrics& worker) -> auto& {
+      return worker.sheds[static_cast<size_t>(shed_case)];
+    };
+    writer.Sample({{"case", NameOf(shed_case)}}, SumOver(page, pick));
+  });
+}
+
 void Requests(const MetricsPage& page, MetricsWriter& writer) {
   ForEachValue<TrafficClass>([&](TrafficClass traffic_class) {
     ForEachValue<Outcome>([&](Outcome outcome) {
@@ -355,6 +364,10 @@
                "",
                "Requests refused where upstreams leave or rest by their word.",
                WorkerCounter<&Worker::refused_for_notice>),
+    CounterRow("basilsill_sheds_total",
+               "case",
+               "Requests that upstreams shed, by the cause that was found.",
+               Sheds),
 
     // Other nodes.
     GaugeRow("basilsill_links",
--- a/packages/node/src/worker.cc
+++ b/packages/node/src/worker.cc
@@ -575,6 +575,10 @@
     }
   }
   this->counts->held_for_rate.Set(this->dispatch_host.counters().held_for_rate);
+  const auto& sheds = this->dispatch_host.counters().sheds;
+  for (size_t i = 0; i < sheds.size(); ++i) {
+    this->counts->sheds[i].Set(sheds[i]);
+  }
   this->counts->rate_limited_upstreams.Set(
       static_cast<int64_t>(this->dispatch_host.CountRateLimited()));
   const NoticeCounts notice_counts =
