Quotas: account for every refusal of a team beyond its quota; failing test

The simulation gains callers who return after a refusal, as described in docs/OVERLOAD.md, with unequal demand in the data centres. The borrower counts requests asked, granted, refused, refused without asking a lender, and borrowed credits that became void; the bucket counts credits that did not fit.

--- a/packages/decision/include/basilsill/decision/quota_borrower.h
+++ b/packages/decision/include/basilsill/decision/quota_borrower.h
@@ -34,6 +34,18 @@
   QuotaCredit credit{};     ///< For a granted request.
 };
 
+/// What became of requests and of borrowed credits.
+struct QuotaCounts {
+  uint64_t asked = 0;    ///< Requests that wanted a credit.
+  uint64_t granted = 0;  ///< Requests that got one.
+  uint64_t refused = 0;
+  /// Of the refused, those for which no lender was asked.
+  uint64_t refused_unasked = 0;
+  uint64_t borrowed = 0;  ///< Credits that lenders granted.
+  uint64_t voided = 0;    ///< Borrowed credits that no request used.
+  uint64_t returned = 0;  ///< Credits returned after their request.
+};
+
 class QuotaBorrower {
  public:
   /// Takes a credit for a request of `team`.
@@ -57,6 +69,8 @@
   /// call.
   std::vector<QuotaDecision> TakeSettled();
 
+  const QuotaCounts& counts() const { return this->tally; }
+
  private:
   struct Waiting {
     uint64_t ticket = 0;
@@ -80,7 +94,7 @@
   };
 
   static Duration RetryAfter(LeaseTime now, Team& team);
-  static bool TakeCredit(LeaseTime now, Team& team);
+  bool TakeCredit(LeaseTime now, Team& team);
   void AddWants(LeaseTime now, QuotaRequest& request) const;
   void AddReturns(LeaseTime now, QuotaRequest& request);
   void Settle(Team& team, QuotaDecision decision);
@@ -92,6 +106,7 @@
   LeaseTime returned_since{};      ///< When the first of them came back.
   size_t waiting_count = 0;
   std::vector<QuotaDecision> settled;
+  QuotaCounts tally;
   uint64_t last_ticket = 0;
   uint64_t last_number = 0;
   bool request_in_flight = false;
--- a/packages/decision/include/basilsill/decision/quota_coordinator.h
+++ b/packages/decision/include/basilsill/decision/quota_coordinator.h
@@ -53,6 +53,9 @@
     return this->lender.TakeOutgoing();
   }
 
+  /// @returns the credits of this share that were lost to full buckets.
+  double overflowed() const { return this->lender.overflowed(); }
+
   /// @returns true while answers are awaited, so `Tick` has to be called soon.
   bool has_pending_requests() const {
     return this->lender.has_pending_requests();
--- a/packages/decision/include/basilsill/decision/quota_lender.h
+++ b/packages/decision/include/basilsill/decision/quota_lender.h
@@ -37,6 +37,9 @@
 
   bool empty() const { return this->buckets.empty(); }
 
+  /// @returns the credits that did not fit into the buckets.
+  double overflowed() const { return this->overflow; }
+
  private:
   struct Bucket {
     double rate = 0;  ///< Credits per second.
@@ -48,10 +51,11 @@
     bool is_listed = true;
   };
 
-  static void Refill(LeaseTime now, Bucket& bucket);
+  void Refill(LeaseTime now, Bucket& bucket);
   static Duration RetryAfter(LeaseTime now, Bucket& bucket);
 
   std::map<TeamKey, Bucket> buckets;
+  double overflow = 0;
 };
 
 /// A requester: a worker of this VM, or another VM.
@@ -98,6 +102,9 @@
   void OnAnswer(LeaseTime now, VmHandle from, const QuotaAnswer& answer);
   void Tick(LeaseTime now);
 
+  /// @returns the credits of this share that were lost to full buckets.
+  double overflowed() const { return this->buckets.overflowed(); }
+
   /// @returns true while answers of other lenders are awaited. `Tick` has to be
   /// called meanwhile.
   bool has_pending_requests() const { return !this->pending_requests.empty(); }
--- a/packages/decision/src/quota/quota_borrower.cc
+++ b/packages/decision/src/quota/quota_borrower.cc
@@ -45,10 +45,13 @@
 QuotaDecision QuotaBorrower::Acquire(LeaseTime now, TeamKey key) {
   Team& team = this->teams[key];
   team.arrivals.Add(now, 1);
+  ++this->tally.asked;
   if (team.waiting.empty() && TakeCredit(now, team)) {
     return {QuotaVerdict::kGranted, 0, Duration(0), team.credit};
   }
   if (now < team.exhausted_until) {
+    ++this->tally.refused;
+    ++this->tally.refused_unasked;
     return {QuotaVerdict::kExhausted, 0, RetryAfter(now, team), {}};
   }
   team.waiting.push_back({++this->last_ticket, now});
@@ -57,10 +60,14 @@
 }
 
 bool QuotaBorrower::TakeCredit(LeaseTime now, Team& team) {
-  if (team.credits == 0 || now >= team.credit.until) {
+  if (now >= team.credit.until) {
+    this->tally.voided += std::exchange(team.credits, 0);
+  }
+  if (team.credits == 0) {
     return false;
   }
   --team.credits;
+  ++this->tally.granted;
   return true;
 }
 
@@ -90,6 +97,7 @@
   if (this->returned.empty()) {
     this->returned_since = now;
   }
+  ++this->tally.returned;
   this->returned.push_back({key, credit});
 }
 
@@ -161,7 +169,8 @@
   team.granted.Add(now, grant.granted);
   // Drops credits left from earlier answers. They expire sooner, and they are
   // few.
-  team.credits = grant.granted;
+  this->tally.voided += std::exchange(team.credits, grant.granted);
+  this->tally.borrowed += grant.granted;
   team.credit = {lent_at, this->requested_at + kCreditLife};
   while (!team.waiting.empty() && TakeCredit(now, team)) {
     this->Settle(team, {QuotaVerdict::kGranted, 0, Duration(0), team.credit});
@@ -199,6 +208,7 @@
 // Ends the wait of the team's longest-waiting request.
 void QuotaBorrower::Settle(Team& team, QuotaDecision decision) {
   decision.ticket = team.waiting.front().ticket;
+  this->tally.refused += decision.verdict == QuotaVerdict::kGranted ? 0 : 1;
   team.waiting.pop_front();
   --this->waiting_count;
   this->settled.push_back(decision);
--- a/packages/decision/src/quota/quota_buckets.cc
+++ b/packages/decision/src/quota/quota_buckets.cc
@@ -77,8 +77,9 @@
 
 void QuotaBuckets::Refill(LeaseTime now, Bucket& bucket) {
   const Seconds passed = now - bucket.filled;
-  bucket.level =
-      std::min(bucket.capacity, bucket.level + passed.count() * bucket.rate);
+  const double level = bucket.level + passed.count() * bucket.rate;
+  bucket.level = std::min(bucket.capacity, level);
+  this->overflow += level - bucket.level;
   bucket.filled = now;
 }
 
--- /dev/null
+++ b/packages/decision/test/quota_callers_test.cc
@@ -0,0 +1,204 @@
+// Callers of a team far beyond its quota, who return after a refusal: how much
+// of the quota is used, and by whom.
+
+#include <array>
+#include <cstdio>
+#include <string>
+#include <vector>
+
+#include "quota_simulation.h"
+
+#include <CppUTest/TestHarness.h>
+
+using basilsill::CallerCounts;
+using basilsill::CallerGroup;
+using basilsill::QuotaCounts;
+using basilsill::QuotaSimulation;
+using basilsill::QuotaSimulationOptions;
+using basilsill::TeamLimits;
+using basilsill::TrafficClass;
+using namespace std::chrono_literals;
+
+namespace {
+
+struct Scenario {
+  double rate;  ///< Of the quota, a second.
+  double burst;
+  size_t vms_per_data_centre;
+  size_t extra_vms;
+};
+
+// 36, 72 and 107 VMs; the last quota is small beside the number of VMs.
+constexpr std::array<Scenario, 4> kScenarios{
+    {{120, 30, 12, 0}, {120, 30, 24, 0}, {120, 30, 35, 2}, {30, 3, 35, 2}}};
+
+constexpr auto kWarmUp = 3s;
+constexpr auto kMeasured = 20s;
+
+// Parts of the demand by data centre: unequal, while the shares are equal.
+constexpr std::array<double, 3> kDemandParts{0.5, 0.3, 0.2};
+
+struct Kind {
+  TrafficClass traffic_class;
+  std::chrono::milliseconds target;
+  std::chrono::milliseconds work;
+  std::chrono::milliseconds full_time;
+  double part;  ///< Of the demand.
+};
+
+// The callers of the first deployment of docs/OVERLOAD.md.
+constexpr std::array<Kind, 4> kKinds{{
+    {TrafficClass::kUrgent, 250ms, 110ms, 3000ms, 0.25},
+    {TrafficClass::kOrdinary, 400ms, 150ms, 4000ms, 0.35},
+    {TrafficClass::kBulk, 1000ms, 91ms, 6000ms, 0.2},
+    {TrafficClass::kBackground, 2500ms, 450ms, 10000ms, 0.2},
+}};
+
+struct Outcome {
+  double used = 0;                              ///< Of the quota.
+  double in_time = 0;                           ///< Of what was used.
+  std::array<double, kKinds.size()> served{};   ///< Of the callers, by class.
+  std::array<double, kKinds.size()> granted{};  ///< Of the quota, by class.
+  std::array<double, kKinds.size()> wanted{};   ///< Of the quota, by class.
+  std::array<double, 3> served_in{};            ///< Of the callers, by place.
+};
+
+QuotaCounts Difference(const QuotaCounts& a, const QuotaCounts& b) {
+  return {a.asked - b.asked,       a.granted - b.granted,
+          a.refused - b.refused,   a.refused_unasked - b.refused_unasked,
+          a.borrowed - b.borrowed, a.voided - b.voided,
+          a.returned - b.returned};
+}
+
+void Print(const std::string& title,
+           const Outcome& outcome,
+           const QuotaCounts& counts,
+           double overflowed) {
+  std::printf("\n%s: used %.3f, of it in time %.3f\n", title.c_str(),
+              outcome.used, outcome.in_time);
+  for (size_t i = 0; i < kKinds.size(); ++i) {
+    std::printf("  %-10s wanted %.2f granted %.3f served %.3f\n",
+                std::string(NameOf(kKinds[i].traffic_class)).c_str(),
+                outcome.wanted[i], outcome.granted[i], outcome.served[i]);
+  }
+  std::printf("  served by data centre: %.3f %.3f %.3f\n", outcome.served_in[0],
+              outcome.served_in[1], outcome.served_in[2]);
+  std::printf(
+      "  asked %llu granted %llu refused %llu (unasked %llu) borrowed %llu "
+      "void %llu returned %llu overflowed %.0f\n",
+      static_cast<unsigned long long>(counts.asked),
+      static_cast<unsigned long long>(counts.granted),
+      static_cast<unsigned long long>(counts.refused),
+      static_cast<unsigned long long>(counts.refused_unasked),
+      static_cast<unsigned long long>(counts.borrowed),
+      static_cast<unsigned long long>(counts.voided),
+      static_cast<unsigned long long>(counts.returned), overflowed);
+}
+
+void StartAll(QuotaSimulation& simulation, double per_second) {
+  for (const Kind& kind : kKinds) {
+    CallerGroup group{0,         kind.traffic_class, kind.target,
+                      kind.work, kind.full_time,     {}};
+    for (const double part : kDemandParts) {
+      group.per_second.push_back(per_second * kind.part * part);
+    }
+    simulation.StartCallers(group);
+  }
+}
+
+Outcome Summarize(const QuotaSimulation& simulation, double rate) {
+  Outcome outcome;
+  const double quota = rate * std::chrono::duration<double>(kMeasured).count();
+  std::array<double, 3> callers_in{};
+  double in_time = 0;
+  double all = 0;
+  for (size_t i = 0; i < kKinds.size(); ++i) {
+    double callers = 0;
+    double served = 0;
+    for (size_t place = 0; place < kDemandParts.size(); ++place) {
+      const CallerCounts& counts = simulation.CountsOf(i, place);
+      callers += static_cast<double>(counts.callers);
+      served += static_cast<double>(counts.in_time + counts.late);
+      in_time += static_cast<double>(counts.in_time);
+      callers_in[place] += static_cast<double>(counts.callers);
+      outcome.served_in[place] +=
+          static_cast<double>(counts.in_time + counts.late);
+    }
+    outcome.served[i] = served / callers;
+    outcome.granted[i] = served / quota;
+    outcome.wanted[i] = callers / quota;
+    all += served;
+  }
+  for (size_t place = 0; place < kDemandParts.size(); ++place) {
+    outcome.served_in[place] /= callers_in[place];
+  }
+  outcome.in_time = in_time / all;
+  return outcome;
+}
+
+Outcome RunCallers(double factor, const Scenario& scenario) {
+  QuotaSimulationOptions options;
+  TeamLimits limits;
+  limits.requests_per_second = scenario.rate;
+  limits.burst = scenario.burst;
+  options.teams = {limits};
+  options.vms_per_data_centre = scenario.vms_per_data_centre;
+  options.extra_vms = scenario.extra_vms;
+  QuotaSimulation simulation(options);
+  StartAll(simulation, factor * scenario.rate);
+  simulation.Run(kWarmUp);
+  simulation.ResetCallerCounts();
+  const QuotaCounts before = simulation.SumCounts();
+  const double overflowed = simulation.SumOverflowed();
+  const auto from = simulation.now();
+  simulation.Run(kMeasured);
+  Outcome outcome = Summarize(simulation, scenario.rate);
+  outcome.used =
+      static_cast<double>(simulation.CountAdmitted(0, from, simulation.now())) /
+      (scenario.rate * std::chrono::duration<double>(kMeasured).count());
+  Print(std::to_string(simulation.CountVms()) + " VMs, quota " +
+            std::to_string(scenario.rate) + " a second, demand " +
+            std::to_string(factor) + " times the quota",
+        outcome, Difference(simulation.SumCounts(), before),
+        simulation.SumOverflowed() - overflowed);
+  return outcome;
+}
+
+void Check(const Outcome& outcome) {
+  CHECK_COMPARE(outcome.used, >=, 0.95);
+  CHECK_COMPARE(outcome.in_time, >=, 0.9);
+  for (size_t i = 0; i < kKinds.size(); ++i) {
+    CHECK_COMPARE(outcome.served[0], >=, outcome.served[i]);
+    CHECK_COMPARE(outcome.granted[i], >=,
+                  0.95 * std::min(0.125, outcome.wanted[i]));
+  }
+}
+
+// All scenarios run before the first check, so that a failure shows them all.
+void RunAndCheck(double factor) {
+  std::vector<Outcome> outcomes;
+  for (const Scenario& scenario : kScenarios) {
+    outcomes.push_back(RunCallers(factor, scenario));
+  }
+  for (const Outcome& outcome : outcomes) {
+    Check(outcome);
+  }
+}
+
+}  // namespace
+
+TEST_GROUP(QuotaCallers){};
+
+// Failure: credits of a team beyond its quota are unused, or go to callers who
+// are late, while others are refused who could still be in time.
+TEST(QuotaCallers, Returning_TwiceTheQuota_CreditsServeCallersInTime) {
+  RunAndCheck(2);
+}
+
+TEST(QuotaCallers, Returning_FourTimesTheQuota_CreditsServeCallersInTime) {
+  RunAndCheck(4);
+}
+
+TEST(QuotaCallers, Returning_EightTimesTheQuota_CreditsServeCallersInTime) {
+  RunAndCheck(8);
+}
--- a/packages/decision/test/quota_simulation.cc
+++ b/packages/decision/test/quota_simulation.cc
@@ -15,6 +15,9 @@
 constexpr milliseconds kCallTimeout{1200};
 // Time until the other VMs have noticed that a VM is gone or back.
 constexpr milliseconds kDetectionDelay{500};
+// A message between a caller and a VM takes this long.
+constexpr milliseconds kCallerDelay{8};
+constexpr size_t kMaxAttempts = 3;
 
 double Uniform(pcg64& random) {
   return std::ldexp(static_cast<double>(random() >> 11), -53);
@@ -33,7 +36,9 @@
       admitted(given.teams.size()),
       refused(given.teams.size()),
       sent(given.teams.size()) {
-  for (size_t i = 0; i < given.data_centres * given.vms_per_data_centre; ++i) {
+  const size_t count =
+      given.data_centres * given.vms_per_data_centre + given.extra_vms;
+  for (size_t i = 0; i < count; ++i) {
     Vm vm;
     vm.name = "vm-" + std::to_string(i);
     vm.data_centre = i % given.data_centres;
@@ -160,11 +165,7 @@
   const LeaseTime now = this->ClockOf(vm);
   for (const QuotaDecision& decision : vm.borrower->TakeSettled()) {
     const auto found = vm.waiting.find(decision.ticket);
-    if (decision.verdict == QuotaVerdict::kGranted) {
-      this->CountAdmission(index, found->second);
-    } else {
-      ++this->refused[found->second];
-    }
+    found->second(decision);
     vm.waiting.erase(found);
   }
   if (std::optional<QuotaRequest> request = vm.borrower->NextRequest(now)) {
@@ -309,18 +310,139 @@
       Vm& vm = this->vms[index];
       const QuotaDecision decision = vm.borrower->Acquire(
           this->ClockOf(vm), MakeTeamKey(TeamName(source.team)));
-      if (decision.verdict == QuotaVerdict::kGranted) {
-        this->CountAdmission(index, source.team);
-      } else if (decision.verdict == QuotaVerdict::kWait) {
-        vm.waiting[decision.ticket] = source.team;
+      const auto settle = [this, index, source](const QuotaDecision& settled) {
+        if (settled.verdict == QuotaVerdict::kGranted) {
+          this->CountAdmission(index, source.team);
+        } else {
+          ++this->refused[source.team];
+        }
+      };
+      if (decision.verdict == QuotaVerdict::kWait) {
+        vm.waiting[decision.ticket] = settle;
         this->Pump(index);
       } else {
-        ++this->refused[source.team];
+        settle(decision);
       }
     });
   });
 }
 
+size_t QuotaSimulation::StartCallers(CallerGroup group) {
+  const size_t index = this->groups.size();
+  this->groups.push_back(std::move(group));
+  this->caller_counts.emplace_back(this->shares.size());
+  for (size_t i = 0; i < this->shares.size(); ++i) {
+    this->ScheduleNextCaller(index, i);
+  }
+  return index;
+}
+
+void QuotaSimulation::ResetCallerCounts() {
+  ++this->counts_number;
+  for (std::vector<CallerCounts>& counts : this->caller_counts) {
+    counts.assign(this->shares.size(), {});
+  }
+}
+
+void QuotaSimulation::ScheduleNextCaller(size_t group, size_t data_centre) {
+  const double rate = this->groups[group].per_second[data_centre];
+  const std::chrono::duration<double> pause(
+      -std::log(1 - Uniform(this->random)) / rate);
+  this->ScheduleAfter(
+      std::chrono::duration_cast<Duration>(pause), [this, group, data_centre] {
+        this->ScheduleNextCaller(group, data_centre);
+        Caller caller{group, data_centre, this->time, 0, this->counts_number};
+        ++this->CountsFor(caller)->callers;
+        this->Send(caller);
+      });
+}
+
+CallerCounts* QuotaSimulation::CountsFor(const Caller& caller) {
+  return caller.counts_number == this->counts_number
+             ? &this->caller_counts[caller.group][caller.data_centre]
+             : nullptr;
+}
+
+void QuotaSimulation::Send(Caller caller) {
+  ++caller.attempts;
+  if (CallerCounts* counts = this->CountsFor(caller)) {
+    ++counts->attempts;
+  }
+  const std::vector<size_t> near = this->VmsOf(caller.data_centre);
+  const size_t vm = near[this->random() % near.size()];
+  this->ScheduleAfter(kCallerDelay,
+                      [this, vm, caller] { this->Attempt(vm, caller); });
+}
+
+void QuotaSimulation::Attempt(size_t index, const Caller& caller) {
+  const size_t team = this->groups[caller.group].team;
+  ++this->sent[team];
+  this->RunOnVm(index, this->vms[index].process, [this, index, team, caller] {
+    Vm& vm = this->vms[index];
+    const QuotaDecision decision =
+        vm.borrower->Acquire(this->ClockOf(vm), MakeTeamKey(TeamName(team)));
+    if (decision.verdict != QuotaVerdict::kWait) {
+      this->OnDecision(index, caller, decision);
+      return;
+    }
+    vm.waiting[decision.ticket] = [this, index,
+                                   caller](const QuotaDecision& settled) {
+      this->OnDecision(index, caller, settled);
+    };
+    this->Pump(index);
+  });
+}
+
+void QuotaSimulation::OnDecision(size_t index,
+                                 const Caller& caller,
+                                 const QuotaDecision& decision) {
+  const CallerGroup& group = this->groups[caller.group];
+  CallerCounts* counts = this->CountsFor(caller);
+  if (decision.verdict == QuotaVerdict::kGranted) {
+    this->CountAdmission(index, group.team);
+    const Duration answered = this->time + group.work + kCallerDelay;
+    if (counts != nullptr) {
+      ++(answered <= caller.first_at + group.target ? counts->in_time
+                                                    : counts->late);
+    }
+    return;
+  }
+  ++this->refused[group.team];
+  const Duration told_at = this->time + kCallerDelay;
+  const Duration left = caller.first_at + group.full_time - told_at;
+  if (caller.attempts >= kMaxAttempts || left <= Duration(0)) {
+    if (counts != nullptr) {
+      ++counts->refused;
+    }
+    return;
+  }
+  this->ScheduleAt(told_at + std::min<Duration>(decision.retry_after, left / 3),
+                   [this, caller] { this->Send(caller); });
+}
+
+QuotaCounts QuotaSimulation::SumCounts() const {
+  QuotaCounts sum;
+  for (const Vm& vm : this->vms) {
+    const QuotaCounts& counts = vm.borrower->counts();
+    sum.asked += counts.asked;
+    sum.granted += counts.granted;
+    sum.refused += counts.refused;
+    sum.refused_unasked += counts.refused_unasked;
+    sum.borrowed += counts.borrowed;
+    sum.voided += counts.voided;
+    sum.returned += counts.returned;
+  }
+  return sum;
+}
+
+double QuotaSimulation::SumOverflowed() const {
+  double sum = 0;
+  for (const Vm& vm : this->vms) {
+    sum += vm.coordinator->overflowed();
+  }
+  return sum;
+}
+
 void QuotaSimulation::CountAdmission(size_t, size_t team) {
   this->admitted[team].push_back(this->time);
 }
--- a/packages/decision/test/quota_simulation.h
+++ b/packages/decision/test/quota_simulation.h
@@ -14,6 +14,7 @@
 
 #include "basilsill/decision/quota_borrower.h"
 #include "basilsill/decision/quota_coordinator.h"
+#include "basilsill/decision/view.h"
 
 /// Simulates quotas of a fleet in virtual time: the decision code of every VM,
 /// messages between VMs, and a store that keeps the leases. VMs have
@@ -27,9 +28,31 @@
   size_t data_centres = 3;
   size_t vms_per_data_centre = 4;
   bool has_leases = true;
+  size_t extra_vms = 0;  ///< Beyond `vms_per_data_centre`.
   std::vector<TeamLimits> teams;
 };
 
+/// Callers who return: each makes up to three attempts, every one at a random
+/// VM of its data centre, and honours the retry time of a refusal up to a third
+/// of the time that it has left.
+struct CallerGroup {
+  size_t team = 0;
+  TrafficClass traffic_class = TrafficClass::kOrdinary;
+  std::chrono::milliseconds target{0};  ///< Counted from the first attempt.
+  std::chrono::milliseconds work{0};    ///< Of a request that has a credit.
+  std::chrono::milliseconds full_time{0};
+  std::vector<double> per_second;  ///< New callers, by data centre.
+};
+
+/// What became of the callers of a group in a data centre.
+struct CallerCounts {
+  size_t callers = 0;
+  size_t attempts = 0;
+  size_t in_time = 0;  ///< Served within the target.
+  size_t late = 0;     ///< Served later.
+  size_t refused = 0;  ///< Gave up.
+};
+
 class QuotaSimulation {
  public:
   explicit QuotaSimulation(const QuotaSimulationOptions& options);
@@ -37,6 +60,11 @@
   /// Starts to send requests of `team` to randomly chosen VMs of `vms`.
   void StartLoad(size_t team, std::vector<size_t> vms, double per_second);
   void Run(Duration time);
+  /// Starts callers that return.
+  /// @returns the index of the group.
+  size_t StartCallers(CallerGroup group);
+  /// Starts to count anew; earlier callers are not counted further.
+  void ResetCallerCounts();
 
   // Faults
   void Kill(size_t vm, Duration down);
@@ -58,6 +86,12 @@
   size_t MaxAdmittedIn(size_t team, Duration window) const;
   size_t CountRefused(size_t team) const { return this->refused[team]; }
   size_t CountSent(size_t team) const { return this->sent[team]; }
+  const CallerCounts& CountsOf(size_t group, size_t data_centre) const {
+    return this->caller_counts[group][data_centre];
+  }
+  /// @returns the sum over all VMs since their processes started.
+  QuotaCounts SumCounts() const;
+  double SumOverflowed() const;
   Duration now() const { return this->time; }
   uint64_t store_calls() const { return this->calls; }
   uint64_t messages() const { return this->message_count; }
@@ -77,7 +111,7 @@
     std::vector<std::function<void()>> deferred;
     std::optional<QuotaCoordinator> coordinator;
     std::optional<QuotaBorrower> borrower;
-    std::map<uint64_t, size_t> waiting;  ///< Team by ticket.
+    std::map<uint64_t, std::function<void(const QuotaDecision&)>> waiting;
   };
 
   struct Share {
@@ -118,6 +152,20 @@
   void CallStore(size_t vm, QuotaLeaseCall call);
   void WriteLease(size_t vm, uint64_t process);
   void ScheduleNextArrival(const Source& source);
+  struct Caller {
+    size_t group = 0;
+    size_t data_centre = 0;
+    Duration first_at{0};
+    size_t attempts = 0;
+    size_t counts_number = 0;
+  };
+  void ScheduleNextCaller(size_t group, size_t data_centre);
+  void Send(Caller caller);
+  void Attempt(size_t vm, const Caller& caller);
+  void OnDecision(size_t vm,
+                  const Caller& caller,
+                  const QuotaDecision& decision);
+  CallerCounts* CountsFor(const Caller& caller);
   void CountAdmission(size_t vm, size_t team);
 
   QuotaSimulationOptions options;
@@ -134,6 +182,9 @@
   uint64_t processes = 0;
   uint64_t calls = 0;
   uint64_t message_count = 0;
+  std::vector<CallerGroup> groups;
+  std::vector<std::vector<CallerCounts>> caller_counts;
+  size_t counts_number = 0;
 };
 
 }  // namespace basilsill
