Quotas: grant credits in the order that serves callers

A request asks for its credit with its class, the time until its target, the time left, and whether its caller returns. How long ago the first attempt was is learned from the values of the time left that callers of a rule send often (caller_age.h).

A lender that is short holds a request for up to 200 ms, and no longer than until its target. When a credit accrues, quota_order decides who gets it: each class up to its part of an eighth, then requests in time before late ones, urgent classes first, and callers that return before new ones. A request that can't get a credit in that time is refused at once, with an appointment if there is one within its target and a third of its time left, otherwise with the time at which a credit is available. A credit is kept around the time of an appointment. The token bucket stays the only source of credits.

The borrower asks for each request, without a pause after a refusal, and returns credits that nobody used. Credits ahead of demand are lent only from a bucket that is at least half full. Requests and answers have new optional fields; a message without them is handled as before, except that the credits of an older borrower take their place in the order (ordinary, in time). The protocol version stays.

--- a/packages/base/include/basilsill/base/limits.h
+++ b/packages/base/include/basilsill/base/limits.h
@@ -88,6 +88,9 @@
 
 /// Maximum number of teams for which one message requests or grants quota.
 inline constexpr size_t kMaxQuotaTeams = 256;
+/// Maximum number of requests of a team for which one message requests or
+/// grants credits.
+inline constexpr size_t kMaxQuotaNeeds = 64;
 
 /// Octets of platform records that a VM relays to others in one message. VMs
 /// read larger amounts from the platform themselves.
--- a/packages/decision/include/basilsill/decision/quota.h
+++ b/packages/decision/include/basilsill/decision/quota.h
@@ -16,6 +16,7 @@
 /// | quota.h             | messages between VMs, shared types              |
 /// | quota_borrower.h    | an entry thread takes credits for its requests  |
 /// | quota_lender.h      | one VM of a data centre lends its share         |
+/// | quota_order.h       | order of requests at a lender that is short     |
 /// | quota_lease.h       | chooses that VM by a lease in the store         |
 /// | quota_coordinator.h | all of these on one VM; chooses the lender      |
 ///
@@ -37,10 +38,43 @@
 /// How long a credit is valid, counted from when it was requested.
 inline constexpr Duration kCreditLife = std::chrono::milliseconds(250);
 
+/// The time until the target of a request whose rule has none.
+inline constexpr Duration kNoTarget = std::chrono::hours(1);
+
+/// What a request that asks for a credit can do with it.
+struct CreditNeed {
+  TrafficClass traffic_class = TrafficClass::kOrdinary;
+  /// If the credit is granted within this time, the answer can be within the
+  /// target of the rule. Zero or less: the request is late, or how long ago its
+  /// first attempt was is unknown.
+  Duration until_target = kNoTarget;
+  Duration time_left = kNoTarget;  ///< How long the caller will still wait.
+  /// The caller has been refused before.
+  bool is_returning = false;
+
+  friend bool operator==(const CreditNeed&, const CreditNeed&) = default;
+};
+
+inline bool IsInTime(const CreditNeed& need) {
+  return need.until_target > Duration(0);
+}
+
+/// A waiting request, in the message that asks for its credit.
+struct QuotaNeed {
+  uint64_t ticket = 0;  ///< Chosen by the borrower; the outcome repeats it.
+  CreditNeed need;
+
+  friend bool operator==(const QuotaNeed&, const QuotaNeed&) = default;
+};
+
 /// Credits that a borrower requests.
 struct QuotaWant {
   TeamKey team = 0;
+  /// Number of credits; those beyond `needs` are for requests to come.
   uint32_t wanted = 0;
+  /// Empty in requests of lenders and of earlier versions: all are ordinary
+  /// and in time.
+  std::vector<QuotaNeed> needs;
 
   friend bool operator==(const QuotaWant&, const QuotaWant&) = default;
 };
@@ -64,12 +98,27 @@
   friend bool operator==(const QuotaRequest&, const QuotaRequest&) = default;
 };
 
+/// The decision for one QuotaNeed.
+struct QuotaOutcome {
+  uint64_t ticket = 0;
+  bool is_granted = false;
+  Duration retry_after{0};  ///< For the caller, if refused.
+
+  friend bool operator==(const QuotaOutcome&, const QuotaOutcome&) = default;
+};
+
 struct QuotaGrant {
   TeamKey team = 0;
   uint32_t granted = 0;
   /// How long to wait before the next request, if fewer were granted than
   /// wanted.
   Duration retry_after{0};
+  /// Decisions made since the last answer to the same request. `granted`
+  /// includes their credits.
+  std::vector<QuotaOutcome> outcomes;
+  /// Number of needs that wait at the lender: further answers to the same
+  /// request follow.
+  uint32_t held = 0;
 
   friend bool operator==(const QuotaGrant&, const QuotaGrant&) = default;
 };
--- a/packages/decision/include/basilsill/decision/quota_borrower.h
+++ b/packages/decision/include/basilsill/decision/quota_borrower.h
@@ -1,13 +1,15 @@
 #ifndef BASILSILL_DECISION_QUOTA_BORROWER_H_
 #define BASILSILL_DECISION_QUOTA_BORROWER_H_
 
+#include <array>
 #include <cstdint>
 #include <deque>
 #include <map>
 #include <optional>
+#include <utility>
 #include <vector>
 
-#include "basilsill/decision/quota.h"
+#include "basilsill/decision/quota_order.h"
 
 /// Borrows credits of teams' quotas for the requests of one entry thread.
 
@@ -25,6 +27,8 @@
 struct QuotaCredit {
   uint64_t lent_at = 0;  ///< QuotaAnswer::lent_at.
   LeaseTime until{};     ///< The credit is void from then on.
+  /// Of the request that got it.
+  TrafficClass traffic_class = TrafficClass::kOrdinary;
 };
 
 struct QuotaDecision {
@@ -36,22 +40,30 @@
 
 /// What became of requests and of borrowed credits.
 struct QuotaCounts {
-  uint64_t asked = 0;    ///< Requests that wanted a credit.
-  uint64_t granted = 0;  ///< Requests that got one.
-  uint64_t refused = 0;
+  struct OfClass {
+    uint64_t asked = 0;  ///< Requests that wanted a credit.
+    uint64_t granted_in_time = 0;
+    uint64_t granted_late = 0;
+    uint64_t refused = 0;
+    /// Credits of requests that ended without having run.
+    uint64_t returned = 0;
+  };
+  std::array<OfClass, kTrafficClasses> classes{};
   /// Of the refused, those for which no lender was asked.
   uint64_t refused_unasked = 0;
   uint64_t borrowed = 0;  ///< Credits that lenders granted.
-  uint64_t voided = 0;    ///< Borrowed credits that no request used.
-  uint64_t returned = 0;  ///< Credits returned after their request.
+  uint64_t voided = 0;    ///< Borrowed credits that became void.
 };
 
 class QuotaBorrower {
  public:
   /// Takes a credit for a request of `team`.
+  /// @param need What the request can do with it.
   /// @returns the decision. After kWait, TakeSettled returns the final one
   /// later.
-  QuotaDecision Acquire(LeaseTime now, TeamKey team);
+  QuotaDecision Acquire(LeaseTime now,
+                        TeamKey team,
+                        const CreditNeed& need = {});
 
   /// A request that was granted `credit` has ended without having run.
   void Return(LeaseTime now, TeamKey team, const QuotaCredit& credit);
@@ -74,14 +86,23 @@
  private:
   struct Waiting {
     uint64_t ticket = 0;
+    CreditNeed need;  ///< As of `since`.
     LeaseTime since;
+    LeaseTime until;     ///< The wait ends then.
+    uint64_t asked = 0;  ///< Number of the message that asked; 0: none yet.
+  };
+
+  /// Credits that are left.
+  struct Leftover {
+    uint32_t count = 0;
+    QuotaCredit credit;  ///< Origin of each of them.
+    LeaseTime return_at;
   };
 
   struct Team {
-    uint32_t credits = 0;  ///< Left from the last answer.
-    QuotaCredit credit;    ///< Origin of each of these credits.
-    std::deque<Waiting> waiting;
-    LeaseTime exhausted_until{};  ///< The quota is used up until then.
+    std::deque<Leftover> leftovers;  ///< Oldest first.
+    std::vector<Waiting> waiting;    ///< In order of their needs.
+    LeaseTime exhausted_until{};     ///< The quota is used up until then.
     /// Latest retry time given to a refused request.
     LeaseTime next_retry_at{};
     RecentCount arrivals;
@@ -91,14 +112,31 @@
   struct Returned {
     TeamKey team = 0;
     QuotaCredit credit;
+    uint32_t count = 1;
   };
 
   static Duration RetryAfter(LeaseTime now, Team& team);
-  bool TakeCredit(LeaseTime now, Team& team);
-  void AddWants(LeaseTime now, QuotaRequest& request) const;
+  std::optional<QuotaCredit> TakeCredit(LeaseTime now, Team& team);
+  void DropVoid(LeaseTime now, Team& team);
+  void ReturnLeftovers(LeaseTime now, TeamKey key, Team& team);
+  void AddReturned(LeaseTime now, const Returned& row);
+  QuotaDecision Grant(const CreditNeed& need, QuotaCredit credit);
+  QuotaDecision Refuse(const CreditNeed& need,
+                       QuotaVerdict verdict,
+                       Duration retry_after);
+  void AddWants(LeaseTime now, QuotaRequest& request);
   void AddReturns(LeaseTime now, QuotaRequest& request);
-  void Settle(Team& team, QuotaDecision decision);
-  void TakeGrant(LeaseTime now, const QuotaGrant& grant, uint64_t lent_at);
+  void Settle(Team& team, size_t index, QuotaDecision decision);
+  void AskAgain(uint64_t number);
+  void TakeGrant(LeaseTime now,
+                 const QuotaGrant& grant,
+                 const QuotaAnswer& answer);
+  void TakeOutcomes(LeaseTime now, Team& team, const QuotaGrant& grant);
+  void TakeCount(LeaseTime now,
+                 Team& team,
+                 const QuotaGrant& grant,
+                 uint64_t number);
+  void ServeLeftovers(LeaseTime now, Team& team);
   void EvictIdle(LeaseTime now);
 
   std::map<TeamKey, Team> teams;
@@ -111,6 +149,8 @@
   uint64_t last_number = 0;
   bool request_in_flight = false;
   LeaseTime requested_at{};
+  /// When the recent messages were sent, by number.
+  std::deque<std::pair<uint64_t, LeaseTime>> sent_at;
   LeaseTime next_request_at{};  ///< No request goes out before then.
   LeaseTime evicted_at{};
 };
--- a/packages/decision/include/basilsill/decision/quota_lender.h
+++ b/packages/decision/include/basilsill/decision/quota_lender.h
@@ -3,11 +3,12 @@
 
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <utility>
 #include <variant>
 #include <vector>
 
-#include "basilsill/decision/quota.h"
+#include "basilsill/decision/quota_order.h"
 
 /// Lends a share of each team's quota, on the VM that holds the share's lease.
 /// Used by the control thread.
@@ -37,6 +38,15 @@
 
   bool empty() const { return this->buckets.empty(); }
 
+  /// What there is of a team's credits.
+  struct State {
+    double rate = 0;  ///< Credits per second.
+    double capacity = 0;
+    double level = 0;
+  };
+  /// @returns nothing if the team has no bucket.
+  std::optional<State> StateOf(LeaseTime now, TeamKey team);
+
   /// @returns the credits that did not fit into the buckets.
   double overflowed() const { return this->overflow; }
 
@@ -93,7 +103,7 @@
     kCount
   };
   void Begin(LeaseTime now, ShareHistory history);
-  void End() { this->lends = false; }
+  void End();
 
   void OnRequest(LeaseTime now,
                  const QuotaRequester& from,
@@ -105,9 +115,10 @@
   /// @returns the credits of this share that were lost to full buckets.
   double overflowed() const { return this->buckets.overflowed(); }
 
-  /// @returns true while answers of other lenders are awaited. `Tick` has to be
-  /// called meanwhile.
-  bool has_pending_requests() const { return !this->pending_requests.empty(); }
+  /// @returns true while requests wait here. `Tick` has to be called meanwhile.
+  bool has_pending_requests() const {
+    return !this->pending_requests.empty() || !this->open_requests.empty();
+  }
 
   /// Adds a message to those that TakeOutgoing returns.
   void Enqueue(OutgoingQuotaMessage outgoing_message) {
@@ -134,6 +145,48 @@
     bool may_ask_sibling = false;
   };
 
+  /// A request of a borrower of which some needs wait here.
+  struct OpenRequest {
+    QuotaRequester from;
+    QuotaAnswer answer;  ///< Decisions not sent yet.
+    size_t held = 0;     ///< Number of needs that wait.
+    /// Of an earlier version: gets one answer, when all are decided.
+    bool is_plain = false;
+    bool has_news = true;  ///< `answer` is to be sent.
+  };
+
+  /// A team that has, or recently had, less credits than were wanted.
+  struct ShortTeam {
+    QuotaOrder order;
+    RecentCount borrowed;       ///< Credits that other lenders granted.
+    uint64_t asked_number = 0;  ///< Request to another lender; 0: none.
+    VmHandle asked_lender;
+    LeaseTime asked_at{};
+    LeaseTime ask_again_at{};
+    uint32_t asked_for = 0;
+    size_t next_share = 0;
+    size_t shares_left = 0;
+  };
+
+  void Lend(LeaseTime now,
+            const QuotaRequester& from,
+            const QuotaRequest& request);
+  QuotaGrant LendToLender(LeaseTime now, const QuotaWant& want);
+  void AddWant(LeaseTime now,
+               const QuotaWant& want,
+               uint64_t id,
+               OpenRequest& open);
+  void Serve(LeaseTime now, TeamKey team, ShortTeam& row);
+  void Decide(LeaseTime now,
+              TeamKey team,
+              ShortTeam& row,
+              const HeldWant& want,
+              bool is_granted);
+  void AskOthers(LeaseTime now, TeamKey team, ShortTeam& row);
+  void AskNextShare(LeaseTime now, TeamKey team, ShortTeam& row);
+  bool TakeLent(LeaseTime now, VmHandle from, const QuotaAnswer& answer);
+  void TickShortTeams(LeaseTime now);
+  void SendAnswers();
   void ApplyReturns(LeaseTime now, const QuotaRequest& request);
   std::vector<QuotaWant> FindMissing(LeaseTime now,
                                      const QuotaRequest& request,
@@ -149,6 +202,9 @@
   std::vector<LenderChoice> other_shares;
   LenderChoice sibling;
   std::vector<PendingRequest> pending_requests;
+  std::map<TeamKey, ShortTeam> short_teams;
+  std::map<uint64_t, OpenRequest> open_requests;
+  uint64_t last_open = 0;
   /// When each request to another lender was sent, by number, while its answer
   /// may still come.
   std::map<uint64_t, LeaseTime> forwarded_at;
--- a/packages/decision/src/quota/quota_buckets.cc
+++ b/packages/decision/src/quota/quota_buckets.cc
@@ -83,6 +83,17 @@
   bucket.filled = now;
 }
 
+std::optional<QuotaBuckets::State> QuotaBuckets::StateOf(LeaseTime now,
+                                                         TeamKey team) {
+  const auto found = this->buckets.find(team);
+  if (found == this->buckets.end()) {
+    return std::nullopt;
+  }
+  Bucket& bucket = found->second;
+  this->Refill(now, bucket);
+  return State{bucket.rate, bucket.capacity, bucket.level};
+}
+
 QuotaGrant QuotaBuckets::Take(LeaseTime now, TeamKey team, uint32_t wanted) {
   QuotaGrant grant;
   grant.team = team;
--- a/packages/decision/src/quota/quota_lender.cc
+++ b/packages/decision/src/quota/quota_lender.cc
@@ -63,17 +63,21 @@
 void QuotaLender::OnRequest(LeaseTime now,
                             const QuotaRequester& from,
                             const QuotaRequest& request) {
+  if (this->lends) {
+    this->ApplyReturns(now, request);
+  }
+  if (this->lends && !request.of_lender) {
+    this->Lend(now, from, request);
+    return;
+  }
   QuotaAnswer answer;
   answer.number = request.number;
   answer.lends = this->lends;
   answer.lent_at = TicksOf(now);
-  if (this->lends) {
-    this->ApplyReturns(now, request);
-  }
   for (const QuotaWant& want : request.wants) {
     answer.grants.push_back(
-        this->lends ? this->buckets.Take(now, want.team, want.wanted)
-                    : QuotaGrant{want.team, 0, kNoLenderRetryAfter});
+        this->lends ? this->LendToLender(now, want)
+                    : QuotaGrant{want.team, 0, kNoLenderRetryAfter, {}, 0});
   }
   PendingRequest pending;
   pending.from = from;
@@ -115,7 +119,7 @@
     const bool is_exhausted = exhausted_entry != this->exhausted_until.end() &&
                               now < exhausted_entry->second;
     if (granted < want.wanted && !is_exhausted) {
-      missing.push_back({want.team, want.wanted - granted});
+      missing.push_back({want.team, want.wanted - granted, {}});
     }
   }
   return missing;
@@ -162,6 +166,9 @@
       share.PassOver(from);
     }
   }
+  if (this->TakeLent(now, from, answer)) {
+    return;
+  }
   const auto found =
       std::find_if(this->pending_requests.begin(), this->pending_requests.end(),
                    [&](const PendingRequest& pending) {
@@ -231,6 +238,7 @@
 }
 
 void QuotaLender::Tick(LeaseTime now) {
+  this->TickShortTeams(now);
   for (size_t i = 0; i < this->pending_requests.size();) {
     PendingRequest& pending = this->pending_requests[i];
     const bool is_timed_out = now - pending.forwarded_at >= kLenderTimeout;
--- a/packages/decision/test/quota_callers_test.cc
+++ b/packages/decision/test/quota_callers_test.cc
@@ -26,12 +26,19 @@
   double burst;
   size_t vms_per_data_centre;
   size_t extra_vms;
+  /// A VM has to see a few requests of a rule to learn its callers' full time.
+  std::chrono::seconds calm;
 };
 
 // 36, 72 and 107 VMs; the last quota is small beside the number of VMs.
-constexpr std::array<Scenario, 4> kScenarios{
-    {{120, 30, 12, 0}, {120, 30, 24, 0}, {120, 30, 35, 2}, {30, 3, 35, 2}}};
-
+constexpr std::array<Scenario, 4> kScenarios{{{120, 30, 12, 0, 60s},
+                                              {120, 30, 24, 0, 60s},
+                                              {120, 30, 35, 2, 60s},
+                                              {30, 3, 35, 2, 240s}}};
+
+// The team stays within its quota at first, while VMs learn what its callers
+// declare; then the demand rises.
+constexpr double kCalmFactor = 0.6;
 constexpr auto kWarmUp = 3s;
 constexpr auto kMeasured = 20s;
 
@@ -63,17 +70,23 @@
   std::array<double, 3> served_in{};            ///< Of the callers, by place.
 };
 
-QuotaCounts Difference(const QuotaCounts& a, const QuotaCounts& b) {
-  return {a.asked - b.asked,       a.granted - b.granted,
-          a.refused - b.refused,   a.refused_unasked - b.refused_unasked,
-          a.borrowed - b.borrowed, a.voided - b.voided,
-          a.returned - b.returned};
+QuotaCounts::OfClass SumOf(const QuotaCounts& counts) {
+  QuotaCounts::OfClass sum;
+  for (const QuotaCounts::OfClass& row : counts.classes) {
+    sum.asked += row.asked;
+    sum.granted_in_time += row.granted_in_time;
+    sum.granted_late += row.granted_late;
+    sum.refused += row.refused;
+    sum.returned += row.returned;
+  }
+  return sum;
 }
 
 void Print(const std::string& title,
            const Outcome& outcome,
            const QuotaCounts& counts,
-           double overflowed) {
+           double overflowed,
+           uint64_t messages) {
   std::printf("\n%s: used %.3f, of it in time %.3f\n", title.c_str(),
               outcome.used, outcome.in_time);
   for (size_t i = 0; i < kKinds.size(); ++i) {
@@ -83,22 +96,27 @@
   }
   std::printf("  served by data centre: %.3f %.3f %.3f\n", outcome.served_in[0],
               outcome.served_in[1], outcome.served_in[2]);
+  const QuotaCounts::OfClass sum = SumOf(counts);
   std::printf(
-      "  asked %llu granted %llu refused %llu (unasked %llu) borrowed %llu "
-      "void %llu returned %llu overflowed %.0f\n",
-      static_cast<unsigned long long>(counts.asked),
-      static_cast<unsigned long long>(counts.granted),
-      static_cast<unsigned long long>(counts.refused),
+      "  since the start: asked %llu granted in time %llu late %llu refused "
+      "%llu (unasked %llu) borrowed %llu void %llu returned %llu\n"
+      "  overflowed %.0f messages %llu\n",
+      static_cast<unsigned long long>(sum.asked),
+      static_cast<unsigned long long>(sum.granted_in_time),
+      static_cast<unsigned long long>(sum.granted_late),
+      static_cast<unsigned long long>(sum.refused),
       static_cast<unsigned long long>(counts.refused_unasked),
       static_cast<unsigned long long>(counts.borrowed),
       static_cast<unsigned long long>(counts.voided),
-      static_cast<unsigned long long>(counts.returned), overflowed);
+      static_cast<unsigned long long>(sum.returned), overflowed,
+      static_cast<unsigned long long>(messages));
 }
 
 void StartAll(QuotaSimulation& simulation, double per_second) {
-  for (const Kind& kind : kKinds) {
-    CallerGroup group{0,         kind.traffic_class, kind.target,
-                      kind.work, kind.full_time,     {}};
+  for (uint32_t i = 0; i < kKinds.size(); ++i) {
+    const Kind& kind = kKinds[i];
+    CallerGroup group{
+        0, i, kind.traffic_class, kind.target, kind.work, kind.full_time, {}};
     for (const double part : kDemandParts) {
       group.per_second.push_back(per_second * kind.part * part);
     }
@@ -116,7 +134,12 @@
     double callers = 0;
     double served = 0;
     for (size_t place = 0; place < kDemandParts.size(); ++place) {
-      const CallerCounts& counts = simulation.CountsOf(i, place);
+      const CallerCounts& calm = simulation.CountsOf(i, place);
+      const CallerCounts& risen = simulation.CountsOf(kKinds.size() + i, place);
+      const CallerCounts counts{
+          calm.callers + risen.callers, calm.attempts + risen.attempts,
+          calm.in_time + risen.in_time, calm.late + risen.late,
+          calm.refused + risen.refused};
       callers += static_cast<double>(counts.callers);
       served += static_cast<double>(counts.in_time + counts.late);
       in_time += static_cast<double>(counts.in_time);
@@ -145,10 +168,12 @@
   options.vms_per_data_centre = scenario.vms_per_data_centre;
   options.extra_vms = scenario.extra_vms;
   QuotaSimulation simulation(options);
-  StartAll(simulation, factor * scenario.rate);
+  StartAll(simulation, kCalmFactor * scenario.rate);
+  simulation.Run(scenario.calm);
+  StartAll(simulation, (factor - kCalmFactor) * scenario.rate);
   simulation.Run(kWarmUp);
   simulation.ResetCallerCounts();
-  const QuotaCounts before = simulation.SumCounts();
+  const uint64_t messages = simulation.messages();
   const double overflowed = simulation.SumOverflowed();
   const auto from = simulation.now();
   simulation.Run(kMeasured);
@@ -159,8 +184,9 @@
   Print(std::to_string(simulation.CountVms()) + " VMs, quota " +
             std::to_string(scenario.rate) + " a second, demand " +
             std::to_string(factor) + " times the quota",
-        outcome, Difference(simulation.SumCounts(), before),
-        simulation.SumOverflowed() - overflowed);
+        outcome, simulation.SumCounts(),
+        simulation.SumOverflowed() - overflowed,
+        simulation.messages() - messages);
   return outcome;
 }
 
--- a/packages/decision/test/quota_simulation.cc
+++ b/packages/decision/test/quota_simulation.cc
@@ -370,27 +370,49 @@
   }
   const std::vector<size_t> near = this->VmsOf(caller.data_centre);
   const size_t vm = near[this->random() % near.size()];
-  this->ScheduleAfter(kCallerDelay,
-                      [this, vm, caller] { this->Attempt(vm, caller); });
+  const Duration declared =
+      caller.first_at + this->groups[caller.group].full_time - this->time;
+  this->ScheduleAfter(kCallerDelay, [this, vm, caller, declared] {
+    this->Attempt(vm, caller, declared);
+  });
 }
 
-void QuotaSimulation::Attempt(size_t index, const Caller& caller) {
+// The need of a request as its entry VM estimates it.
+CreditNeed QuotaSimulation::NeedOf(Vm& vm,
+                                   const Caller& caller,
+                                   Duration declared) {
+  const CallerGroup& group = this->groups[caller.group];
+  const LeaseTime now = this->ClockOf(vm);
+  const RuleHandle rule{group.rule, 0};
+  const auto time = std::chrono::floor<milliseconds>(declared);
+  const CallerAge::Estimate estimate = vm.caller_age.AgeOf(now, rule, time);
+  vm.caller_age.Learn(now, rule, time);
+  return MakeCreditNeed(
+      {group.traffic_class, group.target, time, false, declared - kCallerDelay},
+      estimate, vm.caller_age.WorkOf(rule));
+}
+
+void QuotaSimulation::Attempt(size_t index,
+                              const Caller& caller,
+                              Duration declared) {
   const size_t team = this->groups[caller.group].team;
   ++this->sent[team];
-  this->RunOnVm(index, this->vms[index].process, [this, index, team, caller] {
-    Vm& vm = this->vms[index];
-    const QuotaDecision decision =
-        vm.borrower->Acquire(this->ClockOf(vm), MakeTeamKey(TeamName(team)));
-    if (decision.verdict != QuotaVerdict::kWait) {
-      this->OnDecision(index, caller, decision);
-      return;
-    }
-    vm.waiting[decision.ticket] = [this, index,
-                                   caller](const QuotaDecision& settled) {
-      this->OnDecision(index, caller, settled);
-    };
-    this->Pump(index);
-  });
+  this->RunOnVm(
+      index, this->vms[index].process, [this, index, team, caller, declared] {
+        Vm& vm = this->vms[index];
+        const QuotaDecision decision =
+            vm.borrower->Acquire(this->ClockOf(vm), MakeTeamKey(TeamName(team)),
+                                 this->NeedOf(vm, caller, declared));
+        if (decision.verdict != QuotaVerdict::kWait) {
+          this->OnDecision(index, caller, decision);
+          return;
+        }
+        vm.waiting[decision.ticket] = [this, index,
+                                       caller](const QuotaDecision& settled) {
+          this->OnDecision(index, caller, settled);
+        };
+        this->Pump(index);
+      });
 }
 
 void QuotaSimulation::OnDecision(size_t index,
@@ -400,6 +422,8 @@
   CallerCounts* counts = this->CountsFor(caller);
   if (decision.verdict == QuotaVerdict::kGranted) {
     this->CountAdmission(index, group.team);
+    const RuleHandle rule{group.rule, 0};
+    this->vms[index].caller_age.LearnWork(rule, group.work);
     const Duration answered = this->time + group.work + kCallerDelay;
     if (counts != nullptr) {
       ++(answered <= caller.first_at + group.target ? counts->in_time
@@ -424,13 +448,16 @@
   QuotaCounts sum;
   for (const Vm& vm : this->vms) {
     const QuotaCounts& counts = vm.borrower->counts();
-    sum.asked += counts.asked;
-    sum.granted += counts.granted;
-    sum.refused += counts.refused;
+    for (size_t i = 0; i < kTrafficClasses; ++i) {
+      sum.classes[i].asked += counts.classes[i].asked;
+      sum.classes[i].granted_in_time += counts.classes[i].granted_in_time;
+      sum.classes[i].granted_late += counts.classes[i].granted_late;
+      sum.classes[i].refused += counts.classes[i].refused;
+      sum.classes[i].returned += counts.classes[i].returned;
+    }
     sum.refused_unasked += counts.refused_unasked;
     sum.borrowed += counts.borrowed;
     sum.voided += counts.voided;
-    sum.returned += counts.returned;
   }
   return sum;
 }
--- a/packages/decision/test/quota_simulation.h
+++ b/packages/decision/test/quota_simulation.h
@@ -12,6 +12,7 @@
 
 #include <pcg_random.hpp>
 
+#include "basilsill/decision/caller_age.h"
 #include "basilsill/decision/quota_borrower.h"
 #include "basilsill/decision/quota_coordinator.h"
 #include "basilsill/decision/view.h"
@@ -37,6 +38,7 @@
 /// of the time that it has left.
 struct CallerGroup {
   size_t team = 0;
+  uint32_t rule = 0;
   TrafficClass traffic_class = TrafficClass::kOrdinary;
   std::chrono::milliseconds target{0};  ///< Counted from the first attempt.
   std::chrono::milliseconds work{0};    ///< Of a request that has a credit.
@@ -111,6 +113,7 @@
     std::vector<std::function<void()>> deferred;
     std::optional<QuotaCoordinator> coordinator;
     std::optional<QuotaBorrower> borrower;
+    CallerAge caller_age;
     std::map<uint64_t, std::function<void(const QuotaDecision&)>> waiting;
   };
 
@@ -161,7 +164,8 @@
   };
   void ScheduleNextCaller(size_t group, size_t data_centre);
   void Send(Caller caller);
-  void Attempt(size_t vm, const Caller& caller);
+  void Attempt(size_t vm, const Caller& caller, Duration declared);
+  CreditNeed NeedOf(Vm& vm, const Caller& caller, Duration declared);
   void OnDecision(size_t vm,
                   const Caller& caller,
                   const QuotaDecision& decision);
--- a/packages/decision/test/quota_test.cc
+++ b/packages/decision/test/quota_test.cc
@@ -101,7 +101,7 @@
 
   QuotaAnswer Grant(const QuotaRequest& request, uint32_t count,
                     basilsill::Duration retry_after = 0s) {
-    return {request.number, true, 1, {{kTeam, count, retry_after}}};
+    return {request.number, true, 1, {{kTeam, count, retry_after, {}, 0}}};
   }
 };
 
--- a/packages/wire/schema/peer.capnp
+++ b/packages/wire/schema/peer.capnp
@@ -248,9 +248,18 @@
   written @1 :Bool;
 }
 
+struct QuotaNeed {
+  ticket @0 :UInt64;
+  trafficClass @1 :TrafficClass = ordinary;
+  untilTarget @2 :Nanos;
+  timeLeft @3 :Nanos;
+  returning @4 :Bool;
+}
+
 struct QuotaWant {
   team @0 :UInt64;
   wanted @1 :UInt32;
+  needs @2 :List(QuotaNeed);
 }
 
 struct QuotaReturn {
@@ -266,10 +275,18 @@
   returns @3 :List(QuotaReturn);
 }
 
+struct QuotaOutcome {
+  ticket @0 :UInt64;
+  granted @1 :Bool;
+  retryAfter @2 :Nanos;
+}
+
 struct QuotaGrant {
   team @0 :UInt64;
   granted @1 :UInt32;
   retryAfter @2 :Nanos;
+  outcomes @3 :List(QuotaOutcome);
+  held @4 :UInt32;
 }
 
 struct QuotaAnswer {
--- a/packages/wire/src/message_check.cc
+++ b/packages/wire/src/message_check.cc
@@ -240,11 +240,19 @@
                 "too many entries");
   check.Require(request.returns.size() <= limits::kMaxQuotaTeams, "/returns",
                 "too many entries");
+  for (const QuotaWant& want : request.wants) {
+    check.Require(want.needs.size() <= limits::kMaxQuotaNeeds, "/wants/needs",
+                  "too many entries");
+  }
 }
 
 void Check(Checker& check, const QuotaAnswer& answer) {
   check.Require(answer.grants.size() <= limits::kMaxQuotaTeams, "/grants",
                 "too many entries");
+  for (const QuotaGrant& grant : answer.grants) {
+    check.Require(grant.outcomes.size() <= limits::kMaxQuotaNeeds,
+                  "/grants/outcomes", "too many entries");
+  }
 }
 
 void Check(Checker& /*check*/, const StateStamp& /*stamp*/) {}
--- a/packages/wire/src/message_reader.cc
+++ b/packages/wire/src/message_reader.cc
@@ -268,6 +268,41 @@
   return update;
 }
 
+// A class that this version does not know gets the lowest priority.
+TrafficClass ReadClass(schema::TrafficClass number) {
+  const auto read = ReadEnum<TrafficClass>(number);
+  return read == TrafficClass::kCount ? TrafficClass::kBackground : read;
+}
+
+std::vector<QuotaNeed> ReadNeeds(schema::QuotaWant::Reader want) {
+  std::vector<QuotaNeed> needs;
+  const auto rows = want.getNeeds();
+  needs.reserve(
+      CheckedSize(rows.size(), limits::kMaxQuotaNeeds, "/wants/needs"));
+  for (const schema::QuotaNeed::Reader row : rows) {
+    QuotaNeed need;
+    need.ticket = row.getTicket();
+    need.need.traffic_class = ReadClass(row.getTrafficClass());
+    need.need.until_target = ReadNanos(row.getUntilTarget(), "/wants/needs");
+    need.need.time_left = ReadNanos(row.getTimeLeft(), "/wants/needs");
+    need.need.is_returning = row.getReturning();
+    needs.push_back(need);
+  }
+  return needs;
+}
+
+std::vector<QuotaOutcome> ReadOutcomes(schema::QuotaGrant::Reader grant) {
+  std::vector<QuotaOutcome> outcomes;
+  const auto rows = grant.getOutcomes();
+  outcomes.reserve(
+      CheckedSize(rows.size(), limits::kMaxQuotaNeeds, "/grants/outcomes"));
+  for (const schema::QuotaOutcome::Reader row : rows) {
+    outcomes.push_back({row.getTicket(), row.getGranted(),
+                        ReadNanos(row.getRetryAfter(), "/grants/outcomes")});
+  }
+  return outcomes;
+}
+
 QuotaRequest ReadQuotaRequest(schema::QuotaRequest::Reader reader) {
   QuotaRequest request;
   request.number = reader.getNumber();
@@ -276,7 +311,8 @@
   request.wants.reserve(
       CheckedSize(wants.size(), limits::kMaxQuotaTeams, "/wants"));
   for (const schema::QuotaWant::Reader want : wants) {
-    request.wants.push_back({want.getTeam(), want.getWanted()});
+    request.wants.push_back(
+        {want.getTeam(), want.getWanted(), ReadNeeds(want)});
   }
   const auto returns = reader.getReturns();
   request.returns.reserve(
@@ -297,7 +333,8 @@
       CheckedSize(grants.size(), limits::kMaxQuotaTeams, "/grants"));
   for (const schema::QuotaGrant::Reader grant : grants) {
     answer.grants.push_back({grant.getTeam(), grant.getGranted(),
-                             ReadNanos(grant.getRetryAfter(), "/grants")});
+                             ReadNanos(grant.getRetryAfter(), "/grants"),
+                             ReadOutcomes(grant), grant.getHeld()});
   }
   return answer;
 }
--- a/packages/wire/src/message_writer.cc
+++ b/packages/wire/src/message_writer.cc
@@ -271,6 +271,39 @@
   message.initStateStamp().setStamp(stamp.stamp);
 }
 
+void WriteNeeds(const QuotaWant& want, schema::QuotaWant::Builder builder) {
+  if (want.needs.empty()) {
+    return;
+  }
+  auto rows = builder.initNeeds(static_cast<unsigned>(want.needs.size()));
+  for (unsigned i = 0; i < want.needs.size(); ++i) {
+    const CreditNeed& need = want.needs[i].need;
+    rows[i].setTicket(want.needs[i].ticket);
+    rows[i].setTrafficClass(
+        static_cast<schema::TrafficClass>(need.traffic_class));
+    rows[i].setUntilTarget(
+        NanosOf(std::clamp(need.until_target, Duration(0), kNoTarget)));
+    rows[i].setTimeLeft(
+        NanosOf(std::clamp(need.time_left, Duration(0), kNoTarget)));
+    rows[i].setReturning(need.is_returning);
+  }
+}
+
+void WriteOutcomes(const QuotaGrant& grant,
+                   schema::QuotaGrant::Builder builder) {
+  builder.setHeld(grant.held);
+  if (grant.outcomes.empty()) {
+    return;
+  }
+  auto rows =
+      builder.initOutcomes(static_cast<unsigned>(grant.outcomes.size()));
+  for (unsigned i = 0; i < grant.outcomes.size(); ++i) {
+    rows[i].setTicket(grant.outcomes[i].ticket);
+    rows[i].setGranted(grant.outcomes[i].is_granted);
+    rows[i].setRetryAfter(NanosOf(grant.outcomes[i].retry_after));
+  }
+}
+
 void Write(const QuotaRequest& request, schema::PeerMessage::Builder message) {
   auto builder = message.initQuotaRequest();
   builder.setNumber(request.number);
@@ -279,6 +312,7 @@
   for (unsigned i = 0; i < request.wants.size(); ++i) {
     wants[i].setTeam(request.wants[i].team);
     wants[i].setWanted(request.wants[i].wanted);
+    WriteNeeds(request.wants[i], wants[i]);
   }
   auto returns =
       builder.initReturns(static_cast<unsigned>(request.returns.size()));
@@ -299,6 +333,7 @@
     grants[i].setTeam(answer.grants[i].team);
     grants[i].setGranted(answer.grants[i].granted);
     grants[i].setRetryAfter(NanosOf(answer.grants[i].retry_after));
+    WriteOutcomes(answer.grants[i], grants[i]);
   }
 }
 
