--- a/packages/decision/src/quota/quota_buckets.cc
+++ b/packages/decision/src/quota/quota_buckets.cc
@@ -100,11 +100,23 @@
 
 void QuotaBuckets::Refill(LeaseTime now, Bucket& bucket) {
   const Seconds passed = now - bucket.filled;
-  bucket.level =
-      std::min(bucket.capacity, bucket.level + passed.count() * bucket.rate);
+  const double level = bucket.level + passed.count() * bucket.rate;
+  bucket.level = std::min(bucket.capacity, level);
+  this->overflow += level - bucket.level;
   bucket.filled = now;
 }
 
+std::optional<QuotaBuckets::State> QuotaBuckets::StateOf(LeaseTime now,
+                                                         TeamKey team) {
+  const auto found = this->buckets.find(team);
+  if (found == this->buckets.end()) {
+    return std::nullopt;
+  }
+  Bucket& bucket = found->second;
+  this->Refill(now, bucket);
+  return State{bucket.rate, bucket.capacity, bucket.level};
+}
+
 QuotaGrant QuotaBuckets::Take(LeaseTime now, TeamKey team, uint32_t wanted) {
   QuotaGrant grant;
   grant.team = team;
--- a/packages/decision/test/quota_simulation.cc
+++ b/packages/decision/test/quota_simulation.cc
@@ -21,6 +21,9 @@
 
 // Odd, so that products stay unique.
 constexpr uint64_t kScatter = 0x9E3779B97F4A7C15;
+// A message between a caller and a VM takes this long.
+constexpr milliseconds kCallerDelay{8};
+constexpr size_t kMaxAttempts = 3;
 
 double Uniform(pcg64& random) {
   return std::ldexp(static_cast<double>(random() >> 11), -53);
@@ -40,7 +43,9 @@
       refused(given.teams.size()),
       sent(given.teams.size()),
       exhausted(given.teams.size()) {
-  for (size_t i = 0; i < given.data_centres * given.vms_per_data_centre; ++i) {
+  const size_t count =
+      given.data_centres * given.vms_per_data_centre + given.extra_vms;
+  for (size_t i = 0; i < count; ++i) {
     Vm vm;
     vm.name = "vm-" + std::to_string(i);
     vm.data_centre = i % given.data_centres;
@@ -175,11 +180,7 @@
       continue;
     }
     const auto found = vm.waiting.find(decision.ticket);
-    if (decision.verdict == QuotaVerdict::kGranted) {
-      this->CountAdmission(index, found->second);
-    } else {
-      ++this->refused[found->second];
-    }
+    found->second(decision);
     vm.waiting.erase(found);
   }
   if (std::optional<QuotaRequest> request = vm.borrower->NextRequest(now)) {
@@ -324,18 +325,166 @@
       Vm& vm = this->vms[index];
       const QuotaDecision decision = vm.borrower->Acquire(
           this->ClockOf(vm), MakeTeamKey(TeamName(source.team)));
-      if (decision.verdict == QuotaVerdict::kGranted) {
-        this->CountAdmission(index, source.team);
-      } else if (decision.verdict == QuotaVerdict::kWait) {
-        vm.waiting[decision.ticket] = source.team;
+      const auto settle = [this, index, source](const QuotaDecision& settled) {
+        if (settled.verdict == QuotaVerdict::kGranted) {
+          this->CountAdmission(index, source.team);
+        } else {
+          ++this->refused[source.team];
+        }
+      };
+      if (decision.verdict == QuotaVerdict::kWait) {
+        vm.waiting[decision.ticket] = settle;
         this->Pump(index);
       } else {
-        ++this->refused[source.team];
+        settle(decision);
       }
     });
   });
 }
 
+size_t QuotaSimulation::StartCallers(CallerGroup group) {
+  const size_t index = this->groups.size();
+  this->groups.push_back(std::move(group));
+  this->caller_counts.emplace_back(this->shares.size());
+  for (size_t i = 0; i < this->shares.size(); ++i) {
+    this->ScheduleNextCaller(index, i);
+  }
+  return index;
+}
+
+void QuotaSimulation::ResetCallerCounts() {
+  ++this->counts_number;
+  for (std::vector<CallerCounts>& counts : this->caller_counts) {
+    counts.assign(this->shares.size(), {});
+  }
+}
+
+void QuotaSimulation::ScheduleNextCaller(size_t group, size_t data_centre) {
+  const double rate = this->groups[group].per_second[data_centre];
+  const std::chrono::duration<double> pause(
+      -std::log(1 - Uniform(this->random)) / rate);
+  this->ScheduleAfter(
+      std::chrono::duration_cast<Duration>(pause), [this, group, data_centre] {
+        this->ScheduleNextCaller(group, data_centre);
+        Caller caller{group, data_centre, this->time, 0, this->counts_number};
+        ++this->CountsFor(caller)->callers;
+        this->Send(caller);
+      });
+}
+
+CallerCounts* QuotaSimulation::CountsFor(const Caller& caller) {
+  return caller.counts_number == this->counts_number
+             ? &this->caller_counts[caller.group][caller.data_centre]
+             : nullptr;
+}
+
+void QuotaSimulation::Send(Caller caller) {
+  ++caller.attempts;
+  if (CallerCounts* counts = this->CountsFor(caller)) {
+    ++counts->attempts;
+  }
+  const std::vector<size_t> near = this->VmsOf(caller.data_centre);
+  const size_t vm = near[this->random() % near.size()];
+  const Duration declared =
+      caller.first_at + this->groups[caller.group].full_time - this->time;
+  this->ScheduleAfter(kCallerDelay, [this, vm, caller, declared] {
+    this->Attempt(vm, caller, declared);
+  });
+}
+
+// The need of a request as its entry VM estimates it.
+CreditNeed QuotaSimulation::NeedOf(Vm& vm,
+                                   const Caller& caller,
+                                   Duration declared) {
+  const CallerGroup& group = this->groups[caller.group];
+  const LeaseTime now = this->ClockOf(vm);
+  const RuleHandle rule{group.rule, 0};
+  const auto time = std::chrono::floor<milliseconds>(declared);
+  const CallerAge::Estimate estimate = vm.caller_age.AgeOf(now, rule, time);
+  vm.caller_age.Learn(now, rule, time);
+  return MakeCreditNeed(
+      {group.traffic_class, group.target, time, false, declared - kCallerDelay},
+      estimate, vm.caller_age.WorkOf(rule));
+}
+
+void QuotaSimulation::Attempt(size_t index,
+                              const Caller& caller,
+                              Duration declared) {
+  const size_t team = this->groups[caller.group].team;
+  ++this->sent[team];
+  this->RunOnVm(
+      index, this->vms[index].process, [this, index, team, caller, declared] {
+        Vm& vm = this->vms[index];
+        const QuotaDecision decision =
+            vm.borrower->Acquire(this->ClockOf(vm), MakeTeamKey(TeamName(team)),
+                                 this->NeedOf(vm, caller, declared));
+        if (decision.verdict != QuotaVerdict::kWait) {
+          this->OnDecision(index, caller, decision);
+          return;
+        }
+        vm.waiting[decision.ticket] = [this, index,
+                                       caller](const QuotaDecision& settled) {
+          this->OnDecision(index, caller, settled);
+        };
+        this->Pump(index);
+      });
+}
+
+void QuotaSimulation::OnDecision(size_t index,
+                                 const Caller& caller,
+                                 const QuotaDecision& decision) {
+  const CallerGroup& group = this->groups[caller.group];
+  CallerCounts* counts = this->CountsFor(caller);
+  if (decision.verdict == QuotaVerdict::kGranted) {
+    this->CountAdmission(index, group.team);
+    const RuleHandle rule{group.rule, 0};
+    this->vms[index].caller_age.LearnWork(rule, group.work);
+    const Duration answered = this->time + group.work + kCallerDelay;
+    if (counts != nullptr) {
+      ++(answered <= caller.first_at + group.target ? counts->in_time
+                                                    : counts->late);
+    }
+    return;
+  }
+  ++this->refused[group.team];
+  const Duration told_at = this->time + kCallerDelay;
+  const Duration left = caller.first_at + group.full_time - told_at;
+  if (caller.attempts >= kMaxAttempts || left <= Duration(0)) {
+    if (counts != nullptr) {
+      ++counts->refused;
+    }
+    return;
+  }
+  this->ScheduleAt(told_at + std::min<Duration>(decision.retry_after, left / 3),
+                   [this, caller] { this->Send(caller); });
+}
+
+QuotaCounts QuotaSimulation::SumCounts() const {
+  QuotaCounts sum;
+  for (const Vm& vm : this->vms) {
+    const QuotaCounts& counts = vm.borrower->counts();
+    for (size_t i = 0; i < kTrafficClasses; ++i) {
+      sum.classes[i].asked += counts.classes[i].asked;
+      sum.classes[i].granted_in_time += counts.classes[i].granted_in_time;
+      sum.classes[i].granted_late += counts.classes[i].granted_late;
+      sum.classes[i].refused += counts.classes[i].refused;
+      sum.classes[i].returned += counts.classes[i].returned;
+    }
+    sum.refused_unasked += counts.refused_unasked;
+    sum.borrowed += counts.borrowed;
+    sum.voided += counts.voided;
+  }
+  return sum;
+}
+
+double QuotaSimulation::SumOverflowed() const {
+  double sum = 0;
+  for (const Vm& vm : this->vms) {
+    sum += vm.coordinator->overflowed();
+  }
+  return sum;
+}
+
 void QuotaSimulation::CountAdmission(size_t, size_t team) {
   this->admitted[team].push_back(this->time);
 }
@@ -343,21 +492,21 @@
 void QuotaSimulation::StartReturningLoad(size_t team,
                                          std::vector<size_t> at,
                                          double per_second) {
-  this->ScheduleNextCaller({team, std::move(at), per_second});
+  this->ScheduleNextReturningCaller({team, std::move(at), per_second});
 }
 
-void QuotaSimulation::ScheduleNextCaller(const Source& source) {
+void QuotaSimulation::ScheduleNextReturningCaller(const Source& source) {
   const double wait = -std::log(1 - Uniform(this->random)) / source.per_second;
   const auto pause =
       std::chrono::duration_cast<Duration>(std::chrono::duration<double>(wait));
   this->ScheduleAfter(pause, [this, source] {
-    this->ScheduleNextCaller(source);
+    this->ScheduleNextReturningCaller(source);
     ++this->sent[source.team];
     this->Arrive({source.team, source.vms});
   });
 }
 
-void QuotaSimulation::Arrive(const Caller& caller) {
+void QuotaSimulation::Arrive(const ReturningCaller& caller) {
   const size_t index = caller.vms[this->random() % caller.vms.size()];
   Vm& vm = this->vms[index];
   if (!vm.alive) {
@@ -378,7 +527,7 @@
 }
 
 void QuotaSimulation::Conclude(size_t vm,
-                               const Caller& caller,
+                               const ReturningCaller& caller,
                                const QuotaDecision& decision) {
   if (decision.verdict == QuotaVerdict::kGranted) {
     this->CountAdmission(vm, caller.team);
@@ -390,7 +539,7 @@
   this->ComeBack(caller, decision.retry_after);
 }
 
-void QuotaSimulation::ComeBack(Caller caller, Duration pause) {
+void QuotaSimulation::ComeBack(ReturningCaller caller, Duration pause) {
   if (caller.returns_left == 0) {
     ++this->refused[caller.team];
     return;
--- a/packages/decision/test/quota_simulation.h
+++ b/packages/decision/test/quota_simulation.h
@@ -12,8 +12,10 @@
 
 #include <pcg_random.hpp>
 
+#include "basilsill/decision/caller_age.h"
 #include "basilsill/decision/quota_borrower.h"
 #include "basilsill/decision/quota_coordinator.h"
+#include "basilsill/decision/view.h"
 
 /// Simulates quotas of a fleet in virtual time: the decision code of every VM,
 /// messages between VMs, and a store that keeps the leases. VMs have
@@ -28,9 +30,32 @@
   size_t vms_per_data_centre = 4;
   bool has_leases = true;
   QuotaStartAllowance start_allowance;
+  size_t extra_vms = 0;  ///< Beyond `vms_per_data_centre`.
   std::vector<TeamLimits> teams;
 };
 
+/// Callers who return: each makes up to three attempts, every one at a random
+/// VM of its data centre, and honours the retry time of a refusal up to a third
+/// of the time that it has left.
+struct CallerGroup {
+  size_t team = 0;
+  uint32_t rule = 0;
+  TrafficClass traffic_class = TrafficClass::kOrdinary;
+  std::chrono::milliseconds target{0};  ///< Counted from the first attempt.
+  std::chrono::milliseconds work{0};    ///< Of a request that has a credit.
+  std::chrono::milliseconds full_time{0};
+  std::vector<double> per_second;  ///< New callers, by data centre.
+};
+
+/// What became of the callers of a group in a data centre.
+struct CallerCounts {
+  size_t callers = 0;
+  size_t attempts = 0;
+  size_t in_time = 0;  ///< Served within the target.
+  size_t late = 0;     ///< Served later.
+  size_t refused = 0;  ///< Gave up.
+};
+
 class QuotaSimulation {
  public:
   explicit QuotaSimulation(const QuotaSimulationOptions& options);
@@ -43,6 +68,11 @@
                           std::vector<size_t> vms,
                           double per_second);
   void Run(Duration time);
+  /// Starts callers that return.
+  /// @returns the index of the group.
+  size_t StartCallers(CallerGroup group);
+  /// Starts to count anew; earlier callers are not counted further.
+  void ResetCallerCounts();
 
   // Faults
   void Kill(size_t vm, Duration down);
@@ -67,6 +97,12 @@
   /// @returns how often callers of StartReturningLoad were told in [from, to)
   /// that the team has used up its quota.
   size_t CountExhausted(size_t team, Duration from, Duration to) const;
+  const CallerCounts& CountsOf(size_t group, size_t data_centre) const {
+    return this->caller_counts[group][data_centre];
+  }
+  /// @returns the sum over all VMs since their processes started.
+  QuotaCounts SumCounts() const;
+  double SumOverflowed() const;
   Duration now() const { return this->time; }
   uint64_t store_calls() const { return this->calls; }
   uint64_t messages() const { return this->message_count; }
@@ -74,7 +110,7 @@
   static constexpr size_t kMaxReturns = 2;
 
  private:
-  struct Caller {
+  struct ReturningCaller {
     size_t team = 0;
     std::vector<size_t> vms;
     size_t returns_left = kMaxReturns;
@@ -94,8 +130,9 @@
     std::vector<std::function<void()>> deferred;
     std::optional<QuotaCoordinator> coordinator;
     std::optional<QuotaBorrower> borrower;
-    std::map<uint64_t, size_t> waiting;          ///< Team by ticket.
-    std::map<uint64_t, Caller> waiting_callers;  ///< By ticket.
+    CallerAge caller_age;
+    std::map<uint64_t, std::function<void(const QuotaDecision&)>> waiting;
+    std::map<uint64_t, ReturningCaller> waiting_callers;  ///< By ticket.
   };
 
   struct Share {
@@ -136,11 +173,28 @@
   void CallStore(size_t vm, QuotaLeaseCall call);
   void WriteLease(size_t vm, uint64_t process);
   void ScheduleNextArrival(const Source& source);
+  struct Caller {
+    size_t group = 0;
+    size_t data_centre = 0;
+    Duration first_at{0};
+    size_t attempts = 0;
+    size_t counts_number = 0;
+  };
+  void ScheduleNextCaller(size_t group, size_t data_centre);
+  void Send(Caller caller);
+  void Attempt(size_t vm, const Caller& caller, Duration declared);
+  CreditNeed NeedOf(Vm& vm, const Caller& caller, Duration declared);
+  void OnDecision(size_t vm,
+                  const Caller& caller,
+                  const QuotaDecision& decision);
+  CallerCounts* CountsFor(const Caller& caller);
   void CountAdmission(size_t vm, size_t team);
-  void ScheduleNextCaller(const Source& source);
-  void Arrive(const Caller& caller);
-  void Conclude(size_t vm, const Caller& caller, const QuotaDecision& decision);
-  void ComeBack(Caller caller, Duration pause);
+  void ScheduleNextReturningCaller(const Source& source);
+  void Arrive(const ReturningCaller& caller);
+  void Conclude(size_t vm,
+                const ReturningCaller& caller,
+                const QuotaDecision& decision);
+  void ComeBack(ReturningCaller caller, Duration pause);
 
   QuotaSimulationOptions options;
   pcg64 random;
@@ -157,6 +211,9 @@
   uint64_t processes = 0;
   uint64_t calls = 0;
   uint64_t message_count = 0;
+  std::vector<CallerGroup> groups;
+  std::vector<std::vector<CallerCounts>> caller_counts;
+  size_t counts_number = 0;
 };
 
 }  // namespace basilsill
