--- a/packages/decision/test/quota_callers_test.cc
+++ b/packages/decision/test/quota_callers_test.cc
@@ -1,6 +1,7 @@
 // Callers of a team far beyond its quota, who return after a refusal: how much
 // of the quota is used, and by whom.
 
+#include <algorithm>
 #include <array>
 #include <cstdio>
 #include <string>
@@ -228,3 +229,30 @@
 TEST(QuotaCallers, Returning_EightTimesTheQuota_CreditsServeCallersInTime) {
   RunAndCheck(8);
 }
+
+// Failure: requests of a VM that is far from the lender, or that has few, never
+// get a credit.
+TEST(QuotaCallers, Returning_FourTimesTheQuota_NoVmIsStarved) {
+  QuotaSimulationOptions options;
+  TeamLimits limits;
+  limits.requests_per_second = 120;
+  limits.burst = 30;
+  options.teams = {limits};
+  options.vms_per_data_centre = 12;
+  QuotaSimulation simulation(options);
+  StartAll(simulation, 4 * limits.requests_per_second);
+  simulation.Run(30s);
+  for (size_t place = 0; place < kDemandParts.size(); ++place) {
+    double mean = 0;
+    double least = 1;
+    for (const size_t vm : simulation.VmsOf(place)) {
+      const QuotaCounts::OfClass sum = SumOf(simulation.CountsAt(vm));
+      const double served =
+          static_cast<double>(sum.granted_in_time + sum.granted_late) /
+          static_cast<double>(sum.asked);
+      mean += served / static_cast<double>(options.vms_per_data_centre);
+      least = std::min(least, served);
+    }
+    CHECK_COMPARE(least, >=, 0.6 * mean);
+  }
+}
--- a/packages/decision/test/quota_history_test.cc
+++ b/packages/decision/test/quota_history_test.cc
@@ -1,16 +1,22 @@
 // Random histories of a fleet that lends quotas: invariants that hold in each,
 // and how much of a quota is used.
 
+#include <array>
+#include <string>
+
 #include <pcg_random.hpp>
 
 #include "quota_simulation.h"
 
 #include <CppUTest/TestHarness.h>
 
+using basilsill::CallerGroup;
 using basilsill::Duration;
+using basilsill::kTrafficClasses;
 using basilsill::QuotaSimulation;
 using basilsill::QuotaSimulationOptions;
 using basilsill::TeamLimits;
+using basilsill::TrafficClass;
 using namespace std::chrono_literals;
 
 namespace {
@@ -91,6 +97,45 @@
   }
 }
 
+// Callers of each class, most of them urgent; half of each kind misstate the
+// time that they have left.
+void StartCallersOfAllClasses(QuotaSimulation& simulation,
+                              size_t team,
+                              double per_second) {
+  constexpr std::array<double, kTrafficClasses> parts{0.4, 0.2, 0.2, 0.2};
+  for (size_t i = 0; i < kTrafficClasses; ++i) {
+    CallerGroup group;
+    group.team = team;
+    group.rule = static_cast<uint32_t>(kTrafficClasses * team + i);
+    group.traffic_class = static_cast<TrafficClass>(i);
+    group.target = std::chrono::milliseconds(250 << i);
+    group.work = 100ms;
+    group.full_time = std::chrono::milliseconds(3000 + 1000 * i);
+    group.per_second.assign(3, per_second * parts.at(i) / 6);
+    simulation.StartCallers(group);
+    group.misstates = true;
+    simulation.StartCallers(group);
+  }
+}
+
+// Each class of the first team gets its part of what was granted, less what
+// chance and changes of lenders cost it in a short history.
+void CheckParts(const QuotaSimulation& simulation, uint64_t seed) {
+  constexpr double part = 0.8 / 8;
+  std::array<size_t, kTrafficClasses> granted{};
+  size_t all = 0;
+  for (size_t i = 0; i < kTrafficClasses; ++i) {
+    granted.at(i) =
+        simulation.CountGranted(2 * i) + simulation.CountGranted(2 * i + 1);
+    all += granted.at(i);
+  }
+  for (const size_t count : granted) {
+    if (static_cast<double>(count) < part * static_cast<double>(all)) {
+      FAIL(("a class is starved, seed " + std::to_string(seed)).c_str());
+    }
+  }
+}
+
 }  // namespace
 
 TEST_GROUP(QuotaHistory){};
@@ -118,6 +163,31 @@
   }
 }
 
+// Failure: requests that wait at a lender, appointments, or callers that
+// misstate the time they have left make a lender grant more than its bucket
+// has, or starve a class.
+TEST(QuotaHistory, RandomFaults_CallersReturnAndMisstate_StaysWithinTheBound) {
+  for (uint64_t seed = 1; seed <= 500; ++seed) {
+    pcg64 random(seed);
+    QuotaSimulationOptions options;
+    options.seed = seed;
+    options.teams = {Quota(40, 10), Quota(3, 3)};
+    QuotaSimulation simulation(options);
+    StartCallersOfAllClasses(simulation, 0, 200);
+    StartCallersOfAllClasses(simulation, 1, 12);
+    for (int i = 0; i < 6; ++i) {
+      simulation.Run(std::chrono::milliseconds(500 + random() % 2500));
+      InjectFault(random, simulation);
+    }
+    simulation.Run(4s);
+    for (size_t team = 0; team < options.teams.size(); ++team) {
+      CHECK_TRUE(static_cast<double>(simulation.MaxAdmittedIn(team, kWindow)) <=
+                 MaxAllowed(options.teams[team]));
+    }
+    CheckParts(simulation, seed);
+  }
+}
+
 TEST(QuotaHistory, AllCallersAtOneVm_DemandAboveQuota_UsesNearlyAll) {
   QuotaSimulationOptions options;
   options.teams = {Quota(60, 60)};
--- a/packages/decision/test/quota_simulation.cc
+++ b/packages/decision/test/quota_simulation.cc
@@ -330,6 +330,7 @@
 size_t QuotaSimulation::StartCallers(CallerGroup group) {
   const size_t index = this->groups.size();
   this->groups.push_back(std::move(group));
+  this->granted.push_back(0);
   this->caller_counts.emplace_back(this->shares.size());
   for (size_t i = 0; i < this->shares.size(); ++i) {
     this->ScheduleNextCaller(index, i);
@@ -370,8 +371,11 @@
   }
   const std::vector<size_t> near = this->VmsOf(caller.data_centre);
   const size_t vm = near[this->random() % near.size()];
-  const Duration declared =
-      caller.first_at + this->groups[caller.group].full_time - this->time;
+  const CallerGroup& group = this->groups[caller.group];
+  Duration declared = caller.first_at + group.full_time - this->time;
+  if (group.misstates) {
+    declared = milliseconds(this->random() % 20000);
+  }
   this->ScheduleAfter(kCallerDelay, [this, vm, caller, declared] {
     this->Attempt(vm, caller, declared);
   });
@@ -422,6 +426,7 @@
   CallerCounts* counts = this->CountsFor(caller);
   if (decision.verdict == QuotaVerdict::kGranted) {
     this->CountAdmission(index, group.team);
+    ++this->granted[caller.group];
     const RuleHandle rule{group.rule, 0};
     this->vms[index].caller_age.LearnWork(rule, group.work);
     const Duration answered = this->time + group.work + kCallerDelay;
--- a/packages/decision/test/quota_simulation.h
+++ b/packages/decision/test/quota_simulation.h
@@ -44,6 +44,7 @@
   std::chrono::milliseconds work{0};    ///< Of a request that has a credit.
   std::chrono::milliseconds full_time{0};
   std::vector<double> per_second;  ///< New callers, by data centre.
+  bool misstates = false;          ///< Declares any time as the time left.
 };
 
 /// What became of the callers of a group in a data centre.
@@ -94,6 +95,11 @@
   /// @returns the sum over all VMs since their processes started.
   QuotaCounts SumCounts() const;
   double SumOverflowed() const;
+  const QuotaCounts& CountsAt(size_t vm) const {
+    return this->vms[vm].borrower->counts();
+  }
+  /// @returns the requests of a group that got a credit, from its start on.
+  size_t CountGranted(size_t group) const { return this->granted[group]; }
   Duration now() const { return this->time; }
   uint64_t store_calls() const { return this->calls; }
   uint64_t messages() const { return this->message_count; }
@@ -187,6 +193,7 @@
   uint64_t calls = 0;
   uint64_t message_count = 0;
   std::vector<CallerGroup> groups;
+  std::vector<size_t> granted;  ///< By group.
   std::vector<std::vector<CallerCounts>> caller_counts;
   size_t counts_number = 0;
 };
