Node: credits are asked for with the need of the request; counters, event 335

The entry estimates how long ago the first attempt was and how long a request of the rule usually runs, for requests of teams with a quota only. A declared time that can't be read, or that is longer than usual, gets the lowest priority and is reported at most once a second (event 335). Metrics count requests by class and by what became of their credit, and void credits. Requests that wait at a lender are checked every 5 ms instead of 20, so that credits that have accrued are granted soon.

--- a/packages/base/include/basilsill/base/event.h
+++ b/packages/base/include/basilsill/base/event.h
@@ -67,6 +67,7 @@
   kQuotaLeaseTaken = 332,
   kQuotaLeaseEnded = 333,
   kQuotaLeaseFailed = 334,
+  kDeclaredTimeUnusual = 335,
   // 400: links between nodes
   kLinkOpened = 400,
   kLinkLost = 401,
--- a/packages/base/src/event.cc
+++ b/packages/base/src/event.cc
@@ -64,6 +64,7 @@
     EventInfo{Event::kQuotaLeaseTaken, kInfo, "quota-lease-taken"},
     EventInfo{Event::kQuotaLeaseEnded, kInfo, "quota-lease-ended"},
     EventInfo{Event::kQuotaLeaseFailed, kWarning, "quota-lease-failed"},
+    EventInfo{Event::kDeclaredTimeUnusual, kWarning, "declared-time-unusual"},
     EventInfo{Event::kLinkOpened, kInfo, "link-opened"},
     EventInfo{Event::kLinkLost, kWarning, "link-lost"},
     EventInfo{Event::kLinkRejected, kWarning, "link-rejected"},
--- a/packages/node/src/caller_exchange.cc
+++ b/packages/node/src/caller_exchange.cc
@@ -58,12 +58,17 @@
   return HeaderValue(*static_cast<const HttpFields*>(headers), name);
 }
 
-// The deadline that a caller requests replaces that of the rule, up to the
-// limit of the system.
-milliseconds DeadlineOf(std::string_view text, const RuleRow& rule) {
+constexpr milliseconds kUnreadableTime{-1};
+
+// @returns the time left that a caller declares; kUnreadableTime if it can't be
+// read; nothing if it declares none.
+std::optional<milliseconds> DeclaredTime(std::string_view text) {
+  if (text.empty()) {
+    return std::nullopt;
+  }
   const std::optional<int64_t> requested = ParseNumber<int64_t>(text);
   if (!requested || *requested < 0) {
-    return rule.deadline;
+    return kUnreadableTime;
   }
   return std::min(milliseconds(*requested), limits::kMaxDeadline);
 }
@@ -236,8 +241,14 @@
 
 void CallerExchange::SetDeadline(const HttpFields& headers,
                                  const RuleRow& rule) {
-  milliseconds time =
-      DeadlineOf(HeaderValue(headers, this->host.names().deadline), rule);
+  this->declared_time =
+      DeclaredTime(HeaderValue(headers, this->host.names().deadline));
+  // The deadline that a caller requests replaces that of the rule, up to the
+  // limit of the system.
+  milliseconds time = this->declared_time.value_or(kUnreadableTime);
+  if (time == kUnreadableTime) {
+    time = rule.deadline;
+  }
   time = std::min(time, this->host.request_total());
   if (rule.timeout > milliseconds(0)) {
     time = std::min(time, rule.timeout);
@@ -297,6 +308,21 @@
       {refusal, this->answer_aborted, MonotonicClock::now() - this->began});
 }
 
+CreditClaim CallerExchange::MakeCreditClaim() const {
+  CreditClaim claim;
+  claim.traffic_class = this->request.entry.traffic_class;
+  if (this->request.good_until != kNever) {
+    claim.target = std::chrono::duration_cast<milliseconds>(
+        this->request.good_until - this->began);
+  }
+  claim.is_malformed = this->declared_time == kUnreadableTime;
+  if (!claim.is_malformed) {
+    claim.declared = this->declared_time;
+  }
+  claim.time_left = this->request.entry.deadline - MonotonicClock::now();
+  return claim;
+}
+
 // A request takes its credit before it is passed on, wherever it is queued
 // afterwards. The caller sent it before that moment, and an upstream receives
 // it later, so the requests counted here in a window are at least those that
@@ -308,7 +334,10 @@
     co_return outcome;
   }
   const TeamKey key = MakeTeamKey(team->name);
-  const QuotaDecision decision = co_await this->host.TakeQuota(key);
+  const RuleHandle rule = this->request.rule;
+  const CreditClaim claim = this->MakeCreditClaim();
+  const QuotaDecision decision =
+      co_await this->host.TakeQuota(key, rule, claim);
   if (decision.verdict != QuotaVerdict::kGranted) {
     const bool exhausted = decision.verdict == QuotaVerdict::kExhausted;
     co_return ServeOutcome{
@@ -318,11 +347,15 @@
   ServeOutcome outcome;
   outcome.refusal = Refusal::kCallerGone;
   bool ran = false;
+  const TimePoint granted_at = MonotonicClock::now();
   if (!this->abandoned && !this->expired) {
     outcome = co_await this->ServeByRule();
     ran =
         outcome.answered || InfoOf(outcome.refusal).promise != Promise::kNotRun;
   }
+  if (outcome.answered) {
+    this->host.OnQuotaServed(rule, MonotonicClock::now() - granted_at);
+  }
   if (!ran) {
     this->host.ReturnQuota(key, decision.credit);
   }
--- a/packages/node/src/caller_exchange.h
+++ b/packages/node/src/caller_exchange.h
@@ -1,7 +1,9 @@
 #ifndef BASILSILL_NODE_CALLER_EXCHANGE_H_
 #define BASILSILL_NODE_CALLER_EXCHANGE_H_
 
+#include <chrono>
 #include <memory>
+#include <optional>
 #include <span>
 #include <string>
 
@@ -86,6 +88,7 @@
   void SetDeadline(const HttpFields& headers, const RuleRow& rule);
   void SetTeam(const RuleRow& rule);
   Task<ServeOutcome> ServeWithinQuota();
+  CreditClaim MakeCreditClaim() const;
   Task<ServeOutcome> ServeByRule();
   Task<void> Refuse(const ServeOutcome& outcome);
   ServeOutcome MapExpiredOutcome(ServeOutcome outcome) const;
@@ -105,6 +108,8 @@
   CallerHost& host;
   CallerWriter& writer;
   RequestMessage request;
+  /// Time left that the caller declares; below zero if it can't be read.
+  std::optional<std::chrono::milliseconds> declared_time;
   TeamHandle key_team;  ///< Team of the API key, if the rule requires one.
   Refusal fault = Refusal::kNone;
   AsyncEvent turn;
--- a/packages/node/src/caller_host.h
+++ b/packages/node/src/caller_host.h
@@ -5,6 +5,7 @@
 #include <cstdint>
 #include <string>
 
+#include "basilsill/decision/caller_age.h"
 #include "basilsill/decision/quota_borrower.h"
 #include "basilsill/node/installation.h"
 #include "http_message.h"
@@ -72,7 +73,13 @@
 
   /// Takes one credit of `team`'s quota for a request; borrows it from the
   /// quota's lender if necessary.
-  virtual Task<QuotaDecision> TakeQuota(TeamKey team) = 0;
+  /// @param claim Decides the order in which requests get credits.
+  virtual Task<QuotaDecision> TakeQuota(TeamKey team,
+                                        RuleHandle rule,
+                                        CreditClaim claim) = 0;
+
+  /// A request of `rule` was answered `time` after it got its credit.
+  virtual void OnQuotaServed(RuleHandle rule, Duration time) = 0;
 
   /// Returns `credit`, because its request ended without having run.
   virtual void ReturnQuota(TeamKey team, const QuotaCredit& credit) = 0;
--- a/packages/node/src/metrics.h
+++ b/packages/node/src/metrics.h
@@ -9,6 +9,7 @@
 
 #include "basilsill/base/reason.h"
 #include "basilsill/base/time.h"
+#include "basilsill/decision/quota_borrower.h"
 #include "basilsill/decision/view.h"
 #include "basilsill/node/state_source.h"
 #include "metrics_latency.h"
@@ -67,6 +68,19 @@
 /// @returns the name of `outcome` in metric labels.
 std::string_view NameOf(Outcome outcome);
 
+/// What became of a request that wanted a credit of its team's quota.
+enum class CreditUse : uint8_t {
+  kAsked,
+  kGrantedInTime,
+  kGrantedLate,
+  kRefused,
+  kReturned,  ///< Ended without having run.
+  kCount
+};
+
+/// @returns the name of `use` in metric labels.
+std::string_view NameOf(CreditUse use);
+
 /// One T for each value of an enum that ends in kCount.
 template <typename T, typename Enum>
 using PerEnum = std::array<T, static_cast<size_t>(Enum::kCount)>;
@@ -93,6 +107,10 @@
   Counter caller_bytes_received;
   Counter caller_bytes_sent;
 
+  // Credits of quotas, by class.
+  PerEnum<PerEnum<Counter, CreditUse>, TrafficClass> credits;
+  Counter void_credits;
+
   // Dispatching and upstreams.
   Gauge queued;  ///< Requests that wait for a slot of an upstream.
   Gauge attempts_in_flight;
@@ -129,6 +147,9 @@
   /// called once per tick on the worker's thread.
   void Tick(TimePoint now);
 
+  /// Sets the counters of credits.
+  void SetQuotaCounts(const QuotaCounts& totals);
+
   void CountOutcome(TrafficClass traffic_class, Outcome outcome) {
     this->requests[static_cast<size_t>(traffic_class)]
                   [static_cast<size_t>(outcome)]
--- a/packages/node/src/metrics_table.cc
+++ b/packages/node/src/metrics_table.cc
@@ -105,6 +105,19 @@
   });
 }
 
+void Credits(const MetricsPage& page, MetricsWriter& writer) {
+  ForEachValue<TrafficClass>([&](TrafficClass traffic_class) {
+    ForEachValue<CreditUse>([&](CreditUse use) {
+      const auto pick = [&](const WorkerMetrics& worker) -> auto& {
+        return worker.credits[static_cast<size_t>(traffic_class)]
+                             [static_cast<size_t>(use)];
+      };
+      writer.Sample({{"class", NameOf(traffic_class)}, {"use", NameOf(use)}},
+                    SumOver(page, pick));
+    });
+  });
+}
+
 struct Quantile {
   std::string_view name;
   double ratio;
@@ -240,6 +253,14 @@
                "reason",
                "Attempts made again, or denied although possible.",
                WorkerReasons<Retry, &Worker::retries>),
+    CounterRow("basilsill_quota_credits_total",
+               "class, use",
+               "Requests of teams with a quota by what became of their credit.",
+               Credits),
+    CounterRow("basilsill_quota_void_credits_total",
+               "",
+               "Credits that were lent to this VM and not used in time.",
+               WorkerCounter<&Worker::void_credits>),
     SummaryRow("basilsill_request_seconds",
                "Time from a request's head to the last byte of its answer.",
                Latency<&MetricsPage::request_latency>),
--- a/packages/node/src/quota_host.cc
+++ b/packages/node/src/quota_host.cc
@@ -15,8 +15,9 @@
 namespace asio = boost::asio;
 using std::chrono::milliseconds;
 
-// How often requests to other lenders are checked while any are pending.
-constexpr milliseconds kPollInterval{20};
+// How often requests that wait for a credit or for other lenders are checked. A
+// longer interval delays credits that have accrued.
+constexpr milliseconds kPollInterval{5};
 
 // Without a lease store, each VM has an equal share of its own.
 QuotaCoordinatorOptions OptionsFor(QuotaCoordinatorOptions options,
--- a/packages/node/src/worker.cc
+++ b/packages/node/src/worker.cc
@@ -275,10 +275,49 @@
   });
 }
 
-Task<QuotaDecision> Worker::TakeQuota(TeamKey team) {
+// A declared time that can't be used costs its request the priority. Reported
+// at most once a second, since any caller can send one.
+void Worker::ReportDeclaredTime(LeaseTime now,
+                                RuleHandle rule,
+                                const CreditClaim& claim) {
+  if (now - this->declared_time_reported < std::chrono::seconds(1)) {
+    return;
+  }
+  this->declared_time_reported = now;
+  const std::string declared =
+      claim.declared ? std::to_string(claim.declared->count()) : "unreadable";
+  const RuleRow* row = FindRule(*this->current_view, rule);
+  const std::string name = row != nullptr ? row->name : "";
+  Log(Event::kDeclaredTimeUnusual, {{"rule", name}, {"declared", declared}});
+}
+
+CreditNeed Worker::EstimateNeed(LeaseTime now,
+                                RuleHandle rule,
+                                const CreditClaim& claim) {
+  CallerAge::Estimate estimate;
+  if (claim.declared) {
+    estimate = this->caller_age.AgeOf(now, rule, *claim.declared);
+    this->caller_age.Learn(now, rule, *claim.declared);
+  }
+  const bool is_unusual =
+      claim.declared && !estimate.is_learning && !estimate.age;
+  if (claim.is_malformed || is_unusual) {
+    this->ReportDeclaredTime(now, rule, claim);
+  }
+  return MakeCreditNeed(claim, estimate, this->caller_age.WorkOf(rule));
+}
+
+void Worker::OnQuotaServed(RuleHandle rule, Duration time) {
+  this->caller_age.LearnWork(rule, time);
+}
+
+Task<QuotaDecision> Worker::TakeQuota(TeamKey team,
+                                      RuleHandle rule,
+                                      CreditClaim claim) {
   this->uses_quotas = true;
   const LeaseTime now = LeaseClock::now();
-  const QuotaDecision decision = this->borrower.Acquire(now, team);
+  const CreditNeed need = this->EstimateNeed(now, rule, claim);
+  const QuotaDecision decision = this->borrower.Acquire(now, team, need);
   if (decision.verdict != QuotaVerdict::kWait) {
     co_return decision;
   }
@@ -315,6 +354,7 @@
   const LeaseTime now = LeaseClock::now();
   this->borrower.Tick(now);
   this->PumpQuota(now);
+  this->counts->SetQuotaCounts(this->borrower.counts());
 }
 
 void Worker::AnnounceLeave() {
--- a/packages/node/src/worker.h
+++ b/packages/node/src/worker.h
@@ -11,6 +11,7 @@
 #include <vector>
 
 #include "async_event.h"
+#include "basilsill/decision/caller_age.h"
 #include "basilsill/decision/quota_borrower.h"
 #include "basilsill/decision/split_chooser.h"
 #include "basilsill/node/installation.h"
@@ -188,7 +189,16 @@
   bool routes_verified() const override {
     return this->IsYoungerThan(this->installation.route_max_age);
   }
-  Task<QuotaDecision> TakeQuota(TeamKey team) override;
+  Task<QuotaDecision> TakeQuota(TeamKey team,
+                                RuleHandle rule,
+                                CreditClaim claim) override;
+  void OnQuotaServed(RuleHandle rule, Duration time) override;
+  CreditNeed EstimateNeed(LeaseTime now,
+                          RuleHandle rule,
+                          const CreditClaim& claim);
+  void ReportDeclaredTime(LeaseTime now,
+                          RuleHandle rule,
+                          const CreditClaim& claim);
   void ReturnQuota(TeamKey team, const QuotaCredit& credit) override;
   void OnRequestStarted() override;
   void OnRequestDone(const RequestMessage& request,
@@ -224,6 +234,8 @@
   /// The configuration is known to have been the newest at that time.
   LeaseTime configuration_as_of = LeaseTime::min();
   QuotaBorrower borrower;
+  CallerAge caller_age;
+  LeaseTime declared_time_reported{};          ///< Last event about one.
   std::map<uint64_t, QuotaWait*> quota_waits;  ///< By ticket.
   bool uses_quotas = false;
   std::string via_text;
