--- a/packages/decision/test/quota_test.cc
+++ b/packages/decision/test/quota_test.cc
@@ -1,6 +1,9 @@
 // Tests token buckets, borrower and lease of quotas.
 
 #include <string>
+#include <utility>
+#include <variant>
+#include <vector>
 
 #include "basilsill/decision/quota_borrower.h"
 #include "basilsill/decision/quota_lease.h"
@@ -11,6 +14,7 @@
 using basilsill::kCreditLife;
 using basilsill::LeaseTime;
 using basilsill::MakeTeamKey;
+using basilsill::OutgoingQuotaMessage;
 using basilsill::QuotaAnswer;
 using basilsill::QuotaBorrower;
 using basilsill::QuotaBuckets;
@@ -19,10 +23,13 @@
 using basilsill::QuotaLease;
 using basilsill::QuotaLeaseCall;
 using basilsill::QuotaLeaseRecord;
+using basilsill::QuotaLender;
+using basilsill::QuotaNeed;
 using basilsill::QuotaRequest;
 using basilsill::QuotaVerdict;
 using basilsill::TeamKey;
 using basilsill::TeamRow;
+using basilsill::TrafficClass;
 using namespace std::chrono_literals;
 
 namespace {
@@ -186,6 +193,137 @@
   CHECK_FALSE(this->borrower.NextRequest(this->now + 2 * kCreditLife));
 }
 
+TEST(QuotaBorrower, OnAnswer_Outcomes_ApplyToTheirRequests) {
+  this->borrower.Acquire(this->now, kTeam);
+  this->borrower.Acquire(this->now, kTeam);
+  const auto request = this->borrower.NextRequest(this->now);
+  const auto& needs = request->wants.front().needs;
+  CHECK_EQUAL(2, needs.size());
+  this->borrower.OnAnswer(
+      this->now, {request->number,
+                  true,
+                  1,
+                  {{kTeam, 1, 0ms, {{needs[1].ticket, true, 0ms}}, 1}}});
+  const auto first = this->borrower.TakeSettled();
+  CHECK_EQUAL(1, first.size());
+  CHECK_EQUAL(needs[1].ticket, first.front().ticket);
+  CHECK(first.front().verdict == QuotaVerdict::kGranted);
+  // A request that waits at the lender is not asked for again.
+  CHECK_FALSE(this->borrower.NextRequest(this->now + 100ms).has_value());
+  this->borrower.OnAnswer(
+      this->now + 100ms,
+      {request->number,
+       true,
+       2,
+       {{kTeam, 0, 0ms, {{needs[0].ticket, false, 70ms}}, 0}}});
+  const auto second = this->borrower.TakeSettled();
+  CHECK_EQUAL(1, second.size());
+  CHECK(second.front().verdict == QuotaVerdict::kExhausted);
+  CHECK(second.front().retry_after == 70ms);
+}
+
+// Failure: a request that waits at a lender gets its answer after its target.
+TEST(QuotaBorrower, Tick_TargetPasses_EndsTheWait) {
+  this->borrower.Acquire(this->now, kTeam,
+                         {TrafficClass::kUrgent, 100ms, 3s, false});
+  this->borrower.Tick(this->now + 99ms);
+  CHECK_TRUE(this->borrower.TakeSettled().empty());
+  this->borrower.Tick(this->now + 100ms);
+  CHECK_EQUAL(1, this->borrower.TakeSettled().size());
+}
+
+// Failure: credits that nobody uses become void, and the team loses them.
+TEST(QuotaBorrower, Tick_CreditsUnused_GoBackBeforeTheyAreVoid) {
+  this->borrower.Acquire(this->now, kTeam);
+  const auto request = this->borrower.NextRequest(this->now);
+  this->borrower.OnAnswer(this->now, this->Grant(*request, 3));
+  this->borrower.Tick(this->now + 110ms);
+  const auto back = this->borrower.NextRequest(this->now + 170ms);
+  CHECK(back.has_value());
+  CHECK_EQUAL(2, back->returns.front().count);
+}
+
+TEST_GROUP(QuotaLender) {
+  LeaseTime now{std::chrono::hours(1)};
+  QuotaLender lender;
+
+  void setup() override {
+    this->lender.SetTeams(this->now, {Row(10, 1)}, 1);
+    this->lender.Begin(this->now, QuotaLender::ShareHistory::kUnknown);
+  }
+
+  void Ask(std::vector<QuotaNeed> needs, uint32_t wanted) {
+    QuotaRequest request;
+    request.number = 7;
+    request.wants.push_back({kTeam, wanted, std::move(needs)});
+    this->lender.OnRequest(this->now, {{3, 0}, 0}, request);
+  }
+
+  std::vector<QuotaAnswer> Answers() {
+    std::vector<QuotaAnswer> answers;
+    for (const OutgoingQuotaMessage& sent : this->lender.TakeOutgoing()) {
+      answers.push_back(std::get<QuotaAnswer>(sent.message));
+    }
+    return answers;
+  }
+};
+
+// A credit accrues within the time that the request can wait.
+TEST(QuotaLender, OnRequest_CreditAccruesInTime_IsGrantedLater) {
+  this->Ask({{1, {TrafficClass::kUrgent, 140ms, 3s, false}},
+             {2, {TrafficClass::kUrgent, 140ms, 3s, false}}},
+            2);
+  const auto first = this->Answers();
+  CHECK_EQUAL(1, first.size());
+  CHECK_EQUAL(1, first.front().grants.front().granted);
+  CHECK_EQUAL(1, first.front().grants.front().held);
+  this->now += 100ms;
+  this->lender.Tick(this->now);
+  const auto second = this->Answers();
+  CHECK_EQUAL(1, second.size());
+  CHECK_EQUAL(2, second.front().grants.front().outcomes.front().ticket);
+  CHECK_TRUE(second.front().grants.front().outcomes.front().is_granted);
+}
+
+// Failure: a request that can't be served keeps its caller waiting.
+TEST(QuotaLender, OnRequest_NoCreditInTime_IsRefusedAtOnce) {
+  this->Ask({{1, {TrafficClass::kUrgent, 140ms, 3s, false}}}, 1);
+  this->Answers();
+  this->Ask({{2, {TrafficClass::kUrgent, 50ms, 3s, false}}}, 1);
+  const auto answers = this->Answers();
+  CHECK_EQUAL(1, answers.size());
+  CHECK_FALSE(answers.front().grants.front().outcomes.front().is_granted);
+}
+
+// A borrower of the version before gets one answer, with a number of credits.
+TEST(QuotaLender, OnRequest_WithoutNeeds_GetsOneAnswer) {
+  this->Ask({}, 2);
+  size_t count = this->Answers().size();
+  for (int i = 0; i < 15; ++i) {
+    this->now += 10ms;
+    this->lender.Tick(this->now);
+    for (const QuotaAnswer& answer : this->Answers()) {
+      ++count;
+      CHECK_TRUE(answer.grants.front().outcomes.empty());
+      CHECK_EQUAL(0, answer.grants.front().held);
+    }
+  }
+  CHECK_EQUAL(1, count);
+}
+
+// Failure: the lease ends while requests wait here, and their callers wait
+// until the borrower gives up.
+TEST(QuotaLender, End_RequestsWait_AreAnswered) {
+  this->Ask({{1, {TrafficClass::kUrgent, 140ms, 3s, false}},
+             {2, {TrafficClass::kUrgent, 140ms, 3s, false}}},
+            2);
+  this->Answers();
+  this->lender.End();
+  const auto answers = this->Answers();
+  CHECK_EQUAL(1, answers.size());
+  CHECK_FALSE(answers.front().grants.front().outcomes.front().is_granted);
+}
+
 TEST_GROUP(QuotaLease) {
   LeaseTime now{std::chrono::hours(1)};
   QuotaLease lease{"vm-a", 7};
