Soak: nodes that are cut from all upstreams

A new fault cuts some nodes, at most all but one, from all upstreams for 4.7 to 7.5 s: connections hang, are reset, or new ones are refused. The nodes share the upstreams' proxies; which process has the other end of a connection is read in /proc. The promise cut-served: from 3 s after the cut began, first tries at a node that is cut fail no more often than a third more than at the others, beyond 10 and 1 in 50. Tests with tables in which it is broken and in which it is kept.

A seed draws up to eight kinds, not seven, so that 50 seeds still have every fault.

Run: the tests of promises, plans and connections. Not run yet: the fault with real nodes.

--- a/soak/fleet.cc
+++ b/soak/fleet.cc
@@ -167,6 +167,55 @@
   return nodes;
 }
 
+// Cuts at least one node and leaves at least one.
+std::vector<size_t> Fleet::BeginCut(const Step& step) {
+  std::vector<size_t> whole;
+  for (const auto& member : this->members) {
+    if (member->upstream_link == LinkState::kNormal) {
+      whole.push_back(member->number);
+    }
+  }
+  if (whole.size() < 2) {
+    return {};
+  }
+  std::rotate(
+      whole.begin(),
+      whole.begin() + static_cast<ptrdiff_t>(step.target % whole.size()),
+      whole.end());
+  const size_t count = 1 + step.target / whole.size() % (whole.size() - 1);
+  whole.resize(count);
+  for (const size_t node : whole) {
+    this->members[node]->upstream_link = step.fault == Fault::kCutSilent
+                                             ? LinkState::kSilent
+                                             : LinkState::kRefusing;
+  }
+  return whole;
+}
+
+void Fleet::EndCut(const std::vector<size_t>& nodes) {
+  for (const size_t node : nodes) {
+    this->members[node]->upstream_link = LinkState::kNormal;
+  }
+}
+
+void Fleet::FindConnections() {
+  for (const auto& member : this->members) {
+    if (member->upstream_link != LinkState::kNormal) {
+      member->connections = ConnectionsOf(member->process->pid());
+    }
+  }
+}
+
+LinkState Fleet::UpstreamLink(const ConnectionPorts& ports) const {
+  for (const auto& member : this->members) {
+    if (member->upstream_link != LinkState::kNormal &&
+        member->connections.contains(ports)) {
+      return member->upstream_link;
+    }
+  }
+  return LinkState::kNormal;
+}
+
 void Fleet::SetStoreLinks(LinkState state) {
   for (const auto& member : this->members) {
     member->store_link->SetState(state);
--- a/soak/fleet.h
+++ b/soak/fleet.h
@@ -3,12 +3,14 @@
 
 #include <chrono>
 #include <memory>
+#include <set>
 #include <string>
 #include <vector>
 
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/io_context.hpp>
 
+#include "client_ports.h"
 #include "node_process.h"
 #include "observations.h"
 #include "plan.h"
@@ -56,6 +58,19 @@
     return this->members[node]->process->callers();
   }
 
+  /// Cuts some nodes from all upstreams; the caller applies it to open
+  /// connections.
+  /// @returns the nodes; empty if none was left that is not cut.
+  std::vector<size_t> BeginCut(const Step& step);
+  void EndCut(const std::vector<size_t>& nodes);
+
+  /// Finds out which connections the nodes that are cut have.
+  void FindConnections();
+
+  /// @returns the state of a connection to an upstream that FindConnections()
+  /// has found, else kNormal.
+  LinkState UpstreamLink(const ConnectionPorts& ports) const;
+
   /// Sets the state of the connections between all nodes and the store.
   void SetStoreLinks(LinkState state);
 
@@ -69,6 +84,8 @@
     std::unique_ptr<NodeProcess> process;
     size_t failed_polls = 0;  ///< Consecutive readiness polls that failed.
     bool has_fault = false;   ///< A fault is in progress on this node.
+    LinkState upstream_link = LinkState::kNormal;
+    std::set<ConnectionPorts> connections;  ///< While it is cut.
   };
 
   boost::asio::awaitable<void> PollReadiness(Member& member);
--- a/soak/main.cc
+++ b/soak/main.cc
@@ -39,6 +39,7 @@
   milliseconds gap = basilsill::soak::kDefaultGap;
   bool keep_logs = false;
   bool loose = false;
+  bool without_cuts = false;
 };
 
 Arguments ReadArguments(int argc, char** argv) {
@@ -65,6 +66,10 @@
       "l", "loose",
       "Tell nodes longer bounds than they are judged by, to see that it shows",
       line);
+  TCLAP::SwitchArg without_cuts(
+      "", "without-cuts",
+      "Plans as before nodes were cut from all upstreams, for older seeds",
+      line);
   line.parse(argc, argv);
   return {program.getValue(),
           directory.getValue(),
@@ -75,7 +80,8 @@
           std::chrono::seconds(seconds.getValue()),
           milliseconds(gap.getValue()),
           keep.getValue(),
-          loose.getValue()};
+          loose.getValue(),
+          without_cuts.getValue()};
 }
 
 double SecondsSince(basilsill::TimePoint start, basilsill::TimePoint at) {
@@ -167,7 +173,9 @@
        std::to_string(seed));
   std::filesystem::create_directories(directory);
   const Plan plan = basilsill::soak::MakePlan(
-      seed, arguments.nodes, arguments.duration, arguments.gap);
+      seed, arguments.nodes, arguments.duration, arguments.gap,
+      arguments.without_cuts ? basilsill::soak::FaultSet::kWithoutCuts
+                             : basilsill::soak::FaultSet::kAll);
   basilsill::soak::RigOptions options;
   options.program = arguments.program;
   options.directory = directory.string();
--- a/soak/node_process.cc
+++ b/soak/node_process.cc
@@ -126,6 +126,10 @@
   return this->process != nullptr && this->process->running.running(ignored);
 }
 
+int NodeProcess::pid() {
+  return this->IsRunning() ? this->process->running.id() : 0;
+}
+
 Endpoint NodeProcess::callers() const {
   return {this->options.address, kCallersPort};
 }
--- a/soak/node_process.h
+++ b/soak/node_process.h
@@ -43,6 +43,9 @@
   /// @returns false if the process was not started or has exited.
   bool IsRunning();
 
+  /// @returns the id of the process; 0 if it does not run.
+  int pid();
+
   Endpoint callers() const;
   Endpoint readiness() const;
 
--- a/soak/node_promises.cc
+++ b/soak/node_promises.cc
@@ -1,5 +1,6 @@
 #include "promise_checker.h"
 
+#include <algorithm>
 #include <map>
 
 namespace basilsill::soak {
@@ -59,6 +60,64 @@
   }
 }
 
+bool PromiseChecker::IsCut(size_t node, TimePoint at) const {
+  return std::any_of(this->observations.cuts.begin(),
+                     this->observations.cuts.end(),
+                     [node, at](const CutRow& cut) {
+                       return cut.node == node && at >= cut.from && at < cut.to;
+                     });
+}
+
+// Leaves out what no node would serve: teams with a quota or a revoked key, and
+// the route that comes and goes.
+bool PromiseChecker::IsRelevantToCut(const RequestRow& row) const {
+  return row.team == static_cast<size_t>(SoakTeam::kPlain) &&
+         row.outcome != RequestOutcome::kCallerLeft &&
+         row.outcome != RequestOutcome::kOpen && row.status != kNotFound &&
+         this->IsNodeUndisturbed(row.node, row.sent, row.ended);
+}
+
+void PromiseChecker::CheckCutServed() {
+  for (const CutRow& cut : this->observations.cuts) {
+    this->CheckCutServed(cut);
+  }
+}
+
+// Other faults of the same time harm the callers of the other nodes too.
+// Without a node that reaches upstreams nothing can be served.
+void PromiseChecker::CheckCutServed(const CutRow& cut) {
+  const TimePoint from = cut.from + this->bounds.cut_delay + this->slack;
+  ServedCount at_cut;
+  ServedCount elsewhere;
+  for (const RequestRow& row : this->observations.requests) {
+    const bool is_cut = row.node == cut.node;
+    if (row.sent < from || row.sent >= cut.to || !this->IsRelevantToCut(row) ||
+        (!is_cut && this->IsCut(row.node, row.sent))) {
+      continue;
+    }
+    ServedCount& count = is_cut ? at_cut : elsewhere;
+    ++count.requests;
+    count.failed += IsSuccess(row) ? 0 : 1;
+  }
+  if (elsewhere.requests == 0) {
+    return;
+  }
+  const double usual = static_cast<double>(elsewhere.failed) /
+                       static_cast<double>(elsewhere.requests);
+  const double bound =
+      this->bounds.cut_failures +
+      (this->bounds.cut_excess * usual + this->bounds.cut_part) *
+          static_cast<double>(at_cut.requests);
+  if (static_cast<double>(at_cut.failed) > bound) {
+    this->Add(Promise::kCutServed, {}, from,
+              "node " + std::to_string(cut.node) + ", " +
+                  std::to_string(at_cut.failed) + " of " +
+                  std::to_string(at_cut.requests) + " failed, elsewhere " +
+                  std::to_string(elsewhere.failed) + " of " +
+                  std::to_string(elsewhere.requests));
+  }
+}
+
 void PromiseChecker::CheckReadyTakes() {
   std::map<size_t, size_t> missed;  // Consecutive misses, by node.
   for (const ConnectionRow& row : this->observations.connections) {
--- a/soak/observations.h
+++ b/soak/observations.h
@@ -134,6 +134,13 @@
   TimePoint to{};
 };
 
+/// A node was cut from all upstreams.
+struct CutRow {
+  size_t node = 0;
+  TimePoint from{};
+  TimePoint to = TimePoint::max();
+};
+
 /// A node reported that it is ready, and a probe opened a new connection to it
 /// immediately.
 struct ConnectionRow {
@@ -178,6 +185,7 @@
   std::vector<NoticeRow> rests;
   std::vector<KeyRow> keys;
   std::vector<RouteRow> routes;
+  std::vector<CutRow> cuts;
   std::vector<Disturbance> disturbances;
   std::vector<UnexpectedExit> unexpected_exits;
   std::vector<ConnectionRow> connections;
--- a/soak/plan.cc
+++ b/soak/plan.cc
@@ -38,7 +38,10 @@
               "upstream-cold",
               "upstream-limit",
               "upstream-says-leaving",
-              "upstream-rests"};
+              "upstream-rests",
+              "cut-silent",
+              "cut-reset",
+              "cut-refuses"};
 
 constexpr milliseconds kMinDuration{200};
 constexpr milliseconds kMaxDuration{3000};
@@ -52,7 +55,8 @@
 
 // A seed has only a few kinds of faults. If every seed had all kinds, the
 // promises that hold only for undisturbed nodes could rarely be checked.
-constexpr uint32_t kMaxKinds = 7;
+constexpr uint32_t kMaxKinds = 8;
+constexpr uint32_t kMaxKindsWithoutCuts = 7;
 // These occur in every seed, as they exercise the promises with a time bound.
 constexpr std::array<Fault, 7> kCommonFaults = {
     Fault::kRouteChange,  Fault::kUpstreamLeave, Fault::kDataCentreDrain,
@@ -74,9 +78,12 @@
 }
 
 // Draws the kinds of a seed in addition to the common ones.
-std::vector<Fault> DrawKinds(pcg32& random) {
+std::vector<Fault> DrawKinds(pcg32& random, FaultSet faults) {
+  const bool has_cuts = faults == FaultSet::kAll;
+  const auto end =
+      static_cast<uint32_t>(has_cuts ? Fault::kCount : Fault::kCutSilent);
   std::vector<Fault> others;
-  for (uint32_t i = 0; i < static_cast<uint32_t>(Fault::kCount); ++i) {
+  for (uint32_t i = 0; i < end; ++i) {
     const auto kind = static_cast<Fault>(i);
     if (std::find(kCommonFaults.begin(), kCommonFaults.end(), kind) ==
         kCommonFaults.end()) {
@@ -84,7 +91,8 @@
     }
   }
   std::vector<Fault> kinds;
-  for (uint32_t left = Draw(random, kMaxKinds + 1); left > 0; --left) {
+  const uint32_t most = has_cuts ? kMaxKinds : kMaxKindsWithoutCuts;
+  for (uint32_t left = Draw(random, most + 1); left > 0; --left) {
     kinds.push_back(DrawFrom(random, others));
   }
   return kinds;
@@ -113,13 +121,14 @@
 Plan MakePlan(uint64_t seed,
               size_t nodes,
               milliseconds duration,
-              milliseconds gap) {
+              milliseconds gap,
+              FaultSet faults) {
   Plan plan;
   plan.seed = seed;
   plan.nodes = nodes;
   plan.duration = duration;
   pcg32 random(seed);
-  const std::vector<Fault> kinds = DrawKinds(random);
+  const std::vector<Fault> kinds = DrawKinds(random, faults);
   std::bernoulli_distribution repeats(kRepeatProbability);
   milliseconds at = kFaultFreeStart + DrawGap(random, gap);
   while (at < duration) {
--- a/soak/plan.h
+++ b/soak/plan.h
@@ -37,6 +37,10 @@
   kUpstreamLimit,        ///< Advertises a rate limit for a while.
   kUpstreamSaysLeaving,  ///< In its answers; its entry does not say so.
   kUpstreamRests,        ///< Turns requests away and asks for rest.
+  // Some nodes are cut from all upstreams for the duration and longer.
+  kCutSilent,   ///< Connections stay open and carry no bytes.
+  kCutReset,    ///< Connections are reset, also new ones.
+  kCutRefuses,  ///< New connections are reset.
   kCount
 };
 
@@ -60,13 +64,23 @@
 /// that some of them overlap.
 inline constexpr std::chrono::milliseconds kDefaultGap{1300};
 
+/// The kinds of faults that a plan may have.
+enum class FaultSet : uint8_t {
+  kAll,
+  /// Without cuts from all upstreams. For seeds found before there were cuts:
+  /// their plans stay the same.
+  kWithoutCuts,
+  kCount
+};
+
 /// @param duration Duration of the traffic. A plan that kills all nodes extends
 /// it until their recovery can be checked.
 /// @param gap Average time between two faults.
 Plan MakePlan(uint64_t seed,
               size_t nodes,
               std::chrono::milliseconds duration,
-              std::chrono::milliseconds gap = kDefaultGap);
+              std::chrono::milliseconds gap = kDefaultGap,
+              FaultSet faults = FaultSet::kAll);
 
 }  // namespace basilsill::soak
 
--- a/soak/promise_checker.cc
+++ b/soak/promise_checker.cc
@@ -42,7 +42,8 @@
       &PromiseChecker::CheckDrained,     &PromiseChecker::CheckCold,
       &PromiseChecker::CheckRateLimit,   &PromiseChecker::CheckKeyRevoked,
       &PromiseChecker::CheckTeamQuota,   &PromiseChecker::CheckReadyTakes,
-      &PromiseChecker::CheckLeavingSaid, &PromiseChecker::CheckRest};
+      &PromiseChecker::CheckLeavingSaid, &PromiseChecker::CheckRest,
+      &PromiseChecker::CheckCutServed};
   for (const Check check : checks) {
     (this->*check)();
   }
--- a/soak/promise_checker.h
+++ b/soak/promise_checker.h
@@ -82,6 +82,14 @@
   bool IsClosedLate(const RequestRow& row) const;
   void CheckStaysUp();
   void CheckReadyTakes();
+  struct ServedCount {
+    size_t requests = 0;
+    size_t failed = 0;
+  };
+  bool IsCut(size_t node, TimePoint at) const;
+  bool IsRelevantToCut(const RequestRow& row) const;
+  void CheckCutServed();
+  void CheckCutServed(const CutRow& cut);
 
   // Upstreams.
   void CheckLeaving();
--- a/soak/promises.cc
+++ b/soak/promises.cc
@@ -14,7 +14,7 @@
               "caller-gone",  "timeout",    "stays-up",
               "drained",      "cold",       "rate-limit",
               "key-revoked",  "team-quota", "ready-takes-connections",
-              "leaving-said", "rest"};
+              "leaving-said", "rest",       "cut-served"};
 
 }  // namespace
 
--- a/soak/promises.h
+++ b/soak/promises.h
@@ -34,6 +34,7 @@
   kReadyTakes,     ///< A ready node accepts new connections.
   kLeavingSaid,    ///< An upstream that says that it leaves gets no requests.
   kRest,           ///< An upstream that asks for rest gets it.
+  kCutServed,      ///< Callers of nodes that are cut from upstreams are served.
   kCount
 };
 
@@ -80,6 +81,13 @@
   size_t nodes = 4;
   size_t notice_requests = 2;
   std::chrono::milliseconds rest_delay{500};
+  /// From cut_delay after the start of a cut, at most cut_excess times as large
+  /// a part of the requests fails at a node that is cut from all upstreams as
+  /// at the others, plus cut_failures and a fraction cut_part of its requests.
+  std::chrono::milliseconds cut_delay{3000};
+  double cut_excess = 4.0 / 3;
+  double cut_failures = 10;
+  double cut_part = 0.02;
   std::chrono::milliseconds grace{6000};
   std::chrono::milliseconds loss_slack{200};
   std::chrono::milliseconds caller_gone{500};
--- a/soak/proxy.cc
+++ b/soak/proxy.cc
@@ -47,6 +47,8 @@
 
   tcp::socket near;
   tcp::socket far;
+  uint16_t client_port = 0;
+  LinkState client_link = LinkState::kNormal;
   bool is_silent = false;  ///< For good.
 };
 
@@ -58,6 +60,7 @@
         target(std::move(target)) {}
 
   asio::awaitable<void> Accept();
+  void Identify(SocketPair& pair);
   asio::awaitable<void> Connect(std::shared_ptr<SocketPair> pair);
   asio::awaitable<void> Forward(std::shared_ptr<SocketPair> pair,
                                 Direction direction);
@@ -65,6 +68,7 @@
                               Direction direction);
   bool IsHeld(const SocketPair& pair, Direction direction) const {
     return pair.is_silent || this->link == LinkState::kSilent ||
+           pair.client_link == LinkState::kSilent ||
            (this->link == LinkState::kOneWay &&
             direction == Direction::kFromTarget);
   }
@@ -72,6 +76,7 @@
   tcp::acceptor acceptor;
   Endpoint target;
   LinkState link = LinkState::kNormal;
+  ClientLink client_link;
   std::set<std::shared_ptr<SocketPair>> pairs;
   bool stopped = false;
 };
@@ -85,7 +90,9 @@
       co_return;
     }
     auto pair = std::make_shared<SocketPair>(std::move(socket));
-    if (this->link == LinkState::kRefusing) {
+    this->Identify(*pair);
+    if (this->link == LinkState::kRefusing ||
+        pair->client_link == LinkState::kRefusing) {
       pair->Reset();
     } else {
       asio::co_spawn(this->acceptor.get_executor(),
@@ -94,11 +101,21 @@
   }
 }
 
+void Proxy::State::Identify(SocketPair& pair) {
+  boost::system::error_code gone;
+  pair.client_port = pair.near.remote_endpoint(gone).port();
+  if (this->client_link && !gone) {
+    pair.client_link = this->client_link(pair.client_port);
+  }
+}
+
 asio::awaitable<void> Proxy::State::Connect(std::shared_ptr<SocketPair> pair) {
   const auto self = this->shared_from_this();
   const auto [error] =
       co_await pair->far.async_connect(ToTcp(this->target), kNoThrow);
-  if (error || this->stopped) {
+  // The state may have changed meanwhile.
+  this->Identify(*pair);
+  if (error || this->stopped || pair->client_link == LinkState::kRefusing) {
     pair->Reset();
     co_return;
   }
@@ -178,6 +195,21 @@
   this->state->link = next;
 }
 
+void Proxy::SetClientLink(ClientLink link) {
+  this->state->client_link = std::move(link);
+}
+
+void Proxy::ApplyClientLink(const ClientLink& link, bool resets) {
+  std::erase_if(this->state->pairs, [&](const auto& pair) {
+    pair->client_link = link(pair->client_port);
+    const bool is_reset = resets && pair->client_link == LinkState::kRefusing;
+    if (is_reset) {
+      pair->Reset();
+    }
+    return is_reset;
+  });
+}
+
 void Proxy::Silence() {
   for (const auto& pair : this->state->pairs) {
     pair->is_silent = true;
--- a/soak/proxy.h
+++ b/soak/proxy.h
@@ -2,6 +2,8 @@
 #define BASILSILL_SOAK_PROXY_H_
 
 #include <chrono>
+#include <cstdint>
+#include <functional>
 #include <memory>
 
 #include <boost/asio/io_context.hpp>
@@ -37,6 +39,17 @@
   /// delivered once the state no longer holds them.
   void SetState(LinkState next);
 
+  /// @returns the state of the connections of one client, which has this port.
+  /// Only kNormal, kSilent and kRefusing.
+  using ClientLink = std::function<LinkState(uint16_t client_port)>;
+
+  /// Applies to new connections, in addition to SetState().
+  void SetClientLink(ClientLink link);
+
+  /// Applies to open connections.
+  /// @param resets Resets those whose state is kRefusing; otherwise they go on.
+  void ApplyClientLink(const ClientLink& link, bool resets);
+
   /// Resets all open connections.
   void Reset();
 
--- a/soak/rig.cc
+++ b/soak/rig.cc
@@ -44,6 +44,8 @@
 // When idle connections use up the descriptors of a node, and for how long.
 constexpr milliseconds kFloodedAfter{3500};
 constexpr milliseconds kFloodedFor{3500};
+// Added to the duration of a cut, as its promise counts from three seconds on.
+constexpr milliseconds kExtraCutTime{4500};
 
 class Rig {
  public:
@@ -55,7 +57,12 @@
         callers(this->io,
                 this->fleet,
                 this->MakeCallersOptions(),
-                this->observations) {}
+                this->observations) {
+    this->upstreams.SetClientLinks([this](const ConnectionPorts& ports) {
+      this->fleet.FindConnections();
+      return this->fleet.UpstreamLink(ports);
+    });
+  }
 
   Observations Run() {
     this->PublishConfiguration();
@@ -202,6 +209,8 @@
       this->PublishConfiguration();
     } else if (step.fault == Fault::kDataCentreDrain) {
       co_await this->Drain(step);
+    } else if (step.fault >= Fault::kCutSilent) {
+      co_await this->Cut(step);
     } else {
       co_await this->upstreams.InjectFault(step);
     }
@@ -227,6 +236,39 @@
     }
   }
 
+  void ApplyCuts(bool resets) {
+    this->fleet.FindConnections();
+    this->upstreams.ApplyClientLinks(
+        [this](const ConnectionPorts& ports) {
+          return this->fleet.UpstreamLink(ports);
+        },
+        resets);
+  }
+
+  asio::awaitable<void> Cut(Step step) {
+    const std::vector<size_t> nodes = this->fleet.BeginCut(step);
+    if (nodes.empty()) {
+      co_return;
+    }
+    const size_t row = this->observations.BeginDisturbance(
+        DisturbanceKind::kUpstream, std::nullopt);
+    const size_t first = this->observations.cuts.size();
+    for (const size_t node : nodes) {
+      this->observations.cuts.push_back({node, MonotonicClock::now()});
+    }
+    this->ApplyCuts(step.fault == Fault::kCutReset);
+    co_await Sleep(step.duration + kExtraCutTime);
+    if (this->is_finished) {
+      co_return;
+    }
+    this->fleet.EndCut(nodes);
+    this->ApplyCuts(false);
+    for (size_t i = 0; i < nodes.size(); ++i) {
+      this->observations.cuts[first + i].to = MonotonicClock::now();
+    }
+    this->observations.EndDisturbance(row);
+  }
+
   asio::awaitable<void> InjectStoreFault(const Step& step) {
     if (this->has_store_fault) {
       co_return;
--- a/soak/test/promises_test.cc
+++ b/soak/test/promises_test.cc
@@ -63,6 +63,21 @@
     this->observations.arrivals.push_back({id, 0, 1, kStart + at});
   }
 
+  void Cut(size_t node, Duration from, Duration to) {
+    this->observations.cuts.push_back({node, kStart + from, kStart + to});
+  }
+
+  /// Adds requests of one node, of which the first `failed` were refused.
+  void AddTries(size_t node, size_t count, size_t failed, Duration at) {
+    for (size_t i = 0; i < count; ++i) {
+      const std::string id =
+          "t" + std::to_string(node) + "-" + std::to_string(i);
+      RequestRow& row = this->AddServed(id, at + i * 1ms);
+      row.node = node;
+      row.status = i < failed ? 503 : 200;
+    }
+  }
+
   void Disturb(DisturbanceKind kind, Duration from, Duration to) {
     this->observations.disturbances.push_back(
         {kind, 0, kStart + from, kStart + to});
@@ -296,6 +311,17 @@
   CHECK(std::find(counts.begin(), counts.end(), 0U) == counts.end());
 }
 
+// Failure: the plan of a seed that found a fault changes, and the test that
+// runs it covers the fault no more.
+TEST(SoakPlan, Plan_WithoutCuts_KeepsThePlansOfOlderSeeds) {
+  const Plan plan = MakePlan(9246, 4, 12s, kDefaultGap, FaultSet::kWithoutCuts);
+  CHECK_EQUAL(8, plan.steps.size());
+  CHECK(plan.steps[0].fault == Fault::kDataCentreDrain);
+  CHECK(plan.steps[0].at == 2839ms);
+  CHECK(plan.steps[7].fault == Fault::kNodeKill);
+  CHECK(plan.steps[7].at == 10262ms);
+}
+
 // Failure: a request reaches an upstream in a data centre one second after the
 // drain of that data centre was accepted.
 TEST(Promises, Drained_ArrivalAfterBound_Found) {
@@ -445,6 +471,81 @@
   CHECK_FALSE(this->IsBroken(Promise::kRest));
 }
 
+// Failure: a node that is cut from all upstreams refuses its callers, although
+// other nodes could dispatch for it.
+TEST(Promises, CutServed_CallersOfCutNodeRefused_Found) {
+  this->Cut(1, 10s, 20s);
+  this->AddTries(0, 100, 0, 14s);
+  this->AddTries(1, 100, 14, 14s);
+  CHECK(this->IsBroken(Promise::kCutServed));
+}
+
+TEST(Promises, CutServed_FewCallersRefused_Allowed) {
+  this->Cut(1, 10s, 20s);
+  this->AddTries(0, 100, 0, 14s);
+  this->AddTries(1, 100, 12, 14s);
+  CHECK_FALSE(this->IsBroken(Promise::kCutServed));
+}
+
+// Other faults of the same time.
+TEST(Promises, CutServed_OthersRefusedAsWell_Allowed) {
+  this->Cut(1, 10s, 20s);
+  this->AddTries(0, 100, 30, 14s);
+  this->AddTries(1, 100, 50, 14s);
+  CHECK_FALSE(this->IsBroken(Promise::kCutServed));
+}
+
+TEST(Promises, CutServed_FarMoreThanAtOthers_Found) {
+  this->Cut(1, 10s, 20s);
+  this->AddTries(0, 100, 30, 14s);
+  this->AddTries(1, 100, 55, 14s);
+  CHECK(this->IsBroken(Promise::kCutServed));
+}
+
+TEST(Promises, CutServed_JustAfterTheCut_Allowed) {
+  this->Cut(1, 10s, 20s);
+  this->AddTries(0, 100, 0, 11s);
+  this->AddTries(1, 100, 100, 11s);
+  CHECK_FALSE(this->IsBroken(Promise::kCutServed));
+}
+
+TEST(Promises, CutServed_OnlyOtherCutNodesToCompareWith_Allowed) {
+  this->Cut(0, 10s, 20s);
+  this->Cut(1, 10s, 20s);
+  this->AddTries(0, 100, 100, 14s);
+  this->AddTries(1, 100, 100, 14s);
+  CHECK_FALSE(this->IsBroken(Promise::kCutServed));
+}
+
+// Failure: the failures of another node that is cut at the same time hide those
+// of this one.
+TEST(Promises, CutServed_AnotherCutNodeFailsToo_Found) {
+  this->Cut(1, 10s, 20s);
+  this->Cut(2, 10s, 20s);
+  this->AddTries(0, 100, 0, 14s);
+  this->AddTries(1, 100, 50, 14s);
+  this->AddTries(2, 100, 50, 14s);
+  CHECK(this->IsBroken(Promise::kCutServed));
+}
+
+TEST(Promises, CutServed_CutNodeKilled_Allowed) {
+  this->Cut(0, 10s, 20s);
+  this->AddTries(1, 100, 0, 14s);
+  this->AddTries(0, 100, 100, 14s);
+  this->Disturb(DisturbanceKind::kNode, 13s, 15s);
+  CHECK_FALSE(this->IsBroken(Promise::kCutServed));
+}
+
+TEST(Promises, CutServed_LimitedTeamRefused_Allowed) {
+  this->Cut(1, 10s, 20s);
+  this->AddTries(0, 100, 0, 14s);
+  this->AddTries(1, 100, 100, 14s);
+  for (RequestRow& row : this->observations.requests) {
+    row.team = static_cast<size_t>(SoakTeam::kLimited);
+  }
+  CHECK_FALSE(this->IsBroken(Promise::kCutServed));
+}
+
 // Failure: a node keeps reporting ready and accepts no connection.
 TEST(Promises, ReadyTakes_TwoConsecutiveMisses_Found) {
   this->observations.connections = {
--- a/soak/upstreams.cc
+++ b/soak/upstreams.cc
@@ -64,6 +64,26 @@
   }
 }
 
+void Upstreams::SetClientLinks(const ClientLink& link) {
+  for (const auto& host : this->hosts) {
+    const uint16_t server = host->proxy->endpoint().port;
+    host->proxy->SetClientLink([link, server](uint16_t client) {
+      return link({server, client});
+    });
+  }
+}
+
+void Upstreams::ApplyClientLinks(const ClientLink& link, bool resets) {
+  for (const auto& host : this->hosts) {
+    const uint16_t server = host->proxy->endpoint().port;
+    host->proxy->ApplyClientLink(
+        [link, server](uint16_t client) {
+          return link({server, client});
+        },
+        resets);
+  }
+}
+
 void Upstreams::Stop() {
   this->stopped = true;
   this->hosts.clear();
--- a/soak/upstreams.h
+++ b/soak/upstreams.h
@@ -9,6 +9,7 @@
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/io_context.hpp>
 
+#include "client_ports.h"
 #include "fake_store.h"
 #include "fake_upstream.h"
 #include "observations.h"
@@ -37,6 +38,16 @@
   /// already has a fault.
   boost::asio::awaitable<void> InjectFault(const Step& step);
 
+  /// State of a connection from a node to an upstream.
+  using ClientLink = std::function<LinkState(const ConnectionPorts& ports)>;
+
+  /// Applies to new connections.
+  void SetClientLinks(const ClientLink& link);
+
+  /// Applies to open connections.
+  /// @param resets Resets those that are refused.
+  void ApplyClientLinks(const ClientLink& link, bool resets);
+
   void Stop();
 
  private:
