--- a/packages/decision/test/reach_simulation.cc
+++ b/packages/decision/test/reach_simulation.cc
@@ -17,12 +17,41 @@
 constexpr uint8_t kMaxAttempts = 3;
 // A connection ends when data that was sent is not acknowledged for this long.
 constexpr Duration kUserTimeout = limits::kUpstreamUserTimeout;
-// Time until the other VMs use a view with what a VM tells them.
-constexpr Duration kViewDelay = 40ms;
 // The cookie of a request at a dispatcher consists of the request's id and the
 // number of the hop.
 constexpr unsigned kHopBits = 8;
 constexpr uint64_t kHopMask = (1U << kHopBits) - 1;
+constexpr uint32_t kCapacity = 4000;
+constexpr uint32_t kSmallCapacity = 250;
+constexpr size_t kMaxRequests = 4096;  // Per VM.
+// Size of a heartbeat without lists, and of a name in a list without its text.
+constexpr uint64_t kHeartbeatBytes = 72;
+constexpr uint64_t kNameBytes = 8;
+
+// Each VM gives itself and its own data centre the handle 0, and the others
+// follow in order.
+// @returns the index of the handle that VM or data centre `own` gives `other`,
+// or the reverse.
+uint32_t ToIndex(uint32_t own, uint32_t other) {
+  if (other == own) {
+    return 0;
+  }
+  return other < own ? other + 1 : other;
+}
+uint32_t FromIndex(uint32_t own, uint32_t index) {
+  if (index == 0) {
+    return own;
+  }
+  return index <= own ? index - 1 : index;
+}
+
+bool IsRefusing(PathState state) {
+  return state == PathState::kRefuses || state == PathState::kStopped;
+}
+
+std::string NameOfDataCentre(uint32_t number) {
+  return "dc-" + std::to_string(number);
+}
 
 }  // namespace
 
@@ -30,39 +59,49 @@
                                  const ReachSimulationOptions& options)
     : options(options), random(seed), vms(options.vms) {
   this->changed_at = this->now;
+  for (uint32_t i = 0; i < options.vms; ++i) {
+    this->vms[i].is_small =
+        options.has_small_vms && i / options.data_centres % 2 == 1;
+  }
   for (uint32_t i = 0; i < options.vms; ++i) {
     this->CreateVm(i);
   }
 }
 
+VmHello ReachSimulation::HelloOf(uint32_t number) const {
+  VmHello hello;
+  hello.name = "vm-" + std::to_string(number);
+  hello.data_centre = NameOfDataCentre(number % this->options.data_centres);
+  hello.incarnation = number + 1;
+  hello.capacity = this->vms[number].is_small ? kSmallCapacity : kCapacity;
+  return hello;
+}
+
 void ReachSimulation::CreateVm(uint32_t number) {
   Vm& vm = this->vms[number];
-  ViewFixture& fixture = vm.fixture;
   const uint32_t data_centres = this->options.data_centres;
-  fixture.view.vms.clear();
-  fixture.view.data_centres.clear();
+  MembershipOptions membership;
+  membership.self = this->HelloOf(number);
+  membership.max_vms = this->options.vms;
+  vm.members = Membership::Create(this->now, membership);
   for (uint32_t i = 0; i < data_centres; ++i) {
-    fixture.view.data_centres.push_back({{i, 0}, "dc-" + std::to_string(i)});
+    vm.members->InternDataCentre(NameOfDataCentre(i));
   }
   for (uint32_t i = 0; i < this->options.vms; ++i) {
-    VmRow row;
-    row.handle = {i, 0};
-    row.name = "vm-" + std::to_string(i);
-    row.data_centre = {i % data_centres, 0};
-    fixture.view.vms.push_back(row);
-  }
-  fixture.view.self = {number, 0};
-  fixture.view.own_data_centre = {number % data_centres, 0};
-  for (uint32_t i = 0; i < this->options.upstreams; ++i) {
-    fixture.AddUpstream(i % data_centres, this->options.slots);
+    if (i != number) {
+      vm.members->OnHello(this->now, this->HelloOf(i));
+    }
   }
+  vm.members->ClearActions();
   const RepeatShares parts = SplitRepeatBudget(this->options.repeats);
   DispatcherOptions dispatcher;
+  dispatcher.max_requests = kMaxRequests;
   dispatcher.repeats = parts;
   dispatcher.retry_budget = {1, 1000, 1000, 1000};
   dispatcher.hedge_budget = dispatcher.retry_budget;
   dispatcher.seed = this->random();
   EntryOptions entry;
+  entry.max_requests = kMaxRequests;
   entry.repeats = parts.entries;
   entry.seed = this->random();
   vm.dispatcher = Dispatcher::Create(dispatcher);
@@ -70,24 +109,147 @@
   vm.reach = UpstreamReach::Create(this->random());
   vm.paths.resize(data_centres, PathState::kOpen);
   vm.kept.resize(this->options.upstreams, 0);
-  this->Apply(number);
+  vm.tick_at = this->now + Duration(this->random(static_cast<uint32_t>(
+                               Duration(limits::kControlTick).count())));
+  this->Rebuild(number);
+}
+
+DataCentreHandle ReachSimulation::DataCentreOf(uint32_t vm,
+                                               UpstreamHandle upstream) const {
+  const uint32_t data_centres = this->options.data_centres;
+  return {ToIndex(vm % data_centres, upstream.index % data_centres), 0};
+}
+
+std::shared_ptr<RoutingView> ReachSimulation::BuildView(uint32_t number) {
+  Vm& vm = this->vms[number];
+  ViewFixture fixture;
+  fixture.view.vms = vm.members->rows();
+  fixture.view.data_centres = vm.members->data_centres();
+  fixture.view.self = vm.members->self();
+  fixture.view.version = vm.view ? vm.view->version + 1 : 1;
+  auto view = std::make_shared<RoutingView>(fixture.view);
+  for (uint32_t i = 0; i < this->options.services; ++i) {
+    auto service = std::make_shared<ServiceRow>(fixture.service);
+    service->handle = {i, 0};
+    service->name = "service-" + std::to_string(i);
+    view->services.push_back(service);
+    for (uint32_t k = 0; k < this->options.upstreams; ++k) {
+      if (k / this->options.data_centres % this->options.services != i) {
+        continue;
+      }
+      UpstreamRow row;
+      row.handle = {k, 0};
+      row.endpoint = {"10.0.0.1", static_cast<uint16_t>(8000 + k)};
+      row.data_centre = this->DataCentreOf(number, row.handle);
+      row.slots = this->options.slots;
+      service->upstreams.push_back(row);
+    }
+    AssignShards(*view, *service);
+  }
+  return view;
 }
 
-void ReachSimulation::Apply(uint32_t number) {
+// Builds a view if the table of VMs has changed, and gives it to the worker.
+void ReachSimulation::Rebuild(uint32_t number) {
   Vm& vm = this->vms[number];
-  const RoutingViewPtr view = vm.fixture.Build();
-  vm.reach->ApplyView(this->now, view);
-  vm.router->ApplyView(this->now, view);
-  vm.dispatcher->ApplyView(this->now, view);
+  if (vm.view && vm.built_membership == vm.members->version()) {
+    return;
+  }
+  vm.built_membership = vm.members->version();
+  const RoutingViewPtr before = std::exchange(vm.view, this->BuildView(number));
+  this->CountView(number, before.get());
+  vm.reach->ApplyView(this->now, vm.view);
+  vm.router->ApplyView(this->now, vm.view);
+  vm.dispatcher->ApplyView(this->now, vm.view);
   this->HandleReach(number);
 }
 
+void ReachSimulation::CountView(uint32_t number, const RoutingView* before) {
+  this->count.views.resize(this->vms.size());
+  this->count.owner_changes.resize(this->vms.size());
+  if (before == nullptr) {
+    return;
+  }
+  ++this->count.views[number];
+  const RoutingView& after = *this->vms[number].view;
+  for (size_t i = 0; i < after.services.size(); ++i) {
+    for (size_t k = 0; k < after.services[i]->shards.size(); ++k) {
+      const bool is_same = after.services[i]->shards[k].owners.front() ==
+                           before->services[i]->shards[k].owners.front();
+      this->count.owner_changes[number] += is_same ? 0 : 1;
+    }
+  }
+}
+
+void ReachSimulation::ResetCounts() {
+  this->count = ReachCounts();
+  this->count.views.resize(this->vms.size());
+  this->count.owner_changes.resize(this->vms.size());
+}
+
+void ReachSimulation::TickControl(uint32_t number) {
+  Vm& vm = this->vms[number];
+  if (this->now < vm.tick_at) {
+    return;
+  }
+  vm.tick_at += limits::kControlTick;
+  this->Rebuild(number);
+}
+
+void ReachSimulation::Perform(uint32_t number, const ReachStep& step) {
+  if (step.build) {
+    this->Rebuild(number);
+  }
+  if (step.send) {
+    this->SendReports(number);
+  }
+}
+
+bool ReachSimulation::AreLinked(uint32_t vm, uint32_t other) const {
+  return vm != other && !(this->vms[vm].is_small && this->vms[other].is_small);
+}
+
+// The peers get the names of data centres, as their handles differ.
+void ReachSimulation::SendReports(uint32_t number) {
+  const Vm& vm = this->vms[number];
+  std::vector<std::string> unreachable;
+  uint64_t bytes = kHeartbeatBytes;
+  for (const DataCentreHandle handle : vm.reports.unreachable()) {
+    unreachable.push_back(vm.members->data_centres()[handle.index].name);
+    bytes += kNameBytes + unreachable.back().size();
+  }
+  ++this->count.reports;
+  for (uint32_t to = 0; to < this->vms.size(); ++to) {
+    if (!this->AreLinked(number, to)) {
+      continue;
+    }
+    ++this->count.messages;
+    this->count.bytes += bytes;
+    this->Post(this->options.report_delay, [this, to, number, unreachable] {
+      Vm& peer = this->vms[to];
+      std::vector<DataCentreHandle> handles;
+      for (const std::string& name : unreachable) {
+        handles.push_back(peer.members->InternDataCentre(name));
+      }
+      this->Perform(to,
+                    peer.reports.OnPeer(this->now, {ToIndex(to, number), 0},
+                                        number + 1, handles, *peer.members));
+    });
+  }
+}
+
 void ReachSimulation::SetPaths(uint32_t vm, PathState state) {
   for (uint32_t i = 0; i < this->options.data_centres; ++i) {
     this->SetPath(vm, i, state);
   }
 }
 
+void ReachSimulation::SetDataCentre(uint32_t data_centre, PathState state) {
+  for (uint32_t i = 0; i < this->options.vms; ++i) {
+    this->SetPath(i, data_centre, state);
+  }
+}
+
 void ReachSimulation::SetPath(uint32_t vm,
                               uint32_t data_centre,
                               PathState state) {
@@ -100,7 +262,7 @@
 void ReachSimulation::BreakConnections(uint32_t vm,
                                        uint32_t data_centre,
                                        PathState state) {
-  if (state != PathState::kHangs && state != PathState::kResets) {
+  if (state == PathState::kOpen || state == PathState::kRefuses) {
     return;
   }
   for (Attempt& attempt : this->attempts) {
@@ -119,7 +281,7 @@
   for (uint32_t i = data_centre; i < this->options.upstreams;
        i += this->options.data_centres) {
     uint32_t& kept = this->vms[vm].kept[i];
-    kept = state == PathState::kResets ? 0 : kept;
+    kept = state == PathState::kHangs ? kept : 0;
   }
 }
 
@@ -138,7 +300,12 @@
 void ReachSimulation::Step() {
   const double per_step = this->options.requests_per_second * 1e6 *
                           std::chrono::duration<double>(kStepDuration).count();
-  if (this->random(1'000'000) < static_cast<uint32_t>(per_step)) {
+  constexpr uint32_t kParts = 1'000'000;
+  const auto due = static_cast<uint32_t>(per_step);
+  for (uint32_t i = 0; i < due / kParts; ++i) {
+    this->Offer();
+  }
+  if (this->random(kParts) < due % kParts) {
     this->Offer();
   }
   while (!this->messages.empty() &&
@@ -152,6 +319,7 @@
   for (uint32_t i = 0; i < this->vms.size(); ++i) {
     this->vms[i].reach->Tick(this->now);
     this->HandleReach(i);
+    this->TickControl(i);
     this->vms[i].dispatcher->Tick(this->now);
     this->vms[i].router->Tick(this->now);
     this->HandleActions(i);
@@ -167,7 +335,9 @@
   Vm& vm = this->vms[number];
   EntryRequest request;
   request.team = {0, 0};
-  request.service = {0, 0};
+  request.service = {
+      this->options.services == 1 ? 0 : this->random(this->options.services),
+      0};
   request.deadline = this->now + kDeadline;
   request.idempotent = true;
   request.replayable = true;
@@ -205,6 +375,7 @@
     default:
       vm.router->Finish(this->now, request.entry);
       request.finished = true;
+      request.ended = this->now;
       break;
   }
 }
@@ -220,7 +391,9 @@
   offer.max_attempts = kMaxAttempts;
   offer.sends = request.target.sends;
   offer.cookie = id << kHopBits | request.hops;
-  const uint32_t to = request.target.vm.index;
+  const uint32_t to = FromIndex(request.entry_vm, request.target.vm.index);
+  this->count.dispatched.emplace(to, offer.shard);
+  this->count.links.emplace(request.entry_vm, to);
   this->Post(kNetworkDelay, [this, to, offer] {
     this->vms[to].dispatcher->Offer(this->now, offer);
     this->HandleActions(to);
@@ -280,7 +453,7 @@
   outcome.end = AttemptEnd::kAnswered;
   if (!outcome.on_new_connection) {
     --kept;
-    if (path == PathState::kHangs || path == PathState::kResets) {
+    if (path != PathState::kOpen && path != PathState::kRefuses) {
       outcome.time = kUserTimeout;
       outcome.end = AttemptEnd::kDied;
     }
@@ -288,7 +461,7 @@
   }
   if (path != PathState::kOpen) {
     outcome.connected = false;
-    outcome.time = path == PathState::kRefuses ? kConnectTime : kConnectTimeout;
+    outcome.time = IsRefusing(path) ? kConnectTime : kConnectTimeout;
     outcome.end = AttemptEnd::kConnectFailed;
   }
   return outcome;
@@ -297,7 +470,7 @@
 void ReachSimulation::Probe(uint32_t vm, UpstreamHandle upstream) {
   const PathState path = this->PathTo(vm, upstream);
   const bool connects = path == PathState::kOpen;
-  const bool fails_late = !connects && path != PathState::kRefuses;
+  const bool fails_late = !connects && !IsRefusing(path);
   this->Post(fails_late ? kConnectTimeout : kConnectTime,
              [this, vm, upstream, connects] {
                this->vms[vm].kept[upstream.index] += connects ? 1 : 0;
@@ -313,9 +486,8 @@
     ++this->failed_connect_count;
     this->failed_connect_at = std::min(this->failed_connect_at, this->now);
   }
-  const DataCentreHandle data_centre{
-      upstream.index % this->options.data_centres, 0};
-  this->vms[vm].reach->OnConnect(this->now, data_centre, upstream, connected);
+  this->vms[vm].reach->OnConnect(this->now, this->DataCentreOf(vm, upstream),
+                                 upstream, connected);
   this->HandleReach(vm);
 }
 
@@ -330,20 +502,15 @@
                            event.kind == ReachEventKind::kReachable);
   }
   if (!events.empty()) {
-    this->Tell(number);
+    this->Report(number);
     this->HandleActions(number);
   }
 }
 
-void ReachSimulation::Tell(uint32_t number) {
-  const std::vector<DataCentreHandle> unreachable =
-      this->vms[number].reach->Unreachable();
-  for (uint32_t to = 0; to < this->vms.size(); ++to) {
-    this->Post(kViewDelay, [this, to, number, unreachable] {
-      this->vms[to].fixture.view.vms[number].unreachable = unreachable;
-      this->Apply(to);
-    });
-  }
+void ReachSimulation::Report(uint32_t number) {
+  Vm& vm = this->vms[number];
+  vm.reports.SetWorker(0, vm.reach->Unreachable());
+  this->Perform(number, vm.reports.Update(this->now, number + 1, *vm.members));
 }
 
 void ReachSimulation::EndAttempts() {
@@ -390,7 +557,8 @@
   const uint32_t to = request.entry_vm;
   if (dispatcher.ReachesShard(this->now, shard)) {
     this->Post(kNetworkDelay, [this, to, from, summary] {
-      this->vms[to].router->OnSummary(this->now, {from, 0}, summary);
+      this->vms[to].router->OnSummary(this->now, {ToIndex(to, from), 0},
+                                      summary);
     });
   }
   this->Reply(id, cookie & kHopMask, refusal, sends);
@@ -421,6 +589,36 @@
   }
   router.Finish(this->now, request.entry);
   request.finished = true;
+  request.ended = this->now;
+}
+
+size_t ReachSimulation::CountMade(TimePoint from, TimePoint to) const {
+  return static_cast<size_t>(
+      std::count_if(this->open_requests.begin(), this->open_requests.end(),
+                    [&](const auto& item) {
+                      return item.second.made >= from && item.second.made < to;
+                    }));
+}
+
+size_t ReachSimulation::CountRefused(TimePoint from, TimePoint to) const {
+  return static_cast<size_t>(
+      std::count_if(this->open_requests.begin(), this->open_requests.end(),
+                    [&](const auto& item) {
+                      return item.second.made >= from &&
+                             item.second.made < to && !item.second.answered;
+                    }));
+}
+
+size_t ReachSimulation::CountSlower(TimePoint from,
+                                    TimePoint to,
+                                    Duration time) const {
+  return static_cast<size_t>(
+      std::count_if(this->open_requests.begin(), this->open_requests.end(),
+                    [&](const auto& item) {
+                      const Request& request = item.second;
+                      return request.made >= from && request.made < to &&
+                             request.ended - request.made > time;
+                    }));
 }
 
 bool ReachSimulation::IsSettled(const Request& request,
--- a/packages/node/src/control.cc
+++ b/packages/node/src/control.cc
@@ -222,7 +222,7 @@
 }
 
 void Control::OnLinked(VmHandle vm) {
-  if (this->leaving || !this->unreachable.empty()) {
+  if (this->leaving || !this->reach.unreachable().empty()) {
     this->links.Send(vm, this->MakeHeartbeat(false));
   }
   this->source->OnLinked(vm);
@@ -413,19 +413,18 @@
       data_centres.push_back(handle);
     }
   }
-  this->SetReach(from, heartbeat.incarnation, std::move(data_centres));
+  this->Perform(this->reach.OnPeer(MonotonicClock::now(), from,
+                                   heartbeat.incarnation,
+                                   std::move(data_centres), *this->members));
 }
 
-// A view is built at once: until then requests go to a VM that refuses them.
-void Control::SetReach(VmHandle vm,
-                       uint64_t vm_incarnation,
-                       std::vector<DataCentreHandle> data_centres) {
-  const uint64_t before = this->members->version();
-  this->members->OnReach(MonotonicClock::now(), vm, vm_incarnation,
-                         std::move(data_centres));
-  if (this->members->version() != before) {
+void Control::Perform(const ReachStep& step) {
+  if (step.build) {
     this->RebuildIfChanged();
   }
+  if (step.send) {
+    this->links.Broadcast(this->MakeHeartbeat(false));
+  }
 }
 
 void Control::OnHeartbeat(VmHandle from, const wire::Heartbeat& heartbeat) {
@@ -454,28 +453,18 @@
       this->current_view ? this->current_view->applied_offset : 0;
   heartbeat.answer_wanted = answer_wanted;
   heartbeat.state = this->leaving ? VmState::kLeaving : VmState::kLive;
-  const VmRow& own = this->members->rows().at(this->members->self().index);
-  for (const DataCentreHandle data_centre : own.unreachable) {
+  for (const DataCentreHandle data_centre : this->reach.unreachable()) {
     heartbeat.unreachable.push_back(
         this->members->data_centres().at(data_centre.index).name);
   }
   return heartbeat;
 }
 
-// The VM counts as cut from a data centre while one of its workers is: the
-// requests of a shard all go to the same worker.
 void Control::SetUnreachable(uint16_t worker,
                              std::vector<DataCentreHandle> data_centres) {
-  this->unreachable[worker] = std::move(data_centres);
-  std::erase_if(this->unreachable,
-                [](const auto& entry) { return entry.second.empty(); });
-  std::set<DataCentreHandle> all;
-  for (const auto& [number, lost] : this->unreachable) {
-    all.insert(lost.begin(), lost.end());
-  }
-  this->SetReach(this->members->self(), this->incarnation,
-                 {all.begin(), all.end()});
-  this->links.Broadcast(this->MakeHeartbeat(false));
+  this->reach.SetWorker(worker, std::move(data_centres));
+  this->Perform(this->reach.Update(MonotonicClock::now(), this->incarnation,
+                                   *this->members));
 }
 
 void Control::SendCrashes(std::vector<CrashReport> crashes) {
--- a/packages/node/src/control.h
+++ b/packages/node/src/control.h
@@ -12,6 +12,7 @@
 
 #include "basilsill/decision/configuration_status.h"
 #include "basilsill/decision/membership.h"
+#include "basilsill/decision/reach_reports.h"
 #include "basilsill/decision/view_build_throttle.h"
 #include "basilsill/decision/view_builder.h"
 #include "basilsill/node/settings.h"
@@ -136,9 +137,7 @@
   std::function<void()> MakeInForceHandler() const;
   void OnLinked(VmHandle vm);
   void ApplyReach(VmHandle from, const wire::Heartbeat& heartbeat);
-  void SetReach(VmHandle vm,
-                uint64_t vm_incarnation,
-                std::vector<DataCentreHandle> data_centres);
+  void Perform(const ReachStep& step);
   void OnHeartbeat(VmHandle from, const wire::Heartbeat& heartbeat);
   void OnMessage(VmHandle from, const wire::PeerMessage& message);
   void PublishAsOf();
@@ -170,8 +169,7 @@
   /// False while there are API keys that can't be relied on, because the
   /// configuration may be outdated.
   bool api_keys_verified = true;
-  /// Data centres whose upstreams can't be connected to, by worker.
-  std::map<uint16_t, std::vector<DataCentreHandle>> unreachable;
+  ReachReports reach;
   bool leaving = false;
   bool configuration_changed = false;
   bool stopped = false;
