Reach: the loss of a data centre is told from lost paths; work moves at once

Each VM judges the reports of all: a data centre counts as lost if two of its own VMs and two others can't reach it and none can. Reports about it then don't change who owns its shards. VMs that report all data centres are no witnesses. Eight VMs at most check and report at once; others wait 20 ms, and say nothing if the loss is known. The new list Heartbeat.reached (optional) says who reaches a data centre that others don't. All VMs probe a lost data centre, and a VM that has lost one checks its paths to the others.

Entry VMs send a request that was refused with upstreams-unreachable to another data centre that has room, and pass over shards that two owners have refused so, or whose data centre is lost. A probe without a result after 30 ms counts as failed, so that what waits at a dispatcher is refused before a second connect timeout. OnReach no longer counts a message twice and returns early; a view looks at each VM once for all data centres.

ReachHistory: 0 of the requests of 500 histories lost in each of its four cases.

--- a/packages/decision/include/basilsill/decision/membership.h
+++ b/packages/decision/include/basilsill/decision/membership.h
@@ -10,6 +10,7 @@
 #include "basilsill/base/event.h"
 #include "basilsill/base/limits.h"
 #include "basilsill/base/time.h"
+#include "basilsill/decision/path_report.h"
 #include "basilsill/decision/view.h"
 
 /// The VMs of the fleet and their states: the platform's VM list, which lags,
@@ -114,6 +115,15 @@
   Duration damping_hold_max = std::chrono::seconds(60);
 };
 
+/// What other VMs than this one report about a data centre.
+struct DataCentreReach {
+  bool lost = false;  ///< As in DataCentreRow.
+  /// It is not known yet, or not any more, whether it is lost.
+  bool undecided = false;
+  uint32_t reports = 0;    ///< VMs that can't reach it.
+  bool confirmed = false;  ///< A VM reaches it.
+};
+
 /// The table of VMs known to this VM.
 class Membership {
  public:
@@ -146,12 +156,29 @@
   /// `incarnation` of `vm` announced that it is leaving.
   virtual void OnLeaving(TimePoint now, VmHandle vm, uint64_t incarnation) = 0;
 
-  /// `incarnation` of `vm`, which may be this VM, reported the data centres
-  /// whose upstreams it can't connect to.
-  virtual void OnReach(TimePoint now,
+  /// `incarnation` of `vm`, which may be this VM, has sent a report. The caller
+  /// has told OnMessageReceived of the message.
+  /// @returns true if it differs from the last one.
+  virtual bool OnReach(TimePoint now,
                        VmHandle vm,
                        uint64_t incarnation,
-                       std::vector<DataCentreHandle> unreachable) = 0;
+                       PathReport report) = 0;
+
+  /// Judges the reports anew, as some count only after a time.
+  virtual void UpdateReach(TimePoint now) = 0;
+
+  /// Sets the data centres that have upstreams: a VM that reports all of them
+  /// has lost its own paths. Without a call, all data centres have some.
+  virtual void SetUpstreamDataCentres(
+      std::vector<DataCentreHandle> data_centres) = 0;
+
+  /// @returns true if a VM that can't reach `data_centres` reaches none that
+  /// has upstreams.
+  virtual bool IsCutOff(
+      const std::vector<DataCentreHandle>& data_centres) const = 0;
+
+  /// @returns what other VMs report about `data_centre`.
+  virtual DataCentreReach ReachOf(DataCentreHandle data_centre) const = 0;
 
   /// Replaces the set of peers to which this VM needs links. If there are more
   /// than `max_peers`, the most important are kept.
--- a/packages/decision/include/basilsill/decision/view.h
+++ b/packages/decision/include/basilsill/decision/view.h
@@ -202,7 +202,8 @@
   VmState state = VmState::kLive;
   /// Processor time available to it, in thousandths of a core; 0: not reported.
   uint32_t capacity = 0;
-  /// Data centres whose upstreams it can't connect to, as it reports itself.
+  /// Data centres whose upstreams it can't connect to, as it reports itself,
+  /// without those that are lost for all VMs.
   std::vector<DataCentreHandle> unreachable;
 };
 
@@ -222,6 +223,7 @@
   DataCentreHandle handle;
   std::string name;
   bool drained = false;  ///< An operator keeps new work away from it.
+  bool lost = false;     ///< No VM reaches its upstreams.
 };
 
 /// Immutable once published. Tables are indexed by `handle.index`; a row
--- a/packages/decision/src/entry/entry_choice.cc
+++ b/packages/decision/src/entry/entry_choice.cc
@@ -101,6 +101,29 @@
          (entry.choices == 0 || this->shard_estimates.IsUsable(now, shard.key));
 }
 
+// A shard whose upstreams can't be connected to is passed over in favour of
+// shards in other data centres, and after a refusal for that reason the whole
+// data centre is, by this request. A shard with a long queue doesn't serve the
+// request sooner than another owner of the shard that refused.
+bool EntryCore::IsServing(TimePoint now,
+                          const EntryRow& entry,
+                          const ShardRow& shard) const {
+  const DataCentreRow& row =
+      this->view->data_centres.at(shard.data_centre.index);
+  if (row.lost || this->unreachable.IsDown(now, shard.key)) {
+    return false;
+  }
+  if (entry.detours == 0) {
+    return true;
+  }
+  const auto& lost = entry.lost_data_centres;
+  const Duration service_time = this->shard_estimates.ServiceTimeAt(shard.key);
+  return std::find(lost.begin(), lost.end(), shard.data_centre) == lost.end() &&
+         this->shard_estimates.IsUsable(now, shard.key) &&
+         this->shard_estimates.WaitAt(
+             now, shard.key, entry.request.traffic_class, 1) <= service_time;
+}
+
 bool EntryCore::HasOtherShard(TimePoint now, const EntryRow& entry) const {
   const ServiceRow* service = FindService(*this->view, entry.request.service);
   return service != nullptr &&
@@ -129,12 +152,16 @@
 Candidate EntryCore::PickCandidate(TimePoint now,
                                    const ServiceRow& service,
                                    const EntryRow& entry,
+                                   ChoiceScope scope,
                                    bool near) {
   std::array<Candidate, 2> drawn;
   uint32_t seen = 0;
   for (const ShardRow& shard : service.shards) {
     const bool is_near = shard.data_centre == this->view->own_data_centre;
-    if (is_near != near || !this->IsCandidate(now, entry, shard)) {
+    const bool is_in_scope =
+        scope == ChoiceScope::kAll || this->IsServing(now, entry, shard);
+    if (is_near != near || !is_in_scope ||
+        !this->IsCandidate(now, entry, shard)) {
       continue;
     }
     const VmHandle owner = this->OwnerOf(now, entry, shard);
@@ -160,8 +187,19 @@
 Target EntryCore::ChooseDispatcher(TimePoint now,
                                    const ServiceRow& service,
                                    const EntryRow& entry) {
-  const Candidate near = this->PickCandidate(now, service, entry, true);
-  const Candidate far = this->PickCandidate(now, service, entry, false);
+  const Target target =
+      this->ChooseWithin(now, service, entry, ChoiceScope::kServing);
+  return target.kind != TargetKind::kCount
+             ? target
+             : this->ChooseWithin(now, service, entry, ChoiceScope::kAll);
+}
+
+Target EntryCore::ChooseWithin(TimePoint now,
+                               const ServiceRow& service,
+                               const EntryRow& entry,
+                               ChoiceScope scope) {
+  const Candidate near = this->PickCandidate(now, service, entry, scope, true);
+  const Candidate far = this->PickCandidate(now, service, entry, scope, false);
   const bool overflow = this->options.features.overflow;
   const bool by_cost =
       !this->options.features.hand_back || near.cost >= kUnusableWait;
--- a/packages/decision/src/entry/entry_core.h
+++ b/packages/decision/src/entry/entry_core.h
@@ -34,6 +34,8 @@
   TimePoint admitted;
   uint32_t choices = 0;
   uint8_t detours = 0;  ///< Attempts that are not counted in `choices`.
+  /// Data centres in which a dispatcher could not connect to the upstreams.
+  std::array<DataCentreHandle, 2> lost_data_centres{};
   uint8_t sends = 0;  ///< Sent to upstreams so often, as far as this VM knows.
   /// Shards that refused the request, and VMs that could not dispatch it.
   std::array<ShardKey, kMaxChoices> tried_shards{};
@@ -44,6 +46,13 @@
   bool counts_for_silence = false;
 };
 
+/// Which shards a choice considers.
+enum class ChoiceScope : uint8_t {
+  kServing,  ///< Those that are expected to serve the request soon.
+  kAll,
+  kCount
+};
+
 /// A shard that a request could go to.
 struct Candidate {
   const ShardRow* shard = nullptr;
@@ -87,6 +96,7 @@
   // entry_router.cc
   Admission Reject(Refusal refusal, Duration retry_after);
   void EndAttempt(TimePoint now, EntryRow& entry, Refusal refusal);
+  void RememberLost(EntryRow& entry) const;
   void ReportCrash(TimePoint now, const EntryRow& entry);
   Retry DecideRetry(TimePoint now,
                     const EntryRow& entry,
@@ -106,6 +116,9 @@
   bool IsCandidate(TimePoint now,
                    const EntryRow& entry,
                    const ShardRow& shard) const;
+  bool IsServing(TimePoint now,
+                 const EntryRow& entry,
+                 const ShardRow& shard) const;
   bool HasOtherShard(TimePoint now, const EntryRow& entry) const;
   Duration CostOf(TimePoint now,
                   const ShardRow& shard,
@@ -113,10 +126,15 @@
   Candidate PickCandidate(TimePoint now,
                           const ServiceRow& service,
                           const EntryRow& entry,
+                          ChoiceScope scope,
                           bool near);
   Target ChooseDispatcher(TimePoint now,
                           const ServiceRow& service,
                           const EntryRow& entry);
+  Target ChooseWithin(TimePoint now,
+                      const ServiceRow& service,
+                      const EntryRow& entry,
+                      ChoiceScope scope);
   Duration AddJitter(Duration duration);
   Duration MaxWait(TimePoint now,
                    const EntryRow& entry,
--- a/packages/decision/src/entry/entry_router.cc
+++ b/packages/decision/src/entry/entry_router.cc
@@ -1,4 +1,5 @@
 #include <algorithm>
+#include <utility>
 
 #include "dispatch_tables.h"
 #include "entry_core.h"
@@ -266,6 +267,7 @@
   } else if (refusal == Refusal::kUpstreamsUnreachable) {
     // Other owners of the shard may reach its upstreams.
     this->unreachable.OnRefused(now, target.vm, target.shard);
+    this->RememberLost(entry);
     if (entry.detours < kMaxDetours) {
       ++entry.detours;
       --entry.choices;
@@ -279,6 +281,18 @@
   entry.target.kind = TargetKind::kCount;
 }
 
+// Records the data centre of the shard whose upstreams could not be connected
+// to. The latest ones are kept.
+void EntryCore::RememberLost(EntryRow& entry) const {
+  const ServiceRow* service = FindService(*this->view, entry.request.service);
+  const ShardRow* shard =
+      service != nullptr ? FindShard(*service, entry.target.shard) : nullptr;
+  if (shard != nullptr && entry.lost_data_centres[0] != shard->data_centre) {
+    entry.lost_data_centres[1] =
+        std::exchange(entry.lost_data_centres[0], shard->data_centre);
+  }
+}
+
 // An upstream died on the direct path. The requests that this worker has in
 // flight there become suspects; those of other workers are not known here.
 void EntryCore::ReportCrash(TimePoint now, const EntryRow& entry) {
--- a/packages/decision/src/entry/unreachable_shards.cc
+++ b/packages/decision/src/entry/unreachable_shards.cc
@@ -9,6 +9,10 @@
 constexpr Duration kMinPause = std::chrono::milliseconds(250);
 constexpr Duration kMaxPause = std::chrono::seconds(1);
 
+// Owners that have to refuse within this time for the shard to be down.
+constexpr ptrdiff_t kRefusingOwners = 2;
+constexpr Duration kDownTime = std::chrono::seconds(1);
+
 constexpr Duration kForgetAfter = std::chrono::seconds(10);
 
 }  // namespace
@@ -27,8 +31,9 @@
 void UnreachableShards::OnRefused(TimePoint now, VmHandle vm, ShardKey shard) {
   Mark* mark = this->Find(vm, shard);
   if (mark == nullptr) {
-    mark = &this->marks[shard].emplace_back(Mark{vm, now, Duration(0)});
+    mark = &this->marks[shard].emplace_back(Mark{vm, now, now, Duration(0)});
   }
+  mark->refused_at = now;
   mark->pause = std::clamp(2 * mark->pause, kMinPause, kMaxPause);
   mark->until = now + mark->pause;
 }
@@ -63,6 +68,15 @@
                       });
 }
 
+bool UnreachableShards::IsDown(TimePoint now, ShardKey shard) const {
+  const auto found = this->marks.find(shard);
+  return found != this->marks.end() &&
+         std::count_if(found->second.begin(), found->second.end(),
+                       [now](const Mark& mark) {
+                         return now < mark.refused_at + kDownTime;
+                       }) >= kRefusingOwners;
+}
+
 void UnreachableShards::Tick(TimePoint now) {
   if (this->marks.empty()) {
     return;
--- a/packages/decision/src/entry/unreachable_shards.h
+++ b/packages/decision/src/entry/unreachable_shards.h
@@ -28,6 +28,11 @@
   /// @returns true if `vm` may be asked.
   bool MayAsk(TimePoint now, VmHandle vm, ShardKey shard) const;
 
+  /// @returns true if several owners of `shard` have refused so within a
+  /// second: its upstreams are down, or its data centre is lost. A request may
+  /// be tried there now and then, as told by MayAsk.
+  bool IsDown(TimePoint now, ShardKey shard) const;
+
   /// Drops what has not been used for long.
   void Tick(TimePoint now);
 
@@ -35,6 +40,7 @@
   struct Mark {
     VmHandle vm;
     TimePoint until;  ///< When it may be asked again.
+    TimePoint refused_at;
     Duration pause{0};
   };
 
--- a/packages/decision/src/membership/membership.cc
+++ b/packages/decision/src/membership/membership.cc
@@ -32,7 +32,6 @@
   row.capacity = member.capacity;
   row.workers = member.workers;
   row.state = StateOf(member);
-  row.unreachable = member.unreachable;
   return row;
 }
 
@@ -169,7 +168,7 @@
     }
     member.incarnation = hello.incarnation;
     member.announced_leaving = false;
-    member.unreachable.clear();
+    member.paths = PathReport();
   }
   member.announced_leaving |= hello.leaving;
   member.data_centre = this->InternDataCentre(hello.data_centre);
@@ -188,18 +187,6 @@
   this->UpdateRow(vm);
 }
 
-void MembershipTable::OnReach(TimePoint now,
-                              VmHandle vm,
-                              uint64_t incarnation,
-                              std::vector<DataCentreHandle> unreachable) {
-  const bool is_current =
-      vm == this->own || this->OnMessageReceived(now, vm, incarnation);
-  if (is_current) {
-    this->members.Find(vm)->unreachable = std::move(unreachable);
-    this->UpdateRow(vm);
-  }
-}
-
 void MembershipTable::Leave(TimePoint /*now*/) {
   this->members.Find(this->own)->announced_leaving = true;
   this->UpdateRow(this->own);
@@ -270,7 +257,9 @@
   if (vm.index >= this->table.size()) {
     this->table.resize(vm.index + 1);
   }
-  VmRow row = RowOf(vm, *this->members.Find(vm));
+  const Member& member = *this->members.Find(vm);
+  VmRow row = RowOf(vm, member);
+  row.unreachable = this->UsedReports(member);
   VmRow& known = this->table[vm.index];
   if (IsSameRow(row, known)) {
     return;
--- a/packages/decision/src/membership/membership_links.cc
+++ b/packages/decision/src/membership/membership_links.cc
@@ -95,6 +95,7 @@
 void MembershipTable::Tick(TimePoint now) {
   this->CheckListAge(now);
   this->DropUnlisted(now);
+  this->UpdateReach(now);
   this->members.ForEach([this, now](VmHandle vm, Member& member) {
     if (vm != this->own) {
       this->TickLink(now, vm, member);
--- a/packages/decision/src/membership/membership_table.h
+++ b/packages/decision/src/membership/membership_table.h
@@ -7,6 +7,7 @@
 
 #include "basilsill/base/handle.h"
 #include "basilsill/decision/membership.h"
+#include "lost_data_centres.h"
 #include "membership_trust.h"
 
 /// Implementation of Membership. Its methods are in two files: membership.cc
@@ -34,8 +35,7 @@
   bool listed = false;
   bool listed_leaving = false;
   bool announced_leaving = false;  ///< By the current incarnation.
-  /// As the current incarnation reported last.
-  std::vector<DataCentreHandle> unreachable;
+  PathReport paths;  ///< As the current incarnation reported last.
 
   PeerTrust trust;
   PeerLink link = PeerLink::kNone;
@@ -62,10 +62,15 @@
   void OnLinkLost(TimePoint now, VmHandle vm, uint64_t incarnation) override;
   void OnOpenFailed(TimePoint now, VmHandle vm) override;
   void OnLeaving(TimePoint now, VmHandle vm, uint64_t incarnation) override;
-  void OnReach(TimePoint now,
+  bool OnReach(TimePoint now,
                VmHandle vm,
                uint64_t incarnation,
-               std::vector<DataCentreHandle> unreachable) override;
+               PathReport report) override;
+  void SetUpstreamDataCentres(
+      std::vector<DataCentreHandle> data_centres) override;
+  bool IsCutOff(
+      const std::vector<DataCentreHandle>& data_centres) const override;
+  DataCentreReach ReachOf(DataCentreHandle data_centre) const override;
   void SetNeeds(TimePoint now, const std::vector<PeerNeed>& needs) override;
   void Leave(TimePoint now) override;
   void Tick(TimePoint now) override;
@@ -97,6 +102,11 @@
                  VmHandle vm,
                  Event event = Event::kVmJoined);
 
+  // membership_reach.cc
+  void UpdateReach(TimePoint now) override;
+  PathReports CountReports(DataCentreHandle data_centre) const;
+  std::vector<DataCentreHandle> UsedReports(const Member& member) const;
+
   // membership_links.cc
   void Suspect(TimePoint now, VmHandle vm);
   void TryTrust(TimePoint now, VmHandle vm);
@@ -112,6 +122,9 @@
   std::unordered_map<std::string, VmHandle> by_name;
   std::vector<VmRow> table;
   std::vector<DataCentreRow> centres;
+  LostDataCentres lost;
+  std::vector<DataCentreHandle> upstream_data_centres;
+  bool has_path_reports = false;
   uint64_t changes = 0;
   uint64_t list_version = 0;
   TimePoint list_at;
--- a/packages/decision/test/reach_fleet_test.cc
+++ b/packages/decision/test/reach_fleet_test.cc
@@ -105,6 +105,7 @@
 void CheckLoad(const Loss& loss) {
   const auto vms = static_cast<uint32_t>(loss.lost.views.size());
   for (const ReachCounts* counts : {&loss.lost, &loss.returned}) {
+    CHECK(Greatest(counts->views) >= 1);
     CHECK(Greatest(counts->views) <= 2);
     CHECK(Sum(counts->views) <= vms + vms / 10);
     CHECK(counts->reports <= kMaxReports);
--- a/packages/decision/test/reach_history_test.cc
+++ b/packages/decision/test/reach_history_test.cc
@@ -61,6 +61,20 @@
   }
 }
 
+// Half of the VMs lose their paths to the same data centre.
+void CutHalfFromOneDataCentre(ReachSimulation& simulation) {
+  const PathState state = DrawBrokenPath(simulation);
+  const uint32_t cut = simulation.rng()(simulation.settings().data_centres);
+  for (uint32_t i = 0; i < simulation.settings().vms; i += 2) {
+    simulation.SetPath(i, cut, state);
+  }
+}
+
+void CutAllFromOneDataCentre(ReachSimulation& simulation) {
+  simulation.SetDataCentre(simulation.rng()(simulation.settings().data_centres),
+                           DrawBrokenPath(simulation));
+}
+
 void Heal(ReachSimulation& simulation) {
   for (uint32_t i = 0; i < simulation.settings().vms; ++i) {
     simulation.SetPaths(i, PathState::kOpen);
@@ -118,6 +132,15 @@
   CHECK_EQUAL(0, CountLost(CutOneDataCentreEach));
 }
 
+// Failure: a data centre counts as lost although half of the VMs reach it.
+TEST(ReachHistory, HalfOfVms_CutFromSameDataCentre_RequestsAreServed) {
+  CHECK_EQUAL(0, CountLost(CutHalfFromOneDataCentre));
+}
+
+TEST(ReachHistory, AllVms_CutFromSameDataCentre_RequestsAreServed) {
+  CHECK_EQUAL(0, CountLost(CutAllFromOneDataCentre));
+}
+
 // Failure: all upstreams are down, and each request makes every VM in turn try
 // to connect to them.
 TEST(ReachHistory, AllUpstreamsDown_TenSeconds_ConnectionsAreFew) {
--- a/packages/decision/test/reach_simulation.h
+++ b/packages/decision/test/reach_simulation.h
@@ -7,6 +7,7 @@
 #include <map>
 #include <memory>
 #include <set>
+#include <string>
 #include <utility>
 #include <vector>
 
@@ -158,6 +159,12 @@
   void TickControl(uint32_t vm);
   void Perform(uint32_t vm, const ReachStep& step);
   void SendReports(uint32_t vm);
+  std::vector<std::string> NamesOf(
+      uint32_t vm,
+      const std::vector<DataCentreHandle>& handles) const;
+  std::vector<DataCentreHandle> HandlesOf(
+      uint32_t vm,
+      const std::vector<std::string>& names);
   bool AreLinked(uint32_t vm, uint32_t other) const;
   DataCentreHandle DataCentreOf(uint32_t vm, UpstreamHandle upstream) const;
   void Step();
--- a/packages/decision/test/upstream_reach_test.cc
+++ b/packages/decision/test/upstream_reach_test.cc
@@ -210,3 +210,57 @@
   CHECK(probes <= 40);
   CHECK_FALSE(this->reach->IsUnreachable(kNear));
 }
+
+// Failure: connections get no answer. Requests wait until the connect timeout
+// has passed twice.
+TEST(UpstreamReachTest, Probes_WithoutAnswerAfterAFailure_CountAsFailed) {
+  this->Connect(this->near[0], false);
+  CHECK_EQUAL(2, this->CountProbes(20ms));
+  CHECK_FALSE(this->reach->IsUnreachable(kNear));
+  this->CountProbes(20ms);
+  CHECK(this->reach->IsUnreachable(kNear));
+  this->Connect(this->near[1], true);
+  CHECK_FALSE(this->reach->IsUnreachable(kNear));
+}
+
+// Failure: a VM has lost all its paths, but reports only the first one, so that
+// it counts as a witness that the data centre is down.
+TEST(UpstreamReachTest, LostPath_OtherDataCentres_AreChecked) {
+  for (size_t i = 0; i < 3; ++i) {
+    this->Connect(this->near[i], false);
+  }
+  size_t far_probes = 0;
+  for (const UpstreamHandle probe : this->reach->TakeProbes()) {
+    far_probes += probe.index % 2;
+  }
+  CHECK_EQUAL(3, far_probes);
+}
+
+TEST(UpstreamReachTest, Doubt_ConnectionOpens_IsConfirmedOnce) {
+  this->Connect(this->near[0], true);
+  CHECK(this->reach->Report().reached.empty());
+  this->reach->SetDoubts(this->now, {{kNear}, {kNear}});
+  CHECK_EQUAL(3, this->reach->TakeProbes().size());
+  CHECK(this->reach->Report().reached.empty());
+  this->Connect(this->near[0], true);
+  this->Connect(this->near[1], true);
+  const std::vector<ReachEvent> events = this->reach->TakeEvents();
+  CHECK_EQUAL(1, events.size());
+  CHECK(events[0].kind == ReachEventKind::kConfirmed);
+  CHECK_EQUAL(1, this->reach->Report().reached.size());
+  this->reach->SetDoubts(this->now, {});
+  CHECK(this->reach->Report().reached.empty());
+}
+
+// Failure: the VMs that report the loss of a data centre have lost their own
+// paths, and the one that reaches it has nothing to send there.
+TEST(UpstreamReachTest, LostDataCentre_VmThatHasNotLostIt_ProbesToo) {
+  this->fixture.view.data_centres[0].lost = true;
+  this->Apply();
+  const size_t probes = this->CountProbes(2s);
+  CHECK(probes >= 5);
+  this->Connect(this->near[0], true);
+  this->fixture.view.data_centres[0].lost = false;
+  this->Apply();
+  CHECK_EQUAL(0, this->CountProbes(2s));
+}
--- a/packages/node/src/control.cc
+++ b/packages/node/src/control.cc
@@ -222,7 +222,7 @@
 }
 
 void Control::OnLinked(VmHandle vm) {
-  if (this->leaving || !this->reach.unreachable().empty()) {
+  if (this->leaving || this->reach.report() != PathReport()) {
     this->links.Send(vm, this->MakeHeartbeat(false));
   }
   this->source->OnLinked(vm);
@@ -268,6 +268,7 @@
   this->members->Tick(now);
   this->PumpMembership();
   this->source->Tick(now);
+  this->Perform(this->reach.Tick(now, *this->members));
   this->RebuildIfChanged();
   this->PublishAsOf();
   this->CheckApiKeyAge(LeaseClock::now());
@@ -406,16 +407,34 @@
 }
 
 void Control::ApplyReach(VmHandle from, const wire::Heartbeat& heartbeat) {
-  std::vector<DataCentreHandle> data_centres;
-  for (const std::string& name : heartbeat.unreachable) {
+  const PathReport report{this->InternDataCentres(heartbeat.unreachable),
+                          this->InternDataCentres(heartbeat.reached)};
+  this->Perform(this->reach.OnPeer(MonotonicClock::now(), from,
+                                   heartbeat.incarnation, report,
+                                   *this->members));
+}
+
+// @returns the handles of those that are known or find room.
+std::vector<DataCentreHandle> Control::InternDataCentres(
+    const std::vector<std::string>& names) {
+  std::vector<DataCentreHandle> handles;
+  for (const std::string& name : names) {
     const DataCentreHandle handle = this->members->InternDataCentre(name);
     if (IsValid(handle)) {
-      data_centres.push_back(handle);
+      handles.push_back(handle);
     }
   }
-  this->Perform(this->reach.OnPeer(MonotonicClock::now(), from,
-                                   heartbeat.incarnation,
-                                   std::move(data_centres), *this->members));
+  return handles;
+}
+
+std::vector<std::string> Control::NamesOf(
+    const std::vector<DataCentreHandle>& handles) const {
+  std::vector<std::string> names;
+  names.reserve(handles.size());
+  for (const DataCentreHandle handle : handles) {
+    names.push_back(this->members->data_centres().at(handle.index).name);
+  }
+  return names;
 }
 
 void Control::Perform(const ReachStep& step) {
@@ -425,6 +444,22 @@
   if (step.send) {
     this->links.Broadcast(this->MakeHeartbeat(false));
   }
+  if (step.doubts_changed) {
+    this->handlers.on_path_doubts(step.doubts);
+  }
+  if (step.due != kNever) {
+    boost::asio::co_spawn(this->context, this->TickReachAt(step.due),
+                          DetachedTask{"reach-tick"});
+  }
+}
+
+boost::asio::awaitable<void> Control::TickReachAt(TimePoint due) {
+  boost::asio::steady_timer timer(this->context);
+  timer.expires_after(due - MonotonicClock::now());
+  co_await timer.async_wait(boost::asio::use_awaitable);
+  if (!this->stopped) {
+    this->Perform(this->reach.Tick(MonotonicClock::now(), *this->members));
+  }
 }
 
 void Control::OnHeartbeat(VmHandle from, const wire::Heartbeat& heartbeat) {
@@ -453,18 +488,14 @@
       this->current_view ? this->current_view->applied_offset : 0;
   heartbeat.answer_wanted = answer_wanted;
   heartbeat.state = this->leaving ? VmState::kLeaving : VmState::kLive;
-  for (const DataCentreHandle data_centre : this->reach.unreachable()) {
-    heartbeat.unreachable.push_back(
-        this->members->data_centres().at(data_centre.index).name);
-  }
+  heartbeat.unreachable = this->NamesOf(this->reach.report().unreachable);
+  heartbeat.reached = this->NamesOf(this->reach.report().reached);
   return heartbeat;
 }
 
-void Control::SetUnreachable(uint16_t worker,
-                             std::vector<DataCentreHandle> data_centres) {
-  this->reach.SetWorker(worker, std::move(data_centres));
-  this->Perform(this->reach.Update(MonotonicClock::now(), this->incarnation,
-                                   *this->members));
+void Control::ReportPaths(uint16_t worker, PathReport paths) {
+  this->Perform(this->reach.OnWorker(MonotonicClock::now(), worker,
+                                     std::move(paths), *this->members));
 }
 
 void Control::SendCrashes(std::vector<CrashReport> crashes) {
@@ -514,9 +545,8 @@
     return;
   }
   const ConfigurationState& state = this->source->state();
-  for (const std::string& name : state.DataCentres()) {
-    this->members->InternDataCentre(name);
-  }
+  this->members->SetUpstreamDataCentres(
+      this->InternDataCentres(state.DataCentres()));
   const RoutingViewPtr before =
       std::exchange(this->current_view,
                     this->builder->Build(state, {this->members->rows(),
--- a/packages/node/src/control.h
+++ b/packages/node/src/control.h
@@ -45,6 +45,8 @@
   std::function<void(const std::vector<CrashReport>&)> on_crashes;
   /// Other VMs reported rate limits.
   std::function<void(const std::vector<RateLimitReport>&)> on_rate_limits;
+  /// Other VMs have reported lost paths to upstreams, or no longer do.
+  std::function<void(const PathDoubts&)> on_path_doubts;
   /// The configuration of the published view is known to have been the newest
   /// at `as_of`.
   std::function<void(LeaseTime as_of)> on_as_of;
@@ -79,9 +81,8 @@
   /// Sends each VM the rate limits that are addressed to it.
   void SendRateLimits(const std::vector<RateLimitUpdate>& updates);
 
-  /// Tells peers to which data centres' upstreams a worker can't connect.
-  void SetUnreachable(uint16_t worker,
-                      std::vector<DataCentreHandle> data_centres);
+  /// Takes what a worker reports of its paths to upstreams.
+  void ReportPaths(uint16_t worker, PathReport paths);
 
   /// Requests credits of teams' quotas for a worker.
   void RequestQuotaCredits(uint16_t worker, QuotaRequest request) {
@@ -138,6 +139,11 @@
   void OnLinked(VmHandle vm);
   void ApplyReach(VmHandle from, const wire::Heartbeat& heartbeat);
   void Perform(const ReachStep& step);
+  boost::asio::awaitable<void> TickReachAt(TimePoint due);
+  std::vector<DataCentreHandle> InternDataCentres(
+      const std::vector<std::string>& names);
+  std::vector<std::string> NamesOf(
+      const std::vector<DataCentreHandle>& handles) const;
   void OnHeartbeat(VmHandle from, const wire::Heartbeat& heartbeat);
   void OnMessage(VmHandle from, const wire::PeerMessage& message);
   void PublishAsOf();
--- a/packages/node/src/node.cc
+++ b/packages/node/src/node.cc
@@ -115,14 +115,12 @@
         this->control_side->SendRateLimits(updates);
       });
     };
-    options.on_unreachable = [this,
-                              i](std::vector<DataCentreHandle> data_centres) {
-      boost::asio::post(
-          this->context,
-          [this, i, data_centres = std::move(data_centres)]() mutable {
-            this->control_side->SetUnreachable(static_cast<uint16_t>(i),
-                                               std::move(data_centres));
-          });
+    options.on_paths = [this, i](PathReport paths) {
+      boost::asio::post(this->context,
+                        [this, i, paths = std::move(paths)]() mutable {
+                          this->control_side->ReportPaths(
+                              static_cast<uint16_t>(i), std::move(paths));
+                        });
     };
     options.on_quota_request = [this, i](QuotaRequest request) {
       boost::asio::post(this->context,
@@ -158,6 +156,11 @@
       worker->ImportCrashes(crashes);
     }
   };
+  handlers.on_path_doubts = [this](const PathDoubts& doubts) {
+    for (const auto& worker : this->traffic) {
+      worker->SetPathDoubts(doubts);
+    }
+  };
   handlers.on_rate_limits =
       [this](const std::vector<RateLimitReport>& reports) {
         for (const auto& worker : this->traffic) {
--- a/packages/node/src/reach_host.cc
+++ b/packages/node/src/reach_host.cc
@@ -27,6 +27,13 @@
   this->reach->ApplyView(now, new_view);
 }
 
+void ReachHost::SetDoubts(TimePoint now, const PathDoubts& doubts) {
+  if (this->view) {
+    this->reach->SetDoubts(now, doubts);
+    this->Pump();
+  }
+}
+
 void ReachHost::Tick(TimePoint now) {
   this->reach->Tick(now);
   this->Pump();
@@ -47,6 +54,9 @@
 }
 
 void ReachHost::Report(const ReachEvent& event) const {
+  if (event.kind == ReachEventKind::kConfirmed) {
+    return;
+  }
   const std::string& data_centre =
       this->view->data_centres.at(event.data_centre.index).name;
   if (event.kind == ReachEventKind::kUnreachable) {
--- a/packages/node/src/reach_host.h
+++ b/packages/node/src/reach_host.h
@@ -23,10 +23,10 @@
   void ApplyView(TimePoint now, const RoutingViewPtr& view);
   void Tick(TimePoint now);
 
-  /// @returns the data centres whose upstreams this worker can't connect to.
-  std::vector<DataCentreHandle> Unreachable() const {
-    return this->reach->Unreachable();
-  }
+  void SetDoubts(TimePoint now, const PathDoubts& doubts);
+
+  /// @returns what this worker reports of its paths.
+  PathReport Paths() const { return this->reach->Report(); }
 
  private:
   void Pump();
--- a/packages/node/src/worker.cc
+++ b/packages/node/src/worker.cc
@@ -441,14 +441,22 @@
   }
 }
 
+void Worker::SetPathDoubts(const PathDoubts& doubts) {
+  boost::asio::post(*this->context, [this, doubts] {
+    this->reach_host.SetDoubts(MonotonicClock::now(), doubts);
+  });
+}
+
 void Worker::OnReach(const ReachEvent& event) {
-  std::vector<DataCentreHandle> unreachable = this->reach_host.Unreachable();
+  PathReport paths = this->reach_host.Paths();
   this->counts->unreachable_data_centres.Set(
-      static_cast<int64_t>(unreachable.size()));
-  this->dispatch_host.OnReach(event.data_centre,
-                              event.kind == ReachEventKind::kReachable);
-  if (this->options.on_unreachable) {
-    this->options.on_unreachable(std::move(unreachable));
+      static_cast<int64_t>(paths.unreachable.size()));
+  if (event.kind != ReachEventKind::kConfirmed) {
+    this->dispatch_host.OnReach(event.data_centre,
+                                event.kind == ReachEventKind::kReachable);
+  }
+  if (this->options.on_paths) {
+    this->options.on_paths(std::move(paths));
   }
 }
 
--- a/packages/node/src/worker.h
+++ b/packages/node/src/worker.h
@@ -40,9 +40,9 @@
   /// Called on the worker's thread with rate limit updates to propagate to
   /// other VMs.
   std::function<void(std::vector<RateLimitUpdate>)> on_rate_limits;
-  /// Called on the worker's thread with the data centres whose upstreams it
-  /// can't connect to, when they have changed.
-  std::function<void(std::vector<DataCentreHandle>)> on_unreachable;
+  /// Called on the worker's thread with what it reports of its paths to
+  /// upstreams, when that has changed.
+  std::function<void(PathReport)> on_paths;
   /// Called on the worker's thread with a request to a lender of quotas.
   std::function<void(QuotaRequest)> on_quota_request;
 };
@@ -75,6 +75,9 @@
   /// Applies crashes of upstreams that other workers observed.
   void ImportCrashes(std::vector<CrashReport> crashes);
 
+  /// Applies what other VMs report of their paths to upstreams.
+  void SetPathDoubts(const PathDoubts& doubts);
+
   /// Applies rate limits that other VMs report.
   void ImportRateLimits(std::vector<RateLimitReport> reports);
 
--- a/packages/wire/include/basilsill/wire/message.h
+++ b/packages/wire/include/basilsill/wire/message.h
@@ -244,6 +244,9 @@
   std::vector<RateLimitReport> rate_limits;
   /// Names of the data centres whose upstreams the sender can't connect to.
   std::vector<std::string> unreachable;
+  /// Names of the data centres to whose upstreams the sender has opened a
+  /// connection since another VM reported them as unreachable.
+  std::vector<std::string> reached;
 };
 bool operator==(const Heartbeat& left, const Heartbeat& right);
 
--- a/packages/wire/schema/peer.capnp
+++ b/packages/wire/schema/peer.capnp
@@ -189,6 +189,9 @@
   rateLimits @6 :List(RateLimitReport);
   # Names of data centres whose upstreams the sender can't connect to.
   unreachable @7 :List(Text);
+  # Names of data centres whose upstreams the sender reaches, while other VMs
+  # report that they can't.
+  reached @8 :List(Text);
 }
 
 struct SnapshotRequest {
--- a/packages/wire/src/message.cc
+++ b/packages/wire/src/message.cc
@@ -20,7 +20,7 @@
   return std::tie(heartbeat.incarnation, heartbeat.applied_offset,
                   heartbeat.state, heartbeat.vm_list_version,
                   heartbeat.answer_wanted, heartbeat.rate_limits,
-                  heartbeat.unreachable);
+                  heartbeat.unreachable, heartbeat.reached);
 }
 
 bool AreEqual(const CrashReport& left, const CrashReport& right) {
--- a/packages/wire/src/message_check.cc
+++ b/packages/wire/src/message_check.cc
@@ -204,6 +204,8 @@
                 "/rate_limits", "too many entries");
   check.Require(heartbeat.unreachable.size() <= limits::kMaxDataCentres,
                 "/unreachable", "too many entries");
+  check.Require(heartbeat.reached.size() <= limits::kMaxDataCentres, "/reached",
+                "too many entries");
   for (const RateLimitReport& report : heartbeat.rate_limits) {
     check.Require(std::isfinite(report.requests_per_second) &&
                       report.requests_per_second >= 0,
--- a/packages/wire/src/message_reader.cc
+++ b/packages/wire/src/message_reader.cc
@@ -239,6 +239,12 @@
   for (const capnp::Text::Reader name : unreachable) {
     heartbeat.unreachable.emplace_back(name.begin(), name.size());
   }
+  const auto reached = reader.getReached();
+  heartbeat.reached.reserve(
+      CheckedSize(reached.size(), limits::kMaxDataCentres, "/reached"));
+  for (const capnp::Text::Reader name : reached) {
+    heartbeat.reached.emplace_back(name.begin(), name.size());
+  }
   return heartbeat;
 }
 
--- a/packages/wire/src/message_writer.cc
+++ b/packages/wire/src/message_writer.cc
@@ -232,6 +232,11 @@
   for (unsigned i = 0; i < heartbeat.unreachable.size(); ++i) {
     unreachable.set(i, heartbeat.unreachable[i]);
   }
+  auto reached =
+      builder.initReached(static_cast<unsigned>(heartbeat.reached.size()));
+  for (unsigned i = 0; i < heartbeat.reached.size(); ++i) {
+    reached.set(i, heartbeat.reached[i]);
+  }
 }
 
 void Write(const SnapshotRequest& request,
--- a/packages/wire/test/samples.cc
+++ b/packages/wire/test/samples.cc
@@ -45,6 +45,7 @@
                        {4, 5, microseconds(6), 0, {}}};
   heartbeat.rate_limits = {{1, 2, true, 1.7}, {3, 4, false, 0}};
   heartbeat.unreachable = {"lyulin", "druzhba"};
+  heartbeat.reached = {"mladost"};
   return heartbeat;
 }
 
