--- a/packages/base/include/basilsill/base/event.h
+++ b/packages/base/include/basilsill/base/event.h
@@ -61,6 +61,8 @@
   kFingerprintQuarantined = 320,
   kUpstreamsUnreachable = 321,
   kUpstreamsReachable = 322,
+  kDataCentreLost = 323,
+  kDataCentreReached = 324,
   // 330: teams
   kApiKeysUnverified = 330,
   kApiKeysVerified = 331,
--- a/packages/base/src/event.cc
+++ b/packages/base/src/event.cc
@@ -59,6 +59,8 @@
               "fingerprint-quarantined"},
     EventInfo{Event::kUpstreamsUnreachable, kWarning, "upstreams-unreachable"},
     EventInfo{Event::kUpstreamsReachable, kInfo, "upstreams-reachable"},
+    EventInfo{Event::kDataCentreLost, kWarning, "data-centre-lost"},
+    EventInfo{Event::kDataCentreReached, kInfo, "data-centre-reached"},
     EventInfo{Event::kApiKeysUnverified, kWarning, "api-keys-unverified"},
     EventInfo{Event::kApiKeysVerified, kInfo, "api-keys-verified"},
     EventInfo{Event::kQuotaLeaseTaken, kInfo, "quota-lease-taken"},
--- a/packages/node/src/control.cc
+++ b/packages/node/src/control.cc
@@ -62,9 +62,11 @@
   return quotas;
 }
 
-bool IsDrainedIn(const RoutingView* view, DataCentreHandle handle) {
-  return view != nullptr && handle.index < view->data_centres.size() &&
-         view->data_centres[handle.index].drained;
+const DataCentreRow* FindDataCentre(const RoutingView* view,
+                                    DataCentreHandle handle) {
+  return view != nullptr && handle.index < view->data_centres.size()
+             ? &view->data_centres[handle.index]
+             : nullptr;
 }
 
 // Logs which data centres the operator has drained or taken back, and counts
@@ -75,7 +77,8 @@
   int64_t drained = 0;
   for (const DataCentreRow& row : after.data_centres) {
     drained += row.drained ? 1 : 0;
-    if (row.drained != IsDrainedIn(before, row.handle)) {
+    const DataCentreRow* known = FindDataCentre(before, row.handle);
+    if (row.drained != (known != nullptr && known->drained)) {
       Log(row.drained ? Event::kDataCentreDrained : Event::kDataCentreTakenBack,
           {{"data_centre", row.name}, {"view", after.version}});
     }
@@ -83,6 +86,23 @@
   counts.drained_data_centres.Set(drained);
 }
 
+// Logs which data centres are lost for all VMs or reached again, and counts the
+// lost ones.
+void ReportLossChanges(const RoutingView* before,
+                       const RoutingView& after,
+                       ControlMetrics& counts) {
+  int64_t lost = 0;
+  for (const DataCentreRow& row : after.data_centres) {
+    lost += row.lost ? 1 : 0;
+    const DataCentreRow* known = FindDataCentre(before, row.handle);
+    if (row.lost != (known != nullptr && known->lost)) {
+      Log(row.lost ? Event::kDataCentreLost : Event::kDataCentreReached,
+          {{"data_centre", row.name}, {"view", after.version}});
+    }
+  }
+  counts.lost_data_centres.Set(lost);
+}
+
 }  // namespace
 
 Result<std::unique_ptr<Control>> Control::Create(
@@ -569,6 +589,7 @@
     Log(Event::kNodeReady, {{"vm", this->settings.vm.name}});
   }
   ReportDrainChanges(before.get(), *this->current_view, this->counts);
+  ReportLossChanges(before.get(), *this->current_view, this->counts);
   this->source->OnFleetChanged();
   this->quotas.ApplyView(*this->current_view);
   this->handlers.publish(this->current_view,
--- a/packages/node/src/metrics_table.cc
+++ b/packages/node/src/metrics_table.cc
@@ -397,6 +397,10 @@
              "Data centres whose upstreams get nothing new, as the operator "
              "wants it.",
              ControlValue<&Control::drained_data_centres>),
+    GaugeRow("basilsill_lost_data_centres",
+             "",
+             "Data centres whose upstreams no VM can connect to.",
+             ControlValue<&Control::lost_data_centres>),
     GaugeRow("basilsill_configuration_age_milliseconds",
              "",
              "Time since the configuration certainly was the newest; 0 where "
