--- a/packages/node/src/control.cc
+++ b/packages/node/src/control.cc
@@ -62,9 +62,11 @@
   return quotas;
 }
 
-bool IsDrainedIn(const RoutingView* view, DataCentreHandle handle) {
-  return view != nullptr && handle.index < view->data_centres.size() &&
-         view->data_centres[handle.index].drained;
+const DataCentreRow* FindDataCentre(const RoutingView* view,
+                                    DataCentreHandle handle) {
+  return view != nullptr && handle.index < view->data_centres.size()
+             ? &view->data_centres[handle.index]
+             : nullptr;
 }
 
 // Logs which data centres the operator has drained or taken back, and counts
@@ -75,7 +77,8 @@
   int64_t drained = 0;
   for (const DataCentreRow& row : after.data_centres) {
     drained += row.drained ? 1 : 0;
-    if (row.drained != IsDrainedIn(before, row.handle)) {
+    const DataCentreRow* known = FindDataCentre(before, row.handle);
+    if (row.drained != (known != nullptr && known->drained)) {
       Log(row.drained ? Event::kDataCentreDrained : Event::kDataCentreTakenBack,
           {{"data_centre", row.name}, {"view", after.version}});
     }
@@ -83,6 +86,23 @@
   counts.drained_data_centres.Set(drained);
 }
 
+// Logs which data centres are lost for all VMs or reached again, and counts the
+// lost ones.
+void ReportLossChanges(const RoutingView* before,
+                       const RoutingView& after,
+                       ControlMetrics& counts) {
+  int64_t lost = 0;
+  for (const DataCentreRow& row : after.data_centres) {
+    lost += row.lost ? 1 : 0;
+    const DataCentreRow* known = FindDataCentre(before, row.handle);
+    if (row.lost != (known != nullptr && known->lost)) {
+      Log(row.lost ? Event::kDataCentreLost : Event::kDataCentreReached,
+          {{"data_centre", row.name}, {"view", after.version}});
+    }
+  }
+  counts.lost_data_centres.Set(lost);
+}
+
 }  // namespace
 
 Result<std::unique_ptr<Control>> Control::Create(
@@ -222,7 +242,7 @@
 }
 
 void Control::OnLinked(VmHandle vm) {
-  if (this->leaving || !this->unreachable.empty()) {
+  if (this->leaving || this->reach.report() != PathReport()) {
     this->links.Send(vm, this->MakeHeartbeat(false));
   }
   this->source->OnLinked(vm);
@@ -268,6 +288,7 @@
   this->members->Tick(now);
   this->PumpMembership();
   this->source->Tick(now);
+  this->Perform(this->reach.Tick(now, *this->members));
   this->RebuildIfChanged();
   this->PublishAsOf();
   this->CheckApiKeyAge(LeaseClock::now());
@@ -406,26 +427,59 @@
 }
 
 void Control::ApplyReach(VmHandle from, const wire::Heartbeat& heartbeat) {
-  std::vector<DataCentreHandle> data_centres;
-  for (const std::string& name : heartbeat.unreachable) {
+  const PathReport report{this->InternDataCentres(heartbeat.unreachable),
+                          this->InternDataCentres(heartbeat.reached)};
+  this->Perform(this->reach.OnPeer(MonotonicClock::now(), from,
+                                   heartbeat.incarnation, report,
+                                   *this->members));
+}
+
+// @returns the handles of those that are known or find room.
+std::vector<DataCentreHandle> Control::InternDataCentres(
+    const std::vector<std::string>& names) {
+  std::vector<DataCentreHandle> handles;
+  for (const std::string& name : names) {
     const DataCentreHandle handle = this->members->InternDataCentre(name);
     if (IsValid(handle)) {
-      data_centres.push_back(handle);
+      handles.push_back(handle);
     }
   }
-  this->SetReach(from, heartbeat.incarnation, std::move(data_centres));
+  return handles;
 }
 
-// A view is built at once: until then requests go to a VM that refuses them.
-void Control::SetReach(VmHandle vm,
-                       uint64_t vm_incarnation,
-                       std::vector<DataCentreHandle> data_centres) {
-  const uint64_t before = this->members->version();
-  this->members->OnReach(MonotonicClock::now(), vm, vm_incarnation,
-                         std::move(data_centres));
-  if (this->members->version() != before) {
+std::vector<std::string> Control::NamesOf(
+    const std::vector<DataCentreHandle>& handles) const {
+  std::vector<std::string> names;
+  names.reserve(handles.size());
+  for (const DataCentreHandle handle : handles) {
+    names.push_back(this->members->data_centres().at(handle.index).name);
+  }
+  return names;
+}
+
+void Control::Perform(const ReachStep& step) {
+  if (step.build) {
     this->RebuildIfChanged();
   }
+  if (step.send) {
+    this->links.Broadcast(this->MakeHeartbeat(false));
+  }
+  if (step.doubts_changed) {
+    this->handlers.on_path_doubts(step.doubts);
+  }
+  if (step.due != kNever) {
+    boost::asio::co_spawn(this->context, this->TickReachAt(step.due),
+                          DetachedTask{"reach-tick"});
+  }
+}
+
+boost::asio::awaitable<void> Control::TickReachAt(TimePoint due) {
+  boost::asio::steady_timer timer(this->context);
+  timer.expires_after(due - MonotonicClock::now());
+  co_await timer.async_wait(boost::asio::use_awaitable);
+  if (!this->stopped) {
+    this->Perform(this->reach.Tick(MonotonicClock::now(), *this->members));
+  }
 }
 
 void Control::OnHeartbeat(VmHandle from, const wire::Heartbeat& heartbeat) {
@@ -454,28 +508,14 @@
       this->current_view ? this->current_view->applied_offset : 0;
   heartbeat.answer_wanted = answer_wanted;
   heartbeat.state = this->leaving ? VmState::kLeaving : VmState::kLive;
-  const VmRow& own = this->members->rows().at(this->members->self().index);
-  for (const DataCentreHandle data_centre : own.unreachable) {
-    heartbeat.unreachable.push_back(
-        this->members->data_centres().at(data_centre.index).name);
-  }
+  heartbeat.unreachable = this->NamesOf(this->reach.report().unreachable);
+  heartbeat.reached = this->NamesOf(this->reach.report().reached);
   return heartbeat;
 }
 
-// The VM counts as cut from a data centre while one of its workers is: the
-// requests of a shard all go to the same worker.
-void Control::SetUnreachable(uint16_t worker,
-                             std::vector<DataCentreHandle> data_centres) {
-  this->unreachable[worker] = std::move(data_centres);
-  std::erase_if(this->unreachable,
-                [](const auto& entry) { return entry.second.empty(); });
-  std::set<DataCentreHandle> all;
-  for (const auto& [number, lost] : this->unreachable) {
-    all.insert(lost.begin(), lost.end());
-  }
-  this->SetReach(this->members->self(), this->incarnation,
-                 {all.begin(), all.end()});
-  this->links.Broadcast(this->MakeHeartbeat(false));
+void Control::ReportPaths(uint16_t worker, PathReport paths) {
+  this->Perform(this->reach.OnWorker(MonotonicClock::now(), worker,
+                                     std::move(paths), *this->members));
 }
 
 void Control::SendCrashes(std::vector<CrashReport> crashes) {
@@ -525,9 +565,8 @@
     return;
   }
   const ConfigurationState& state = this->source->state();
-  for (const std::string& name : state.DataCentres()) {
-    this->members->InternDataCentre(name);
-  }
+  this->members->SetUpstreamDataCentres(
+      this->InternDataCentres(state.DataCentres()));
   const RoutingViewPtr before =
       std::exchange(this->current_view,
                     this->builder->Build(state, {this->members->rows(),
@@ -550,6 +589,7 @@
     Log(Event::kNodeReady, {{"vm", this->settings.vm.name}});
   }
   ReportDrainChanges(before.get(), *this->current_view, this->counts);
+  ReportLossChanges(before.get(), *this->current_view, this->counts);
   this->source->OnFleetChanged();
   this->quotas.ApplyView(*this->current_view);
   this->handlers.publish(this->current_view,
