--- a/packages/decision/test/quota_callers_test.cc
+++ b/packages/decision/test/quota_callers_test.cc
@@ -204,6 +204,7 @@
 // All scenarios run before the first check, so that a failure shows them all.
 void RunAndCheck(double factor) {
   std::vector<Outcome> outcomes;
+  outcomes.reserve(kScenarios.size());
   for (const Scenario& scenario : kScenarios) {
     outcomes.push_back(RunCallers(factor, scenario));
   }
