Wire: a need is written as it was read

The writer clamped the times of a need to an hour, so a message that was read did not encode to the same message; the fuzz test in wire_test showed it.

--- a/packages/wire/src/message_writer.cc
+++ b/packages/wire/src/message_writer.cc
@@ -281,10 +281,8 @@
     rows[i].setTicket(want.needs[i].ticket);
     rows[i].setTrafficClass(
         static_cast<schema::TrafficClass>(need.traffic_class));
-    rows[i].setUntilTarget(
-        NanosOf(std::clamp(need.until_target, Duration(0), kNoTarget)));
-    rows[i].setTimeLeft(
-        NanosOf(std::clamp(need.time_left, Duration(0), kNoTarget)));
+    rows[i].setUntilTarget(NanosOf(std::max(need.until_target, Duration(0))));
+    rows[i].setTimeLeft(NanosOf(std::max(need.time_left, Duration(0))));
     rows[i].setReturning(need.is_returning);
   }
 }
