--- a/packages/decision/src/dispatch/dispatch_tables.h
+++ b/packages/decision/src/dispatch/dispatch_tables.h
@@ -204,8 +204,9 @@
   bool rate_bound = false;
   uint32_t siblings = 1;  ///< Number of shards of the service, with this one.
   std::unique_ptr<RepeatBudget> repeats;  ///< Set if the fleet has a limit.
-  /// Active while upstreams shed. It has a row for each of `upstreams`.
-  ShedMonitor sheds;
+  /// Set from the first shed on, active while upstreams shed. It has a row for
+  /// each of `upstreams`.
+  std::unique_ptr<ShedMonitor> sheds;
   ShedCase logged_shed_case = ShedCase::kNone;
   TimePoint shed_case_logged_at{};
   uint32_t open_slots = 0;  ///< Of upstreams with full share.
@@ -223,7 +224,9 @@
   TimePoint last_scan{};
   TimePoint last_used{};
 
-  ShedCase shed_case() const { return this->sheds.current(); }
+  ShedCase shed_case() const {
+    return this->sheds ? this->sheds->current() : ShedCase::kNone;
+  }
   /// @returns true if more than half of its upstreams shed.
   bool AllShed() const {
     return this->shed_case() == ShedCase::kWithRoom ||
--- a/packages/decision/src/dispatch/dispatcher.cc
+++ b/packages/decision/src/dispatch/dispatcher.cc
@@ -8,6 +8,11 @@
 namespace {
 
 constexpr size_t kActionReserve = 256;
+// Shards that may shed at the same time, and upstreams of a shard for which a
+// monitor has memory from the start.
+constexpr size_t kShedMonitors = 16;
+constexpr size_t kMonitoredUpstreams = 32;
+
 constexpr Duration kHandBackRetryAfter = std::chrono::milliseconds(10);
 constexpr Duration kNoUpstreamRetryAfter = std::chrono::seconds(1);
 
@@ -52,6 +57,10 @@
   this->active.reserve(limits::kMaxShardsPerWorker);
   this->emitted_actions.reserve(kActionReserve);
   this->emitted_events.reserve(kActionReserve);
+  for (size_t i = 0; i < kShedMonitors; ++i) {
+    this->free_monitors.push_back(
+        std::make_unique<ShedMonitor>(kMonitoredUpstreams));
+  }
 }
 
 const std::vector<DispatchAction>& DispatcherCore::actions() const {
--- a/packages/decision/src/dispatch/dispatcher_core.h
+++ b/packages/decision/src/dispatch/dispatcher_core.h
@@ -1,6 +1,7 @@
 #ifndef BASILSILL_DECISION_DISPATCHER_CORE_H_
 #define BASILSILL_DECISION_DISPATCHER_CORE_H_
 
+#include <memory>
 #include <vector>
 
 #include <pcg_random.hpp>
@@ -233,6 +234,7 @@
   void TrackShed(TimePoint now,
                  const AttemptRow& attempt,
                  const UpstreamLoad& load);
+  std::unique_ptr<ShedMonitor> TakeMonitor(TimePoint now);
   void UpdateShedCase(TimePoint now, ShardState& shard, uint32_t place);
   void ScanSheds(TimePoint now, ShardState& shard);
   bool MayRepeatShed(TimePoint now,
@@ -293,6 +295,8 @@
   std::vector<DataCentreHandle> unreachable;  ///< Paths to them are lost.
   RateLimitCache received_limits;
   std::vector<RateLimitReport> ended_limits;  ///< Not yet sent to other VMs.
+  /// Reserved at the start, so that a shed allocates nothing.
+  std::vector<std::unique_ptr<ShedMonitor>> free_monitors;
   bool handing_back = false;
   pcg32 random;  ///< For jitter.
   std::vector<DispatchAction> emitted_actions;
--- a/packages/decision/src/dispatch/dispatcher_outcome.cc
+++ b/packages/decision/src/dispatch/dispatcher_outcome.cc
@@ -146,8 +146,8 @@
     stats.Add(took);
   }
   upstream.error_share -= kErrorWeight * upstream.error_share;
-  if (shard.sheds.is_active()) {
-    shard.sheds.OnAnswer();
+  if (shard.sheds) {
+    shard.sheds->OnAnswer();
   }
   // Failures with a common cause end together.
   if (upstream.failures > 0) {
--- a/packages/decision/src/dispatch/dispatcher_shed.cc
+++ b/packages/decision/src/dispatch/dispatcher_shed.cc
@@ -1,5 +1,7 @@
 #include <algorithm>
 #include <chrono>
+#include <memory>
+#include <utility>
 
 #include "dispatcher_core.h"
 #include "upstream_choice.h"
@@ -82,22 +84,47 @@
     return;
   }
   ShardState& shard = this->shards.at(attempt.shard);
-  if (!shard.sheds.is_active()) {
-    shard.sheds.Begin();
-    shard.sheds.OnLoad(now, attempt.upstream, load);
+  if (!shard.sheds) {
+    shard.sheds = this->TakeMonitor(now);
+  }
+  if (!shard.sheds) {
+    return;
+  }
+  if (!shard.sheds->is_active()) {
+    shard.sheds->Resize(shard.upstreams.size());
+    shard.sheds->Begin();
+    shard.sheds->OnLoad(now, attempt.upstream, load);
   }
   // The attempt still counts as busy.
   const UpstreamSlots& upstream = shard.upstreams[attempt.upstream];
-  shard.sheds.OnShed(now, attempt.upstream, upstream.busy <= upstream.slots);
-  shard.sheds.OnShedOf(now, attempt.traffic_class);
+  shard.sheds->OnShed(now, attempt.upstream, upstream.busy <= upstream.slots);
+  shard.sheds->OnShedOf(now, attempt.traffic_class);
   this->UpdateShedCase(now, shard, attempt.upstream);
   ++this->counts.sheds[static_cast<size_t>(shard.shed_case())];
 }
 
+// @returns a monitor for a shard; null if all are in use. Shards without a
+// monitor react to sheds as without the mechanism.
+std::unique_ptr<ShedMonitor> DispatcherCore::TakeMonitor(TimePoint now) {
+  if (!this->free_monitors.empty()) {
+    std::unique_ptr<ShedMonitor> taken = std::move(this->free_monitors.back());
+    this->free_monitors.pop_back();
+    return taken;
+  }
+  for (uint32_t i = 0; i < this->shards.size(); ++i) {
+    ShardState& shard = this->shards.at(i);
+    if (shard.sheds && shard.sheds->IsOver(now)) {
+      shard.sheds->End();
+      return std::move(shard.sheds);
+    }
+  }
+  return nullptr;
+}
+
 void DispatcherCore::UpdateShedCase(TimePoint now,
                                     ShardState& shard,
                                     uint32_t place) {
-  const bool changed = shard.sheds.Update(now);
+  const bool changed = shard.sheds->Update(now);
   const ShedCase shed_case = shard.shed_case();
   if (changed && shed_case == ShedCase::kWithRoom) {
     // Most pauses are because of sheds. A pause that is not begins again with
@@ -116,16 +143,16 @@
   this->RecordEvent(UpstreamEventKind::kShedCase, shard,
                     shard.upstreams[place]);
   this->emitted_events.back().shed_case = shed_case;
-  this->emitted_events.back().shed_share = shard.sheds.ShareAt(now);
+  this->emitted_events.back().shed_share = shard.sheds->ShareAt(now);
 }
 
 void DispatcherCore::ScanSheds(TimePoint now, ShardState& shard) {
-  if (!shard.sheds.is_active() || shard.upstreams.empty()) {
+  if (!shard.sheds || !shard.sheds->is_active() || shard.upstreams.empty()) {
     return;
   }
   this->UpdateShedCase(now, shard, 0);
-  if (shard.sheds.IsOver(now) && shard.logged_shed_case == shard.shed_case()) {
-    shard.sheds.End();
+  if (shard.sheds->IsOver(now) && shard.logged_shed_case == shard.shed_case()) {
+    shard.sheds->End();
   }
 }
 
@@ -149,7 +176,7 @@
     return 0;
   }
   const size_t more_urgent =
-      shard.sheds.CountMoreUrgent(now, request.spec.traffic_class);
+      shard.sheds->CountMoreUrgent(now, request.spec.traffic_class);
   return TimeToStart(now, shard, request) < Duration(0)
              ? kReservedFromLate
              : kReservedForClass * static_cast<double>(more_urgent);
--- a/packages/decision/src/dispatch/dispatcher_speed.cc
+++ b/packages/decision/src/dispatch/dispatcher_speed.cc
@@ -238,8 +238,8 @@
                                       ShardState& shard,
                                       uint32_t place,
                                       const UpstreamLoad& load) {
-  if (shard.sheds.is_active()) {
-    shard.sheds.OnLoad(now, place, load);
+  if (shard.sheds) {
+    shard.sheds->OnLoad(now, place, load);
   }
   if (!load.known || place >= shard.speeds.size()) {
     return;
--- a/packages/decision/src/dispatch/dispatcher_start.cc
+++ b/packages/decision/src/dispatch/dispatcher_start.cc
@@ -340,8 +340,8 @@
   ++shard.running[static_cast<size_t>(attempt.traffic_class)];
   upstream.bulk += attempt.traffic_class == TrafficClass::kBulk ? 1 : 0;
   CountSend(now, shard, place);
-  if (shard.sheds.is_active() && !attempt.ahead) {
-    shard.sheds.OnSend(now, place);
+  if (shard.sheds && !attempt.ahead) {
+    shard.sheds->OnSend(now, place);
   }
   if (place < shard.cold_quotas.size()) {
     this->QueryWarmth(now, shard, place);
--- a/packages/decision/src/dispatch/shard_table.cc
+++ b/packages/decision/src/dispatch/shard_table.cc
@@ -154,7 +154,13 @@
     return kNoRow;
   }
   ShardState& shard = this->shards[row];
+  // Monitors are limited in number, so that of the former shard stays here.
+  std::unique_ptr<ShedMonitor> sheds = std::move(shard.sheds);
   shard = ShardState();
+  shard.sheds = std::move(sheds);
+  if (shard.sheds) {
+    shard.sheds->End();
+  }
   shard.key = key;
   shard.serial = this->next_serial++;
   shard.in_use = true;
@@ -210,7 +216,9 @@
                             fresh);
     }
     shard.speeds.resize(shard.can_be_queried ? shard.upstreams.size() : 0);
-    shard.sheds.Resize(shard.upstreams.size());
+    if (shard.sheds) {
+      shard.sheds->Resize(shard.upstreams.size());
+    }
   }
   RecountSlots(now, shard);
 }
@@ -243,7 +251,9 @@
     if (index < shard.speeds.size()) {
       shard.speeds[index] = ReportedSpeed();
     }
-    shard.sheds.Forget(static_cast<uint32_t>(index));
+    if (shard.sheds) {
+      shard.sheds->Forget(static_cast<uint32_t>(index));
+    }
     place->handle = row.handle;
     place->key = KeyOf(row.endpoint);
     // Upstreams that exist when the shard is opened are assumed to be warm.
--- a/packages/decision/src/dispatch/shed_monitor.h
+++ b/packages/decision/src/dispatch/shed_monitor.h
@@ -11,8 +11,7 @@
 
 /// Tells why the upstreams of one shard shed requests, from what they report of
 /// their load and from how the sheds spread over them. It starts with the first
-/// shed and ends when there have been none for a while. Its rows exist all the
-/// time, so that a shed allocates nothing.
+/// shed and ends when there have been none for a while.
 
 namespace basilsill {
 
