Wire: names of data centres with a zero are written whole

Failure: PeerFuzz Target_CorruptedCorpus aborted with the new sample of a heartbeat. A name that contains a zero was read whole and written up to the zero, so that a decoded heartbeat differed from its encoding. This held for Heartbeat.unreachable before, too.

--- a/packages/wire/src/message_writer.cc
+++ b/packages/wire/src/message_writer.cc
@@ -210,6 +210,14 @@
   builder.setRequestsPerSecond(report.requests_per_second);
 }
 
+// The size is passed, since a name that a peer has sent may contain a zero.
+void WriteNames(const std::vector<std::string>& names,
+                capnp::List<capnp::Text>::Builder list) {
+  for (unsigned i = 0; i < names.size(); ++i) {
+    list.set(i, capnp::Text::Reader(names[i].data(), names[i].size()));
+  }
+}
+
 void Write(const Heartbeat& heartbeat, schema::PeerMessage::Builder message) {
   auto builder = message.initHeartbeat();
   builder.setIncarnation(heartbeat.incarnation);
@@ -227,16 +235,12 @@
   for (unsigned i = 0; i < heartbeat.rate_limits.size(); ++i) {
     WriteRateLimit(heartbeat.rate_limits[i], rate_limits[i]);
   }
-  auto unreachable = builder.initUnreachable(
-      static_cast<unsigned>(heartbeat.unreachable.size()));
-  for (unsigned i = 0; i < heartbeat.unreachable.size(); ++i) {
-    unreachable.set(i, heartbeat.unreachable[i]);
-  }
-  auto reached =
-      builder.initReached(static_cast<unsigned>(heartbeat.reached.size()));
-  for (unsigned i = 0; i < heartbeat.reached.size(); ++i) {
-    reached.set(i, heartbeat.reached[i]);
-  }
+  WriteNames(heartbeat.unreachable,
+             builder.initUnreachable(
+                 static_cast<unsigned>(heartbeat.unreachable.size())));
+  WriteNames(
+      heartbeat.reached,
+      builder.initReached(static_cast<unsigned>(heartbeat.reached.size())));
 }
 
 void Write(const SnapshotRequest& request,
