--- a/packages/decision/test/quota_test.cc
+++ b/packages/decision/test/quota_test.cc
@@ -298,7 +298,7 @@
 
   void setup() override {
     this->lender.SetTeams(this->now, {Row(10, 1)}, 1);
-    this->lender.Begin(this->now, QuotaLender::ShareHistory::kUnknown);
+    this->lender.BeginAt(this->now, {});
   }
 
   void Ask(std::vector<QuotaNeed> needs, uint32_t wanted) {
