--- a/packages/decision/include/basilsill/decision/quota_coordinator.h
+++ b/packages/decision/include/basilsill/decision/quota_coordinator.h
@@ -127,6 +127,8 @@
   /// Other VMs of this data centre, in the order of RankLiveVms.
   std::vector<VmHandle> others;
   /// A VM that lends this data centre's share although it is no candidate.
+  /// Lends the share of this data centre though it is no candidate; invalid if
+  /// there is none.
   VmHandle guest_lender;
   size_t failed_calls = 0;  ///< In a row.
   /// All VMs of this data centre that seem to run.
--- a/packages/decision/include/basilsill/decision/quota_lender.h
+++ b/packages/decision/include/basilsill/decision/quota_lender.h
@@ -179,7 +179,7 @@
     QuotaAnswer answer;  ///< Decisions not sent yet.
     size_t held = 0;     ///< Number of needs that wait.
     /// Of an earlier version: gets one answer, when all are decided.
-    bool is_plain = false;
+    bool without_needs = false;
     bool has_news = true;  ///< `answer` is to be sent.
   };
 
--- a/packages/decision/src/membership/lost_data_centres.cc
+++ b/packages/decision/src/membership/lost_data_centres.cc
@@ -8,7 +8,7 @@
 namespace {
 
 // VMs of the data centre, and others, that have to report the loss.
-constexpr uint32_t kWitnesses = 2;
+constexpr uint32_t kMinReports = 2;
 
 // Reports that arrive within this time after the first one are used together.
 constexpr Duration kCollectTime = limits::kControlTick;
@@ -26,8 +26,8 @@
 
 bool HaveWitnesses(const PathReports& reports) {
   return reports.own + reports.others > 0 &&
-         reports.own >= std::min(kWitnesses, reports.own_vms) &&
-         reports.others >= std::min(kWitnesses, reports.other_vms);
+         reports.own >= std::min(kMinReports, reports.own_vms) &&
+         reports.others >= std::min(kMinReports, reports.other_vms);
 }
 
 }  // namespace
@@ -52,7 +52,7 @@
     state.first_report_at = now;
     state.undecided_until = now + kCollectTime;
   }
-  if (reports.reached == 0 && reports.own + reports.others >= kWitnesses) {
+  if (reports.reached == 0 && reports.own + reports.others >= kMinReports) {
     state.undecided_until =
         std::max(state.undecided_until, state.first_report_at + kDecisionTime);
   }
--- a/packages/decision/src/membership/reach_reports.cc
+++ b/packages/decision/src/membership/reach_reports.cc
@@ -12,7 +12,7 @@
 
 // VMs of a data centre, and others, that check their paths to it when another
 // VM has lost its own, and report a loss at once.
-constexpr size_t kWitnesses = 4;
+constexpr size_t kCheckers = 4;
 
 // Reports by other VMs after which it matters that this one reaches the data
 // centre.
@@ -35,7 +35,7 @@
   return XXH3_64bits_withSeed(vm.data(), vm.size(), seed);
 }
 
-// @returns true if this VM ranks among the first kWitnesses for `data_centre`
+// @returns true if this VM ranks among the first kCheckers for `data_centre`
 // of the live VMs on its side: those in the data centre or those outside. Large
 // VMs come first, since most others have links to them.
 bool IsWitness(const Membership& members, DataCentreHandle data_centre) {
@@ -51,7 +51,7 @@
                (row.data_centre == data_centre) == is_near &&
                RanksBefore(row, ScoreOf(row.name, name), own, own_score);
       });
-  return before < static_cast<ptrdiff_t>(kWitnesses);
+  return before < static_cast<ptrdiff_t>(kCheckers);
 }
 
 std::vector<DataCentreHandle> LostOf(const Membership& members) {
--- a/packages/decision/src/quota/caller_age.cc
+++ b/packages/decision/src/quota/caller_age.cc
@@ -15,7 +15,7 @@
 // Fraction of the requests of a rule that send a value, from which on it is
 // taken for a full time. Up to two of three requests of a rule are later
 // attempts, and a rule may have callers of several kinds. A single caller that
-// sends another value stays below it.
+// sends another value stays below it, unless it sends a tenth of the requests.
 constexpr double kFrequentFraction = 0.1;
 
 // A value that was sent less often than this may be that of a later attempt,
--- a/packages/decision/src/quota/quota_coordinator.cc
+++ b/packages/decision/src/quota/quota_coordinator.cc
@@ -11,6 +11,8 @@
 // The high bits of a request's number identify the requester on this VM: 0 for
 // its lender, otherwise the worker plus one.
 constexpr unsigned kWorkerShift = 48;
+constexpr uint64_t kNumberMask = (uint64_t{1} << kWorkerShift) - 1;
+
 // Number of an answer to no request: its sender has begun to lend this data
 // centre's share, and is no candidate.
 constexpr uint64_t kAnnouncement = 0;
@@ -19,8 +21,6 @@
 // renewed: one more with each call that fails, up to this many.
 constexpr size_t kMaxOthersTold = 4;
 
-constexpr uint64_t kNumberMask = (uint64_t{1} << kWorkerShift) - 1;
-
 uint64_t NumberOf(uint16_t worker, uint64_t number) {
   return (uint64_t{worker} + 1) << kWorkerShift | (number & kNumberMask);
 }
--- a/packages/decision/src/quota/quota_lease.cc
+++ b/packages/decision/src/quota/quota_lease.cc
@@ -201,6 +201,9 @@
       now < this->next_call_at) {
     return QuotaLeaseCall::kNone;
   }
+  // Failure: the lease expires before it can be released. Without this, the
+  // next take-over would write a release, and this VM would never lend again.
+  this->must_release = this->must_release && this->Holds(now);
   if ((this->given_up || this->must_release) && this->Holds(now)) {
     return this->BeginRelease(now);
   }
--- a/packages/decision/src/quota/quota_lender_short.cc
+++ b/packages/decision/src/quota/quota_lender_short.cc
@@ -26,7 +26,7 @@
 constexpr milliseconds kUnlentRetryAfter{100};
 
 // A borrower of an earlier version takes an answer for lost after 150 ms.
-constexpr milliseconds kPlainHold{100};
+constexpr milliseconds kHoldWithoutNeeds{100};
 
 uint64_t TicksOf(LeaseTime time) {
   return static_cast<uint64_t>(time.time_since_epoch().count());
@@ -49,7 +49,7 @@
   }
   const size_t count = std::min<size_t>(want.wanted, limits::kMaxQuotaNeeds);
   QuotaNeed plain;
-  plain.need.until_target = kPlainHold;
+  plain.need.until_target = kHoldWithoutNeeds;
   return std::vector<QuotaNeed>(count, plain);
 }
 
@@ -64,7 +64,7 @@
   open.answer.number = request.number;
   open.answer.lends = true;
   open.answer.lent_at = TicksOf(now);
-  open.is_plain =
+  open.without_needs =
       std::any_of(request.wants.begin(), request.wants.end(),
                   [](const QuotaWant& want) { return want.needs.empty(); });
   for (const QuotaWant& want : request.wants) {
@@ -90,11 +90,11 @@
     grant = this->buckets.Take(now, want.team, want.wanted);
     return;
   }
-  const auto found = this->short_teams.find(want.team);
-  const bool has_others =
-      found != this->short_teams.end() && !found->second.order.empty();
+  // While the team is short, credits may be kept for callers that return, so
+  // the order decides also if nobody waits.
+  const bool is_short = this->short_teams.contains(want.team);
   const std::vector<QuotaNeed> needs = NeedsOf(want);
-  if (!has_others && state->level >= static_cast<double>(needs.size())) {
+  if (!is_short && state->level >= static_cast<double>(needs.size())) {
     const auto spare = static_cast<uint32_t>(
         std::max(0.0, state->level - static_cast<double>(needs.size()) -
                           kPrefetchLevel * state->capacity));
@@ -166,14 +166,14 @@
   }
   OpenRequest& open = found->second;
   open.has_news = true;
-  if (!open.is_plain) {
+  if (!open.without_needs) {
     open.answer.lent_at = TicksOf(now);
   }
   QuotaGrant& grant = GrantOf(open.answer, team);
   grant.granted += is_granted ? 1 : 0;
   grant.held -= std::min(grant.held, 1U);
   --open.held;
-  if (open.is_plain) {
+  if (open.without_needs) {
     grant.retry_after = std::max(grant.retry_after, retry_after);
   } else {
     grant.outcomes.push_back({want.ticket, is_granted, retry_after});
@@ -292,7 +292,7 @@
         open.has_news = true;
         QuotaGrant& grant = GrantOf(open.answer, team);
         grant.held -= std::min(grant.held, 1U);
-        if (open.is_plain) {
+        if (open.without_needs) {
           grant.retry_after = kUnlentRetryAfter;
         } else {
           grant.outcomes.push_back({want.ticket, false, kUnlentRetryAfter});
@@ -308,7 +308,7 @@
 // version gets one answer, once all are made.
 void QuotaLender::SendAnswers() {
   for (auto& [id, open] : this->open_requests) {
-    if (!open.has_news || (open.is_plain && open.held > 0)) {
+    if (!open.has_news || (open.without_needs && open.held > 0)) {
       continue;
     }
     this->outgoing.push_back({open.from, open.answer});
--- a/packages/decision/test/entry_test.cc
+++ b/packages/decision/test/entry_test.cc
@@ -485,6 +485,8 @@
   CHECK(this->Choose(this->Admit()).shard == this->NearShard().key);
 }
 
+// Failure: each request goes first to the nearest data centre, though it is
+// known that nobody reaches its upstreams.
 TEST(Entry, DataCentre_Lost_OtherDataCentreIsAsked) {
   this->fixture.view.data_centres[0].lost = true;
   this->Apply();
--- a/packages/decision/test/quota_test.cc
+++ b/packages/decision/test/quota_test.cc
@@ -563,6 +563,18 @@
   CHECK(this->lease.NextCall(this->now) == QuotaLeaseCall::kNone);
 }
 
+// Failure: a lease expires before it can be released, and the VM writes a
+// release at its next take-over instead of its own name, time and again.
+TEST(QuotaLease, Release_LeaseExpiresFirst_CanBeTakenAgain) {
+  this->Read(std::nullopt, 0);
+  this->Write();
+  this->lease.Release();
+  this->now += QuotaLease::kTerm + 1s;
+  this->lease.OnNeeded(this->now, true);
+  CHECK(this->lease.NextCall(this->now) == QuotaLeaseCall::kWrite);
+  STRCMP_EQUAL("vm-a", this->lease.record().holder.c_str());
+}
+
 TEST(QuotaLease, Write_AnswerIsLate_CountsFromTheCall) {
   this->Read(std::nullopt, 0);
   CHECK(this->lease.NextCall(this->now) == QuotaLeaseCall::kWrite);
