--- a/packages/decision/src/entry/entry_choice.cc
+++ b/packages/decision/src/entry/entry_choice.cc
@@ -118,7 +118,8 @@
   }
   const auto& lost = entry.lost_data_centres;
   const Duration service_time = this->shard_estimates.ServiceTimeAt(shard.key);
-  return std::find(lost.begin(), lost.end(), shard.data_centre) == lost.end() &&
+  return std::find(lost.begin(), lost.end(), PlaceOf(shard.data_centre)) ==
+             lost.end() &&
          this->shard_estimates.IsUsable(now, shard.key) &&
          this->shard_estimates.WaitAt(
              now, shard.key, entry.request.traffic_class, 1) <= service_time;
--- a/packages/decision/src/entry/entry_core.h
+++ b/packages/decision/src/entry/entry_core.h
@@ -34,9 +34,10 @@
   TimePoint admitted;
   uint32_t choices = 0;
   uint8_t detours = 0;  ///< Attempts that are not counted in `choices`.
-  /// Data centres in which a dispatcher could not connect to the upstreams.
-  std::array<DataCentreHandle, 2> lost_data_centres{};
   uint8_t sends = 0;  ///< Sent to upstreams so often, as far as this VM knows.
+  /// Data centres in which a dispatcher could not connect to the upstreams, by
+  /// PlaceOf.
+  std::array<uint8_t, 2> lost_data_centres{};
   /// Shards that refused the request, and VMs that could not dispatch it.
   std::array<ShardKey, kMaxChoices> tried_shards{};
   std::array<VmHandle, kMaxChoices> tried_vms{};
@@ -46,6 +47,13 @@
   bool counts_for_silence = false;
 };
 
+/// @returns the index of `data_centre` plus one, which fits into an octet. 0 is
+/// no data centre.
+constexpr uint8_t PlaceOf(DataCentreHandle data_centre) {
+  static_assert(limits::kMaxDataCentres < UINT8_MAX);
+  return static_cast<uint8_t>(data_centre.index + 1);
+}
+
 /// Which shards a choice considers.
 enum class ChoiceScope : uint8_t {
   kServing,  ///< Those that are expected to serve the request soon.
--- a/packages/decision/src/entry/entry_router.cc
+++ b/packages/decision/src/entry/entry_router.cc
@@ -287,9 +287,13 @@
   const ServiceRow* service = FindService(*this->view, entry.request.service);
   const ShardRow* shard =
       service != nullptr ? FindShard(*service, entry.target.shard) : nullptr;
-  if (shard != nullptr && entry.lost_data_centres[0] != shard->data_centre) {
+  if (shard == nullptr) {
+    return;
+  }
+  const uint8_t place = PlaceOf(shard->data_centre);
+  if (entry.lost_data_centres[0] != place) {
     entry.lost_data_centres[1] =
-        std::exchange(entry.lost_data_centres[0], shard->data_centre);
+        std::exchange(entry.lost_data_centres[0], place);
   }
 }
 
