Reach: checks keep the pause that a VM gives itself

A check each second, at the request of the control side, made ReachHistory AllVmsButOne_CutFromAllUpstreams lose 3 requests in 500 histories (0 before).

--- a/packages/decision/src/dispatch/upstream_reach.cc
+++ b/packages/decision/src/dispatch/upstream_reach.cc
@@ -175,11 +175,6 @@
   }
   for (const DataCentreHandle data_centre : doubts.check) {
     if (!this->IsUnreachable(data_centre)) {
-      // The control side limits these checks. The pause between the checks
-      // that this VM begins itself may be longer, and an outdated report would
-      // stand for as long.
-      DataCentreState& state = this->StateOf(data_centre);
-      state.next_check = std::min(state.next_check, now);
       this->CheckPath(now, data_centre);
     }
   }
