Quotas: the lender's two source files share what both defined; one bound check

Cause: when the lender was split, the timeout of another lender, the conversion of a time and the look-up of a team's grant were written again in the second file, and three random histories each had the same loop over teams.

Change: an internal header has the three, and GrantOf calls FindGrant; the histories call CheckBound. No behaviour, bound or assertion changes.

--- a/packages/decision/src/quota/quota_lender.cc
+++ b/packages/decision/src/quota/quota_lender.cc
@@ -3,15 +3,13 @@
 #include <algorithm>
 #include <utility>
 
+#include "quota_lender_parts.h"
+
 namespace basilsill {
 namespace {
 
 using std::chrono::milliseconds;
 
-// Another lender answers within a round trip between data centres. One that
-// takes this long is skipped.
-constexpr milliseconds kLenderTimeout{40};
-
 // Limit on the time that a request spends waiting for other lenders.
 constexpr milliseconds kMaxPendingTime{100};
 
@@ -19,19 +17,6 @@
 // lenders have no credits left.
 constexpr milliseconds kNoLenderRetryAfter{100};
 
-uint64_t TicksOf(LeaseTime time) {
-  return static_cast<uint64_t>(time.time_since_epoch().count());
-}
-
-QuotaGrant* FindGrant(QuotaAnswer& answer, TeamKey team) {
-  for (QuotaGrant& grant : answer.grants) {
-    if (grant.team == team) {
-      return &grant;
-    }
-  }
-  return nullptr;
-}
-
 }  // namespace
 
 void QuotaLender::SetOtherLenders(
--- a/packages/decision/src/quota/quota_lender_short.cc
+++ b/packages/decision/src/quota/quota_lender_short.cc
@@ -5,16 +5,13 @@
 #include <utility>
 
 #include "basilsill/decision/quota_lender.h"
+#include "quota_lender_parts.h"
 
 namespace basilsill {
 namespace {
 
 using std::chrono::milliseconds;
 
-// Another lender answers within a round trip between data centres. One that
-// takes this long is skipped.
-constexpr milliseconds kLenderTimeout{40};
-
 // Pause before other lenders are asked again that had too few credits.
 constexpr milliseconds kMinAskPause{10};
 constexpr milliseconds kMaxAskPause{50};
@@ -28,15 +25,9 @@
 // A borrower of an earlier version takes an answer for lost after 150 ms.
 constexpr milliseconds kHoldWithoutNeeds{100};
 
-uint64_t TicksOf(LeaseTime time) {
-  return static_cast<uint64_t>(time.time_since_epoch().count());
-}
-
 QuotaGrant& GrantOf(QuotaAnswer& answer, TeamKey team) {
-  for (QuotaGrant& grant : answer.grants) {
-    if (grant.team == team) {
-      return grant;
-    }
+  if (QuotaGrant* grant = FindGrant(answer, team)) {
+    return *grant;
   }
   answer.grants.push_back({team, 0, Duration(0), {}, 0});
   return answer.grants.back();
--- a/packages/decision/test/quota_history_test.cc
+++ b/packages/decision/test/quota_history_test.cc
@@ -103,6 +103,15 @@
   }
 }
 
+// No team gets more than its quota allows in any window.
+void CheckBound(const QuotaSimulation& simulation,
+                const std::vector<TeamLimits>& teams) {
+  for (size_t team = 0; team < teams.size(); ++team) {
+    CHECK_TRUE(static_cast<double>(simulation.MaxAdmittedIn(team, kWindow)) <=
+               MaxAllowed(teams[team]));
+  }
+}
+
 void RestartAllVms(pcg64& random, QuotaSimulation& simulation) {
   const bool is_long = random() % 4 == 0;
   const auto down =
@@ -172,10 +181,7 @@
       InjectFault(random, simulation);
     }
     simulation.Run(5s);
-    for (size_t team = 0; team < options.teams.size(); ++team) {
-      CHECK_TRUE(static_cast<double>(simulation.MaxAdmittedIn(team, kWindow)) <=
-                 MaxAllowed(options.teams[team]));
-    }
+    CheckBound(simulation, options.teams);
   }
 }
 
@@ -204,10 +210,7 @@
       }
     }
     simulation.Run(2s);
-    for (size_t team = 0; team < options.teams.size(); ++team) {
-      CHECK_TRUE(static_cast<double>(simulation.MaxAdmittedIn(team, kWindow)) <=
-                 MaxAllowed(options.teams[team]));
-    }
+    CheckBound(simulation, options.teams);
   }
 }
 
@@ -228,10 +231,7 @@
       InjectFault(random, simulation);
     }
     simulation.Run(4s);
-    for (size_t team = 0; team < options.teams.size(); ++team) {
-      CHECK_TRUE(static_cast<double>(simulation.MaxAdmittedIn(team, kWindow)) <=
-                 MaxAllowed(options.teams[team]));
-    }
+    CheckBound(simulation, options.teams);
     CheckParts(simulation, seed);
   }
 }
