Store: eras and listings in the log

The logs of the incident do not show whether the store was restored: they have neither the era of its answers nor where a log ended.

--- a/packages/base/include/basilsill/base/event.h
+++ b/packages/base/include/basilsill/base/event.h
@@ -95,6 +95,8 @@
   kViewBuilt = 516,
   kConfigurationReceived = 517,
   kConfigurationInForce = 518,
+  kStoreEraChanged = 519,
+  kTopicListed = 520,
   // 600: requests that must not be executed twice
   kClaimLost = 600,
   kClaimUnresolved = 601,
--- a/packages/base/src/event.cc
+++ b/packages/base/src/event.cc
@@ -90,6 +90,8 @@
     EventInfo{Event::kViewBuilt, kDebug, "view-built"},
     EventInfo{Event::kConfigurationReceived, kInfo, "configuration-received"},
     EventInfo{Event::kConfigurationInForce, kInfo, "configuration-in-force"},
+    EventInfo{Event::kStoreEraChanged, kWarning, "store-era-changed"},
+    EventInfo{Event::kTopicListed, kInfo, "topic-listed"},
     EventInfo{Event::kClaimLost, kInfo, "claim-lost"},
     EventInfo{Event::kClaimUnresolved, kWarning, "claim-unresolved"},
     EventInfo{Event::kDoneRecorded, kInfo, "done-recorded"},
--- a/packages/platform/include/basilsill/platform/http_message.h
+++ b/packages/platform/include/basilsill/platform/http_message.h
@@ -3,6 +3,7 @@
 
 #include <cstddef>
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -48,6 +49,8 @@
   /// If a kept connection delivers no answer within this time, a repeatable
   /// call is made again on a new one, within `timeout`; 0: it is not.
   std::chrono::milliseconds max_silence{0};
+  /// Name of the header whose value the answer returns; empty: none.
+  std::string answer_header;
 };
 
 /// A complete HTTP response with any status.
@@ -57,6 +60,8 @@
   CallConnection connection = CallConnection::kNew;
   /// Time since the call was made on `connection`.
   Duration took{0};
+  /// Value of HttpCall::answer_header; absent if the answer has none.
+  std::optional<std::string> header;
 };
 
 }  // namespace basilsill
--- a/packages/platform/src/http_client.cc
+++ b/packages/platform/src/http_client.cc
@@ -76,6 +76,16 @@
           connection};
 }
 
+// @returns the value of the header `name`, if `answer` has it.
+std::optional<std::string> HeaderOf(const Parser::value_type& answer,
+                                    const std::string& name) {
+  const auto found = name.empty() ? answer.end() : answer.find(name);
+  if (found == answer.end()) {
+    return std::nullopt;
+  }
+  return std::string(found->value());
+}
+
 // When the head of the answer, and the whole of it, must have arrived.
 struct ExchangeEnd {
   TimePoint head;
@@ -104,6 +114,7 @@
 /// A call in the form in which it is made, perhaps twice.
 struct PreparedCall {
   Request request;
+  std::string answer_header;
   size_t max_answer_bytes = 0;
   Duration timeout{0};
   Duration max_silence{0};
@@ -116,6 +127,7 @@
                      HttpCall call,
                      TimePoint slow_until) {
   PreparedCall prepared;
+  prepared.answer_header = call.answer_header;
   prepared.max_answer_bytes = call.max_answer_bytes;
   prepared.timeout = call.timeout;
   prepared.max_silence = call.max_silence;
@@ -252,8 +264,9 @@
   if (answer.keep_alive() && connection->buffer.size() == 0) {
     this->Release(connection);
   }
+  std::optional<std::string> header = HeaderOf(answer, call.answer_header);
   co_return HttpAnswer{answer.result_int(), std::move(answer.body()), kind,
-                       MonotonicClock::now() - sent};
+                       MonotonicClock::now() - sent, std::move(header)};
 }
 
 namespace {
