--- a/packages/base/include/basilsill/base/event.h
+++ b/packages/base/include/basilsill/base/event.h
@@ -97,6 +97,7 @@
   kConfigurationInForce = 518,
   kStoreEraChanged = 519,
   kTopicListed = 520,
+  kRestoreConfirmed = 521,
   // 600: requests that must not be executed twice
   kClaimLost = 600,
   kClaimUnresolved = 601,
--- a/packages/base/src/event.cc
+++ b/packages/base/src/event.cc
@@ -92,6 +92,7 @@
     EventInfo{Event::kConfigurationInForce, kInfo, "configuration-in-force"},
     EventInfo{Event::kStoreEraChanged, kWarning, "store-era-changed"},
     EventInfo{Event::kTopicListed, kInfo, "topic-listed"},
+    EventInfo{Event::kRestoreConfirmed, kInfo, "restore-confirmed"},
     EventInfo{Event::kClaimLost, kInfo, "claim-lost"},
     EventInfo{Event::kClaimUnresolved, kWarning, "claim-unresolved"},
     EventInfo{Event::kDoneRecorded, kInfo, "done-recorded"},
--- a/packages/decision/include/basilsill/decision/quota.h
+++ b/packages/decision/include/basilsill/decision/quota.h
@@ -4,6 +4,7 @@
 #include <cstdint>
 #include <vector>
 
+#include "basilsill/base/log_position.h"
 #include "basilsill/base/time.h"
 #include "basilsill/decision/claim_key.h"
 #include "basilsill/decision/view.h"
@@ -95,9 +96,9 @@
   bool of_lender = false;
   std::vector<QuotaWant> wants;
   std::vector<QuotaReturn> returns;
-  /// End of the log of the share's lease as the sender knows it; 0 if it tells
-  /// nothing about the lease.
-  uint64_t lease_end = 0;
+  /// End of the log of the share's lease as the sender knows it; offset 0 if it
+  /// tells nothing about the lease.
+  LogPosition lease_end{};
   /// The sender holds the lease with the record at `lease_end`, may fail to
   /// renew it, and lends for no longer than this time unless it does. 0: the
   /// sender has read that record, and does not hold the lease.
--- a/packages/decision/include/basilsill/decision/quota_coordinator.h
+++ b/packages/decision/include/basilsill/decision/quota_coordinator.h
@@ -75,8 +75,9 @@
   // Results of that call.
   void OnLeaseRead(LeaseTime now,
                    const std::optional<QuotaLeaseRecord>& record,
-                   uint64_t end);
-  void OnLeaseWritten(LeaseTime now, uint64_t end);
+                   LogPosition end,
+                   LeaseTime era_since = LeaseTime::min());
+  void OnLeaseWritten(LeaseTime now, LogPosition end);
   void OnLeaseConflict(LeaseTime now) { this->own_lease.OnConflict(now); }
   void OnLeaseFailed(LeaseTime now);
 
--- a/packages/decision/include/basilsill/decision/quota_lease.h
+++ b/packages/decision/include/basilsill/decision/quota_lease.h
@@ -7,6 +7,7 @@
 #include <string>
 #include <string_view>
 
+#include "basilsill/base/log_position.h"
 #include "basilsill/base/time.h"
 
 /// The lease for one share of all quotas, kept in the platform's store. The
@@ -21,6 +22,10 @@
 /// A new holder knows for how long at least nobody can have lent the share, and
 /// how many others have begun to lend it within a window, which the record
 /// counts. Pure: the host makes the calls.
+///
+/// If the store is restored from a copy, the record of a valid lease may be
+/// lost. So a record of an earlier era, or none, frees the share only once the
+/// store has been in its era for a term; the holder writes its record again.
 
 namespace basilsill {
 
@@ -32,6 +37,9 @@
   /// QuotaLease::kStartWindow, at most; absent if not known, as in records of
   /// earlier versions.
   std::optional<uint32_t> recent_starts{};
+  /// Era of the log for which it was written; 0 also in records of earlier
+  /// versions.
+  uint64_t era = 0;
 
   friend bool operator==(const QuotaLeaseRecord&,
                          const QuotaLeaseRecord&) = default;
@@ -87,10 +95,10 @@
 
   /// The holder of the record at `end` lends for at most `left` unless another
   /// record follows.
-  void OnPromise(LeaseTime now, uint64_t end, Duration left);
+  void OnPromise(LeaseTime now, LogPosition end, Duration left);
 
   /// Another VM has read a record at `end`: this one's may be older.
-  void OnNewerRecord(uint64_t end);
+  void OnNewerRecord(LogPosition end);
 
   /// Releases the lease as soon as the call in flight has ended, so that
   /// another VM may take it. This VM does not take it for a while.
@@ -103,10 +111,13 @@
   QuotaLeaseCall NextCall(LeaseTime now);
 
   /// Results of the call in flight. `end` is the end of the log.
+  /// @param era_since When this VM, or another one that told it, first got an
+  /// answer of the store in the era of `end`. Ignored if the era is 0.
   void OnRead(LeaseTime now,
               const std::optional<QuotaLeaseRecord>& record,
-              uint64_t end);
-  void OnWritten(LeaseTime now, uint64_t end);
+              LogPosition end,
+              LeaseTime era_since = LeaseTime::min());
+  void OnWritten(LeaseTime now, LogPosition end);
   /// Another record was appended first, so the write failed.
   void OnConflict(LeaseTime now);
   void OnFailed(LeaseTime now);
@@ -120,10 +131,11 @@
   const QuotaShareHistory& history() const { return this->begun_with; }
 
   const QuotaLeaseRecord& record() const { return this->to_write; }
-  uint64_t end() const { return this->log_end; }
+  LogPosition end() const { return this->log_end; }
 
  private:
   bool IsFree(LeaseTime now) const;
+  bool IsOfEarlierEra() const;
   bool IsWanted(LeaseTime now) const;
   bool IsOwn(const std::optional<QuotaLeaseRecord>& record) const;
   bool IsOfEarlierProcess() const;
@@ -138,7 +150,8 @@
   QuotaLeaseRecord self;
   QuotaLeaseRecord to_write;
   std::optional<QuotaLeaseRecord> known_record;
-  uint64_t log_end = 0;
+  LogPosition log_end;
+  LeaseTime era_since = LeaseTime::min();  ///< Of the era of `log_end`.
   bool is_known = false;        ///< `known_record` and `log_end` were read.
   bool must_reread = false;     ///< They may have changed since.
   LeaseTime unchanged_since{};  ///< When the record was first seen as it is.
@@ -152,7 +165,7 @@
   LeaseTime call_begun{};
   LeaseTime next_call_at{};
   QuotaLeaseCall call_in_flight = QuotaLeaseCall::kNone;
-  uint64_t promised_end = 0;
+  LogPosition promised_end;
   /// When the holder of the record at `promised_end` has ended to lend.
   LeaseTime promised_free_at{};
   bool must_release = false;
--- a/packages/decision/include/basilsill/decision/topic_follower.h
+++ b/packages/decision/include/basilsill/decision/topic_follower.h
@@ -5,6 +5,7 @@
 #include <cstdint>
 #include <string>
 
+#include "basilsill/base/log_position.h"
 #include "basilsill/base/time.h"
 
 /// Keeps up with one topic of the platform's record store: it lists the newest
@@ -19,13 +20,19 @@
 /// first falls silent, without any agreement between them. A VM that receives
 /// no updates, whatever the cause, reads for itself soon enough to meet every
 /// bound on staleness.
+///
+/// The store may be restored from a copy, which begins a new era. A VM that has
+/// read the topic in an earlier era then lacks what was written since the copy
+/// was made, and has records that the copy lacks. It either lists the topic
+/// again, or gets an update that begins in the era before and ends in the new
+/// one; only the VM that reads for the fleet needs to list.
 
 namespace basilsill {
 
 enum class TopicCallKind : uint8_t {
   kListNewest,       ///< The newest record of each key after `after`.
-  kReadOn,           ///< Records from offset `from`.
-  kRequestFromPeer,  ///< Ask a relay VM for records from offset `from`.
+  kReadOn,           ///< Records from position `from`.
+  kRequestFromPeer,  ///< Ask a relay VM for records from position `from`.
   kCount
 };
 
@@ -35,7 +42,7 @@
   Duration hold{0};
   TopicCallKind kind = TopicCallKind::kListNewest;
   std::string after;
-  uint64_t from = 0;
+  LogPosition from;
   size_t max_bytes = 0;  ///< Limit on the answer to a read.
 };
 
@@ -77,14 +84,17 @@
   void StartAt(TimePoint at) { this->next_at = at; }
 
   /// A page of the listing of newest records arrived.
-  /// @param end Offset after the last record of the topic when the page was
+  /// @param end Position after the last record of the topic when the page was
   /// made.
   /// @param last_key Last key of the page; empty if the page is empty.
   /// @returns true if the listing is complete now.
-  bool OnPage(TimePoint now, uint64_t end, bool more, std::string last_key);
+  bool OnPage(TimePoint now, LogPosition end, bool more, std::string last_key);
 
   /// A read returned the records before `next`, of a topic that ends at `end`.
-  void OnRecords(TimePoint now, uint64_t next, uint64_t end);
+  void OnRecords(TimePoint now, LogPosition next, LogPosition end);
+
+  /// The store is in `era`, as an answer to any call or another VM shows.
+  void OnEra(TimePoint now, uint64_t era);
 
   /// A peer was sent a request for the records that this VM may lack.
   void OnPeerRequestSent(TimePoint now);
@@ -96,11 +106,11 @@
   /// Sets whether there are peers to ask.
   void SetPeers(bool has_peers) { this->has_peers = has_peers; }
 
-  /// Another VM sent the records from offset `first` up to `next`.
+  /// Another VM sent the records from position `first` up to `next`.
   /// @returns true if the records must be applied: they contain something new
   /// and leave no gap. False if they are known, or if records before `first`
   /// are missing here; in that case the next read is due at once.
-  bool OnPeerUpdate(TimePoint now, uint64_t first, uint64_t next);
+  bool OnPeerUpdate(TimePoint now, LogPosition first, LogPosition next);
 
   /// Sets the number of VMs before this one in the common order.
   void SetRank(size_t rank) { this->rank = rank; }
@@ -121,8 +131,15 @@
   /// @returns true once a listing has been completed.
   bool is_fully_listed() const { return this->listed_once; }
 
-  /// @returns true while no record before `offset()` is known to be missing.
-  bool is_gapless() const { return this->listed_once && !this->listing; }
+  /// @returns true while no record before `position()` is known to be missing.
+  bool is_gapless() const {
+    return this->listed_once && !this->listing && !this->is_era_over();
+  }
+
+  /// @returns true if the store was restored since this VM last got records.
+  bool is_era_over() const {
+    return this->listed_once && this->store_era > this->from.era;
+  }
 
   /// @returns true if this VM had all records at some time within the last
   /// `max_silence`.
@@ -131,29 +148,29 @@
   /// @returns true if the last call was answered.
   bool available() const { return this->failures == 0; }
 
-  uint64_t offset() const { return this->from; }
+  LogPosition position() const { return this->from; }
 
   /// Starts an update to the other VMs, which contains the records from the
-  /// returned offset up to `offset()`. It leaves out the records before
+  /// returned position up to `position()`. It leaves out the records before
   /// `settled()`, which every VM that recently received an update has, and
   /// those that the last two updates contained: a VM that missed both detects
   /// the gap and reads for itself. Without the latter rule each record would be
   /// sent four to five times over the links to all VMs.
-  uint64_t BeginUpdate();
+  LogPosition BeginUpdate();
 
   /// Starts to forward an update that covers the records from `first` up to
   /// `next`.
-  /// @returns the offset from which on it must contain records: `next` if this
-  /// VM has sent or forwarded them already.
-  uint64_t BeginForward(uint64_t first, uint64_t next);
+  /// @returns the position from which on it must contain records: `next` if
+  /// this VM has sent or forwarded them already.
+  LogPosition BeginForward(LogPosition first, LogPosition next);
 
-  /// @returns an offset such that every VM that recently received an update has
-  /// all records before it.
-  uint64_t settled() const { return this->settled_offset; }
+  /// @returns a position such that every VM that recently received an update
+  /// has all records before it.
+  LogPosition settled() const { return this->settled_position; }
 
-  /// @returns an offset some seconds old. Records from it on are retained for
+  /// @returns a position some seconds old. Records from it on are retained for
   /// VMs that were frozen or without links for a shorter time.
-  uint64_t retained() const { return this->retained_offset; }
+  LogPosition retained() const { return this->retained_position; }
 
  private:
   Duration ReadDelay(TimePoint now) const;
@@ -163,7 +180,8 @@
   /// @returns a duration between `first` and `last` that grows with the VM's
   /// rank.
   Duration ByRank(Duration first, Duration last) const;
-  void Advance(TimePoint now, uint64_t next);
+  void BeginAt(TimePoint now, LogPosition end);
+  void Advance(TimePoint now, LogPosition next);
   bool ShouldRequestFromPeer() const;
 
   TopicFollowerOptions options;
@@ -171,16 +189,17 @@
   bool listing = true;
   std::string after;  ///< Last key of the previous page; empty at the start.
   bool first_page = true;
-  uint64_t from = 0;
-  uint64_t settled_offset = 0;
-  uint64_t settling_offset = 0;  ///< Next `settled_offset`.
+  LogPosition from;
+  uint64_t store_era = 0;
+  LogPosition settled_position;
+  LogPosition settling_position;  ///< Next `settled_position`.
   TimePoint settling_since{};
-  uint64_t retained_offset = 0;
-  uint64_t retaining_offset = 0;  ///< Next `retained_offset`.
+  LogPosition retained_position;
+  LogPosition retaining_position;  ///< Next `retained_position`.
   TimePoint retaining_since{};
-  /// End offsets of the last update that this VM sent and of the one before.
-  uint64_t sent_offset = 0;
-  uint64_t previous_sent_offset = 0;
+  /// Ends of the last update that this VM sent and of the one before.
+  LogPosition sent_position;
+  LogPosition previous_sent_position;
   size_t rank = 0;
   uint32_t failures = 0;
   TimePoint failed_call_begun{};
--- a/packages/decision/include/basilsill/decision/topic_records.h
+++ b/packages/decision/include/basilsill/decision/topic_records.h
@@ -8,6 +8,8 @@
 #include <string>
 #include <vector>
 
+#include "basilsill/base/log_position.h"
+
 /// The records of a topic of the platform's record store that a VM keeps for
 /// other VMs: the newest record of each key for VMs that start, and recent
 /// changes for VMs that follow the topic. Pure.
@@ -17,7 +19,7 @@
 struct KeyedRecord {
   std::string key;
   std::string value;
-  uint64_t offset = 0;
+  LogPosition position;
   bool removed = false;  ///< The record removes the key.
 };
 
@@ -30,6 +32,10 @@
   /// Replaces the record kept for the key if `record` is newer.
   void Keep(const KeyedRecord& record);
 
+  /// Replaces the record kept for the key by `record`, which is newer by its
+  /// contents, whatever its position.
+  void Replace(const KeyedRecord& record);
+
   /// Mark the start and end of a complete listing. A key for which OnListed is
   /// not called between them is removed: the store no longer has the record of
   /// its removal.
@@ -37,28 +43,37 @@
   void OnListed(const std::string& key);
   void EndListing();
 
+  /// Ends a listing that is incomplete or of a copy; no key is removed.
+  void CancelListing() { this->listing = false; }
+
   /// Adds a record that changed something and that other VMs may not have.
   void AddRecent(const KeyedRecord& record);
 
-  /// Drops the recent records before offset `settled`; no VM needs them.
-  void ForgetRecentBefore(uint64_t settled);
+  /// Drops the recent records before `settled`; no VM needs them.
+  void ForgetRecentBefore(LogPosition settled);
 
-  /// @returns the offset from which on `RecentFrom` has all records that
+  /// @returns the position from which on `RecentFrom` has all records that
   /// changed something.
-  uint64_t recent_complete_since() const { return this->complete_from; }
+  LogPosition recent_complete_since() const { return this->complete_from; }
+
+  /// @returns the recent records from `start` on that are the last of their
+  /// key.
+  std::vector<KeyedRecord> RecentFrom(LogPosition start) const;
+
+  /// @returns the newest record of each key from `start` on, ordered by
+  /// position.
+  std::vector<KeyedRecord> From(LogPosition start) const;
 
-  /// @returns the recent records from offset `start` on that are the last of
-  /// their key.
-  std::vector<KeyedRecord> RecentFrom(uint64_t start) const;
+  /// @returns the newest record of `key`; null if there is none.
+  const KeyedRecord* Find(const std::string& key) const;
 
-  /// @returns the newest record of each key whose offset is at least `start`,
-  /// ordered by offset.
-  std::vector<KeyedRecord> From(uint64_t start) const;
+  /// @returns the number of keys whose newest record is of an era before `era`.
+  size_t CountBefore(uint64_t era) const;
 
  private:
   std::map<std::string, KeyedRecord> newest;
   std::deque<KeyedRecord> recent;
-  uint64_t complete_from = 0;  ///< See recent_complete_since().
+  LogPosition complete_from;  ///< See recent_complete_since().
   std::set<std::string> listed;
   bool listing = false;
 };
--- a/packages/decision/include/basilsill/decision/upstream_registry.h
+++ b/packages/decision/include/basilsill/decision/upstream_registry.h
@@ -10,6 +10,7 @@
 #include <string_view>
 
 #include "basilsill/base/endpoint.h"
+#include "basilsill/base/log_position.h"
 #include "basilsill/base/time.h"
 
 /// The upstreams that list themselves in a registry which the platform keeps:
@@ -25,6 +26,11 @@
 /// earlier one, in whatever order their entries arrive: entries of an earlier
 /// start may still be in flight after it has died. Starts of one id are ordered
 /// by the upstream's own clock, which is compared with no other clock.
+///
+/// If the platform is restored from a copy, entries written since are missing
+/// until their upstreams write them again, and entries of upstreams that have
+/// left are back. What is known here holds until a record of the new era, or
+/// until the platform has had time to receive and expire entries.
 
 namespace basilsill {
 
@@ -80,7 +86,7 @@
   std::string id;
   std::string service;
   Endpoint endpoint;
-  uint64_t offset = 0;  ///< Offset of the record behind the change.
+  LogPosition position;  ///< Of the record behind the change.
 };
 
 /// The upstreams of one service in one data centre.
@@ -96,7 +102,7 @@
  public:
   struct Row {
     RegisteredUpstream entry;
-    uint64_t offset = 0;  ///< Offset of the latest record of the entry.
+    LogPosition position;  ///< Of the latest record of the entry.
     bool cold = false;
     /// Another upstream with a newer entry has the same endpoint.
     bool shadowed = false;
@@ -108,9 +114,11 @@
 
   explicit UpstreamRegistry(const RegistryOptions& options = {});
 
-  /// An entry was written at `offset`. Entries older than the known one of the
-  /// id, or of an earlier start, are ignored.
-  EntryResult OnEntry(TimePoint now, uint64_t offset, RegisteredUpstream entry);
+  /// An entry was written at `position`. Entries older than the known one of
+  /// the id, older than its removal, or of an earlier start, are ignored.
+  EntryResult OnEntry(TimePoint now,
+                      LogPosition position,
+                      RegisteredUpstream entry);
 
   /// The entry under `id` can't be read or does not describe an upstream,
   /// because another writer put it there. The known upstream is kept until its
@@ -118,8 +126,8 @@
   /// heartbeat.
   void OnUnreadable(std::string_view id);
 
-  /// The entry of `id` was removed at `offset`.
-  void OnRemoved(TimePoint now, uint64_t offset, std::string_view id);
+  /// The entry of `id` was removed at `position`.
+  void OnRemoved(TimePoint now, LogPosition position, std::string_view id);
 
   /// Mark the start and end of a complete listing. An upstream that is not
   /// listed between the two calls counts as removed: the store may no longer
@@ -127,10 +135,16 @@
   void BeginListing();
   void EndListing(TimePoint now);
 
+  /// Ends a listing that is incomplete or of a copy; nothing is removed.
+  void CancelListing() { this->listing = false; }
+
   /// The platform became unreachable, or reachable again.
   void OnPlatformLost();
   void OnPlatformBack(TimePoint now);
 
+  /// The platform was restored from a copy.
+  void OnPlatformRestored(TimePoint now);
+
   /// Applies deferred removals that are due, and ends cold periods.
   void Tick(TimePoint now);
 
@@ -151,6 +165,8 @@
   bool DefersRemovals(TimePoint now) const;
   bool IsOlderStart(const RegisteredUpstream& entry) const;
   void RecordStart(const RegisteredUpstream& entry);
+  bool IsOlderThanRemoval(LogPosition position, std::string_view id) const;
+  void RecordRemoval(LogPosition position, std::string_view id);
   void Erase(std::string_view id);
   void AddToEndpoint(const std::string& id, const Endpoint& endpoint);
   void RemoveFromEndpoint(const std::string& id, const Endpoint& endpoint);
@@ -165,6 +181,9 @@
   /// Latest start of each id, including ids of removed upstreams.
   std::map<std::string, std::chrono::milliseconds> latest_starts;
   std::deque<std::string> starts_in_order;
+  /// Positions of the latest removals.
+  std::map<std::string, LogPosition, std::less<>> removals;
+  std::deque<std::string> removals_in_order;
   /// Ids of the entries at each endpoint; two if an address is reused before
   /// the old entry is removed.
   std::map<std::string, std::set<std::string>> ids_by_endpoint;
--- a/packages/decision/src/configuration/data_centre_drains.cc
+++ b/packages/decision/src/configuration/data_centre_drains.cc
@@ -9,9 +9,9 @@
 
 // Failure: after a drain has ended, a relay VM delivers the older record that
 // had started it. The data centre would get no work although nobody drains it.
-// So the offset of an ended drain is kept, and only a later record or a
+// So the position of an ended drain is kept, and only a later record or a
 // listing, which contains current records only, drains the data centre again.
-bool DataCentreDrains::OnRecord(uint64_t offset,
+bool DataCentreDrains::OnRecord(LogPosition position,
                                 std::string_view data_centre,
                                 bool drained) {
   if (this->listing && drained) {
@@ -22,14 +22,15 @@
     if (!this->HasRoom()) {
       return false;
     }
-    this->rows.emplace(data_centre, Row{offset, drained});
+    this->rows.emplace(data_centre, Row{position, drained});
   } else {
-    const uint64_t newest = known->second.offset;
-    const bool counts = offset > newest || (offset == newest && this->listing);
+    const LogPosition newest = known->second.position;
+    const bool counts =
+        position > newest || (position == newest && this->listing);
     if (!counts) {
       return false;
     }
-    known->second = {offset, drained};
+    known->second = {position, drained};
   }
   const bool is_new = this->current.contains(data_centre) != drained;
   if (is_new) {
--- a/packages/decision/src/quota/quota_coordinator.cc
+++ b/packages/decision/src/quota/quota_coordinator.cc
@@ -183,7 +183,7 @@
 
 void QuotaCoordinator::OnLeaseNews(LeaseTime now, const QuotaRequest& request) {
   this->own_lease.OnAsked();
-  if (request.lease_end == 0) {
+  if (request.lease_end.offset == 0) {
     return;
   }
   if (request.lease_left > Duration(0)) {
@@ -297,8 +297,9 @@
 void QuotaCoordinator::OnLeaseRead(
     LeaseTime now,
     const std::optional<QuotaLeaseRecord>& record,
-    uint64_t end) {
-  this->own_lease.OnRead(now, record, end);
+    LogPosition end,
+    LeaseTime era_since) {
+  this->own_lease.OnRead(now, record, end, era_since);
   this->failed_calls = 0;
   this->AskHolder(now, record);
 }
@@ -331,7 +332,7 @@
   this->lender.Enqueue({{vm, 0}, std::move(empty_request)});
 }
 
-void QuotaCoordinator::OnLeaseWritten(LeaseTime now, uint64_t end) {
+void QuotaCoordinator::OnLeaseWritten(LeaseTime now, LogPosition end) {
   this->own_lease.OnWritten(now, end);
   this->failed_calls = 0;
   this->SyncWithLease(now);
--- a/packages/decision/src/quota/quota_lease.cc
+++ b/packages/decision/src/quota/quota_lease.cc
@@ -73,7 +73,22 @@
          this->needed_at - this->needed_since >= kTakeoverDelay;
 }
 
+// @returns true if the log may lack the record of a valid lease, because the
+// store was restored from a copy after that record was written.
+bool QuotaLease::IsOfEarlierEra() const {
+  const uint64_t record_era = this->known_record ? this->known_record->era : 0;
+  return record_era < this->log_end.era;
+}
+
 bool QuotaLease::IsFree(LeaseTime now) const {
+  if (this->IsOfEarlierEra()) {
+    if (this->Holds(now)) {
+      return true;
+    }
+    if (now < this->era_since + kTerm + kClockMargin) {
+      return false;
+    }
+  }
   if (!this->known_record || this->known_record->holder.empty() ||
       this->known_record->holder == this->self.holder) {
     return true;
@@ -99,11 +114,11 @@
 // A promise counts for one record only: the holder lends on if it writes
 // another one, and then this VM's write fails.
 bool QuotaLease::HasPromise() const {
-  return this->is_known && this->promised_end != 0 &&
+  return this->is_known && this->promised_end.offset != 0 &&
          this->promised_end == this->log_end;
 }
 
-void QuotaLease::OnPromise(LeaseTime now, uint64_t end, Duration left) {
+void QuotaLease::OnPromise(LeaseTime now, LogPosition end, Duration left) {
   const Duration longest =
       std::min<Duration>(left, kTerm) + (kLongestTerm - kTerm);
   if (end != this->promised_end || now + longest < this->promised_free_at) {
@@ -112,7 +127,7 @@
   this->promised_end = end;
 }
 
-void QuotaLease::OnNewerRecord(uint64_t end) {
+void QuotaLease::OnNewerRecord(LogPosition end) {
   if (end > this->log_end) {
     this->must_reread = true;
   }
@@ -133,6 +148,14 @@
 // @returns what the newest record, of another process, tells about lending.
 QuotaShareHistory QuotaLease::HistoryOfRecord(LeaseTime now) const {
   QuotaShareHistory history;
+  if (this->IsOfEarlierEra()) {
+    history.unlent_since =
+        std::max(this->era_since, this->unchanged_since) + kLongestTerm;
+    if (now - this->era_since >= kStartWindow) {
+      history.recent_starts = 0;
+    }
+    return history;
+  }
   if (!this->known_record) {
     history.kind = QuotaShareHistory::Kind::kUnused;
     history.recent_starts = 0;
@@ -173,12 +196,13 @@
 // this process, which has not lent under it: what is known of earlier lending
 // stays.
 void QuotaLease::PrepareWrite(LeaseTime now) {
-  if (!this->IsOwn(this->known_record)) {
+  if (!this->IsOwn(this->known_record) && !this->Holds(now)) {
     this->known_history = this->HistoryOfRecord(now);
   }
   const bool is_release = this->given_up || this->must_release;
   this->to_write = is_release ? QuotaLeaseRecord{} : this->self;
   this->to_write.recent_starts = this->RecentStarts(now);
+  this->to_write.era = this->log_end.era;
 }
 
 QuotaLeaseCall QuotaLease::Begin(LeaseTime now, QuotaLeaseCall call) {
@@ -220,7 +244,8 @@
 
 void QuotaLease::OnRead(LeaseTime now,
                         const std::optional<QuotaLeaseRecord>& record,
-                        uint64_t end) {
+                        LogPosition end,
+                        LeaseTime first_known) {
   this->call_in_flight = QuotaLeaseCall::kNone;
   this->must_reread = false;
   this->read_at = now;
@@ -230,9 +255,10 @@
   this->is_known = true;
   this->known_record = record;
   this->log_end = end;
+  this->era_since = first_known;
 }
 
-void QuotaLease::OnWritten(LeaseTime now, uint64_t end) {
+void QuotaLease::OnWritten(LeaseTime now, LogPosition end) {
   this->call_in_flight = QuotaLeaseCall::kNone;
   this->log_end = end;
   this->unchanged_since = now;
--- a/packages/decision/src/state/topic_follower.cc
+++ b/packages/decision/src/state/topic_follower.cc
@@ -59,8 +59,8 @@
 
 TopicCall TopicFollower::NextCall() const {
   TopicCall call;
-  call.kind =
-      this->listing ? TopicCallKind::kListNewest : TopicCallKind::kReadOn;
+  const bool must_list = this->listing || this->is_era_over();
+  call.kind = must_list ? TopicCallKind::kListNewest : TopicCallKind::kReadOn;
   call.after = this->after;
   call.from = this->from;
   call.max_bytes = this->read_bytes;
@@ -78,7 +78,7 @@
 // so every call times out; each VM retries, by then for more records, and the
 // store stays overloaded until the fleet is stopped.
 bool TopicFollower::ShouldRequestFromPeer() const {
-  return this->options.is_bulk && !this->listing && this->has_peers &&
+  return this->options.is_bulk && this->is_gapless() && this->has_peers &&
          !this->peers_declined &&
          this->requests_to_peers < staleness::kMaxRequestsToPeers;
 }
@@ -118,25 +118,20 @@
 // and later records arrive by a regular read or an update; this saves a
 // starting VM one call.
 bool TopicFollower::OnPage(TimePoint now,
-                           uint64_t end,
+                           LogPosition end,
                            bool more,
                            std::string last_key) {
   this->failures = 0;
   const bool is_snapshot = this->first_page && !more;
   this->busy_until = now + kBusyPeriod;
   if (this->first_page) {
-    this->from = end;
-    this->settled_offset = end;
-    this->settling_offset = end;
-    this->settling_since = now;
-    this->retained_offset = end;
-    this->retaining_offset = end;
-    this->retaining_since = now;
+    this->BeginAt(now, end);
     this->first_page = false;
   }
   this->next_at = now;
   if (more && !last_key.empty()) {
     this->after = std::move(last_key);
+    this->listing = true;
     return false;
   }
   this->after.clear();
@@ -149,10 +144,43 @@
   return true;
 }
 
+// Other VMs that have read the era before get an update that begins there, so
+// the positions of that era are kept until they are replaced in turn.
+void TopicFollower::BeginAt(TimePoint now, LogPosition end) {
+  const bool begins_era = this->listed_once && end.era > this->from.era;
+  this->from = end;
+  this->store_era = std::max(this->store_era, end.era);
+  if (begins_era) {
+    return;
+  }
+  this->settled_position = end;
+  this->settling_position = end;
+  this->settling_since = now;
+  this->retained_position = end;
+  this->retaining_position = end;
+  this->retaining_since = now;
+}
+
+// Failure: the store is restored, and all VMs of a large fleet list all topics
+// at once. So VMs of higher rank wait for an update of the first ones.
+void TopicFollower::OnEra(TimePoint now, uint64_t era) {
+  if (era <= this->store_era) {
+    return;
+  }
+  this->store_era = era;
+  this->first_page = true;
+  this->after.clear();
+  if (this->is_era_over()) {
+    this->next_at = now + this->ByRank(Duration(0), this->options.max_silence);
+  }
+}
+
 // If the topic grows by more than one read returns, the next read is due at
 // once; otherwise the VM that reads for the fleet would fall further and
 // further behind.
-void TopicFollower::OnRecords(TimePoint now, uint64_t next, uint64_t end) {
+void TopicFollower::OnRecords(TimePoint now,
+                              LogPosition next,
+                              LogPosition end) {
   this->failures = 0;
   this->read_bytes = std::min(2 * this->read_bytes, kMaxReadBytes);
   const bool is_behind = next < end && next > this->from;
@@ -168,28 +196,29 @@
       now + (this->CanHoldRead() ? kHoldPause : this->ReadDelay(now));
 }
 
-void TopicFollower::Advance(TimePoint now, uint64_t next) {
+void TopicFollower::Advance(TimePoint now, LogPosition next) {
   if (now - this->settling_since >= this->options.max_silence + kMaxCallTime) {
-    this->settled_offset = this->settling_offset;
-    this->settling_offset = this->from;
+    this->settled_position = this->settling_position;
+    this->settling_position = this->from;
     this->settling_since = now;
   }
   if (now - this->retaining_since >= kRetention) {
-    this->retained_offset = this->retaining_offset;
-    this->retaining_offset = this->from;
+    this->retained_position = this->retaining_position;
+    this->retaining_position = this->from;
     this->retaining_since = now;
   }
   if (next > this->from) {
     this->busy_until = now + kBusyPeriod;
   }
   this->from = std::max(this->from, next);
+  this->store_era = std::max(this->store_era, this->from.era);
 }
 
-uint64_t TopicFollower::BeginUpdate() {
-  const uint64_t start =
-      std::max(this->settled_offset, this->previous_sent_offset);
-  this->previous_sent_offset = this->sent_offset;
-  this->sent_offset = this->from;
+LogPosition TopicFollower::BeginUpdate() {
+  const LogPosition start =
+      std::max(this->settled_position, this->previous_sent_position);
+  this->previous_sent_position = this->sent_position;
+  this->sent_position = this->from;
   return start;
 }
 
@@ -198,12 +227,12 @@
 // VM gets each record from every relay of the fleet, and a configuration of 80
 // KB fills a link of 10 Mbit/s for seconds. A VM that lacks records that are
 // not forwarded again detects the gap and reads.
-uint64_t TopicFollower::BeginForward(uint64_t first, uint64_t next) {
-  if (next <= this->sent_offset) {
+LogPosition TopicFollower::BeginForward(LogPosition first, LogPosition next) {
+  if (next <= this->sent_position) {
     return next;
   }
-  this->previous_sent_offset = this->sent_offset;
-  this->sent_offset = next;
+  this->previous_sent_position = this->sent_position;
+  this->sent_position = next;
   return first;
 }
 
@@ -229,7 +258,7 @@
 
 Duration TopicFollower::Interval(TimePoint now) const {
   const TopicFollowerOptions& given = this->options;
-  if (given.empty_interval > Duration(0) && this->from == 0) {
+  if (given.empty_interval > Duration(0) && this->from.offset == 0) {
     return given.empty_interval;
   }
   const bool is_busy =
@@ -239,16 +268,23 @@
 
 // An old update, e.g. of a VM that was paused before it sent it, does not show
 // that there are no newer records, so it does not delay the next read.
-bool TopicFollower::OnPeerUpdate(TimePoint now, uint64_t first, uint64_t next) {
+bool TopicFollower::OnPeerUpdate(TimePoint now,
+                                 LogPosition first,
+                                 LogPosition next) {
   if (!this->listed_once || this->listing || next < this->from) {
     return false;
   }
   if (first > this->from) {
-    this->next_at = std::min(this->next_at, now);
+    if (!this->is_era_over()) {
+      this->next_at = std::min(this->next_at, now);
+    }
     return false;
   }
   const bool is_new = next > this->from;
   this->Advance(now, next);
+  if (this->is_era_over()) {
+    return is_new;
+  }
   this->fresh_at = now;
   this->requests_to_peers = 0;
   this->peers_declined = false;
--- a/packages/decision/src/state/topic_records.cc
+++ b/packages/decision/src/state/topic_records.cc
@@ -15,13 +15,17 @@
 
 bool TopicRecords::IsNewer(const KeyedRecord& record) const {
   const auto known = this->newest.find(record.key);
-  return known == this->newest.end() || known->second.offset < record.offset;
+  return known == this->newest.end() ||
+         known->second.position < record.position;
 }
 
 void TopicRecords::Keep(const KeyedRecord& record) {
-  if (!this->IsNewer(record)) {
-    return;
+  if (this->IsNewer(record)) {
+    this->Replace(record);
   }
+}
+
+void TopicRecords::Replace(const KeyedRecord& record) {
   if (record.removed) {
     this->newest.erase(record.key);
   } else {
@@ -58,49 +62,60 @@
 void TopicRecords::AddRecent(const KeyedRecord& record) {
   if (this->recent.size() == kMaxRecent) {
     this->complete_from =
-        std::max(this->complete_from, this->recent.front().offset + 1);
+        std::max(this->complete_from, this->recent.front().position + 1);
     this->recent.pop_front();
   }
   this->recent.push_back(record);
 }
 
-void TopicRecords::ForgetRecentBefore(uint64_t settled) {
+void TopicRecords::ForgetRecentBefore(LogPosition settled) {
   this->complete_from = std::max(this->complete_from, settled);
   std::erase_if(this->recent, [settled](const KeyedRecord& record) {
-    return record.offset < settled;
+    return record.position < settled;
   });
 }
 
 // Failure: a key changes ten times between two updates, 15 KB each, and all ten
 // records go to every VM although only the last one counts. The traffic between
 // data centres rises tenfold while configurations change in quick succession.
-std::vector<KeyedRecord> TopicRecords::RecentFrom(uint64_t start) const {
-  std::map<std::string_view, uint64_t> last;
+std::vector<KeyedRecord> TopicRecords::RecentFrom(LogPosition start) const {
+  std::map<std::string_view, LogPosition> last;
   for (const KeyedRecord& record : this->recent) {
-    uint64_t& offset = last[record.key];
-    offset = std::max(offset, record.offset);
+    LogPosition& position = last[record.key];
+    position = std::max(position, record.position);
   }
   std::vector<KeyedRecord> records;
   for (const KeyedRecord& record : this->recent) {
-    if (record.offset >= start && record.offset == last.at(record.key)) {
+    if (record.position >= start && record.position == last.at(record.key)) {
       records.push_back(record);
     }
   }
   return records;
 }
 
-std::vector<KeyedRecord> TopicRecords::From(uint64_t start) const {
+std::vector<KeyedRecord> TopicRecords::From(LogPosition start) const {
   std::vector<KeyedRecord> records;
   for (const auto& [key, record] : this->newest) {
-    if (record.offset >= start) {
+    if (record.position >= start) {
       records.push_back(record);
     }
   }
   std::sort(records.begin(), records.end(),
             [](const KeyedRecord& a, const KeyedRecord& b) {
-              return a.offset < b.offset;
+              return a.position < b.position;
             });
   return records;
 }
 
+const KeyedRecord* TopicRecords::Find(const std::string& key) const {
+  const auto known = this->newest.find(key);
+  return known == this->newest.end() ? nullptr : &known->second;
+}
+
+size_t TopicRecords::CountBefore(uint64_t era) const {
+  return static_cast<size_t>(std::count_if(
+      this->newest.begin(), this->newest.end(),
+      [era](const auto& row) { return row.second.position.era < era; }));
+}
+
 }  // namespace basilsill
--- a/packages/decision/src/view/upstream_registry.cc
+++ b/packages/decision/src/view/upstream_registry.cc
@@ -13,6 +13,10 @@
 // that an installation may have.
 constexpr size_t kMaxKnownStarts = 2 * limits::kMaxUpstreams;
 
+// Number of removals that are remembered: more than a store loses that comes
+// back from a copy some seconds old.
+constexpr size_t kMaxKnownRemovals = 4096;
+
 bool HasStartTime(const RegisteredUpstream& entry) {
   return entry.started > std::chrono::milliseconds(0);
 }
@@ -23,19 +27,20 @@
     : options(options) {}
 
 EntryResult UpstreamRegistry::OnEntry(TimePoint now,
-                                      uint64_t offset,
+                                      LogPosition position,
                                       RegisteredUpstream entry) {
   if (this->listing) {
     this->listed.insert(entry.id);
   }
-  if (this->IsOlderStart(entry)) {
+  if (this->IsOlderStart(entry) ||
+      this->IsOlderThanRemoval(position, entry.id)) {
     return EntryResult::kOutdated;
   }
   const auto known = this->entries.find(entry.id);
   if (known != this->entries.end() && !HasStartTime(entry)) {
     entry.started = known->second.entry.started;
   }
-  if (known != this->entries.end() && offset < known->second.offset) {
+  if (known != this->entries.end() && position < known->second.position) {
     return EntryResult::kOutdated;
   }
   this->RecordStart(entry);
@@ -64,7 +69,7 @@
     this->RemoveFromEndpoint(entry.id, row.entry.endpoint);
   }
   row.entry = std::move(entry);
-  row.offset = offset;
+  row.position = position;
   row.cold = cold;
   row.warm_at = warm_at;
   row.removal_pending = false;
@@ -123,6 +128,31 @@
   }
 }
 
+// Failure: the store is restored from a copy in which an upstream that has left
+// is still listed. It would be listed again and get requests. So the position
+// of a removal is kept, and only a later record lists the id again.
+bool UpstreamRegistry::IsOlderThanRemoval(LogPosition position,
+                                          std::string_view id) const {
+  const auto removal = this->removals.find(id);
+  return removal != this->removals.end() && position < removal->second;
+}
+
+// The number is bounded: the id that was recorded first is evicted.
+void UpstreamRegistry::RecordRemoval(LogPosition position,
+                                     std::string_view id) {
+  const auto [place, is_new] =
+      this->removals.try_emplace(std::string(id), position);
+  if (!is_new) {
+    place->second = std::max(place->second, position);
+    return;
+  }
+  this->removals_in_order.push_back(place->first);
+  if (this->removals_in_order.size() > kMaxKnownRemovals) {
+    this->removals.erase(this->removals_in_order.front());
+    this->removals_in_order.pop_front();
+  }
+}
+
 void UpstreamRegistry::RemoveRow(Rows::iterator row) {
   this->MarkSetChanged(row->second);
   this->RemoveFromEndpoint(row->first, row->second.entry.endpoint);
@@ -134,7 +164,7 @@
   if (this->first_listing_done) {
     this->transitions.push_back({transition_kind, row.entry.id,
                                  row.entry.service, row.entry.endpoint,
-                                 row.offset});
+                                 row.position});
   }
 }
 
@@ -143,13 +173,17 @@
 }
 
 void UpstreamRegistry::OnRemoved(TimePoint now,
-                                 uint64_t offset,
+                                 LogPosition position,
                                  std::string_view id) {
   const auto found = this->entries.find(id);
-  if (found == this->entries.end() || offset < found->second.offset) {
+  if (found != this->entries.end() && position < found->second.position) {
     return;
   }
-  found->second.offset = offset;
+  this->RecordRemoval(position, id);
+  if (found == this->entries.end()) {
+    return;
+  }
+  found->second.position = position;
   // The entry of an upstream that announced that it is leaving has not merely
   // expired, so its removal is not deferred.
   if (this->DefersRemovals(now) && !found->second.entry.leaving) {
@@ -181,7 +215,7 @@
     }
   }
   for (const std::string& id : missing) {
-    this->OnRemoved(now, this->entries.find(id)->second.offset, id);
+    this->OnRemoved(now, this->entries.find(id)->second.position, id);
   }
   this->first_listing_done = true;
 }
@@ -197,6 +231,11 @@
   }
 }
 
+void UpstreamRegistry::OnPlatformRestored(TimePoint now) {
+  this->defer_removals_until =
+      std::max(this->defer_removals_until, now + this->options.restore_time);
+}
+
 bool UpstreamRegistry::DefersRemovals(TimePoint now) const {
   return this->platform_lost || now < this->defer_removals_until;
 }
@@ -248,13 +287,13 @@
 // renewed is the live one, in whatever order they arrive, so that all VMs reach
 // the same result.
 void UpstreamRegistry::MarkShadowed(const std::set<std::string>& ids) {
-  uint64_t newest = 0;
+  LogPosition newest;
   for (const std::string& id : ids) {
-    newest = std::max(newest, this->entries.find(id)->second.offset);
+    newest = std::max(newest, this->entries.find(id)->second.position);
   }
   for (const std::string& id : ids) {
     Row& row = this->entries.find(id)->second;
-    const bool shadowed = row.offset < newest;
+    const bool shadowed = row.position < newest;
     if (shadowed != row.shadowed) {
       row.shadowed = shadowed;
       this->MarkSetChanged(row);
--- a/packages/decision/test/data_centre_drains_test.cc
+++ b/packages/decision/test/data_centre_drains_test.cc
@@ -12,6 +12,7 @@
 #include <CppUTest/TestHarness.h>
 
 using basilsill::DataCentreDrains;
+using basilsill::LogPosition;
 
 TEST_GROUP(DataCentreDrains) {
   DataCentreDrains drains;
@@ -22,11 +23,11 @@
 };
 
 TEST(DataCentreDrains, Record_OfTwoDataCentres_DrainsBoth) {
-  CHECK(this->drains.OnRecord(4, "lyulin", true));
-  CHECK(this->drains.OnRecord(7, "druzhba", true));
+  CHECK(this->drains.OnRecord(LogPosition(4), "lyulin", true));
+  CHECK(this->drains.OnRecord(LogPosition(7), "druzhba", true));
   CHECK(this->IsDrained("lyulin"));
   CHECK(this->IsDrained("druzhba"));
-  CHECK(this->drains.OnRecord(9, "lyulin", false));
+  CHECK(this->drains.OnRecord(LogPosition(9), "lyulin", false));
   CHECK_FALSE(this->IsDrained("lyulin"));
   CHECK(this->IsDrained("druzhba"));
 }
@@ -35,9 +36,9 @@
 // arrive over two paths in another order. The record with the highest offset
 // must count.
 TEST(DataCentreDrains, Record_DrainEndedAndRestarted_HighestOffsetCounts) {
-  this->drains.OnRecord(4, "lyulin", true);
-  this->drains.OnRecord(6, "lyulin", true);
-  CHECK_FALSE(this->drains.OnRecord(5, "lyulin", false));
+  this->drains.OnRecord(LogPosition(4), "lyulin", true);
+  this->drains.OnRecord(LogPosition(6), "lyulin", true);
+  CHECK_FALSE(this->drains.OnRecord(LogPosition(5), "lyulin", false));
   CHECK(this->IsDrained("lyulin"));
 }
 
@@ -45,9 +46,9 @@
 // had started it. If it were applied, the data centre would be drained again
 // and get no work.
 TEST(DataCentreDrains, Record_OlderThanEndOfDrain_ChangesNothing) {
-  this->drains.OnRecord(4, "lyulin", true);
-  this->drains.OnRecord(5, "lyulin", false);
-  CHECK_FALSE(this->drains.OnRecord(4, "lyulin", true));
+  this->drains.OnRecord(LogPosition(4), "lyulin", true);
+  this->drains.OnRecord(LogPosition(5), "lyulin", false);
+  CHECK_FALSE(this->drains.OnRecord(LogPosition(4), "lyulin", true));
   CHECK_FALSE(this->IsDrained("lyulin"));
 }
 
@@ -55,25 +56,25 @@
 // drain, before this VM reads it. Only a complete listing shows that the drain
 // has ended.
 TEST(DataCentreDrains, Listing_WithoutRecord_EndsDrain) {
-  this->drains.OnRecord(4, "lyulin", true);
-  this->drains.OnRecord(5, "druzhba", true);
+  this->drains.OnRecord(LogPosition(4), "lyulin", true);
+  this->drains.OnRecord(LogPosition(5), "druzhba", true);
   this->drains.BeginListing();
-  this->drains.OnRecord(5, "druzhba", true);
+  this->drains.OnRecord(LogPosition(5), "druzhba", true);
   this->drains.EndListing();
   CHECK_FALSE(this->IsDrained("lyulin"));
   CHECK(this->IsDrained("druzhba"));
-  CHECK_FALSE(this->drains.OnRecord(4, "lyulin", true));
-  CHECK(this->drains.OnRecord(8, "lyulin", true));
+  CHECK_FALSE(this->drains.OnRecord(LogPosition(4), "lyulin", true));
+  CHECK(this->drains.OnRecord(LogPosition(8), "lyulin", true));
 }
 
 // Failure: a call for a page fails, and the listing restarts from its
 // beginning. Only the completed listing may change the drains.
 TEST(DataCentreDrains, Listing_Restarted_OnlyCompleteListingCounts) {
-  this->drains.OnRecord(4, "lyulin", true);
+  this->drains.OnRecord(LogPosition(4), "lyulin", true);
   this->drains.BeginListing();
   CHECK(this->IsDrained("lyulin"));
   this->drains.BeginListing();
-  this->drains.OnRecord(4, "lyulin", true);
+  this->drains.OnRecord(LogPosition(4), "lyulin", true);
   this->drains.EndListing();
   CHECK(this->IsDrained("lyulin"));
 }
@@ -85,30 +86,31 @@
 TEST(DataCentreDrains, Listing_EndedTwice_KeepsLaterRecord) {
   this->drains.BeginListing();
   this->drains.BeginListing();
-  this->drains.OnRecord(4, "lyulin", true);
+  this->drains.OnRecord(LogPosition(4), "lyulin", true);
   this->drains.EndListing();
-  this->drains.OnRecord(4, "lyulin", true);
-  this->drains.OnRecord(9, "druzhba", true);
+  this->drains.OnRecord(LogPosition(4), "lyulin", true);
+  this->drains.OnRecord(LogPosition(9), "druzhba", true);
   this->drains.EndListing();
   CHECK(this->IsDrained("lyulin"));
   CHECK(this->IsDrained("druzhba"));
 }
 
 TEST(DataCentreDrains, Version_RecordRepeatsKnownState_Unchanged) {
-  this->drains.OnRecord(4, "lyulin", true);
+  this->drains.OnRecord(LogPosition(4), "lyulin", true);
   const uint64_t version = this->drains.version();
-  this->drains.OnRecord(4, "lyulin", true);
-  this->drains.OnRecord(6, "lyulin", true);
-  this->drains.OnRecord(3, "druzhba", false);
+  this->drains.OnRecord(LogPosition(4), "lyulin", true);
+  this->drains.OnRecord(LogPosition(6), "lyulin", true);
+  this->drains.OnRecord(LogPosition(3), "druzhba", false);
   CHECK_EQUAL(version, this->drains.version());
 }
 
 // The names come from keys that another writer sets, so their number is
 // unbounded.
 TEST(DataCentreDrains, Record_MoreNamesThanCapacity_KeepsDrainedOnes) {
-  this->drains.OnRecord(1, "lyulin", true);
+  this->drains.OnRecord(LogPosition(1), "lyulin", true);
   for (uint64_t i = 0; i < 10 * basilsill::limits::kMaxDataCentres; ++i) {
-    this->drains.OnRecord(2 + i, "dc-" + std::to_string(i), i % 2 == 0);
+    this->drains.OnRecord(LogPosition(2 + i), "dc-" + std::to_string(i),
+                          i % 2 == 0);
   }
   CHECK(this->IsDrained("lyulin"));
   CHECK(this->drains.drained().size() <= basilsill::limits::kMaxDataCentres);
@@ -129,9 +131,9 @@
     }
     for (int i = 0; i < 100; ++i) {
       const uint64_t offset = random(static_cast<uint32_t>(end));
-      receiver.OnRecord(offset, "lyulin", written[offset]);
+      receiver.OnRecord(LogPosition(offset), "lyulin", written[offset]);
     }
-    receiver.OnRecord(end - 1, "lyulin", last);
+    receiver.OnRecord(LogPosition(end - 1), "lyulin", last);
     CHECK_EQUAL_TEXT(last, receiver.drained().contains("lyulin"),
                      std::to_string(seed).c_str());
   }
--- a/packages/decision/test/declared_configuration_test.cc
+++ b/packages/decision/test/declared_configuration_test.cc
@@ -18,6 +18,7 @@
 using basilsill::DeclaredSources;
 using basilsill::DeclaredState;
 using basilsill::FailureKind;
+using basilsill::LogPosition;
 using basilsill::RegisteredUpstream;
 using basilsill::ResourceKind;
 using basilsill::RouteKind;
@@ -72,7 +73,7 @@
     entry.data_centre = "lyulin";
     entry.endpoint = {"10.0.0.1", port};
     entry.slots = 2;
-    this->registry.OnEntry(TimePoint(1s), port, entry);
+    this->registry.OnEntry(TimePoint(1s), LogPosition(port), entry);
   }
 
   DeclaredSources Sources() {
@@ -122,13 +123,13 @@
 TEST(DeclaredConfiguration, Build_SameAddressOtherId_GetsNewHandle) {
   this->AddUpstream("a", 80);
   const auto before = this->Build()->services[0]->upstreams.at(0);
-  this->registry.OnRemoved(TimePoint(2s), 81, "a");
+  this->registry.OnRemoved(TimePoint(2s), LogPosition(81), "a");
   RegisteredUpstream again;
   again.id = "b";
   again.service = "banklevel";
   again.data_centre = "lyulin";
   again.endpoint = before.endpoint;
-  this->registry.OnEntry(TimePoint(2s), 82, again);
+  this->registry.OnEntry(TimePoint(2s), LogPosition(82), again);
   const RoutingViewPtr view = this->Build();
   const auto& after = view->services[0]->upstreams.at(0);
   CHECK(before.endpoint == after.endpoint);
@@ -162,7 +163,7 @@
   DeclaredState declared;
   this->AddUpstream("i-1", 1);
   declared.Update(this->Sources());
-  this->drains.OnRecord(3, "lyulin", true);
+  this->drains.OnRecord(LogPosition(3), "lyulin", true);
   CHECK_FALSE(declared.IsCurrent(this->Sources()));
   this->AddUpstream("i-2", 2);
   declared.Update(this->Sources());
@@ -175,7 +176,7 @@
   CHECK(view->services[0]->shards[0].drained);
   CHECK(view->services[0]->upstreams[0].drained);
   CHECK(view->services[0]->upstreams[1].drained);
-  this->drains.OnRecord(4, "lyulin", false);
+  this->drains.OnRecord(LogPosition(4), "lyulin", false);
   declared.Update(this->Sources());
   view = build();
   CHECK_FALSE(view->data_centres[0].drained);
@@ -188,7 +189,7 @@
 TEST(DeclaredConfiguration, Drains_NewConfiguration_StayInForce) {
   DeclaredState declared;
   this->AddUpstream("i-1", 1);
-  this->drains.OnRecord(3, "lyulin", true);
+  this->drains.OnRecord(LogPosition(3), "lyulin", true);
   declared.Update(this->Sources());
   this->configuration.version += 1;
   declared.Update(this->Sources());
@@ -234,9 +235,9 @@
     entry.leaving = random() % 4 == 0;
     entry.started = std::chrono::milliseconds(random() % 5);
     if (random() % 3 == 0) {
-      this->registry.OnRemoved(TimePoint(1s), step, entry.id);
+      this->registry.OnRemoved(TimePoint(1s), LogPosition(step), entry.id);
     } else {
-      this->registry.OnEntry(TimePoint(1s), step, entry);
+      this->registry.OnEntry(TimePoint(1s), LogPosition(step), entry);
     }
     this->configuration.version += random() % 50 == 0 ? 1 : 0;
     if (random() % 3 == 0) {
@@ -259,7 +260,7 @@
   other.service = "pickupbook";
   other.data_centre = "lyulin";
   other.endpoint = {"10.0.0.2", 1};
-  this->registry.OnEntry(TimePoint(1s), 5, other);
+  this->registry.OnEntry(TimePoint(1s), LogPosition(5), other);
   declared.Update(this->Sources());
   const auto version = [&declared](const std::string& name) {
     return declared.state().Find({ResourceKind::kUpstreamSet, name})->version;
--- a/packages/decision/test/quota_history_test.cc
+++ b/packages/decision/test/quota_history_test.cc
@@ -214,6 +214,48 @@
   }
 }
 
+// Failure: the store comes back from a copy that lacks the record of a valid
+// lease, or in which an earlier holder's write finds its condition true again,
+// and two VMs lend the same share.
+TEST(QuotaHistory, StoreRestored_DemandFarAboveQuota_StaysWithinTheBound) {
+  for (uint64_t seed = 1; seed <= 500; ++seed) {
+    pcg64 random(seed);
+    QuotaSimulationOptions options;
+    options.seed = seed;
+    options.teams = {Quota(100, 0), Quota(3, 3), Quota(30, 100)};
+    options.start_allowance = kStartAllowance;
+    QuotaSimulation simulation(options);
+    simulation.StartLoad(0, simulation.AllVms(), 150);
+    simulation.StartLoad(1, simulation.AllVms(), 40);
+    simulation.StartLoad(2, simulation.AllVms(), 60);
+    for (int i = 0; i < 6; ++i) {
+      simulation.Run(std::chrono::milliseconds(200 + random() % 3000));
+      InjectFault(random, simulation);
+      simulation.Run(std::chrono::milliseconds(random() % 1000));
+      simulation.RestoreStore(std::chrono::milliseconds(random() % 10000));
+    }
+    simulation.Run(5s);
+    CheckBound(simulation, options.teams);
+  }
+}
+
+// Failure: after a restore the share waits for a lease that its holder could
+// simply write again, and callers inside their quota are refused for seconds.
+TEST(QuotaHistory, StoreRestored_DemandWithinTwoThirds_IsStillServed) {
+  QuotaSimulationOptions options;
+  options.teams = {Quota(100, 10)};
+  options.start_allowance = kStartAllowance;
+  QuotaSimulation simulation(options);
+  simulation.StartLoad(0, simulation.AllVms(), 66);
+  simulation.Run(10s);
+  const size_t refused_before = simulation.CountRefused(0);
+  simulation.RestoreStore(8s);
+  simulation.Run(10s);
+  const size_t refused = simulation.CountRefused(0) - refused_before;
+  CHECK(static_cast<double>(refused) <=
+        0.02 * static_cast<double>(simulation.CountSent(0)) / 2);
+}
+
 // Failure: requests that wait at a lender, appointments, or callers that
 // misstate the time they have left make a lender grant more than its bucket
 // has, or starve a class.
--- a/packages/decision/test/quota_simulation.cc
+++ b/packages/decision/test/quota_simulation.cc
@@ -39,6 +39,7 @@
     : options(given),
       random(given.seed),
       shares(given.data_centres),
+      past_shares(given.data_centres),
       admitted(given.teams.size()),
       refused(given.teams.size()),
       sent(given.teams.size()),
@@ -109,6 +110,7 @@
   vm.deferred.clear();
   vm.waiting.clear();
   vm.waiting_callers.clear();
+  vm.restore = StoreRestore();
   QuotaCoordinatorOptions coordinator_options;
   coordinator_options.vm = vm.name;
   // Wall clocks step, so the incarnations of a VM are in no order.
@@ -259,18 +261,55 @@
   this->ScheduleAfter(kStoreTime, [this, index, process] {
     const Share share = this->shares[this->vms[index].coordinator->share()];
     this->ScheduleAfter(kStoreTime, [this, index, process, share] {
-      this->RunOnVm(index, process, [this, index, share] {
-        Vm& vm = this->vms[index];
-        vm.coordinator->OnLeaseRead(this->ClockOf(vm), share.record, share.end);
-      });
+      this->RunOnVm(index, process,
+                    [this, index, share] { this->OnLeaseRead(index, share); });
     });
   });
 }
 
+void QuotaSimulation::OnLeaseRead(size_t index, const Share& share) {
+  Vm& vm = this->vms[index];
+  const LeaseTime now = this->ClockOf(vm);
+  if (vm.restore.OnEra(now, share.end.era) == EraResult::kOutdated) {
+    vm.coordinator->OnLeaseFailed(now);
+    return;
+  }
+  vm.coordinator->OnLeaseRead(now, share.record, share.end,
+                              vm.restore.era_since());
+}
+
+void QuotaSimulation::OnLeaseWritten(size_t index,
+                                     LogPosition end,
+                                     bool fits,
+                                     uint64_t era) {
+  Vm& vm = this->vms[index];
+  const LeaseTime now = this->ClockOf(vm);
+  if (vm.restore.OnEra(now, era) == EraResult::kOutdated) {
+    vm.coordinator->OnLeaseFailed(now);
+  } else if (fits && end.era == era) {
+    vm.coordinator->OnLeaseWritten(now, end + 1);
+  } else {
+    vm.coordinator->OnLeaseConflict(now);
+  }
+  this->Pump(index);
+}
+
+void QuotaSimulation::RestoreStore(Duration age) {
+  for (size_t number = 0; number < this->shares.size(); ++number) {
+    std::vector<PastShare>& past = this->past_shares[number];
+    while (!past.empty() && past.back().since > this->time - age) {
+      past.pop_back();
+    }
+    const uint64_t era = this->shares[number].end.era + 1;
+    this->shares[number] = past.empty() ? Share{} : past.back().share;
+    this->shares[number].end.era = era;
+  }
+}
+
 void QuotaSimulation::WriteLease(size_t index, uint64_t process) {
   const QuotaCoordinator& coordinator = *this->vms[index].coordinator;
   const uint16_t number = coordinator.share();
-  const uint64_t end = coordinator.lease().end();
+  const LogPosition end = coordinator.lease().end();
   const QuotaLeaseRecord record = coordinator.lease().record();
   const bool is_lost = this->loses_store_answers && this->random() % 2 == 0;
   const Duration until_done =
@@ -278,24 +317,20 @@
   this->ScheduleAfter(
       until_done, [this, index, process, number, end, record, is_lost] {
         Share& share = this->shares[number];
-        const bool fits = share.end == end;
+        const bool fits = share.end.offset == end.offset;
         if (fits) {
-          share = {record, end + 1};
+          share = {record, share.end + 1};
+          this->past_shares[number].push_back({this->time, share});
         }
         if (is_lost) {
           return;
         }
-        this->ScheduleAfter(kStoreTime, [this, index, process, fits, end] {
-          this->RunOnVm(index, process, [this, index, fits, end] {
-            Vm& vm = this->vms[index];
-            if (fits) {
-              vm.coordinator->OnLeaseWritten(this->ClockOf(vm), end + 1);
-            } else {
-              vm.coordinator->OnLeaseConflict(this->ClockOf(vm));
-            }
-            this->Pump(index);
-          });
-        });
+        this->ScheduleAfter(
+            kStoreTime, [this, index, process, fits, end, era = share.end.era] {
+              this->RunOnVm(index, process, [this, index, fits, end, era] {
+                this->OnLeaseWritten(index, end, fits, era);
+              });
+            });
       });
   if (is_lost) {
     this->ScheduleAfter(kCallTimeout, [this, index, process] {
--- a/packages/decision/test/quota_simulation.h
+++ b/packages/decision/test/quota_simulation.h
@@ -15,12 +15,13 @@
 #include "basilsill/decision/caller_age.h"
 #include "basilsill/decision/quota_borrower.h"
 #include "basilsill/decision/quota_coordinator.h"
+#include "basilsill/decision/store_restore.h"
 #include "basilsill/decision/view.h"
 
 /// Simulates quotas of a fleet in virtual time: the decision code of every VM,
 /// messages between VMs, and a store that keeps the leases. VMs have
 /// independent clocks and can be killed, frozen, and cut off from each other
-/// and from the store.
+/// and from the store, and the store can be restored from a copy.
 
 namespace basilsill {
 
@@ -81,6 +82,8 @@
   /// Cuts `vms` off from all other VMs.
   void Partition(const std::vector<size_t>& vms, Duration time);
   void CutStore(const std::vector<size_t>& vms, Duration time);
+  /// Restores the store from a copy of that age. VMs hear of it by their calls.
+  void RestoreStore(Duration age);
   /// Writes to the store may take effect without an answer, or seconds later.
   void LoseStoreAnswers(Duration time);
 
@@ -131,6 +134,7 @@
     bool alive = true;
     Duration frozen_until{0};
     bool store_cut = false;
+    StoreRestore restore;  ///< What the VM knows of the store's era.
     int partition = 0;  ///< VMs in different partitions can't reach each other.
     /// Events to run once the VM resumes.
     std::vector<std::function<void()>> deferred;
@@ -143,7 +147,13 @@
 
   struct Share {
     std::optional<QuotaLeaseRecord> record;
-    uint64_t end = 0;
+    LogPosition end;
+  };
+
+  /// The state of a share since a write.
+  struct PastShare {
+    Duration since{0};
+    Share share;
   };
 
   struct Event {
@@ -178,6 +188,8 @@
   void Deliver(size_t from, const OutgoingQuotaMessage& outgoing);
   void CallStore(size_t vm, QuotaLeaseCall call);
   void WriteLease(size_t vm, uint64_t process);
+  void OnLeaseRead(size_t vm, const Share& share);
+  void OnLeaseWritten(size_t vm, LogPosition end, bool fits, uint64_t era);
   void ScheduleNextArrival(const Source& source);
   struct Caller {
     size_t group = 0;
@@ -209,7 +221,8 @@
   std::priority_queue<Event> events;
   std::vector<Vm> vms;
   std::vector<Share> shares;
-  std::vector<std::vector<Duration>> admitted;  ///< By team.
+  std::vector<std::vector<PastShare>> past_shares;  ///< By share.
+  std::vector<std::vector<Duration>> admitted;      ///< By team.
   std::vector<size_t> refused;
   std::vector<size_t> sent;
   std::vector<std::vector<Duration>> exhausted;  ///< By team.
--- a/packages/decision/test/quota_test.cc
+++ b/packages/decision/test/quota_test.cc
@@ -13,6 +13,7 @@
 
 using basilsill::kCreditLife;
 using basilsill::LeaseTime;
+using basilsill::LogPosition;
 using basilsill::MakeTeamKey;
 using basilsill::OutgoingQuotaMessage;
 using basilsill::QuotaAnswer;
@@ -382,7 +383,7 @@
     this->lease.OnNeeded(this->now, true);
     CHECK(this->lease.NextCall(this->now) == QuotaLeaseCall::kRead);
     this->now += 5ms;
-    this->lease.OnRead(this->now, record, end);
+    this->lease.OnRead(this->now, record, LogPosition(end));
   }
 
   void Write() {
@@ -512,7 +513,7 @@
   this->lease.OnAsked();
   this->lease.OnNeeded(this->now, false);
   CHECK(this->lease.NextCall(this->now) == QuotaLeaseCall::kRead);
-  this->lease.OnRead(this->now, QuotaLeaseRecord{"vm-a", 3, 0}, 4);
+  this->lease.OnRead(this->now, QuotaLeaseRecord{"vm-a", 3, 0}, LogPosition(4));
   this->Write();
   CHECK(this->lease.Holds(this->now));
 }
@@ -521,17 +522,17 @@
   this->lease.OnAsked();
   this->lease.OnNeeded(this->now, false);
   CHECK(this->lease.NextCall(this->now) == QuotaLeaseCall::kRead);
-  this->lease.OnRead(this->now, QuotaLeaseRecord{"vm-b", 3, 0}, 4);
+  this->lease.OnRead(this->now, QuotaLeaseRecord{"vm-b", 3, 0}, LogPosition(4));
   CHECK(this->lease.NextCall(this->now + 10ms) == QuotaLeaseCall::kNone);
 }
 
 // The holder can't renew its lease and tells how long it is still valid.
 TEST(QuotaLease, Promise_ItsTimeIsOver_TakesShareBeforeAWholeTerm) {
   this->lease.OnAsked();
-  this->lease.OnPromise(this->now, 4, 1s);
+  this->lease.OnPromise(this->now, LogPosition(4), 1s);
   CHECK(this->lease.NextCall(this->now) == QuotaLeaseCall::kRead);
   this->lease.OnNeeded(this->now, false);
-  this->lease.OnRead(this->now, QuotaLeaseRecord{"vm-b", 1, 0}, 4);
+  this->lease.OnRead(this->now, QuotaLeaseRecord{"vm-b", 1, 0}, LogPosition(4));
   CHECK(this->lease.NextCall(this->now + 1s) == QuotaLeaseCall::kNone);
   this->now += 1200ms;
   this->Write();
@@ -543,10 +544,10 @@
 // the VM that relied on its promise.
 TEST(QuotaLease, Promise_AnotherRecordFollowed_DoesNotCount) {
   this->lease.OnAsked();
-  this->lease.OnPromise(this->now, 4, 1s);
+  this->lease.OnPromise(this->now, LogPosition(4), 1s);
   this->lease.OnNeeded(this->now, true);
   CHECK(this->lease.NextCall(this->now) == QuotaLeaseCall::kRead);
-  this->lease.OnRead(this->now, QuotaLeaseRecord{"vm-b", 1, 0}, 5);
+  this->lease.OnRead(this->now, QuotaLeaseRecord{"vm-b", 1, 0}, LogPosition(5));
   CHECK(this->lease.NextCall(this->now + 2s) == QuotaLeaseCall::kNone);
 }
 
@@ -558,7 +559,7 @@
   CHECK(this->lease.record().holder.empty());
   CHECK_FALSE(this->lease.Holds(this->now + 1s));
   this->now += 1s;
-  this->lease.OnWritten(this->now, 2);
+  this->lease.OnWritten(this->now, LogPosition(2));
   this->lease.OnNeeded(this->now, true);
   CHECK(this->lease.NextCall(this->now) == QuotaLeaseCall::kNone);
 }
@@ -578,7 +579,7 @@
 TEST(QuotaLease, Write_AnswerIsLate_CountsFromTheCall) {
   this->Read(std::nullopt, 0);
   CHECK(this->lease.NextCall(this->now) == QuotaLeaseCall::kWrite);
-  this->lease.OnWritten(this->now + QuotaLease::kTerm + 1s, 1);
+  this->lease.OnWritten(this->now + QuotaLease::kTerm + 1s, LogPosition(1));
   CHECK_FALSE(this->lease.Holds(this->now + QuotaLease::kTerm + 1s));
 }
 
--- a/packages/decision/test/staleness_budget_test.cc
+++ b/packages/decision/test/staleness_budget_test.cc
@@ -8,6 +8,7 @@
 
 using namespace std::chrono_literals;
 using basilsill::Duration;
+using basilsill::LogPosition;
 using basilsill::StalenessBudget;
 using basilsill::TimePoint;
 using basilsill::TopicFollower;
@@ -43,8 +44,8 @@
   for (const size_t rank : {0U, 1U, 29U, 115U, 299U, 3718U}) {
     TopicFollower follower(options);
     follower.SetRank(rank);
-    follower.OnPage(now, 10, false, "k");
-    follower.OnPeerUpdate(now, 10, 11);
+    follower.OnPage(now, LogPosition(10), false, "k");
+    follower.OnPeerUpdate(now, LogPosition(10), LogPosition(11));
     CHECK(follower.due() <= now + budget.max_silence);
   }
 }
--- a/packages/decision/test/staleness_simulation.cc
+++ b/packages/decision/test/staleness_simulation.cc
@@ -39,8 +39,8 @@
 
 struct Update {
   TimePoint arrives;
-  uint64_t first = 0;
-  uint64_t next = 0;
+  LogPosition first;
+  LogPosition next;
   bool declined = false;
 };
 
@@ -84,7 +84,7 @@
       this->vms.emplace_back(follower);
       this->vms.back().follower.SetRank(i);
       this->vms.back().follower.SetPeers(i >= kRelays);
-      this->vms.back().follower.OnPage(kStart, 0, false, "");
+      this->vms.back().follower.OnPage(kStart, LogPosition(), false, "");
     }
     this->lost_until.assign(options.vms * options.vms, TimePoint{});
     this->DrawFaults();
@@ -234,8 +234,9 @@
       this->EndCall(index);
     }
     if (vm.follower.is_gapless()) {
-      this->report.lost_offsets += vm.follower.offset() < vm.known ? 1 : 0;
-      vm.known = vm.follower.offset();
+      this->report.lost_offsets +=
+          vm.follower.position().offset < vm.known ? 1 : 0;
+      vm.known = vm.follower.position().offset;
     }
   }
 
@@ -280,8 +281,8 @@
         this->LostUntil(relay, index) > this->now) {
       return;
     }
-    Update answer{this->now + kMessageTime, vm.follower.offset(),
-                  asked.follower.offset(), false};
+    Update answer{this->now + kMessageTime, vm.follower.position(),
+                  asked.follower.position(), false};
     answer.declined = !asked.follower.is_fresh(this->now);
     vm.inbox.push_back(answer);
   }
@@ -297,7 +298,7 @@
     } else if (this->Is(StalenessFault::kStoreRefuses) ||
                vm.refused_until > this->now) {
       call.fails_at = this->now + kRoundTrip;
-    } else if (this->end > call.what.from ||
+    } else if (this->end > call.what.from.offset ||
                this->now >= call.begun + call.what.hold) {
       const bool is_slow = this->Is(StalenessFault::kStoreSlow);
       call.answered_at = this->now + (is_slow ? kSlowAnswer : kRoundTrip);
@@ -319,16 +320,16 @@
   void OnAnswer(size_t index, const Call& call) {
     TopicFollower& follower = this->vms[index].follower;
     if (call.what.kind == TopicCallKind::kListNewest) {
-      follower.OnPage(this->now, call.end, false, "k");
+      follower.OnPage(this->now, LogPosition(call.end), false, "k");
       return;
     }
-    if (call.what.from < this->first) {
+    if (call.what.from.offset < this->first) {
       follower.OnTrimmed(this->now);
       return;
     }
     const Duration took = this->now - std::max(call.sent, call.begun);
     follower.OnCallLatency(this->now, took - call.what.hold);
-    follower.OnRecords(this->now, call.end, call.end);
+    follower.OnRecords(this->now, LogPosition(call.end), LogPosition(call.end));
     if (index < kRelays) {
       this->Publish(index);
     }
@@ -336,11 +337,11 @@
 
   void Publish(size_t reader) {
     TopicFollower& follower = this->vms[reader].follower;
-    const uint64_t begin = follower.BeginUpdate();
+    const LogPosition begin = follower.BeginUpdate();
     for (size_t i = 0; i < this->vms.size(); ++i) {
       if (i != reader && this->LostUntil(reader, i) <= this->now) {
         this->vms[i].inbox.push_back(
-            {this->now + kMessageTime, begin, follower.offset(), false});
+            {this->now + kMessageTime, begin, follower.position(), false});
       }
     }
   }
@@ -360,7 +361,7 @@
                          at - this->options.bound) -
         this->acked.begin());
     const uint64_t has =
-        vm.follower.is_gapless() ? vm.follower.offset() : vm.known;
+        vm.follower.is_gapless() ? vm.follower.position().offset : vm.known;
     if (has >= due) {
       return;
     }
--- a/packages/decision/test/start_fleet_test.cc
+++ b/packages/decision/test/start_fleet_test.cc
@@ -217,7 +217,7 @@
       this->Begin(i);
     }
     const AnnouncementStep step = node.announcement.Next(this->now);
-    const KeyedRecord own{NameOf(i), node.entry, 0, false};
+    const KeyedRecord own{NameOf(i), node.entry, {}, false};
     if (step.kind == AnnouncementStepKind::kRequestWrite) {
       Node& helper = this->nodes[step.helper.index];
       if (this->IsUp(step.helper.index)) {
--- a/packages/decision/test/start_test.cc
+++ b/packages/decision/test/start_test.cc
@@ -39,7 +39,7 @@
 constexpr size_t kStateBytes = 100'000;
 
 KeyedRecord MakeRecord(const std::string& vm, const std::string& text) {
-  return {vm, text, 0, false};
+  return {vm, text, {}, false};
 }
 
 }  // namespace
--- a/packages/decision/test/topic_follower_test.cc
+++ b/packages/decision/test/topic_follower_test.cc
@@ -10,6 +10,7 @@
 
 using namespace std::chrono_literals;
 using basilsill::Duration;
+using basilsill::LogPosition;
 using basilsill::TimePoint;
 using basilsill::TopicCallKind;
 using basilsill::TopicFollower;
@@ -25,6 +26,10 @@
   return options;
 }
 
+LogPosition At(uint64_t offset, uint64_t era = 0) {
+  return LogPosition(offset, era);
+}
+
 }  // namespace
 
 TEST_GROUP(TopicFollower) {
@@ -32,13 +37,13 @@
   TimePoint now{1s};
 
   void setup() override {
-    this->follower.OnPage(this->now, 10, false, "k");
+    this->follower.OnPage(this->now, At(10), false, "k");
   }
 };
 
 TEST(TopicFollower, OnPage_MoreFollow_ContinuesAfterLastKey) {
   TopicFollower fresh(DefaultOptions());
-  CHECK_FALSE(fresh.OnPage(this->now, 10, true, "m"));
+  CHECK_FALSE(fresh.OnPage(this->now, At(10), true, "m"));
   CHECK(fresh.NextCall().kind == TopicCallKind::kListNewest);
   STRCMP_EQUAL("m", fresh.NextCall().after.c_str());
   CHECK_FALSE(fresh.is_fully_listed());
@@ -48,17 +53,17 @@
 // last. A read from the end offset of the last page would miss it.
 TEST(TopicFollower, OnPage_RecordsAppendedMeanwhile_ReadsFromFirstEnd) {
   TopicFollower fresh(DefaultOptions());
-  fresh.OnPage(this->now, 10, true, "m");
-  CHECK(fresh.OnPage(this->now, 12, false, "z"));
+  fresh.OnPage(this->now, At(10), true, "m");
+  CHECK(fresh.OnPage(this->now, At(12), false, "z"));
   CHECK(fresh.NextCall().kind == TopicCallKind::kReadOn);
-  CHECK_EQUAL(10, fresh.NextCall().from);
+  CHECK_EQUAL(10, fresh.NextCall().from.offset);
 }
 
 // Failure: a starting VM makes a needless call. All VMs of a fleet may start at
 // once, so the store has to serve one from each.
 TEST(TopicFollower, OnPage_ListingOfOnePage_DoesNotReadAtOnce) {
   TopicFollower fresh(DefaultOptions());
-  CHECK(fresh.OnPage(this->now, 10, false, "m"));
+  CHECK(fresh.OnPage(this->now, At(10), false, "m"));
   CHECK(fresh.due() >= this->now + 600ms);
   CHECK(fresh.due() <= this->now + 1050ms);
 }
@@ -70,10 +75,10 @@
   TopicFollowerOptions options = DefaultOptions();
   options.hold = 600ms;
   TopicFollower first(options);
-  first.OnPage(this->now, 10, false, "k");
+  first.OnPage(this->now, At(10), false, "k");
   CHECK(first.due() <= this->now);
   CHECK(first.NextCall().hold == 600ms);
-  first.OnRecords(this->now, 11, 11);
+  first.OnRecords(this->now, At(11), At(11));
   CHECK(first.due() <= this->now + 50ms);
 }
 
@@ -82,7 +87,7 @@
   options.hold = 600ms;
   TopicFollower second(options);
   second.SetRank(1);
-  second.OnPage(this->now, 10, false, "k");
+  second.OnPage(this->now, At(10), false, "k");
   CHECK(second.NextCall().hold == 0ms);
   CHECK(second.due() >= this->now + 600ms);
 }
@@ -93,17 +98,17 @@
   TopicFollowerOptions options = DefaultOptions();
   options.hold = 600ms;
   TopicFollower first(options);
-  first.OnPage(this->now, 10, false, "k");
+  first.OnPage(this->now, At(10), false, "k");
   first.OnFailed(this->now, this->now);
   CHECK(first.NextCall().hold == 0ms);
-  first.OnRecords(this->now, 11, 11);
+  first.OnRecords(this->now, At(11), At(11));
   CHECK(first.NextCall().hold == 600ms);
 }
 
 TEST(TopicFollower, OnPage_ListingOfTwoPages_ReadsAtOnce) {
   TopicFollower fresh(DefaultOptions());
-  fresh.OnPage(this->now, 10, true, "m");
-  CHECK(fresh.OnPage(this->now, 12, false, "z"));
+  fresh.OnPage(this->now, At(10), true, "m");
+  CHECK(fresh.OnPage(this->now, At(12), false, "z"));
   CHECK(fresh.due() <= this->now);
 }
 
@@ -114,16 +119,16 @@
 }
 
 TEST(TopicFollower, OnPeerUpdate_Contiguous_AppliedAndReadDelayed) {
-  this->follower.OnRecords(this->now, 10, 10);
+  this->follower.OnRecords(this->now, At(10), At(10));
   this->now += 500ms;
-  CHECK(this->follower.OnPeerUpdate(this->now, 10, 12));
-  CHECK_EQUAL(12, this->follower.offset());
+  CHECK(this->follower.OnPeerUpdate(this->now, At(10), At(12)));
+  CHECK_EQUAL(12, this->follower.position().offset);
   CHECK(this->follower.due() >= this->now + 600ms);
 }
 
 TEST(TopicFollower, OnPeerUpdate_NothingNew_DelaysRead) {
   this->now += 500ms;
-  CHECK_FALSE(this->follower.OnPeerUpdate(this->now, 10, 10));
+  CHECK_FALSE(this->follower.OnPeerUpdate(this->now, At(10), At(10)));
   CHECK(this->follower.due() >= this->now + 600ms);
 }
 
@@ -131,32 +136,32 @@
 // of them. If the updates left out what the other had sent, the third would see
 // a gap and read for itself each time.
 TEST(TopicFollower, Settled_OthersReadMeanwhile_AdvancesLater) {
-  this->follower.OnRecords(this->now, 12, 12);
+  this->follower.OnRecords(this->now, At(12), At(12));
   this->now += 600ms;
-  this->follower.OnPeerUpdate(this->now, 10, 15);
-  CHECK_EQUAL(10, this->follower.settled());
+  this->follower.OnPeerUpdate(this->now, At(10), At(15));
+  CHECK_EQUAL(10, this->follower.settled().offset);
   for (int i = 0; i < 6; ++i) {
     this->now += 600ms;
-    this->follower.OnRecords(this->now, 15, 15);
+    this->follower.OnRecords(this->now, At(15), At(15));
   }
-  CHECK_EQUAL(15, this->follower.settled());
+  CHECK_EQUAL(15, this->follower.settled().offset);
 }
 
 // An update was lost, or its records did not fit into one message.
 TEST(TopicFollower, OnPeerUpdate_WithGap_ReadsAtOnce) {
-  this->follower.OnRecords(this->now, 10, 10);
-  CHECK_FALSE(this->follower.OnPeerUpdate(this->now, 11, 12));
+  this->follower.OnRecords(this->now, At(10), At(10));
+  CHECK_FALSE(this->follower.OnPeerUpdate(this->now, At(11), At(12)));
   CHECK(this->follower.due() <= this->now);
-  CHECK_EQUAL(10, this->follower.offset());
+  CHECK_EQUAL(10, this->follower.position().offset);
 }
 
 // Failure: the VM that reads for the fleet is paused between its read and its
 // update. The update is then old and does not show that there is nothing newer.
 TEST(TopicFollower, OnPeerUpdate_OlderThanKnown_DoesNotDelayRead) {
-  this->follower.OnRecords(this->now, 12, 12);
+  this->follower.OnRecords(this->now, At(12), At(12));
   const TimePoint due = this->follower.due();
   this->now += 300ms;
-  CHECK_FALSE(this->follower.OnPeerUpdate(this->now, 9, 11));
+  CHECK_FALSE(this->follower.OnPeerUpdate(this->now, At(9), At(11)));
   CHECK(this->follower.due() == due);
 }
 
@@ -202,7 +207,7 @@
   this->follower.SetRank(1000);
   this->follower.OnCallLatency(this->now, 150ms);
   this->now += 1500ms;
-  this->follower.OnRecords(this->now, 10, 10);
+  this->follower.OnRecords(this->now, At(10), At(10));
   CHECK(this->follower.due() <= this->now + 1050ms);
 }
 
@@ -215,7 +220,7 @@
   explicit Readers(size_t count) {
     for (size_t i = 0; i < count; ++i) {
       this->vms.emplace_back(DefaultOptions());
-      this->vms.back().OnPage(this->now, 0, false, "");
+      this->vms.back().OnPage(this->now, At(0), false, "");
       this->vms.back().SetRank(i);
       this->dead.push_back(false);
       this->last_fresh.push_back(this->now);
@@ -268,9 +273,9 @@
         continue;
       }
       if (i == reader) {
-        this->vms[i].OnRecords(this->now, 0, 0);
+        this->vms[i].OnRecords(this->now, At(0), At(0));
       } else {
-        this->vms[i].OnPeerUpdate(this->now, 0, 0);
+        this->vms[i].OnPeerUpdate(this->now, At(0), At(0));
       }
       this->longest_silence =
           std::max(this->longest_silence, this->now - this->last_fresh[i]);
@@ -357,8 +362,8 @@
   uint64_t records_sent = 0;
   for (uint64_t next = 20; next <= 1000; next += 10) {
     this->now += 600ms;
-    this->follower.OnRecords(this->now, next, next);
-    records_sent += next - this->follower.BeginUpdate();
+    this->follower.OnRecords(this->now, At(next), At(next));
+    records_sent += next - this->follower.BeginUpdate().offset;
   }
   CHECK(records_sent <= 2 * 990);
 }
@@ -369,33 +374,33 @@
 TEST(TopicFollower, BeginUpdate_NextReader_LeavesNoGap) {
   TopicFollower receiver(DefaultOptions());
   TopicFollower next_reader(DefaultOptions());
-  receiver.OnPage(this->now, 10, false, "k");
-  next_reader.OnPage(this->now, 10, false, "k");
+  receiver.OnPage(this->now, At(10), false, "k");
+  next_reader.OnPage(this->now, At(10), false, "k");
   uint64_t offset = 10;
   for (int i = 0; i < 20; ++i) {
     this->now += 600ms;
     offset += 10;
-    this->follower.OnRecords(this->now, offset, offset);
-    const uint64_t start = this->follower.BeginUpdate();
-    CHECK(next_reader.OnPeerUpdate(this->now, start, offset));
-    CHECK(receiver.OnPeerUpdate(this->now, start, offset));
+    this->follower.OnRecords(this->now, At(offset), At(offset));
+    const LogPosition start = this->follower.BeginUpdate();
+    CHECK(next_reader.OnPeerUpdate(this->now, start, At(offset)));
+    CHECK(receiver.OnPeerUpdate(this->now, start, At(offset)));
   }
   this->now += 900ms;
-  next_reader.OnRecords(this->now, offset + 10, offset + 10);
-  CHECK(
-      receiver.OnPeerUpdate(this->now, next_reader.BeginUpdate(), offset + 10));
+  next_reader.OnRecords(this->now, At(offset + 10), At(offset + 10));
+  CHECK(receiver.OnPeerUpdate(this->now, next_reader.BeginUpdate(),
+                              At(offset + 10)));
 }
 
 // Every second update is lost. The next one still contains its records.
 TEST(TopicFollower, BeginUpdate_OneUpdateLost_NextContainsIt) {
   TopicFollower receiver(DefaultOptions());
-  receiver.OnPage(this->now, 10, false, "k");
+  receiver.OnPage(this->now, At(10), false, "k");
   for (uint64_t next = 20; next <= 400; next += 10) {
     this->now += 600ms;
-    this->follower.OnRecords(this->now, next, next);
-    const uint64_t start = this->follower.BeginUpdate();
+    this->follower.OnRecords(this->now, At(next), At(next));
+    const LogPosition start = this->follower.BeginUpdate();
     if (next % 20 == 0) {
-      CHECK(receiver.OnPeerUpdate(this->now, start, next));
+      CHECK(receiver.OnPeerUpdate(this->now, start, At(next)));
     }
   }
 }
@@ -405,31 +410,31 @@
 // times.
 TEST(TopicFollower, BeginForward_SameRecordsFromManyReaders_ForwardedOnce) {
   TopicFollower receiver(DefaultOptions());
-  receiver.OnPage(this->now, 10, false, "k");
-  CHECK_EQUAL(10, this->follower.BeginForward(10, 12));
-  CHECK(receiver.OnPeerUpdate(this->now, 10, 12));
+  receiver.OnPage(this->now, At(10), false, "k");
+  CHECK(this->follower.BeginForward(At(10), At(12)) == At(10));
+  CHECK(receiver.OnPeerUpdate(this->now, At(10), At(12)));
   for (int reader = 1; reader < 10; ++reader) {
-    CHECK_EQUAL(12, this->follower.BeginForward(10, 12));
-    receiver.OnPeerUpdate(this->now, 12, 12);
+    CHECK(this->follower.BeginForward(At(10), At(12)) == At(12));
+    receiver.OnPeerUpdate(this->now, At(12), At(12));
   }
   CHECK(receiver.due() > this->now);
-  CHECK_EQUAL(12, receiver.offset());
+  CHECK_EQUAL(12, receiver.position().offset);
 }
 
 // The first copy was lost with its link: the next update, without records,
 // makes the VM read.
 TEST(TopicFollower, BeginForward_FirstCopyLost_ReceiverReadsAtOnce) {
   TopicFollower receiver(DefaultOptions());
-  receiver.OnPage(this->now, 10, false, "k");
-  this->follower.BeginForward(10, 12);
-  const uint64_t first = this->follower.BeginForward(10, 12);
-  CHECK_FALSE(receiver.OnPeerUpdate(this->now, first, 12));
+  receiver.OnPage(this->now, At(10), false, "k");
+  this->follower.BeginForward(At(10), At(12));
+  const LogPosition first = this->follower.BeginForward(At(10), At(12));
+  CHECK_FALSE(receiver.OnPeerUpdate(this->now, first, At(12)));
   CHECK(receiver.due() <= this->now);
 }
 
 TEST(TopicFollower, BeginForward_NewRecords_Forwarded) {
-  CHECK_EQUAL(10, this->follower.BeginForward(10, 12));
-  CHECK_EQUAL(11, this->follower.BeginForward(11, 13));
+  CHECK(this->follower.BeginForward(At(10), At(12)) == At(10));
+  CHECK(this->follower.BeginForward(At(11), At(13)) == At(11));
 }
 
 TEST_GROUP(BulkTopic) {
@@ -443,7 +448,7 @@
   }
 
   void setup() override {
-    this->follower.OnPage(this->now, 10, false, "k");
+    this->follower.OnPage(this->now, At(10), false, "k");
     this->follower.SetRank(500);
     this->follower.SetPeers(true);
   }
@@ -455,8 +460,8 @@
   this->now = this->follower.due();
   CHECK(this->follower.NextCall().kind == TopicCallKind::kRequestFromPeer);
   this->follower.OnPeerRequestSent(this->now);
-  CHECK(this->follower.OnPeerUpdate(this->now, 10, 12));
-  CHECK_EQUAL(12, this->follower.offset());
+  CHECK(this->follower.OnPeerUpdate(this->now, At(10), At(12)));
+  CHECK_EQUAL(12, this->follower.position().offset);
   CHECK(this->follower.due() > this->now + 500ms);
 }
 
@@ -477,7 +482,7 @@
 TEST(BulkTopic, OnPeerDeclined_TwiceTheFleet_SameReadRate) {
   const auto due_of = [this](size_t rank) {
     TopicFollower vm(BulkOptions());
-    vm.OnPage(this->now, 10, false, "k");
+    vm.OnPage(this->now, At(10), false, "k");
     vm.SetRank(rank);
     vm.SetPeers(true);
     vm.OnPeerRequestSent(this->now);
@@ -493,16 +498,16 @@
   this->follower.OnFailed(this->now, this->now);
   const size_t least = this->follower.NextCall().max_bytes;
   CHECK(least < most);
-  this->follower.OnRecords(this->now, 11, 11);
+  this->follower.OnRecords(this->now, At(11), At(11));
   CHECK_EQUAL(2 * least, this->follower.NextCall().max_bytes);
 }
 
 // Failure: the topic grows by more than one read returns, and the VM that reads
 // for the fleet falls further and further behind.
 TEST(BulkTopic, OnRecords_EndNotReached_ReadsAtOnce) {
-  this->follower.OnRecords(this->now, 20, 50);
+  this->follower.OnRecords(this->now, At(20), At(50));
   CHECK(this->follower.due() == this->now);
-  this->follower.OnRecords(this->now, 50, 50);
+  this->follower.OnRecords(this->now, At(50), At(50));
   CHECK(this->follower.due() > this->now);
 }
 
@@ -510,11 +515,11 @@
 // ends while the store is overloaded.
 TEST(BulkTopic, Listing_CallFails_ContinuesAfterLastPage) {
   TopicFollower fresh(BulkOptions());
-  fresh.OnPage(this->now, 10, true, "m");
+  fresh.OnPage(this->now, At(10), true, "m");
   fresh.OnFailed(this->now, this->now);
   STRCMP_EQUAL("m", fresh.NextCall().after.c_str());
-  CHECK(fresh.OnPage(this->now, 14, false, "z"));
-  CHECK_EQUAL(10, fresh.offset());
+  CHECK(fresh.OnPage(this->now, At(14), false, "z"));
+  CHECK_EQUAL(10, fresh.position().offset);
 }
 
 TEST(BulkTopic, IsFresh_NoUpdateForLong_IsFalse) {
--- a/packages/decision/test/topic_records_test.cc
+++ b/packages/decision/test/topic_records_test.cc
@@ -5,6 +5,7 @@
 #include <CppUTest/TestHarness.h>
 
 using basilsill::KeyedRecord;
+using basilsill::LogPosition;
 using basilsill::TopicRecords;
 
 TEST_GROUP(TopicRecords) {
@@ -12,7 +13,8 @@
 
   static KeyedRecord Record(const std::string& key, uint64_t offset,
                             bool removed = false) {
-    return {key, removed ? "" : "v" + std::to_string(offset), offset, removed};
+    return {key, removed ? "" : "v" + std::to_string(offset),
+            LogPosition(offset), removed};
   }
 };
 
@@ -20,9 +22,9 @@
   this->records.Keep(Record("a", 5));
   CHECK_FALSE(this->records.IsNewer(Record("a", 4)));
   this->records.Keep(Record("a", 4));
-  CHECK_EQUAL(5, this->records.From(0).at(0).offset);
+  CHECK_EQUAL(5, this->records.From(LogPosition(0)).at(0).position.offset);
   this->records.Keep(Record("a", 6, true));
-  CHECK(this->records.From(0).empty());
+  CHECK(this->records.From(LogPosition(0)).empty());
 }
 
 // Failure: configurations arrive in quick succession, each a complete one, and
@@ -32,9 +34,9 @@
     this->records.AddRecent(Record("config", offset));
   }
   this->records.AddRecent(Record("other", 10));
-  const auto recent = this->records.RecentFrom(0);
+  const auto recent = this->records.RecentFrom(LogPosition(0));
   CHECK_EQUAL(2, recent.size());
-  CHECK_EQUAL(9, recent[0].offset);
+  CHECK_EQUAL(9, recent[0].position.offset);
 }
 
 // Failure: the store drops its history, including the record that removed a
@@ -46,7 +48,7 @@
   this->records.BeginListing();
   this->records.OnListed("b");
   this->records.EndListing();
-  const auto kept = this->records.From(0);
+  const auto kept = this->records.From(LogPosition(0));
   CHECK_EQUAL(1, kept.size());
   STRCMP_EQUAL("b", kept[0].key.c_str());
 }
@@ -62,14 +64,14 @@
   this->records.OnListed("b");
   this->records.Keep(Record("b", 6));
   this->records.EndListing();
-  CHECK_EQUAL(2, this->records.From(0).size());
+  CHECK_EQUAL(2, this->records.From(LogPosition(0)).size());
 }
 
 // A removal counts as the last record of its key.
 TEST(TopicRecords, RecentFrom_ChangedThenRemoved_HasRemoval) {
   this->records.AddRecent(Record("a", 1));
   this->records.AddRecent(Record("a", 2, true));
-  const auto recent = this->records.RecentFrom(0);
+  const auto recent = this->records.RecentFrom(LogPosition(0));
   CHECK_EQUAL(1, recent.size());
   CHECK(recent[0].removed);
 }
@@ -79,7 +81,7 @@
 TEST(TopicRecords, AddRecent_OlderArrivesLate_NewerIsKept) {
   this->records.AddRecent(Record("a", 7));
   this->records.AddRecent(Record("a", 3));
-  CHECK_EQUAL(1, this->records.RecentFrom(4).size());
-  this->records.ForgetRecentBefore(8);
-  CHECK(this->records.RecentFrom(0).empty());
+  CHECK_EQUAL(1, this->records.RecentFrom(LogPosition(4)).size());
+  this->records.ForgetRecentBefore(LogPosition(8));
+  CHECK(this->records.RecentFrom(LogPosition(0)).empty());
 }
--- a/packages/decision/test/upstream_registry_test.cc
+++ b/packages/decision/test/upstream_registry_test.cc
@@ -12,6 +12,7 @@
 #include <CppUTest/TestHarness.h>
 
 using namespace std::chrono_literals;
+using basilsill::LogPosition;
 using basilsill::RegisteredUpstream;
 using basilsill::TimePoint;
 using basilsill::UpstreamRegistry;
@@ -65,17 +66,17 @@
     }
     UpstreamRegistry registry;
     for (const size_t place : order) {
-      registry.OnEntry(TimePoint(1s), place, entries[place]);
+      registry.OnEntry(TimePoint(1s), LogPosition(place), entries[place]);
     }
     return registry;
   }
 
   void Write(const RegisteredUpstream& entry) {
-    this->registry.OnEntry(this->now, this->offset++, entry);
+    this->registry.OnEntry(this->now, LogPosition(this->offset++), entry);
   }
 
   void Remove(const std::string& id) {
-    this->registry.OnRemoved(this->now, this->offset++, id);
+    this->registry.OnRemoved(this->now, LogPosition(this->offset++), id);
   }
 
   bool Has(const std::string& id) const {
@@ -146,7 +147,7 @@
   this->Write(Entry("a"));
   this->Write(Entry("b", 81));
   this->registry.BeginListing();
-  this->registry.OnEntry(this->now, 1, Entry("b", 81));
+  this->registry.OnEntry(this->now, LogPosition(1), Entry("b", 81));
   this->registry.EndListing(this->now);
   CHECK_FALSE(this->Has("a"));
   CHECK(this->Has("b"));
@@ -156,8 +157,8 @@
 TEST(UpstreamRegistry, Entry_OlderThanKnown_Ignored) {
   RegisteredUpstream leaving = Entry("a");
   leaving.leaving = true;
-  this->registry.OnEntry(this->now, 7, leaving);
-  this->registry.OnEntry(this->now, 5, Entry("a"));
+  this->registry.OnEntry(this->now, LogPosition(7), leaving);
+  this->registry.OnEntry(this->now, LogPosition(5), Entry("a"));
   CHECK(this->registry.rows().find("a")->second.entry.leaving);
 }
 
@@ -215,8 +216,8 @@
 // finds both entries in one listing, ordered by key.
 TEST(UpstreamRegistry, Listing_TwoAtOneAddress_ShadowsOlder) {
   this->registry.BeginListing();
-  this->registry.OnEntry(this->now, 7, Entry("a"));
-  this->registry.OnEntry(this->now, 3, Entry("b"));
+  this->registry.OnEntry(this->now, LogPosition(7), Entry("a"));
+  this->registry.OnEntry(this->now, LogPosition(3), Entry("b"));
   this->registry.EndListing(this->now);
   CHECK_FALSE(this->registry.rows().at("a").shadowed);
   CHECK(this->registry.rows().at("b").shadowed);
--- a/packages/node/include/basilsill/node/quota_lease_store.h
+++ b/packages/node/include/basilsill/node/quota_lease_store.h
@@ -18,7 +18,8 @@
  public:
   struct Newest {
     std::optional<QuotaLeaseRecord> record;
-    uint64_t end = 0;  ///< Offset of the end of the log.
+    LogPosition end;                         ///< End of the log.
+    LeaseTime era_since = LeaseTime::min();  ///< See QuotaLease::OnRead.
   };
 
   virtual ~QuotaLeaseStore() = default;
@@ -31,8 +32,8 @@
   /// @returns the new end, kConflict if the log ends elsewhere, or a failure of
   /// ReadLease. After such a failure the write may have been done, or may still
   /// be done later.
-  virtual boost::asio::awaitable<Result<uint64_t>>
-  WriteLease(uint16_t share, uint64_t end, QuotaLeaseRecord record) = 0;
+  virtual boost::asio::awaitable<Result<LogPosition>>
+  WriteLease(uint16_t share, LogPosition end, QuotaLeaseRecord record) = 0;
 
   /// @returns what the installation allows new lenders to start with.
   virtual QuotaStartAllowance start_allowance() const { return {}; }
--- a/packages/node/include/basilsill/node/state_source.h
+++ b/packages/node/include/basilsill/node/state_source.h
@@ -54,6 +54,10 @@
   /// A call to the platform starts.
   virtual void OnPlatformCall(PlatformCall purpose) = 0;
 
+  /// The store is in `era`, which rises each time that it is restored from a
+  /// copy; 0 if it has none.
+  virtual void OnStoreEra(uint64_t era) = 0;
+
   /// A record of the platform was ignored because it can't be used.
   virtual void OnRecordIgnored(FailureKind reason) = 0;
 };
--- a/packages/node/src/control.h
+++ b/packages/node/src/control.h
@@ -119,6 +119,9 @@
   void OnPlatformCall(PlatformCall purpose) override {
     this->counts.platform_calls[static_cast<size_t>(purpose)].Add();
   }
+  void OnStoreEra(uint64_t era) override {
+    this->counts.store_era.Set(static_cast<int64_t>(era));
+  }
   void OnRecordIgnored(FailureKind reason) override {
     this->counts.records_ignored[static_cast<size_t>(reason)].Add();
   }
--- a/packages/node/src/metrics.h
+++ b/packages/node/src/metrics.h
@@ -172,6 +172,7 @@
   Gauge applied_offset;
   PerEnum<Gauge, VmState> vms;
   Gauge drained_data_centres;
+  Gauge store_era;  ///< Of the platform's store; rises with each restore.
   Gauge lost_data_centres;  ///< Whose upstreams no VM can connect to.
   /// Upper bound on the age of the configuration, in ms; 0 if the age is not
   /// tracked.
--- a/packages/node/src/metrics_table.cc
+++ b/packages/node/src/metrics_table.cc
@@ -431,6 +431,11 @@
              "Data centres whose upstreams get nothing new, as the operator "
              "wants it.",
              ControlValue<&Control::drained_data_centres>),
+    GaugeRow("basilsill_store_era",
+             "",
+             "Era of the platform's store, which rises each time that it is "
+             "restored from a copy; 0 if it has none.",
+             ControlValue<&Control::store_era>),
     GaugeRow("basilsill_lost_data_centres",
              "",
              "Data centres whose upstreams no VM can connect to.",
--- a/packages/node/src/quota_host.cc
+++ b/packages/node/src/quota_host.cc
@@ -174,7 +174,7 @@
   const LeaseTime now = LeaseClock::now();
   if (newest) {
     this->coordinator.OnLeaseRead(now, newest.value().record,
-                                  newest.value().end);
+                                  newest.value().end, newest.value().era_since);
   } else {
     this->OnLeaseCallFailed(now, newest.error());
   }
@@ -182,7 +182,7 @@
 }
 
 asio::awaitable<void> QuotaHost::Write() {
-  const Result<uint64_t> end = co_await this->leases->WriteLease(
+  const Result<LogPosition> end = co_await this->leases->WriteLease(
       this->coordinator.share(), this->coordinator.lease().end(),
       this->coordinator.lease().record());
   const LeaseTime now = LeaseClock::now();
--- a/packages/wire/include/basilsill/wire/message.h
+++ b/packages/wire/include/basilsill/wire/message.h
@@ -9,6 +9,7 @@
 #include <variant>
 #include <vector>
 
+#include "basilsill/base/log_position.h"
 #include "basilsill/base/reason.h"
 #include "basilsill/decision/configuration_freshness.h"
 #include "basilsill/decision/dispatch.h"
@@ -275,8 +276,10 @@
 /// the source of state interprets it.
 struct StateNews {
   uint8_t topic = 0;
-  uint64_t from = 0;  ///< First offset that the message covers.
-  uint64_t next = 0;  ///< Offset after the last one that it covers.
+  LogPosition from;  ///< First position that the message covers.
+  /// Position after the last one that it covers. If the store was restored
+  /// from a copy in between, it is of a later era than `from`.
+  LogPosition next;
   /// Records that changed nothing are left out.
   Bytes records;
   /// `records` has the newest record of each key, for a VM that has no state of
@@ -286,6 +289,14 @@
   bool more = false;
   /// Proof of the age of the records, for a receiver that sent a stamp.
   std::optional<FreshnessVouch> vouch{};
+  /// The message covers no range: each record is applied if the receiver has no
+  /// newer one of its key.
+  bool unordered = false;
+  /// The store was restored lately, so that having all of its records does not
+  /// prove that they are the newest ones.
+  bool unproven = false;
+  /// Version of the sender's configuration; 0: not stated.
+  uint64_t version = 0;
 
   friend bool operator==(const StateNews&, const StateNews&) = default;
 };
@@ -293,7 +304,7 @@
 /// Position from which on a VM lacks the records of a topic.
 struct TopicPosition {
   uint8_t topic = 0;
-  uint64_t from = 0;  ///< 0: it has no records of the topic.
+  LogPosition from;  ///< Default: it has no records of the topic.
 
   friend bool operator==(const TopicPosition&, const TopicPosition&) = default;
 };
@@ -305,6 +316,9 @@
   uint64_t stamp = 0;  ///< As in StateStamp.
   /// The sender has all records up to the positions and requests later ones.
   bool catches_up = false;
+  /// The sender requests the newest record of each key, in an unordered update,
+  /// since the receiver has a newer configuration.
+  bool newest = false;
 
   friend bool operator==(const StateQuestion&, const StateQuestion&) = default;
 };
--- a/packages/wire/schema/peer.capnp
+++ b/packages/wire/schema/peer.capnp
@@ -219,6 +219,11 @@
   whole @4 :Bool;
   more @5 :Bool;
   vouch @6 :FreshnessVouch;
+  fromEra @7 :UInt64;
+  nextEra @8 :UInt64;
+  unordered @9 :Bool;
+  unproven @10 :Bool;
+  version @11 :UInt64;
 }
 
 struct StateStamp {
@@ -228,12 +233,14 @@
 struct TopicPosition {
   topic @0 :UInt8;
   from @1 :UInt64;
+  fromEra @2 :UInt64;
 }
 
 struct StateQuestion {
   wanted @0 :List(TopicPosition);
   stamp @1 :UInt64;
   catchesUp @2 :Bool;
+  newest @3 :Bool;
 }
 
 struct StateDeclined {
@@ -278,6 +285,7 @@
   returns @3 :List(QuotaReturn);
   leaseEnd @4 :UInt64;
   leaseLeft @5 :Nanos;
+  leaseEra @6 :UInt64;
 }
 
 struct QuotaOutcome {
--- a/packages/wire/src/message_reader.cc
+++ b/packages/wire/src/message_reader.cc
@@ -259,10 +259,13 @@
 StateNews ReadStateNews(schema::StateNews::Reader reader) {
   StateNews update;
   update.topic = reader.getTopic();
-  update.from = reader.getFrom();
-  update.next = reader.getNext();
+  update.from = LogPosition(reader.getFrom(), reader.getFromEra());
+  update.next = LogPosition(reader.getNext(), reader.getNextEra());
   update.whole = reader.getWhole();
   update.more = reader.getMore();
+  update.unordered = reader.getUnordered();
+  update.unproven = reader.getUnproven();
+  update.version = reader.getVersion();
   const capnp::Data::Reader records = reader.getRecords();
   CheckedSize(records.size(), limits::kMaxUpdateBytes, "/records");
   update.records.assign(records.asChars().begin(), records.asChars().end());
@@ -313,7 +316,7 @@
   QuotaRequest request;
   request.number = reader.getNumber();
   request.of_lender = reader.getOfLender();
-  request.lease_end = reader.getLeaseEnd();
+  request.lease_end = LogPosition(reader.getLeaseEnd(), reader.getLeaseEra());
   request.lease_left = ReadNanos(reader.getLeaseLeft(), "/leaseLeft");
   const auto wants = reader.getWants();
   request.wants.reserve(
@@ -353,10 +356,13 @@
   question.wanted.reserve(
       CheckedSize(wanted.size(), limits::kMaxTopics, "/wanted"));
   for (const schema::TopicPosition::Reader position : wanted) {
-    question.wanted.push_back({position.getTopic(), position.getFrom()});
+    question.wanted.push_back(
+        {position.getTopic(),
+         LogPosition(position.getFrom(), position.getFromEra())});
   }
   question.stamp = reader.getStamp();
   question.catches_up = reader.getCatchesUp();
+  question.newest = reader.getNewest();
   return question;
 }
 
--- a/packages/wire/src/message_writer.cc
+++ b/packages/wire/src/message_writer.cc
@@ -260,10 +260,15 @@
 void Write(const StateNews& update, schema::PeerMessage::Builder message) {
   auto builder = message.initStateNews();
   builder.setTopic(update.topic);
-  builder.setFrom(update.from);
-  builder.setNext(update.next);
+  builder.setFrom(update.from.offset);
+  builder.setFromEra(update.from.era);
+  builder.setNext(update.next.offset);
+  builder.setNextEra(update.next.era);
   builder.setWhole(update.whole);
   builder.setMore(update.more);
+  builder.setUnordered(update.unordered);
+  builder.setUnproven(update.unproven);
+  builder.setVersion(update.version);
   auto records =
       builder.initRecords(static_cast<unsigned>(update.records.size()));
   std::copy(update.records.begin(), update.records.end(),
@@ -315,7 +320,8 @@
   auto builder = message.initQuotaRequest();
   builder.setNumber(request.number);
   builder.setOfLender(request.of_lender);
-  builder.setLeaseEnd(request.lease_end);
+  builder.setLeaseEnd(request.lease_end.offset);
+  builder.setLeaseEra(request.lease_end.era);
   builder.setLeaseLeft(NanosOf(request.lease_left));
   auto wants = builder.initWants(static_cast<unsigned>(request.wants.size()));
   for (unsigned i = 0; i < request.wants.size(); ++i) {
@@ -351,11 +357,13 @@
   auto builder = message.initStateQuestion();
   builder.setStamp(question.stamp);
   builder.setCatchesUp(question.catches_up);
+  builder.setNewest(question.newest);
   auto wanted =
       builder.initWanted(static_cast<unsigned>(question.wanted.size()));
   for (unsigned i = 0; i < question.wanted.size(); ++i) {
     wanted[i].setTopic(question.wanted[i].topic);
-    wanted[i].setFrom(question.wanted[i].from);
+    wanted[i].setFrom(question.wanted[i].from.offset);
+    wanted[i].setFromEra(question.wanted[i].from.era);
   }
 }
 
