--- a/packages/decision/test/topic_follower_test.cc
+++ b/packages/decision/test/topic_follower_test.cc
@@ -526,3 +526,65 @@
   CHECK(this->follower.is_fresh(this->now + 500ms));
   CHECK_FALSE(this->follower.is_fresh(this->now + 2s));
 }
+
+// Failure: the store is restored from a copy, and all VMs of a large fleet list
+// all topics at once.
+TEST(TopicFollower, OnEra_HigherRank_WaitsForAnUpdate) {
+  this->follower.SetRank(20);
+  this->follower.OnEra(this->now, 1);
+  CHECK_FALSE(this->follower.is_gapless());
+  CHECK(this->follower.due() >= this->now + 500ms);
+  CHECK(this->follower.NextCall().kind == TopicCallKind::kListNewest);
+  CHECK(this->follower.OnPeerUpdate(this->now, At(9), At(4, 1)));
+  CHECK(this->follower.is_gapless());
+  CHECK(this->follower.position() == At(4, 1));
+  CHECK(this->follower.NextCall().kind == TopicCallKind::kReadOn);
+}
+
+TEST(TopicFollower, OnEra_FirstVm_ListsAtOnce) {
+  this->follower.OnEra(this->now, 1);
+  CHECK(this->follower.due() <= this->now);
+  CHECK(this->follower.NextCall().kind == TopicCallKind::kListNewest);
+}
+
+// Failure: an update of the new era does not begin in the era before, so that
+// each VM finds a gap and lists the topic.
+TEST(TopicFollower, BeginUpdate_AfterListingANewEra_LeavesNoGap) {
+  TopicFollower receiver(DefaultOptions());
+  receiver.OnPage(this->now, At(10), false, "k");
+  this->follower.OnEra(this->now, 1);
+  this->follower.OnPage(this->now, At(4, 1), false, "k");
+  receiver.OnEra(this->now, 1);
+  CHECK(receiver.OnPeerUpdate(this->now, this->follower.BeginUpdate(),
+                              this->follower.position()));
+  CHECK(receiver.is_gapless());
+}
+
+// Failure: a listing of several pages ends after its first one, and the VM
+// lacks the keys of the others.
+TEST(TopicFollower, OnPage_NewEraOfTwoPages_ListsBoth) {
+  this->follower.OnEra(this->now, 1);
+  CHECK_FALSE(this->follower.OnPage(this->now, At(4, 1), true, "m"));
+  CHECK(this->follower.NextCall().kind == TopicCallKind::kListNewest);
+  STRCMP_EQUAL("m", this->follower.NextCall().after.c_str());
+  CHECK(this->follower.OnPage(this->now, At(6, 1), false, "z"));
+  CHECK(this->follower.NextCall().from == At(4, 1));
+}
+
+// Failure: the store is restored again while a VM lists it, and the VM goes on
+// with a page of the other copy.
+TEST(TopicFollower, OnEra_WhileListing_BeginsAgain) {
+  this->follower.OnEra(this->now, 1);
+  this->follower.OnPage(this->now, At(4, 1), true, "m");
+  this->follower.OnEra(this->now, 2);
+  STRCMP_EQUAL("", this->follower.NextCall().after.c_str());
+  CHECK(this->follower.NextCall().kind == TopicCallKind::kListNewest);
+}
+
+// A VM that has not heard of the restore sends what it read before.
+TEST(TopicFollower, OnPeerUpdate_OfEraBefore_IsNotTakenForNewer) {
+  this->follower.OnEra(this->now, 1);
+  this->follower.OnPage(this->now, At(4, 1), false, "k");
+  CHECK_FALSE(this->follower.OnPeerUpdate(this->now, At(10), At(12)));
+  CHECK(this->follower.position() == At(4, 1));
+}
--- a/packages/decision/test/upstream_registry_test.cc
+++ b/packages/decision/test/upstream_registry_test.cc
@@ -12,6 +12,7 @@
 #include <CppUTest/TestHarness.h>
 
 using namespace std::chrono_literals;
+using basilsill::EntryResult;
 using basilsill::LogPosition;
 using basilsill::RegisteredUpstream;
 using basilsill::TimePoint;
@@ -324,3 +325,28 @@
     }
   }
 }
+
+// Failure: the platform is restored from a copy in which an upstream that has
+// left is still listed, and it gets requests again.
+TEST(UpstreamRegistry, Entry_OfCopyBeforeItsRemoval_IsNotListedAgain) {
+  this->registry.OnEntry(this->now, LogPosition(3), Entry("a"));
+  this->registry.OnRemoved(this->now, LogPosition(7), "a");
+  CHECK(this->registry.OnEntry(this->now, LogPosition(3), Entry("a")) ==
+        EntryResult::kOutdated);
+  CHECK_FALSE(this->Has("a"));
+  this->registry.OnEntry(this->now, LogPosition(5, 1), Entry("a"));
+  CHECK(this->Has("a"));
+}
+
+// Failure: a restored platform lacks upstreams that have registered since the
+// copy was made, and they get no requests until they have registered again.
+TEST(UpstreamRegistry, Restore_ListingWithoutEntry_KeptUntilWrittenAgain) {
+  this->Write(Entry("a"));
+  this->registry.OnPlatformRestored(this->now);
+  this->registry.BeginListing();
+  this->registry.EndListing(this->now);
+  this->registry.Tick(this->now + 2s);
+  CHECK(this->Has("a"));
+  this->registry.Tick(this->now + 3s);
+  CHECK_FALSE(this->Has("a"));
+}
