--- a/packages/decision/test/staleness_history_test.cc
+++ b/packages/decision/test/staleness_history_test.cc
@@ -62,3 +62,36 @@
     CheckHistory(this->options);
   }
 }
+
+// Failure: the store is restored, and VMs read on from offsets of the log
+// before it, miss what was written since, or wait for each other.
+TEST(StalenessHistory, Configuration_StoreRestored_KnownWithinBound) {
+  for (uint64_t seed = 0; seed < kHistories; ++seed) {
+    this->options.seed = seed;
+    this->options.restores.count = 1 + seed % 2;
+    CheckHistory(this->options);
+  }
+}
+
+TEST(StalenessHistory, BulkTopic_StoreRestored_KnownWithinBound) {
+  this->options.is_bulk = true;
+  for (uint64_t seed = 0; seed < kHistories; ++seed) {
+    this->options.seed = seed;
+    this->options.restores.count = 1 + seed % 2;
+    CheckHistory(this->options);
+  }
+}
+
+// Failure: after a restore every VM of a large fleet lists the topic.
+TEST(StalenessHistory, LargeFleet_StoreRestored_FewListings) {
+  this->options.vms = kLargeFleet;
+  this->options.bound = 2500ms;
+  this->options.faults = 0;
+  this->options.restores.count = 1;
+  for (uint64_t seed = 0; seed < kHistories / 10; ++seed) {
+    this->options.seed = seed;
+    const StalenessReport report = PlayStaleness(this->options);
+    STRCMP_EQUAL("", report.first_late.c_str());
+    CHECK(report.listings <= kLargeFleet / 10);
+  }
+}
--- a/packages/decision/test/staleness_simulation.cc
+++ b/packages/decision/test/staleness_simulation.cc
@@ -29,6 +29,8 @@
 /// The faults begin within this time, after the VMs have settled.
 constexpr TimePoint kFirstFault{4s};
 constexpr Duration kFaultSpread = 3s;
+/// Longest time from a restore until the newest record is written again.
+constexpr Duration kMaxRewriteTime = 1s;
 
 struct Fault {
   StalenessFault kind = StalenessFault::kCount;
@@ -42,6 +44,19 @@
   LogPosition first;
   LogPosition next;
   bool declined = false;
+  uint64_t newest = 0;  ///< Newest record that the sender has.
+};
+
+/// A record of the log. The number tells how many were written before it.
+struct Record {
+  TimePoint appended_at;
+  uint64_t number = 0;
+};
+
+struct Restore {
+  TimePoint at;
+  Duration copy_age{0};
+  Duration rewritten_after{0};
 };
 
 /// A call of one VM to the store.
@@ -51,7 +66,9 @@
   TimePoint sent;  ///< On the connection that may answer.
   std::optional<TimePoint> fails_at;
   std::optional<TimePoint> answered_at;
-  uint64_t end = 0;  ///< Of the topic when the store answered.
+  LogPosition end;          ///< Of the topic when the store answered.
+  uint64_t newest = 0;      ///< Newest record in the answer.
+  bool is_of_copy = false;  ///< It was made because the store was restored.
 };
 
 struct Vm {
@@ -64,7 +81,9 @@
   TimePoint frozen_until{};
   TimePoint disturbed_at{};
   TimePoint refused_until{};
-  uint64_t known = 0;
+  uint64_t newest = 0;  ///< Newest record that it has.
+  uint64_t era = 0;
+  LogPosition known;
   size_t asked = 0;
 };
 
@@ -89,15 +108,17 @@
     this->lost_until.assign(options.vms * options.vms, TimePoint{});
     this->DrawFaults();
     this->DrawRecords();
+    this->DrawRestores();
   }
 
   StalenessReport Play() {
     const TimePoint last = kStart + this->options.length;
     for (this->now = kStart; this->now < last; this->now += kStep) {
       this->BeginFaults();
-      while (this->acked.size() > this->end &&
-             this->acked[this->end] <= this->now) {
-        ++this->end;
+      this->RestoreStore();
+      while (this->acked.size() > this->written &&
+             this->acked[this->written] <= this->now) {
+        this->log.push_back({this->now, ++this->written});
       }
       for (size_t i = 0; i < this->vms.size(); ++i) {
         if (this->vms[i].frozen_until <= this->now) {
@@ -140,6 +161,48 @@
     }
   }
 
+  void DrawRestores() {
+    for (size_t i = 0; i < this->options.restores.count; ++i) {
+      Restore restore;
+      restore.at = kFirstFault + this->Draw(0s, kFaultSpread);
+      restore.copy_age = this->Draw(0s, this->options.restores.longest_age);
+      restore.rewritten_after = this->Draw(0s, kMaxRewriteTime);
+      this->restores.push_back(restore);
+    }
+  }
+
+  void RestoreStore() {
+    for (const Restore& restore : this->restores) {
+      if (restore.at <= this->now && this->now < restore.at + kStep) {
+        this->RestoreCopy(restore);
+      }
+    }
+    if (this->now >= this->rewrite_at) {
+      this->rewrite_at = TimePoint::max();
+      this->log.push_back({this->now, this->written});
+    }
+  }
+
+  void RestoreCopy(const Restore& restore) {
+    while (!this->log.empty() &&
+           this->log.back().appended_at > this->now - restore.copy_age) {
+      this->log.pop_back();
+    }
+    ++this->era;
+    this->first = std::min(this->first, this->log.size());
+    this->rewrite_at = this->now + restore.rewritten_after;
+    this->store_disturbed_at = this->rewrite_at;
+  }
+
+  /// @returns the newest record at offset `begin` or later.
+  uint64_t NewestFrom(size_t begin) const {
+    uint64_t newest = 0;
+    for (size_t i = begin; i < this->log.size(); ++i) {
+      newest = std::max(newest, this->log[i].number);
+    }
+    return newest;
+  }
+
   bool Is(StalenessFault kind) const {
     return std::any_of(this->faults.begin(), this->faults.end(),
                        [this, kind](const Fault& fault) {
@@ -204,7 +267,7 @@
         affected.refused_until = fault.end;
         break;
       case StalenessFault::kHistoryDropped:
-        this->first = this->end;
+        this->first = this->log.size();
         break;
       default:
         break;
@@ -234,9 +297,8 @@
       this->EndCall(index);
     }
     if (vm.follower.is_gapless()) {
-      this->report.lost_offsets +=
-          vm.follower.position().offset < vm.known ? 1 : 0;
-      vm.known = vm.follower.position().offset;
+      this->report.lost_offsets += vm.follower.position() < vm.known ? 1 : 0;
+      vm.known = vm.follower.position();
     }
   }
 
@@ -248,7 +310,7 @@
       if (update.declined) {
         vm.follower.OnPeerDeclined(this->now);
       } else {
-        vm.follower.OnPeerUpdate(this->now, update.first, update.next);
+        this->TakeUpdate(vm, update);
       }
     }
     std::erase_if(vm.inbox, [this](const Update& update) {
@@ -256,6 +318,20 @@
     });
   }
 
+  void TakeUpdate(Vm& vm, const Update& update) {
+    this->NoteEra(vm, update.next.era);
+    if (vm.follower.OnPeerUpdate(this->now, update.first, update.next)) {
+      vm.newest = std::max(vm.newest, update.newest);
+    }
+  }
+
+  void NoteEra(Vm& vm, uint64_t stated) {
+    if (stated > vm.era) {
+      vm.era = stated;
+      vm.follower.OnEra(this->now, stated);
+    }
+  }
+
   void StartCall(Vm& vm) {
     const TopicCall what = vm.follower.NextCall();
     if (what.kind == TopicCallKind::kRequestFromPeer) {
@@ -263,8 +339,10 @@
       return;
     }
     ++this->report.calls;
+    this->report.listings += what.kind == TopicCallKind::kListNewest ? 1 : 0;
     vm.call = Call();
     vm.call->what = what;
+    vm.call->is_of_copy = vm.follower.is_era_over();
     vm.call->begun = this->now;
     vm.call->sent = this->now;
     if (vm.has_dead_connection) {
@@ -282,7 +360,7 @@
       return;
     }
     Update answer{this->now + kMessageTime, vm.follower.position(),
-                  asked.follower.position(), false};
+                  asked.follower.position(), false, asked.newest};
     answer.declined = !asked.follower.is_fresh(this->now);
     vm.inbox.push_back(answer);
   }
@@ -298,11 +376,14 @@
     } else if (this->Is(StalenessFault::kStoreRefuses) ||
                vm.refused_until > this->now) {
       call.fails_at = this->now + kRoundTrip;
-    } else if (this->end > call.what.from.offset ||
+    } else if (this->log.size() > call.what.from.offset ||
+               this->era != call.what.from.era ||
                this->now >= call.begun + call.what.hold) {
       const bool is_slow = this->Is(StalenessFault::kStoreSlow);
       call.answered_at = this->now + (is_slow ? kSlowAnswer : kRoundTrip);
-      call.end = this->end;
+      const bool is_read = call.what.kind == TopicCallKind::kReadOn;
+      call.end = LogPosition(this->log.size(), this->era);
+      call.newest = this->NewestFrom(is_read ? call.what.from.offset : 0);
     }
   }
 
@@ -318,18 +399,40 @@
   }
 
   void OnAnswer(size_t index, const Call& call) {
-    TopicFollower& follower = this->vms[index].follower;
-    if (call.what.kind == TopicCallKind::kListNewest) {
-      follower.OnPage(this->now, LogPosition(call.end), false, "k");
+    Vm& vm = this->vms[index];
+    this->NoteEra(vm, call.end.era);
+    if (call.end.era < vm.era) {
+      vm.follower.OnFailed(this->now, call.begun);
+    } else if (call.what.kind == TopicCallKind::kListNewest) {
+      this->OnListed(index, call);
+    } else if (!vm.follower.is_era_over()) {
+      this->OnRead(index, call);
+    }
+  }
+
+  void OnListed(size_t index, const Call& call) {
+    Vm& vm = this->vms[index];
+    const bool shows_copy = vm.follower.is_era_over();
+    if (call.is_of_copy && !shows_copy) {
       return;
     }
+    vm.newest = std::max(vm.newest, call.newest);
+    vm.follower.OnPage(this->now, call.end, false, "k");
+    if (shows_copy && index < kRelays) {
+      this->Publish(index);
+    }
+  }
+
+  void OnRead(size_t index, const Call& call) {
+    Vm& vm = this->vms[index];
     if (call.what.from.offset < this->first) {
-      follower.OnTrimmed(this->now);
+      vm.follower.OnTrimmed(this->now);
       return;
     }
+    vm.newest = std::max(vm.newest, call.newest);
     const Duration took = this->now - std::max(call.sent, call.begun);
-    follower.OnCallLatency(this->now, took - call.what.hold);
-    follower.OnRecords(this->now, LogPosition(call.end), LogPosition(call.end));
+    vm.follower.OnCallLatency(this->now, took - call.what.hold);
+    vm.follower.OnRecords(this->now, call.end, call.end);
     if (index < kRelays) {
       this->Publish(index);
     }
@@ -340,8 +443,9 @@
     const LogPosition begin = follower.BeginUpdate();
     for (size_t i = 0; i < this->vms.size(); ++i) {
       if (i != reader && this->LostUntil(reader, i) <= this->now) {
-        this->vms[i].inbox.push_back(
-            {this->now + kMessageTime, begin, follower.position(), false});
+        this->vms[i].inbox.push_back({this->now + kMessageTime, begin,
+                                      follower.position(), false,
+                                      this->vms[reader].newest});
       }
     }
   }
@@ -360,9 +464,7 @@
         std::upper_bound(this->acked.begin(), this->acked.end(),
                          at - this->options.bound) -
         this->acked.begin());
-    const uint64_t has =
-        vm.follower.is_gapless() ? vm.follower.position().offset : vm.known;
-    if (has >= due) {
+    if (vm.newest >= due) {
       return;
     }
     if (this->report.late++ == 0) {
@@ -370,7 +472,7 @@
           "seed " + std::to_string(this->options.seed) + ", VM " +
           std::to_string(index) + " at " +
           std::to_string(this->now.time_since_epoch() / 1ms) + " ms: has " +
-          std::to_string(has) + " of " + std::to_string(due);
+          std::to_string(vm.newest) + " of " + std::to_string(due);
     }
   }
 
@@ -380,8 +482,12 @@
   std::vector<Fault> faults;
   std::vector<TimePoint> acked;       ///< When each record was acknowledged.
   std::vector<TimePoint> lost_until;  ///< By sender and receiver.
-  uint64_t end = 0;
-  uint64_t first = 0;  ///< Oldest record in the history.
+  std::vector<Restore> restores;
+  std::vector<Record> log;
+  uint64_t era = 0;
+  uint64_t written = 0;  ///< Number of records that were ever written.
+  TimePoint rewrite_at = TimePoint::max();
+  size_t first = 0;  ///< Offset of the oldest record that can be read.
   TimePoint store_disturbed_at{};
   TimePoint now{};
   StalenessReport report;
--- a/packages/decision/test/staleness_simulation.h
+++ b/packages/decision/test/staleness_simulation.h
@@ -27,12 +27,20 @@
   kCount
 };
 
+/// A store that comes back from a copy loses what it has acknowledged since.
+/// The newest record is written again after some time.
+struct StalenessRestores {
+  size_t count = 0;
+  Duration longest_age = std::chrono::seconds(10);  ///< Of the copies.
+};
+
 struct StalenessOptions {
   uint64_t seed = 0;
   size_t vms = 30;
   Duration bound = std::chrono::milliseconds(2000);
   bool is_bulk = false;
   size_t faults = 2;
+  StalenessRestores restores;
   Duration length = std::chrono::seconds(20);
 };
 
@@ -41,6 +49,7 @@
   size_t late = 0;
   std::string first_late;  ///< VM, time and record of the first.
   size_t calls = 0;
+  size_t listings = 0;
   size_t lost_offsets = 0;  ///< Times at which a VM went back to older records.
 };
 
--- a/soak/main.cc
+++ b/soak/main.cc
@@ -40,6 +40,7 @@
   bool keep_logs = false;
   bool loose = false;
   bool without_cuts = false;
+  bool restores = false;
 };
 
 Arguments ReadArguments(int argc, char** argv) {
@@ -70,6 +71,8 @@
       "", "without-cuts",
       "Plans as before nodes were cut from all upstreams, for older seeds",
       line);
+  TCLAP::SwitchArg restores(
+      "r", "restores", "Restore the store from copies several times", line);
   line.parse(argc, argv);
   return {program.getValue(),
           directory.getValue(),
@@ -81,7 +84,8 @@
           milliseconds(gap.getValue()),
           keep.getValue(),
           loose.getValue(),
-          without_cuts.getValue()};
+          without_cuts.getValue(),
+          restores.getValue()};
 }
 
 double SecondsSince(basilsill::TimePoint start, basilsill::TimePoint at) {
@@ -180,6 +184,7 @@
   options.program = arguments.program;
   options.directory = directory.string();
   options.callers = arguments.callers;
+  options.restores = arguments.restores;
   if (arguments.loose) {
     LoosenBounds(options.bounds);
   }
--- a/soak/rig.cc
+++ b/soak/rig.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <array>
 #include <charconv>
+#include <random>
 #include <set>
 #include <utility>
 
@@ -11,6 +12,7 @@
 #include <boost/asio/detached.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
+#include <pcg_random.hpp>
 
 #include "callers.h"
 #include "fake_store.h"
@@ -46,6 +48,12 @@
 constexpr milliseconds kFloodedFor{3500};
 // Added to the duration of a cut, as its promise counts from three seconds on.
 constexpr milliseconds kExtraCutTime{4500};
+// Restores of the store: when the next copy is made, how old it gets, how long
+// the store is away, and when the operator writes again.
+constexpr milliseconds kMaxCopyPause{3000};
+constexpr milliseconds kMaxCopyAge{5000};
+constexpr milliseconds kMaxRestoreTime{1500};
+constexpr milliseconds kMaxRewriteDelay{400};
 
 class Rig {
  public:
@@ -57,7 +65,8 @@
         callers(this->io,
                 this->fleet,
                 this->MakeCallersOptions(),
-                this->observations) {
+                this->observations),
+        restore_random(plan.seed) {
     this->upstreams.SetClientLinks([this](const ConnectionPorts& ports) {
       this->fleet.FindConnections();
       return this->fleet.UpstreamLink(ports);
@@ -105,14 +114,14 @@
       routes.push_back(make(kToggledRoute, "safe", 0));
     }
     const TimePoint sent = MonotonicClock::now();
-    this->store.Put(
-        adapter::test::kOperatorTopic, adapter::test::kConfigurationKey,
-        adapter::test::WithTeams(
-            adapter::test::WithColdUpstreams(
-                adapter::test::ConfigurationText(VersionText(++this->version),
-                                                 routes, ServiceNames()),
-                kColdRate),
-            this->MakeTeams()));
+    this->published = adapter::test::WithTeams(
+        adapter::test::WithColdUpstreams(
+            adapter::test::ConfigurationText(VersionText(++this->version),
+                                             routes, ServiceNames()),
+            kColdRate),
+        this->MakeTeams());
+    this->store.Put(adapter::test::kOperatorTopic,
+                    adapter::test::kConfigurationKey, this->published);
     this->observations.routes.push_back(
         {kToggledRoute, this->has_toggled_route, sent, MonotonicClock::now()});
   }
@@ -179,6 +188,9 @@
     this->callers.Start();
     asio::co_spawn(this->io, this->RevokeKey(), asio::detached);
     asio::co_spawn(this->io, this->Flood(), asio::detached);
+    if (this->options.restores) {
+      asio::co_spawn(this->io, this->RestoreStore(), asio::detached);
+    }
     const TimePoint start = MonotonicClock::now();
     for (const Step& step : this->plan.steps) {
       co_await Sleep(start + step.at - MonotonicClock::now());
@@ -284,6 +296,56 @@
     this->has_store_fault = false;
   }
 
+  milliseconds DrawTime(milliseconds longest) {
+    return milliseconds(std::uniform_int_distribution<int64_t>(
+        0, longest.count())(this->restore_random));
+  }
+
+  // Not steps of the plan, so that the plan of each seed stays the same.
+  asio::awaitable<void> RestoreStore() {
+    while (!this->is_finished) {
+      co_await Sleep(this->DrawTime(kMaxCopyPause));
+      this->store.KeepCopy();
+      co_await Sleep(this->DrawTime(kMaxCopyAge));
+      if (!this->is_finished && !this->has_store_fault) {
+        co_await this->RestoreCopy();
+      }
+    }
+  }
+
+  asio::awaitable<void> RestoreCopy() {
+    this->has_store_fault = true;
+    const size_t row = this->observations.BeginDisturbance(
+        DisturbanceKind::kStore, std::nullopt);
+    this->store.SetMode(StoreMode::kRefusing);
+    co_await Sleep(this->DrawTime(kMaxRestoreTime));
+    this->store.RestoreCopy();
+    this->store.SetMode(StoreMode::kAvailable);
+    co_await Sleep(this->DrawTime(kMaxRewriteDelay));
+    if (this->is_finished) {
+      co_return;
+    }
+    this->WriteAgain();
+    asio::co_spawn(this->io, this->upstreams.WriteEntriesAgain(),
+                   asio::detached);
+    this->observations.EndDisturbance(row);
+    this->has_store_fault = false;
+  }
+
+  // The operator writes again what a restore of the store may have lost.
+  void WriteAgain() {
+    this->store.Put(adapter::test::kOperatorTopic,
+                    adapter::test::kConfigurationKey, this->published);
+    for (size_t i = 0; i < DataCentreNames().size(); ++i) {
+      const std::string key = adapter::test::DrainKey(DataCentreNames()[i]);
+      if (this->drained.contains(i)) {
+        this->store.Put(adapter::test::kOperatorTopic, key, "{}");
+      } else {
+        this->store.Remove(adapter::test::kOperatorTopic, key);
+      }
+    }
+  }
+
   void ApplyStoreFault(Fault fault) {
     switch (fault) {
       case Fault::kStoreDown:
@@ -310,6 +372,8 @@
   Fleet fleet;
   Callers callers;
   uint64_t version = 0;
+  std::string published;  ///< Newest configuration.
+  pcg32 restore_random;
   bool has_toggled_route = true;
   bool is_key_revoked = false;
   std::set<size_t> drained;  ///< Data centres drained at present.
--- a/soak/rig.h
+++ b/soak/rig.h
@@ -17,6 +17,8 @@
   std::string program;    ///< Path of the node executable.
   std::string directory;  ///< For settings and logs; must exist.
   size_t callers = 16;
+  /// Restores the store from copies that are up to five seconds old.
+  bool restores = false;
   Bounds bounds;  ///< Written to the settings of the nodes.
 };
 
--- a/soak/upstreams.cc
+++ b/soak/upstreams.cc
@@ -114,7 +114,8 @@
   this->PublishEntry(host, "ready");
 }
 
-void Upstreams::PublishEntry(const Host& host, const std::string& state) {
+void Upstreams::PublishEntry(Host& host, const std::string& state) {
+  host.renews_entry = true;
   adapter::test::EntryText entry;
   entry.address = ToString(host.proxy->endpoint());
   entry.service = ServiceNames()[host.service];
@@ -124,6 +125,29 @@
                   ToText(entry));
 }
 
+bool Upstreams::IsRenewed(size_t number) const {
+  return std::any_of(this->hosts.begin(), this->hosts.end(),
+                     [number](const auto& host) {
+                       return host->number == number && host->renews_entry;
+                     });
+}
+
+boost::asio::awaitable<void> Upstreams::WriteEntriesAgain() {
+  for (const auto& host : this->hosts) {
+    if (host->renews_entry) {
+      this->PublishEntry(
+          *host, host->instance->behaviour().leaving ? "draining" : "ready");
+    }
+  }
+  co_await Sleep(kEntryExpiry);
+  for (size_t number = 0; !this->stopped && number < this->started; ++number) {
+    if (!this->IsRenewed(number)) {
+      this->store.Remove(adapter::test::kUpstreamTopic,
+                         "i-" + std::to_string(number));
+    }
+  }
+}
+
 boost::asio::awaitable<void> Upstreams::InjectFault(const Step& step) {
   Host& host = *this->hosts[step.target % this->hosts.size()];
   if (host.has_fault) {
@@ -181,6 +205,7 @@
 
 boost::asio::awaitable<void> Upstreams::Crash(Host& host, const Step& step) {
   const std::string id = host.instance->id();
+  host.renews_entry = false;
   host.instance->Stop();
   host.proxy->Reset();
   co_await Sleep(step.duration);
@@ -197,6 +222,7 @@
 
 boost::asio::awaitable<void> Upstreams::Replace(Host& host) {
   this->store.Remove(adapter::test::kUpstreamTopic, host.instance->id());
+  host.renews_entry = false;
   host.instance->Stop();
   co_await Sleep(kRestartPause);
   if (!this->stopped) {
--- a/soak/upstreams.h
+++ b/soak/upstreams.h
@@ -48,6 +48,10 @@
   /// @param resets Resets those that are refused.
   void ApplyClientLinks(const ClientLink& link, bool resets);
 
+  /// The store was restored from a copy: all upstreams that run write their
+  /// entries again, and the store removes the others when they expire.
+  boost::asio::awaitable<void> WriteEntriesAgain();
+
   void Stop();
 
  private:
@@ -59,10 +63,12 @@
     std::unique_ptr<adapter::test::FakeUpstream> instance;
     std::unique_ptr<Proxy> proxy;
     bool has_fault = false;  ///< A fault is in progress on this host.
+    bool renews_entry = false;
   };
 
   void StartInstance(Host& host);
-  void PublishEntry(const Host& host, const std::string& state);
+  void PublishEntry(Host& host, const std::string& state);
+  bool IsRenewed(size_t number) const;
   boost::asio::awaitable<void> Crash(Host& host, const Step& step);
   /// The instance and its entry go, and another one starts in its place.
   boost::asio::awaitable<void> Replace(Host& host);
