--- a/soak/rig.cc
+++ b/soak/rig.cc
@@ -74,6 +74,10 @@
   }
 
   Observations Run() {
+    if (this->options.restores) {
+      // Nodes start in an era of the store, not in one without.
+      this->store.RestoreCopy();
+    }
     this->PublishConfiguration();
     this->fleet.Start();
     asio::co_spawn(this->io, this->RunTraffic(), asio::detached);
