--- a/packages/decision/test/quota_history_test.cc
+++ b/packages/decision/test/quota_history_test.cc
@@ -121,6 +121,21 @@
   }
 }
 
+QuotaSimulationOptions OptionsOfThreeTeams(uint64_t seed) {
+  QuotaSimulationOptions options;
+  options.seed = seed;
+  options.teams = {Quota(100, 0), Quota(3, 3), Quota(30, 100)};
+  options.start_allowance = kStartAllowance;
+  return options;
+}
+
+// Demand above each quota.
+void StartLoadsOfThreeTeams(QuotaSimulation& simulation) {
+  simulation.StartLoad(0, simulation.AllVms(), 150);
+  simulation.StartLoad(1, simulation.AllVms(), 40);
+  simulation.StartLoad(2, simulation.AllVms(), 60);
+}
+
 // Callers of each class, most of them urgent; half of each kind misstate the
 // time that they have left.
 void StartCallersOfAllClasses(QuotaSimulation& simulation,
@@ -191,14 +206,9 @@
 TEST(QuotaHistory, RestartsOfAllVms_DemandFarAboveQuota_StaysWithinTheBound) {
   for (uint64_t seed = 1; seed <= 500; ++seed) {
     pcg64 random(seed);
-    QuotaSimulationOptions options;
-    options.seed = seed;
-    options.teams = {Quota(100, 0), Quota(3, 3), Quota(30, 100)};
-    options.start_allowance = kStartAllowance;
+    const QuotaSimulationOptions options = OptionsOfThreeTeams(seed);
     QuotaSimulation simulation(options);
-    simulation.StartLoad(0, simulation.AllVms(), 150);
-    simulation.StartLoad(1, simulation.AllVms(), 40);
-    simulation.StartLoad(2, simulation.AllVms(), 60);
+    StartLoadsOfThreeTeams(simulation);
     simulation.Run(std::chrono::milliseconds(random() % 8000));
     const uint64_t longest_pause = 200 + random() % 2000;
     for (int i = 0; i < 6; ++i) {
@@ -220,14 +230,9 @@
 TEST(QuotaHistory, StoreRestored_DemandFarAboveQuota_StaysWithinTheBound) {
   for (uint64_t seed = 1; seed <= 500; ++seed) {
     pcg64 random(seed);
-    QuotaSimulationOptions options;
-    options.seed = seed;
-    options.teams = {Quota(100, 0), Quota(3, 3), Quota(30, 100)};
-    options.start_allowance = kStartAllowance;
+    const QuotaSimulationOptions options = OptionsOfThreeTeams(seed);
     QuotaSimulation simulation(options);
-    simulation.StartLoad(0, simulation.AllVms(), 150);
-    simulation.StartLoad(1, simulation.AllVms(), 40);
-    simulation.StartLoad(2, simulation.AllVms(), 60);
+    StartLoadsOfThreeTeams(simulation);
     for (int i = 0; i < 6; ++i) {
       simulation.Run(std::chrono::milliseconds(200 + random() % 3000));
       InjectFault(random, simulation);
--- a/soak/rig.cc
+++ b/soak/rig.cc
@@ -76,6 +76,7 @@
   Observations Run() {
     if (this->options.restores) {
       // Nodes start in an era of the store, not in one without.
+      this->store.KeepCopy();
       this->store.RestoreCopy();
     }
     this->PublishConfiguration();
