--- a/review/2/scene.cc
+++ b/review/2/scene.cc
@@ -1,4 +1,4 @@
-// Instances reject requests, and send some of these rejections twice. No
+// Instances reject requests, and send some of these rejections again, late. No
 // request that isn't idempotent may run twice, or run and be answered 503.
 
 #include <cstdio>
@@ -13,19 +13,19 @@
 using review::Clock;
 using review::Milliseconds;
 
-// The largest doses of the sites: for at most 8.5 s at a time all instances
-// reject 0.55 of the requests, for at most 5.5 s at a time 0.6 of the instances
-// spoil 0.03 of their answers.
+// Doses of rtr-banks: for at most 8.5 s at a time all instances reject 0.55 of
+// the requests, for at most 5 s at a time 0.6 of the instances send 0.03 of
+// their answers once more, late.
 constexpr double kRejected = 0.3;
 constexpr Milliseconds kRejecting{8500};
 constexpr double kRepeated = 0.03;
-constexpr Milliseconds kRepeating{6000};
+constexpr Milliseconds kRepeating{5000};
 constexpr Milliseconds kPause{1500};
 constexpr int kRounds = 10;
 constexpr double kPerSecond = 55;
 
 // One instance in each of two zones, as pickupbook has one in nadezhda. The
-// first of them sends answers twice in its spells.
+// first of them sends answers again in its spells.
 constexpr const char* kZones[] = {"nadezhda", "lyulin"};
 constexpr size_t kInstances = 2;
 
@@ -38,7 +38,7 @@
 }
 
 void SetRepeats(const Instances& instances, double share) {
-  instances.front()->misbehaviour.repeats = share;
+  instances.front()->misbehaviour.repeats_late = share;
 }
 
 // One spell of rejections, with a spell of repeated answers in it.
