--- a/review/1/scene.cc
+++ b/review/1/scene.cc
@@ -26,8 +26,8 @@
 constexpr size_t kInstances = 4;  // Of each service.
 // Less than the largest answers of rtr-banks, 540,000 bytes.
 constexpr size_t kBodyBytes = 400000;
-constexpr Milliseconds kDeadline{2500};
-constexpr Milliseconds kTimeout{1200};
+constexpr Milliseconds kDeadline{5000};
+constexpr Milliseconds kTimeout{3000};
 constexpr Milliseconds kConnectTimeout{1000};
 constexpr Milliseconds kBetweenClients{100};
 constexpr const char* kServices[] = {"reportyard", "partnerdesk"};
@@ -144,7 +144,7 @@
     route.kind = "safe";
     route.service = service;
     route.timeout = kTimeout;
-    route.target = Milliseconds(400);
+    route.target = Milliseconds(1500);
     routes.push_back(route);
   }
   store.Put("keyed.op", "config",
--- a/review/3/scene.cc
+++ b/review/3/scene.cc
@@ -23,12 +23,12 @@
 // A balancer asks each second, and takes a node out after two misses.
 constexpr Milliseconds kOutOfRotation{2000};
 constexpr Milliseconds kRestart{500};
-constexpr Milliseconds kDeadline{8000};
+constexpr Milliseconds kDeadline{5000};
 constexpr Milliseconds kFillTime{12000};
 constexpr size_t kNodes = 3;
 constexpr size_t kInstances = 2;
-// Two instances with two slots of 480 ms run 8.3 a second.
-constexpr double kPerSecond = 12;
+// Two instances with two slots of 640 ms run 6.2 a second.
+constexpr double kPerSecond = 9;
 
 struct Stop {
   size_t node = 0;
@@ -146,12 +146,12 @@
   std::vector<std::unique_ptr<review::Instance>> instances;
   for (size_t i = 0; i < kInstances; ++i) {
     review::InstanceOptions options;
-    options.id = "i-tilsigsarkiv" + std::to_string(i + 1);
+    options.id = "i-partnerdesk" + std::to_string(i + 1);
     options.address = "127.20.0." + std::to_string(i + 1);
-    options.service = "tilsigsarkiv";
-    options.zone = "ardal-sal";
-    options.work = Milliseconds(480);
-    options.queue = 8;
+    options.service = "partnerdesk";
+    options.zone = "lyulin";
+    options.work = Milliseconds(640);
+    options.queue = 4;
     options.tells_load = true;
     instances.push_back(
         std::make_unique<review::Instance>(options, store, record));
@@ -159,15 +159,15 @@
   review::RouteText route;
   route.name = "leny950";
   route.kind = "safe";
-  route.service = "tilsigsarkiv";
+  route.service = "partnerdesk";
   route.timeout = kDeadline;
-  route.target = Milliseconds(1200);
+  route.target = Milliseconds(1500);
   store.Put("keyed.op", "config",
             review::ConfigurationText("00000007", {route}));
   review::FleetOptions options;
   options.command = arguments.command;
   options.directory = arguments.directory;
-  options.zones.assign(kNodes, "ardal-sal");
+  options.zones.assign(kNodes, "lyulin");
   options.store_address = "127.30.0.1";
   options.store_port = store.port();
   review::Fleet fleet(options, record);
