Callers: an answer that ends early always closes its connection

Cause: CallerExchange::Tick cancels an exchange whose answer waits for its turn. LinkExchange takes the cancellation after the events before it, so head and data that had arrived were written, and the exchange ended without a break. Nobody but the exchange could know that the end was missing, and it did not keep it. Ruled out: order on the link (each octet came in order on its own stream), the dispatcher (it had sent all that the window allows).

Change: CallerExchange counts the declared length and notes when the end of the framing is written. An exchange that has started and not ended resets the connection, whatever path led there. Nothing of an expired exchange is written but its refusal. A complete answer that waits only for its turn is kept and sent; LinkExchange and DispatchHost say whether they hold all of it. A dispatcher resets a stream whose answer it leaves unfinished.

--- a/packages/node/src/caller_exchange.cc
+++ b/packages/node/src/caller_exchange.cc
@@ -284,18 +284,34 @@
     outcome = co_await this->ServeWithinQuota();
     outcome = this->MapExpiredOutcome(outcome);
   }
+  this->AbortUnfinishedAnswer();
   this->ReportEnd(outcome.answered ? Refusal::kNone : outcome.refusal);
-  if (!outcome.answered && !this->abandoned && !this->has_started) {
+  if (!this->has_started && !this->abandoned) {
     co_await this->Refuse(outcome);
   }
 }
 
+// Failure: an answer ends early on a path that does not call `Break`. The next
+// answer follows on the connection, and the caller reads it as the rest of the
+// body. Only the exchange knows whether the end of its answer was written.
+void CallerExchange::AbortUnfinishedAnswer() {
+  if (!this->has_started || this->has_ended) {
+    return;
+  }
+  this->answer_aborted = this->answer_aborted || !this->abandoned;
+  this->abandoned = true;
+  this->writer.AbortConnection();
+}
+
 // A request that was cancelled here at its deadline is reported as an upstream
-// timeout, not as abandoned by its caller.
+// timeout, not as abandoned by its caller. The same holds if its answer was
+// still incomplete then, so that nothing of it was sent.
 ServeOutcome CallerExchange::MapExpiredOutcome(ServeOutcome outcome) const {
-  const bool ended_here =
-      this->expired && outcome.refusal == Refusal::kCallerGone;
-  if (!outcome.answered && ended_here) {
+  const bool was_not_sent = outcome.answered && !this->has_started;
+  const bool was_cancelled =
+      !outcome.answered && outcome.refusal == Refusal::kCallerGone;
+  if (this->expired && (was_not_sent || was_cancelled)) {
+    outcome.answered = false;
     outcome.refusal = Refusal::kUpstreamTimeout;
   }
   return outcome;
@@ -390,25 +406,40 @@
   if (this->request.method == "HEAD") {
     body = {};
   }
-  co_await this->Start(answer.head, body, true);
+  while (!this->has_turn && !this->abandoned) {
+    co_await this->turn.Wait();
+  }
+  if (!this->abandoned) {
+    co_await this->Begin(answer.head, body, true);
+  }
 }
 
 Task<bool> CallerExchange::Start(const AnswerHead& head,
                                  std::span<const char> piece,
                                  bool last) {
-  if (!this->has_turn) {
+  while (!this->has_turn && !this->abandoned && !this->expired) {
     co_await this->turn.Wait();
-    this->has_turn = true;
   }
-  if (this->abandoned) {
+  if (this->abandoned || this->expired) {
     co_return false;
   }
+  co_return co_await this->Begin(head, piece, last);
+}
+
+Task<bool> CallerExchange::Begin(const AnswerHead& head,
+                                 std::span<const char> piece,
+                                 bool last) {
   this->has_started = true;
   this->written_at = MonotonicClock::now();
   AnswerHead sent = head;
   const bool open_ended = head.framing.kind == BodyKind::kChunked ||
                           head.framing.kind == BodyKind::kUntilClose;
   this->chunked_answer = open_ended && !this->http_1_0;
+  if (!open_ended) {
+    const bool has_body = head.framing.kind == BodyKind::kLength &&
+                          this->request.method != "HEAD";
+    this->body_left = has_body ? head.framing.length : 0;
+  }
   if (open_ended) {
     sent.framing.kind =
         this->chunked_answer ? BodyKind::kChunked : BodyKind::kUntilClose;
@@ -424,6 +455,10 @@
 Task<bool> CallerExchange::Continue(std::span<const char> piece,
                                     bool last,
                                     const HttpFields* trailers) {
+  if (!this->FitsDeclaredLength(piece.size(), last)) {
+    this->Break();
+    co_return false;
+  }
   std::vector<boost::asio::const_buffer> buffers;
   if (!this->out.empty()) {
     buffers.push_back(boost::asio::buffer(this->out));
@@ -453,9 +488,22 @@
     this->abandoned = true;
     this->request.caller_gone = true;
   }
+  this->has_ended = last && !error;
   co_return !error;
 }
 
+// @returns false if the body would be longer or shorter than the head says.
+bool CallerExchange::FitsDeclaredLength(size_t size, bool last) {
+  if (!this->body_left) {
+    return true;
+  }
+  if (size > *this->body_left) {
+    return false;
+  }
+  *this->body_left -= size;
+  return !last || *this->body_left == 0;
+}
+
 Task<NetError> CallerExchange::WriteLastChunk(const HttpFields* trailers) {
   std::vector<boost::asio::const_buffer> buffers;
   NetError error;
@@ -495,12 +543,19 @@
   // overflow.
   const bool late = now - kDeadlineGrace >= this->request.entry.deadline;
   if (late && !this->has_started && !this->expired && !this->abandoned &&
-      !this->request.once) {
+      !this->request.once && !this->HasWholeAnswer()) {
     this->expired = true;
+    this->turn.Set();
     this->CancelWork();
   }
 }
 
+// A complete answer that only waits for the answers before it is worth more to
+// the caller than a refusal.
+bool CallerExchange::HasWholeAnswer() const {
+  return this->request.has_whole_answer && this->request.has_whole_answer();
+}
+
 // Notifies the component that works on the request. Closing the caller's
 // connection would not end a wait for a silent upstream.
 void CallerExchange::CancelWork() {
--- a/packages/node/src/caller_exchange.h
+++ b/packages/node/src/caller_exchange.h
@@ -62,14 +62,17 @@
   Task<void> Serve();
 
   /// Allows this exchange to write: all earlier answers have been written.
-  void SetTurn() { this->turn.Set(); }
+  void SetTurn() {
+    this->has_turn = true;
+    this->turn.Set();
+  }
 
   /// The caller has disconnected: cancels the request, unless it must not
   /// repeat.
   void Abandon();
 
   /// Cancels a request that is past its deadline, whichever component works on
-  /// it.
+  /// it, unless its complete answer only waits for its turn.
   void Tick(TimePoint now);
 
   RequestMessage& message() { return this->request; }
@@ -92,6 +95,12 @@
   Task<ServeOutcome> ServeByRule();
   Task<void> Refuse(const ServeOutcome& outcome);
   ServeOutcome MapExpiredOutcome(ServeOutcome outcome) const;
+  void AbortUnfinishedAnswer();
+  bool HasWholeAnswer() const;
+  Task<bool> Begin(const AnswerHead& head,
+                   std::span<const char> piece,
+                   bool last);
+  bool FitsDeclaredLength(size_t size, bool last);
   void ReportEnd(Refusal refusal);
   Task<NetError> WriteLastChunk(const HttpFields* trailers);
   void CancelWork();
@@ -116,11 +125,14 @@
   std::string out;
   TimePoint began;
   TimePoint written_at{};
+  /// Bytes of the body that the head declares and that are not yet written.
+  std::optional<uint64_t> body_left;
   bool http_1_0 = false;
   bool must_close = false;
   bool chunked_answer = false;
   bool has_turn = false;
   bool has_started = false;
+  bool has_ended = false;  ///< The answer was written up to its end.
   bool expired = false;
   bool abandoned = false;
   bool answer_aborted = false;  ///< The answer broke off before its end.
--- a/packages/node/src/dispatch_host.cc
+++ b/packages/node/src/dispatch_host.cc
@@ -28,8 +28,11 @@
       std::max<Duration>(left, ShortMillis(1)));
 }
 
-// Writes a buffered answer to `sink`, piece by piece.
-Task<bool> Deliver(const BufferedAnswer& answer, AnswerSink& sink) {
+// Writes a buffered answer of `request` to `sink`, piece by piece.
+Task<bool> Deliver(const BufferedAnswer& answer,
+                   RequestMessage& request,
+                   AnswerSink& sink) {
+  request.has_whole_answer = [] { return true; };
   std::span<const char> rest(answer.body);
   std::span<const char> piece =
       rest.first(std::min(rest.size(), limits::kBodyChunkBytes));
@@ -146,7 +149,7 @@
   if (job->failed_answer && !job->outcome.answered && !request.caller_gone) {
     // An upstream's own error answer tells the caller more than a refusal that
     // no other upstream was found.
-    co_await Deliver(*job->failed_answer, sink);
+    co_await Deliver(*job->failed_answer, request, sink);
     job->outcome = {true, Refusal::kNone, Duration(0)};
   }
   co_return job->outcome;
@@ -190,7 +193,7 @@
     this->ApplyNotice(request.entry.service, upstream, notice);
   }
   if (attempt.buffered()) {
-    co_await Deliver(*attempt.buffered(), sink);
+    co_await Deliver(*attempt.buffered(), request, sink);
   }
   const bool answered =
       report.end == AttemptEnd::kAnswered || report.answer_started;
@@ -408,7 +411,7 @@
     this->Forget(*job, attempt);
     co_return;
   }
-  co_await Deliver(answer, job->sink);
+  co_await Deliver(answer, job->request, job->sink);
   job->Settle({true, Refusal::kNone, Duration(0)});
   this->Forget(*job, attempt);
 }
--- a/packages/node/src/http_message.h
+++ b/packages/node/src/http_message.h
@@ -88,6 +88,9 @@
   /// Set by the component that works on the request at the moment; called when
   /// the caller has disconnected.
   std::function<void()> on_caller_gone;
+  /// Set by the component that works on the request at the moment.
+  /// @returns true once the complete answer is held in this process.
+  std::function<bool()> has_whole_answer;
   bool caller_gone = false;
 };
 
--- a/packages/node/src/link_exchange.cc
+++ b/packages/node/src/link_exchange.cc
@@ -42,8 +42,10 @@
     gone.kind = wire::LinkEventKind::kCancelled;
     this->stream->Deliver(std::move(gone));
   };
+  this->request.has_whole_answer = [this] { return this->HasWholeAnswer(); };
   const ServeOutcome result = co_await this->ReceiveAnswer();
   this->request.on_caller_gone = nullptr;
+  this->request.has_whole_answer = nullptr;
   if (more) {
     co_await this->StopBody();
   }
@@ -149,6 +151,7 @@
   head.headers = FromHeaderList(answer.headers);
   head.framing = FromWireFraming(answer.framing);
   this->answer_started = true;
+  this->answer_ended = answer.end;
   const bool receiver_there =
       co_await this->sink.Start(head, answer.body, answer.end);
   this->link->Consumed(*this->stream, answer.body.size());
@@ -179,6 +182,14 @@
   co_return this->NextStep(receiver_there, true);
 }
 
+// The events of a stream that follow its end are dropped, so the end is last.
+bool LinkExchange::HasWholeAnswer() const {
+  const auto& events = this->stream->events;
+  const bool end_arrived =
+      !events.empty() && events.back().kind == wire::LinkEventKind::kEnded;
+  return this->answer_ended || (this->answer_started && end_arrived);
+}
+
 void LinkExchange::OnRefused(const wire::Refused& refused) {
   this->outcome.refusal = refused.refusal;
   this->outcome.retry_after = refused.retry_after;
--- a/packages/node/src/link_exchange.h
+++ b/packages/node/src/link_exchange.h
@@ -32,6 +32,7 @@
   void OnRefused(const wire::Refused& refused);
   void OnLost(wire::StreamProgress progress);
   Step NextStep(bool receiver_there, bool last);
+  bool HasWholeAnswer() const;
 
   PeerLinkPtr link;
   LinkStreamPtr stream;
@@ -40,6 +41,7 @@
   AsyncEvent body_sent;
   ServeOutcome outcome;
   bool answer_started = false;
+  bool answer_ended = false;  ///< The answer has no further pieces.
 };
 
 }  // namespace basilsill
--- a/packages/node/src/link_server.cc
+++ b/packages/node/src/link_server.cc
@@ -118,7 +118,9 @@
   };
   const ServeOutcome outcome = co_await dispatch.Serve(request, target, sink);
   stream->on_closed = nullptr;
-  if (!outcome.answered && !stream->closed) {
+  if (sink.is_unfinished()) {
+    sink.Break();
+  } else if (!outcome.answered && !stream->closed) {
     Refuse(*link, *stream, outcome);
   }
   PostSummary(*link, dispatch, target.shard);
--- a/packages/node/src/link_stream.cc
+++ b/packages/node/src/link_stream.cc
@@ -144,6 +144,8 @@
   if (!sent) {
     co_return false;
   }
+  this->started = true;
+  this->ended = whole;
   if (whole || inlined) {
     co_return true;
   }
@@ -158,7 +160,8 @@
   if (!sent || !last) {
     co_return sent;
   }
-  co_return this->writer.Finish(trailers);
+  this->ended = this->writer.Finish(trailers);
+  co_return this->ended;
 }
 
 void LinkAnswerSink::Break() {
--- a/packages/node/src/link_stream.h
+++ b/packages/node/src/link_stream.h
@@ -101,10 +101,15 @@
                       const HttpFields* trailers) override;
   void Break() override;
 
+  /// @returns true if the answer was started and its end was not sent.
+  bool is_unfinished() const { return this->started && !this->ended; }
+
  private:
   std::shared_ptr<PeerLink> link;
   LinkStreamPtr stream;
   LinkBodyWriter writer;
+  bool started = false;
+  bool ended = false;
 };
 
 /// Conversions between the types of the node and of the wire format.
