Upstreams: a connection carries each request at most once

Cause: both sends of a rejected request have the caller's id, and the pool gave the second one the connection of the first. An upstream that sends the rejection once more, when the next answer is due, has it taken for that answer. A copy that comes with the rejection does the same, as the connection was kept without a look at what follows. Ruled out: copies for other requests (skipped by their id), the dispatcher's promise.

Change: a connection remembers the last four requests and is left alone for another send of one of them; after a rejection it is kept only if nothing follows. Other requests still use it, so a rejection costs no connection. Reading what belongs to something else moves to upstream_answer.cc.

--- a/packages/node/src/load_query.cc
+++ b/packages/node/src/load_query.cc
@@ -11,6 +11,7 @@
 
 #include "basilsill/base/text.h"
 #include "rate_limit_header.h"
+#include "upstream_answer.h"
 #include "upstream_notice_header.h"
 
 namespace basilsill {
--- /dev/null
+++ b/packages/node/src/upstream_answer.cc
@@ -0,0 +1,57 @@
+#include "upstream_answer.h"
+
+#include <algorithm>
+#include <vector>
+
+namespace basilsill {
+namespace {
+
+// Maximum number of answers to something else that are skipped.
+constexpr int kMaxStaleAnswers = 2;
+// Maximum size of the body of an answer that is skipped.
+constexpr size_t kMaxStaleBytes = 192 * 1024;
+
+bool IsInterim(unsigned status) {
+  return status / 100 == 1;
+}
+
+Task<HeadStatus> ReadFinalHead(UpstreamConnection& connection, bool no_body) {
+  HeadStatus status = HeadStatus::kOk;
+  do {
+    status = co_await connection.reader.ReadHead(connection.socket, no_body);
+  } while (status == HeadStatus::kOk &&
+           IsInterim(connection.reader.message().get().result_int()));
+  co_return status;
+}
+
+}  // namespace
+
+Task<HeadStatus> ReadExpectedHead(UpstreamConnection& connection,
+                                  bool no_body,
+                                  const IsExpectedAnswer& is_expected) {
+  for (int skipped = 0; skipped <= kMaxStaleAnswers; ++skipped) {
+    const HeadStatus status = co_await ReadFinalHead(connection, no_body);
+    if (status != HeadStatus::kOk ||
+        is_expected(connection.reader.message().get())) {
+      co_return status;
+    }
+    const bool dropped = co_await DropBody(connection, kMaxStaleBytes);
+    if (!dropped) {
+      co_return HeadStatus::kBroken;
+    }
+  }
+  co_return HeadStatus::kMalformed;
+}
+
+Task<bool> DropBody(UpstreamConnection& connection, size_t max_bytes) {
+  std::vector<char> buffer(std::min(max_bytes, limits::kBodyChunkBytes));
+  BodyPiece piece;
+  size_t dropped = 0;
+  do {
+    piece = co_await connection.reader.ReadBody(connection.socket, buffer);
+    dropped += piece.size;
+  } while (piece.ok && !piece.last && dropped < max_bytes);
+  co_return piece.ok&& piece.last;
+}
+
+}  // namespace basilsill
--- a/packages/node/src/upstream_attempt.cc
+++ b/packages/node/src/upstream_attempt.cc
@@ -13,6 +13,7 @@
 #include <boost/beast/http/chunk_encode.hpp>
 
 #include "rate_limit_header.h"
+#include "upstream_answer.h"
 #include "upstream_notice_header.h"
 
 namespace basilsill {
@@ -32,14 +33,6 @@
 // sizes are known).
 constexpr size_t kBufferedAnswerBytes = 192 * 1024;
 
-// Maximum number of answers to earlier requests that are skipped before the
-// attempt fails.
-constexpr int kMaxStaleAnswers = 2;
-
-bool IsInterim(unsigned status) {
-  return status / 100 == 1;
-}
-
 bool IsSuccess(unsigned status) {
   return status / 100 == 2;
 }
@@ -149,10 +142,14 @@
   if (this->aborted != AttemptEnd::kCount) {
     co_return false;
   }
-  this->connection = fresh ? nullptr : this->pool.TakeIdle(this->target);
+  const std::string& id = this->request.request_id;
+  this->connection = fresh ? nullptr : this->pool.TakeIdle(this->target, id);
   if (!this->connection) {
     this->connection = co_await this->pool.Open(this->target);
   }
+  if (this->connection) {
+    this->connection->carried.Add(id);
+  }
   co_return this->connection != nullptr&& this->aborted == AttemptEnd::kCount;
 }
 
@@ -171,7 +168,7 @@
 }
 
 Task<AttemptReport> UpstreamAttempt::ReadAnswer() {
-  const HeadStatus status = co_await this->ReadMatchingHead();
+  const HeadStatus status = co_await this->ReadOwnHead();
   if (status == HeadStatus::kMalformed || status == HeadStatus::kTooLarge) {
     co_return this->Failed(AttemptEnd::kMalformed);
   }
@@ -189,8 +186,8 @@
     const bool keep = this->connection->reader.message().keep_alive();
     const bool dropped =
         co_await DropBody(*this->connection, kBufferedAnswerBytes);
-    this->reusable =
-        keep && dropped && !this->notice.leaving && end == AttemptEnd::kShed;
+    this->reusable = keep && dropped && !this->connection->reader.has_more() &&
+                     !this->notice.leaving && end == AttemptEnd::kShed;
   }
   if (end != AttemptEnd::kAnswered) {
     co_return this->Failed(end);
@@ -212,28 +209,19 @@
   }
 }
 
-// An upstream that sends an answer twice can do so late, when the answer to the
-// next request on the connection is expected. The request id that the upstream
-// echoes tells the two apart.
-Task<HeadStatus> UpstreamAttempt::ReadMatchingHead() {
-  HeadStatus status = co_await this->ReadAnswerHead();
-  for (int i = 0; i < kMaxStaleAnswers && status == HeadStatus::kOk; ++i) {
-    if (this->MatchesRequestId()) {
-      co_return status;
-    }
-    const bool dropped =
-        co_await DropBody(*this->connection, kBufferedAnswerBytes);
-    if (!dropped) {
-      co_return HeadStatus::kBroken;
-    }
-    status = co_await this->ReadAnswerHead();
-  }
-  const bool stale = status == HeadStatus::kOk && !this->MatchesRequestId();
-  co_return stale ? HeadStatus::kMalformed : status;
+// The request id that the upstream echoes tells the answer from late ones to
+// earlier requests, since no connection carries a request twice.
+Task<HeadStatus> UpstreamAttempt::ReadOwnHead() {
+  const bool no_body = this->request.method == "HEAD";
+  const HeadStatus status = co_await ReadExpectedHead(
+      *this->connection, no_body,
+      [this](const HttpFields& headers) { return this->IsOwn(headers); });
+  co_return status;
 }
 
-bool UpstreamAttempt::MatchesRequestId() const {
-  const std::string_view id = this->AnswerHeader(this->pool.names().request_id);
+bool UpstreamAttempt::IsOwn(const HttpFields& headers) const {
+  const std::string_view id =
+      HeaderValue(headers, this->pool.names().request_id);
   return id.empty() || id == this->request.request_id;
 }
 
@@ -328,17 +316,6 @@
   co_return !error;
 }
 
-Task<HeadStatus> UpstreamAttempt::ReadAnswerHead() {
-  const bool no_body = this->request.method == "HEAD";
-  HeadStatus status = HeadStatus::kOk;
-  do {
-    status = co_await this->connection->reader.ReadHead(
-        this->connection->socket, no_body);
-  } while (status == HeadStatus::kOk &&
-           IsInterim(this->connection->reader.message().get().result_int()));
-  co_return status;
-}
-
 std::string_view UpstreamAttempt::AnswerHeader(const std::string& name) const {
   return name.empty()
              ? std::string_view()
--- a/packages/node/src/upstream_attempt.h
+++ b/packages/node/src/upstream_attempt.h
@@ -72,9 +72,8 @@
   Task<bool> SendPiece(std::span<const char> piece);
   void StartStreamedBody();
   Task<void> StopStreamedBody();
-  Task<HeadStatus> ReadAnswerHead();
-  Task<HeadStatus> ReadMatchingHead();
-  bool MatchesRequestId() const;
+  Task<HeadStatus> ReadOwnHead();
+  bool IsOwn(const HttpFields& headers) const;
   Task<AttemptReport> Exchange();
   Task<AttemptReport> ReadAnswer();
   Task<AttemptReport> ReadOrStreamAnswer();
--- a/packages/node/src/upstream_pool.cc
+++ b/packages/node/src/upstream_pool.cc
@@ -4,6 +4,8 @@
 #include <functional>
 #include <utility>
 
+#include <xxhash.h>
+
 namespace basilsill {
 
 UpstreamPool::UpstreamPool(const Executor& executor,
@@ -16,15 +18,32 @@
   return std::hash<std::string>()(endpoint.address) * 31 + endpoint.port;
 }
 
-UpstreamConnectionPtr UpstreamPool::TakeIdle(const AttemptTarget& target) {
+void CarriedRequests::Add(std::string_view request_id) {
+  this->hashes[this->next] = XXH3_64bits(request_id.data(), request_id.size());
+  this->next = (this->next + 1) % this->hashes.size();
+}
+
+bool CarriedRequests::Contains(std::string_view request_id) const {
+  const uint64_t hash = XXH3_64bits(request_id.data(), request_id.size());
+  return std::find(this->hashes.begin(), this->hashes.end(), hash) !=
+         this->hashes.end();
+}
+
+UpstreamConnectionPtr UpstreamPool::TakeIdle(const AttemptTarget& target,
+                                             std::string_view request_id) {
   const auto found = this->idle.find(target);
   if (found == this->idle.end()) {
     return nullptr;
   }
   IdleList& list = found->second;
-  while (!list.empty()) {
-    UpstreamConnectionPtr connection = std::move(list.back());
-    list.pop_back();
+  for (size_t place = list.size(); place > 0; --place) {
+    const bool carried_it =
+        !request_id.empty() && list[place - 1]->carried.Contains(request_id);
+    if (carried_it) {
+      continue;
+    }
+    UpstreamConnectionPtr connection = std::move(list[place - 1]);
+    list.erase(list.begin() + static_cast<ptrdiff_t>(place - 1));
     --this->idle_connections;
     // An upstream may close an idle connection at any time. A request that is
     // sent on a closed connection would have an unknown outcome, so the
@@ -60,17 +79,6 @@
   ++this->idle_connections;
 }
 
-Task<bool> DropBody(UpstreamConnection& connection, size_t max_bytes) {
-  std::vector<char> buffer(std::min(max_bytes, limits::kBodyChunkBytes));
-  BodyPiece piece;
-  size_t dropped = 0;
-  do {
-    piece = co_await connection.reader.ReadBody(connection.socket, buffer);
-    dropped += piece.size;
-  } while (piece.ok && !piece.last && dropped < max_bytes);
-  co_return piece.ok&& piece.last;
-}
-
 void UpstreamPool::Tick(TimePoint now) {
   for (auto entry = this->idle.begin(); entry != this->idle.end();) {
     IdleList& list = entry->second;
--- a/packages/node/src/upstream_pool.h
+++ b/packages/node/src/upstream_pool.h
@@ -1,10 +1,12 @@
 #ifndef BASILSILL_NODE_UPSTREAM_POOL_H_
 #define BASILSILL_NODE_UPSTREAM_POOL_H_
 
+#include <array>
 #include <chrono>
 #include <cstdint>
 #include <functional>
 #include <memory>
+#include <string_view>
 #include <unordered_map>
 #include <utility>
 #include <vector>
@@ -31,6 +33,22 @@
   friend bool operator==(const AttemptTarget&, const AttemptTarget&) = default;
 };
 
+/// The requests that a connection carried last. An upstream may send its answer
+/// to one of them a second time, late.
+class CarriedRequests {
+ public:
+  void Add(std::string_view request_id);
+  bool Contains(std::string_view request_id) const;
+
+ private:
+  // A late answer arrives where the next one is expected; a few more requests
+  // are remembered because several answers can be late.
+  static constexpr size_t kRemembered = 4;
+
+  std::array<uint64_t, kRemembered> hashes{};
+  size_t next = 0;
+};
+
 struct UpstreamConnection {
   UpstreamConnection(Socket socket,
                      const AnswerReader::Limits& limits,
@@ -47,17 +65,12 @@
   AnswerReader reader;
   std::shared_ptr<WorkerMetrics> metrics;
   AttemptTarget target;
+  CarriedRequests carried;
   TimePoint idle_since;
   bool reused = false;  ///< It has carried an earlier request.
 };
 using UpstreamConnectionPtr = std::unique_ptr<UpstreamConnection>;
 
-/// Reads an answer's body and discards it, so that the connection can carry
-/// another request.
-/// @param max_bytes Gives up after this many bytes.
-/// @returns true if the end of the body was reached.
-Task<bool> DropBody(UpstreamConnection& connection, size_t max_bytes);
-
 struct UpstreamPoolOptions {
   std::chrono::milliseconds connect_timeout = limits::kUpstreamConnectTimeout;
   std::chrono::milliseconds idle_timeout = limits::kUpstreamIdleTimeout;
@@ -78,13 +91,17 @@
                const UpstreamPoolOptions& options,
                std::shared_ptr<WorkerMetrics> metrics);
 
+  /// @param request_id If not empty, a connection that carried an earlier send
+  /// of this request is left alone: a second copy of the answer to that send
+  /// could not be told from the answer to the next one.
   /// @returns an idle connection that is not known to be closed, or nullptr.
   /// Idle connections are kept by incarnation. Failure: an upstream dies during
   /// a network partition and restarts, or its address is reassigned. A
   /// connection to the dead incarnation still looks alive, because its end was
   /// not signalled. A request on it would have an unknown outcome although the
   /// expected upstream is healthy.
-  UpstreamConnectionPtr TakeIdle(const AttemptTarget& target);
+  UpstreamConnectionPtr TakeIdle(const AttemptTarget& target,
+                                 std::string_view request_id = {});
 
   /// Opens a new connection.
   /// @returns nullptr if the connection failed or timed out.
--- /dev/null
+++ b/packages/node/test/copying_upstream.h
@@ -0,0 +1,65 @@
+#ifndef BASILSILL_NODE_TEST_COPYING_UPSTREAM_H_
+#define BASILSILL_NODE_TEST_COPYING_UPSTREAM_H_
+
+#include <chrono>
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "basilsill/base/endpoint.h"
+#include "basilsill/node/installation.h"
+#include "http_message.h"
+#include "net.h"
+
+/// An upstream that sends some of its answers twice.
+
+namespace basilsill::test {
+
+/// When an answer is sent a second time.
+enum class AnswerCopy : uint8_t {
+  kNone,
+  kAtOnce,      ///< With the answer.
+  kSoon,        ///< Some milliseconds later.
+  kBeforeNext,  ///< When the next answer on the connection is due.
+  kBehindNext,  ///< With the next answer on the connection, after it.
+  kCount
+};
+
+struct UpstreamReply {
+  bool rejects = false;  ///< The request does not run.
+  AnswerCopy copy = AnswerCopy::kNone;
+  bool copy_has_id = true;
+  std::chrono::milliseconds work{0};
+};
+
+class CopyingUpstream {
+ public:
+  /// @param choose Called for each request, also for health checks, whose
+  /// answer says that the upstream is not healthy if it `rejects`.
+  CopyingUpstream(IoContext& context,
+                  HeaderNames names,
+                  std::function<UpstreamReply(bool is_health_check)> choose);
+  ~CopyingUpstream();
+
+  Endpoint endpoint() const;
+
+  /// @returns how many times each request has run.
+  const std::map<std::string, size_t>& runs() const;
+
+  /// @returns the number of connections that were opened.
+  size_t connections() const;
+
+ private:
+  struct State;
+  std::shared_ptr<State> state;
+};
+
+/// @returns the body of the answer to request `id`.
+std::string AnswerBodyOf(const std::string& id);
+
+}  // namespace basilsill::test
+
+#endif  // BASILSILL_NODE_TEST_COPYING_UPSTREAM_H_
--- /dev/null
+++ b/packages/node/test/upstream_answers_test.cc
@@ -0,0 +1,296 @@
+// Tests of the answers of upstreams on kept connections, on which an upstream
+// may send an answer a second time.
+
+#include <chrono>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/random/bernoulli_distribution.hpp>
+#include <boost/random/uniform_int_distribution.hpp>
+#include <pcg_random.hpp>
+
+#include "copying_upstream.h"
+#include "dispatch_host.h"
+#include "load_query.h"
+#include "upstream_pool.h"
+
+#include <CppUTest/TestHarness.h>
+
+using namespace std::chrono_literals;
+using basilsill::AnswerHead;
+using basilsill::AnswerSink;
+using basilsill::Dispatcher;
+using basilsill::DispatchHost;
+using basilsill::HeaderNames;
+using basilsill::HttpFields;
+using basilsill::InfoOf;
+using basilsill::IoContext;
+using basilsill::MonotonicClock;
+using basilsill::Promise;
+using basilsill::RequestMessage;
+using basilsill::RoutingView;
+using basilsill::RoutingViewPtr;
+using basilsill::ServeOutcome;
+using basilsill::ServiceRow;
+using basilsill::Target;
+using basilsill::Task;
+using basilsill::UpstreamPool;
+using basilsill::UpstreamPoolOptions;
+using basilsill::UpstreamRow;
+using basilsill::VmRow;
+using basilsill::WorkerMetrics;
+using basilsill::test::AnswerBodyOf;
+using basilsill::test::AnswerCopy;
+using basilsill::test::CopyingUpstream;
+using basilsill::test::UpstreamReply;
+using std::chrono::milliseconds;
+
+namespace {
+
+constexpr int kHistories = 500;
+constexpr int kRequests = 12;
+constexpr milliseconds kTick{1};
+constexpr milliseconds kDeadline{5'000};
+
+HeaderNames MakeNames() {
+  HeaderNames names;
+  names.served_by = "X-Served-By";
+  names.load = "X-Load";
+  return names;
+}
+
+RoutingViewPtr MakeView(const basilsill::Endpoint& upstream) {
+  RoutingView view;
+  view.data_centres = {{{0, 0}, "lyulin"}};
+  VmRow vm;
+  vm.handle = {0, 0};
+  vm.name = "vm-0";
+  vm.data_centre = {0, 0};
+  view.vms = {vm};
+  view.self = {0, 0};
+  view.own_data_centre = {0, 0};
+  view.teams = {{{0, 0}, "rodopa", {}}};
+  ServiceRow service;
+  service.handle = {0, 0};
+  service.name = "banklevel";
+  service.team = {0, 0};
+  UpstreamRow row;
+  row.handle = {0, 0};
+  row.endpoint = upstream;
+  row.data_centre = {0, 0};
+  row.slots = 8;
+  service.upstreams = {row};
+  AssignShards(view, service);
+  view.services = {std::make_shared<const ServiceRow>(service)};
+  return std::make_shared<RoutingView>(std::move(view));
+}
+
+/// Keeps the answer that it gets.
+class KeepingSink final : public AnswerSink {
+ public:
+  Task<bool> Start(const AnswerHead& head,
+                   std::span<const char> piece,
+                   bool /*last*/) override {
+    this->status = head.status;
+    this->body.assign(piece.data(), piece.size());
+    co_return true;
+  }
+  Task<bool> Continue(std::span<const char> piece,
+                      bool /*last*/,
+                      const HttpFields* /*trailers*/) override {
+    this->body.append(piece.data(), piece.size());
+    co_return true;
+  }
+  void Break() override { this->status = 0; }
+
+  unsigned status = 0;
+  std::string body;
+};
+
+/// A request that must not run twice, and its outcome.
+struct Served {
+  RequestMessage request;
+  KeepingSink sink;
+  std::optional<ServeOutcome> outcome;
+};
+
+}  // namespace
+
+// A dispatcher with one upstream.
+TEST_GROUP(UpstreamAnswers) {
+  IoContext context{1};
+  HeaderNames names = MakeNames();
+  std::function<UpstreamReply(bool)> choose;
+  CopyingUpstream upstream{
+      this->context, this->names,
+      [this](bool is_health_check) { return this->choose(is_health_check); }};
+  std::shared_ptr<WorkerMetrics> metrics = std::make_shared<WorkerMetrics>();
+  std::unique_ptr<UpstreamPool> pool;
+  std::unique_ptr<DispatchHost> dispatch;
+  RoutingViewPtr view = MakeView(this->upstream.endpoint());
+  std::vector<std::unique_ptr<Served>> requests;
+
+  void setup() override {
+    UpstreamPoolOptions options;
+    options.names = this->names;
+    options.hold_answers = true;
+    this->pool = std::make_unique<UpstreamPool>(this->context.get_executor(),
+                                                options, this->metrics);
+    this->dispatch =
+        std::make_unique<DispatchHost>(Dispatcher::Create({}), *this->pool);
+    this->dispatch->ApplyView(MonotonicClock::now(), this->view);
+  }
+
+  // Ends the coroutines before the objects to which they refer.
+  void teardown() override {
+    this->RunFor(20ms);
+    this->dispatch.reset();
+    this->pool.reset();
+  }
+
+  void RunFor(milliseconds time) {
+    this->context.restart();
+    this->context.run_for(time);
+  }
+
+  void Start(const std::string& id) {
+    this->requests.push_back(std::make_unique<Served>());
+    Served& served = *this->requests.back();
+    RequestMessage& request = served.request;
+    request.method = "POST";
+    request.target = "/confirm";
+    request.request_id = id;
+    request.headers.set(this->names.request_id, id);
+    request.headers.set("Host", "levels.test");
+    request.entry.service = {0, 0};
+    request.entry.team = {0, 0};
+    request.entry.deadline = MonotonicClock::now() + kDeadline;
+    request.entry.max_attempts = 2;
+    request.entry.replayable = true;
+    boost::asio::co_spawn(this->context, this->Serve(served),
+                          boost::asio::detached);
+  }
+
+  Task<void> Serve(Served & served) {
+    Target target;
+    target.shard = this->view->services[0]->shards.at(0).key;
+    const ServeOutcome outcome =
+        co_await this->dispatch->Serve(served.request, target, served.sink);
+    served.outcome = outcome;
+  }
+
+  /// Runs until all requests have an outcome.
+  void Finish() {
+    const auto is_open = [](const auto& served) { return !served->outcome; };
+    while (std::any_of(this->requests.begin(), this->requests.end(), is_open)) {
+      this->RunFor(kTick);
+      this->dispatch->Tick(MonotonicClock::now());
+    }
+  }
+
+  size_t RunsOf(const std::string& id) const {
+    const auto found = this->upstream.runs().find(id);
+    return found == this->upstream.runs().end() ? 0 : found->second;
+  }
+
+  /// Checks each outcome against what the upstream ran.
+  void CheckOutcomes() const {
+    for (const auto& served : this->requests) {
+      const std::string& id = served->request.request_id;
+      const ServeOutcome& outcome = *served->outcome;
+      CHECK(this->RunsOf(id) <= 1);
+      if (outcome.answered) {
+        CHECK_EQUAL(200, served->sink.status);
+        STRCMP_EQUAL(AnswerBodyOf(id).c_str(), served->sink.body.c_str());
+        CHECK_EQUAL(1, this->RunsOf(id));
+      } else if (InfoOf(outcome.refusal).promise == Promise::kNotRun) {
+        CHECK_EQUAL(0, this->RunsOf(id));
+      }
+    }
+  }
+};
+
+// Failure: an upstream rejects a request and runs its second send, on the same
+// connection, behind a late copy of the rejection. The copy is taken for the
+// answer: the caller is told that the request has not run.
+TEST(UpstreamAnswers, RejectionCopiedLate_SecondSendRuns_AnswerIsItsOwn) {
+  bool is_first = true;
+  this->choose = [&is_first](bool) {
+    UpstreamReply reply;
+    reply.rejects = std::exchange(is_first, false);
+    reply.copy = reply.rejects ? AnswerCopy::kBeforeNext : AnswerCopy::kNone;
+    return reply;
+  };
+  this->Start("r-1");
+  this->Finish();
+  this->CheckOutcomes();
+  CHECK(this->requests.front()->outcome->answered);
+}
+
+// Failure: as above, but the copy arrives with the rejection.
+TEST(UpstreamAnswers, RejectionCopiedAtOnce_SecondSendRuns_AnswerIsItsOwn) {
+  bool is_first = true;
+  this->choose = [&is_first](bool) {
+    UpstreamReply reply;
+    reply.rejects = std::exchange(is_first, false);
+    reply.copy = reply.rejects ? AnswerCopy::kAtOnce : AnswerCopy::kNone;
+    return reply;
+  };
+  this->Start("r-1");
+  this->Finish();
+  this->CheckOutcomes();
+  CHECK(this->requests.front()->outcome->answered);
+}
+
+// A rejection does not cost a connection: other requests use it again.
+TEST(UpstreamAnswers, Rejection_NextRequest_UsesTheSameConnection) {
+  bool rejects = true;
+  this->choose = [&rejects](bool) {
+    UpstreamReply reply;
+    reply.rejects = rejects;
+    return reply;
+  };
+  this->Start("r-1");
+  this->Finish();
+  const size_t opened = this->upstream.connections();
+  rejects = false;
+  this->Start("r-2");
+  this->Finish();
+  this->CheckOutcomes();
+  CHECK_EQUAL(opened, this->upstream.connections());
+}
+
+// Failure: some order of rejections, answers and copies of them makes one
+// request get what belongs to another, or to an earlier send.
+TEST(UpstreamAnswers, RandomCopies_EachOutcomeIsWhatTheUpstreamRan) {
+  size_t answered = 0;
+  for (int seed = 0; seed < kHistories; ++seed) {
+    pcg32 random(seed);
+    this->choose = [&random](bool) {
+      boost::random::bernoulli_distribution<double> third(0.3);
+      boost::random::uniform_int_distribution<int> copy(
+          0, static_cast<int>(AnswerCopy::kCount) - 1);
+      UpstreamReply reply;
+      reply.rejects = third(random);
+      reply.copy = static_cast<AnswerCopy>(copy(random));
+      reply.work = milliseconds(third(random) ? 1 : 0);
+      return reply;
+    };
+    this->requests.clear();
+    for (int i = 0; i < kRequests; ++i) {
+      this->Start("r-" + std::to_string(seed) + "-" + std::to_string(i));
+    }
+    this->Finish();
+    this->CheckOutcomes();
+    for (const auto& served : this->requests) {
+      answered += served->outcome->answered ? 1 : 0;
+    }
+  }
+  CHECK(answered > kHistories);
+}
