Load queries: an answer to a request is not taken for a health answer

Cause: a load query takes a kept connection, and QueryUpstreamLoad took whatever came first for its own. With a late second answer to a request there, it gave the connection back with the true answer on its way, which the next request got: an answer without a request id was accepted. Its load, notice and limit were taken from the foreign answer too.

Change: a query skips answers that have a request id. Where upstreams repeat the id in each answer (a setting of the installation, true on the users' platform), an answer without one belongs to no request and is skipped; elsewhere it is accepted as before, since nothing tells it apart.

Evidence: with both conditions taken out, UpstreamAnswers AnswerCopiedBeforeHealthCheck_NextRequest_GetsItsOwn, HealthAnswerCopied_NextRequest_GetsItsOwn and RandomCopies with health checks fail (503 in place of 200, no load read); now all pass.

--- a/packages/node/include/basilsill/node/installation.h
+++ b/packages/node/include/basilsill/node/installation.h
@@ -54,6 +54,9 @@
   /// To an upstream: the team whose API key the caller sent. Never accepted
   /// from a caller.
   std::string team = "Basilsill-Team";
+  /// Upstreams repeat the request id in each answer to a request. An answer
+  /// without it then belongs to no request.
+  bool request_id_is_echoed = false;
   bool via = true;  ///< Adds `Via` to requests.
   /// Allows `Retry-After` to have a fraction.
   bool fractional_retry_after = false;
--- a/packages/node/src/load_query.cc
+++ b/packages/node/src/load_query.cc
@@ -77,7 +77,14 @@
       connection->socket, boost::asio::buffer(head), kTask);
   HeadStatus status = HeadStatus::kBroken;
   if (!error) {
-    status = co_await connection->reader.ReadHead(connection->socket);
+    // Failure: a late answer to a request arrives where the answer to the query
+    // is due and is taken for it. The connection is kept with the true answer
+    // on its way, which the next request on it gets. A query has no request id.
+    const std::string& id_header = pool.names().request_id;
+    const IsExpectedAnswer has_no_id = [&id_header](const HttpFields& answer) {
+      return HeaderValue(answer, id_header).empty();
+    };
+    status = co_await ReadExpectedHead(*connection, false, has_no_id);
   }
   pool.metrics().probes.Add();
   pool.metrics().probe_bytes.Add(head.size() +
--- a/packages/node/src/upstream_attempt.cc
+++ b/packages/node/src/upstream_attempt.cc
@@ -220,9 +220,10 @@
 }
 
 bool UpstreamAttempt::IsOwn(const HttpFields& headers) const {
-  const std::string_view id =
-      HeaderValue(headers, this->pool.names().request_id);
-  return id.empty() || id == this->request.request_id;
+  const HeaderNames& names = this->pool.names();
+  const std::string_view id = HeaderValue(headers, names.request_id);
+  const bool may_lack_id = !names.request_id_is_echoed;
+  return id == this->request.request_id || (id.empty() && may_lack_id);
 }
 
 Task<bool> UpstreamAttempt::SendHead() {
--- a/packages/node/test/upstream_answers_test.cc
+++ b/packages/node/test/upstream_answers_test.cc
@@ -25,12 +25,14 @@
 using namespace std::chrono_literals;
 using basilsill::AnswerHead;
 using basilsill::AnswerSink;
+using basilsill::AttemptTarget;
 using basilsill::Dispatcher;
 using basilsill::DispatchHost;
 using basilsill::HeaderNames;
 using basilsill::HttpFields;
 using basilsill::InfoOf;
 using basilsill::IoContext;
+using basilsill::LoadQueryReport;
 using basilsill::MonotonicClock;
 using basilsill::Promise;
 using basilsill::RequestMessage;
@@ -62,6 +64,7 @@
   HeaderNames names;
   names.served_by = "X-Served-By";
   names.load = "X-Load";
+  names.request_id_is_echoed = true;
   return names;
 }
 
@@ -194,6 +197,28 @@
     }
   }
 
+  /// Sends a health check and waits for its end.
+  LoadQueryReport QueryLoad() {
+    std::optional<LoadQueryReport> report;
+    boost::asio::co_spawn(this->context, this->RunQuery(report),
+                          boost::asio::detached);
+    while (!report) {
+      this->RunFor(kTick);
+    }
+    return *report;
+  }
+
+  Task<void> RunQuery(std::optional<LoadQueryReport> & report) {
+    AttemptTarget target;
+    const UpstreamRow& row = this->view->services[0]->upstreams[0];
+    target.endpoint = row.endpoint;
+    target.upstream = row.handle;
+    target.data_centre = row.data_centre;
+    const LoadQueryReport done =
+        co_await QueryUpstreamLoad(*this->pool, target, "/health");
+    report = done;
+  }
+
   size_t RunsOf(const std::string& id) const {
     const auto found = this->upstream.runs().find(id);
     return found == this->upstream.runs().end() ? 0 : found->second;
@@ -266,6 +291,43 @@
   CHECK_EQUAL(opened, this->upstream.connections());
 }
 
+// Failure: the late copy of an answer is taken for the answer to a health
+// check. The next request on the connection gets that answer: a failing health
+// check says that the request has not run.
+TEST(UpstreamAnswers, AnswerCopiedBeforeHealthCheck_NextRequest_GetsItsOwn) {
+  this->choose = [](bool is_health_check) {
+    UpstreamReply reply;
+    reply.rejects = is_health_check;
+    reply.copy = is_health_check ? AnswerCopy::kNone : AnswerCopy::kBeforeNext;
+    return reply;
+  };
+  this->Start("r-1");
+  this->Finish();
+  const LoadQueryReport report = this->QueryLoad();
+  CHECK(report.answered);
+  CHECK(report.load.known);
+  this->Start("r-2");
+  this->Finish();
+  this->CheckOutcomes();
+  CHECK(this->requests.back()->outcome->answered);
+}
+
+// Failure: a second copy of the answer to a health check is given to the next
+// request on the connection.
+TEST(UpstreamAnswers, HealthAnswerCopied_NextRequest_GetsItsOwn) {
+  this->choose = [](bool is_health_check) {
+    UpstreamReply reply;
+    reply.rejects = is_health_check;
+    reply.copy = is_health_check ? AnswerCopy::kBeforeNext : AnswerCopy::kNone;
+    return reply;
+  };
+  this->QueryLoad();
+  this->Start("r-1");
+  this->Finish();
+  this->CheckOutcomes();
+  CHECK(this->requests.front()->outcome->answered);
+}
+
 // Failure: some order of rejections, answers and copies of them makes one
 // request get what belongs to another, or to an earlier send.
 TEST(UpstreamAnswers, RandomCopies_EachOutcomeIsWhatTheUpstreamRan) {
@@ -284,6 +346,9 @@
     };
     this->requests.clear();
     for (int i = 0; i < kRequests; ++i) {
+      if (random() % kRequests == 0) {
+        this->QueryLoad();
+      }
       this->Start("r-" + std::to_string(seed) + "-" + std::to_string(i));
     }
     this->Finish();
