--- a/packages/node/test/upstream_answers_test.cc
+++ b/packages/node/test/upstream_answers_test.cc
@@ -62,7 +62,7 @@
 
 HeaderNames MakeNames() {
   HeaderNames names;
-  names.served_by = "X-Served-By";
+  names.served_by = "X-Instance";
   names.load = "X-Load";
   names.request_id_is_echoed = true;
   return names;
