Shutdown: requests that wait at other VMs are withdrawn before the end

Cause: a VM that shuts down handed back what it dispatches, not what its own callers have waiting at the dispatchers of other VMs. At the limit the process ended with their connections open. Only the dispatcher knows whether an upstream has a request. Ruled out: upstreams at work, a late drain.

Change: after two thirds of the shutdown limit the entry VM withdraws its callers' requests: a new message on the stream (protocol version 9), or a call where the dispatcher is its own. A dispatcher refuses a withdrawn request that waits as not run; one at an upstream goes on, and gets no other attempt. A cancellation would end it and promise nothing. The last third is left for upstreams at work and for the answers. A withdrawn request goes to no other place, and what is read later is refused at once with a short Retry-After, as another VM accepts it.

Not covered: a peer that does not reply, waits for a quota's credit or a claim (said in the postmortem).

Evidence: with the withdrawal put beyond the limit, Leave.Drain_OwnRequestsWaitAtPeer_AnsweredAsNotRun ends with an end of stream in place of an answer; now it passes, as do Dispatch.Withdraw_* and LinkMux.Withdraw_*.

--- a/packages/decision/include/basilsill/decision/dispatch.h
+++ b/packages/decision/include/basilsill/decision/dispatch.h
@@ -274,6 +274,11 @@
                               UpstreamHandle upstream,
                               const LoadQueryReport& report) = 0;
 
+  /// Takes a request back for a VM that shuts down: refuses it with
+  /// kShuttingDown if no attempt of it runs. Running attempts continue, and no
+  /// other one follows them.
+  virtual void Withdraw(TimePoint now, DispatchHandle request) = 0;
+
   /// Drops a request that its caller has abandoned. kCancel actions end its
   /// running attempts.
   virtual void Cancel(TimePoint now, DispatchHandle request) = 0;
--- a/packages/decision/src/dispatch/dispatch_tables.h
+++ b/packages/decision/src/dispatch/dispatch_tables.h
@@ -63,6 +63,7 @@
   // Bit fields, as there are thousands of rows; these share one byte.
   bool maybe_ran : 1 = false;  ///< If so, no refusal may promise `not-run`.
   bool answer_started : 1 = false;
+  bool is_withdrawn : 1 = false;    ///< Gets no further attempt.
   bool held_for_rate : 1 = false;   ///< Counted in DispatchCounters.
   bool idle_queried = false;        ///< Idle upstreams were queried for it.
   Retry next_retry = Retry::kNone;  ///< Reason for the next attempt.
--- a/packages/decision/src/dispatch/dispatcher.cc
+++ b/packages/decision/src/dispatch/dispatcher.cc
@@ -145,6 +145,20 @@
   this->Pump(now, shard);
 }
 
+void DispatcherCore::Withdraw(TimePoint now, DispatchHandle handle) {
+  if (!this->requests.Contains(handle)) {
+    return;
+  }
+  RequestRow& request = this->Request(handle.index);
+  request.is_withdrawn = true;
+  if (request.state == RequestState::kRunning) {
+    return;
+  }
+  const uint32_t shard = request.shard;
+  this->Refuse(handle.index, {Refusal::kShuttingDown, kHandBackRetryAfter});
+  this->Pump(now, shard);
+}
+
 void DispatcherCore::HandBack(TimePoint) {
   this->handing_back = true;
   for (const uint32_t shard : this->active) {
--- a/packages/decision/src/dispatch/dispatcher_core.h
+++ b/packages/decision/src/dispatch/dispatcher_core.h
@@ -63,6 +63,7 @@
                                               ShardKey shard) const override;
   void Tick(TimePoint now) override;
   void HandBack(TimePoint now) override;
+  void Withdraw(TimePoint now, DispatchHandle request) override;
   size_t CountRateLimited() const override;
   ShardSummary Summarize(TimePoint now, ShardKey shard) const override;
   bool ReachesShard(TimePoint now, ShardKey shard) const override;
--- a/packages/decision/src/dispatch/dispatcher_end.cc
+++ b/packages/decision/src/dispatch/dispatcher_end.cc
@@ -270,7 +270,7 @@
   const bool in_time =
       request.spec.deadline - now > shard.stats[traffic_class].median();
   const bool allowed = this->options.features.retry && !this->handing_back &&
-                       usable &&
+                       !request.is_withdrawn && usable &&
                        (this->AttemptsLeft(request) > 0 ||
                         (free && request.spec.max_attempts == 0));
   if (reason == Retry::kNone || !allowed) {
--- a/packages/decision/test/dispatch_test.cc
+++ b/packages/decision/test/dispatch_test.cc
@@ -10,6 +10,7 @@
 using basilsill::DispatcherOptions;
 using basilsill::DispatchHarness;
 using basilsill::DispatchRequest;
+using basilsill::Promise;
 using basilsill::Refusal;
 using basilsill::UpstreamHandle;
 
@@ -178,6 +179,37 @@
   CHECK_FALSE(this->harness.End(runs, AttemptEnd::kAnswered));
 }
 
+// Failure: a VM shuts down while a request of its caller waits here. Nobody
+// takes the request back, and its caller gets no answer.
+TEST(Dispatch, Withdraw_RequestWaits_RefusedAsNotRun) {
+  this->harness.fixture.AddUpstream(0, 1);
+  this->harness.Apply();
+  const uint64_t runs = this->harness.Offer();
+  const uint64_t waits = this->harness.Offer();
+  for (const uint64_t cookie : {runs, waits}) {
+    this->harness.dispatcher->Withdraw(this->harness.now,
+                                       this->harness.HandleOf(cookie));
+  }
+  this->harness.Collect();
+  CHECK(this->harness.RefusalFor(waits) == Refusal::kShuttingDown);
+  CHECK(this->harness.RefusalFor(runs) == Refusal::kNone);
+  CHECK_FALSE(this->harness.End(runs, AttemptEnd::kAnswered));
+}
+
+// Failure: a withdrawn request is rejected by its upstream and waits again,
+// beyond the end of the VM that has its caller.
+TEST(Dispatch, Withdraw_AttemptIsRejectedLater_NoOtherFollows) {
+  this->harness.fixture.AddUpstream(0, 1);
+  this->harness.fixture.AddUpstream(0, 1);
+  this->harness.Apply();
+  const uint64_t runs = this->harness.Offer();
+  this->harness.dispatcher->Withdraw(this->harness.now,
+                                     this->harness.HandleOf(runs));
+  this->harness.End(runs, AttemptEnd::kShed);
+  CHECK(InfoOf(this->harness.RefusalFor(runs)).promise == Promise::kNotRun);
+  CHECK_FALSE(IsValid(this->harness.RunOf(runs).attempt));
+}
+
 TEST(Dispatch, ApplyView_UpstreamLeaves_GetsNoNewWork) {
   const UpstreamHandle leaves = this->harness.fixture.AddUpstream(0, 2);
   const UpstreamHandle stays = this->harness.fixture.AddUpstream(0, 2);
--- a/packages/node/src/caller_exchange.cc
+++ b/packages/node/src/caller_exchange.cc
@@ -38,6 +38,9 @@
 // that retries earlier wastes an attempt.
 constexpr milliseconds kNoConfigurationRetryAfter{1000};
 
+// Another VM accepts the request at once.
+constexpr milliseconds kShuttingDownRetryAfter{10};
+
 std::string HostOf(const HttpFields& headers) {
   std::string_view host = HeaderValue(headers, "Host");
   const size_t colon = host.rfind(':');
@@ -276,6 +279,9 @@
   }
   if (this->abandoned) {
     outcome.refusal = Refusal::kCallerGone;
+  } else if (this->fault == Refusal::kNone && this->host.withdrawing()) {
+    outcome.refusal = Refusal::kShuttingDown;
+    outcome.retry_after = kShuttingDownRetryAfter;
   } else if (this->fault == Refusal::kNone) {
     const RuleRow* rule = FindRule(*this->host.view(), this->request.rule);
     if (rule != nullptr) {
@@ -538,6 +544,12 @@
   }
 }
 
+void CallerExchange::Withdraw() {
+  if (!this->has_started && !this->request.withdrawn) {
+    basilsill::Withdraw(this->request);
+  }
+}
+
 void CallerExchange::Tick(TimePoint now) {
   // The grace is subtracted from `now`: adding it to a deadline of kNever would
   // overflow.
--- a/packages/node/src/caller_exchange.h
+++ b/packages/node/src/caller_exchange.h
@@ -71,6 +71,10 @@
   /// repeat.
   void Abandon();
 
+  /// Takes the request back for a VM that shuts down. It is answered as not
+  /// run, unless an upstream has it.
+  void Withdraw();
+
   /// Cancels a request that is past its deadline, whichever component works on
   /// it, unless its complete answer only waits for its turn.
   void Tick(TimePoint now);
--- a/packages/node/src/caller_host.h
+++ b/packages/node/src/caller_host.h
@@ -45,6 +45,10 @@
   /// the external balancer has had time to stop sending to it.
   virtual bool draining() const = 0;
 
+  /// @returns true once the end of this node is so near that requests which no
+  /// upstream has are refused.
+  virtual bool withdrawing() const = 0;
+
   virtual std::string NewRequestId() = 0;
   virtual const std::string& via() const = 0;
 
--- a/packages/node/src/caller_session.cc
+++ b/packages/node/src/caller_session.cc
@@ -334,6 +334,13 @@
   }
 }
 
+void CallerSession::Withdraw() {
+  const std::deque<ExchangePtr> open = this->exchanges;
+  for (const ExchangePtr& exchange : open) {
+    exchange->Withdraw();
+  }
+}
+
 void CallerSession::AbortRequests() {
   this->AbortConnection();
   this->Abandon();
--- a/packages/node/src/dispatch_host.cc
+++ b/packages/node/src/dispatch_host.cc
@@ -142,9 +142,17 @@
     job->Settle({false, Refusal::kCallerGone, Duration(0)});
     this->Pump();
   };
+  request.on_withdrawn = [this, job] {
+    this->dispatcher->Withdraw(MonotonicClock::now(), job->handle);
+    this->Pump();
+  };
+  if (request.withdrawn) {
+    Withdraw(request);
+  }
   this->Pump();
   co_await job->done.Wait();
   request.on_caller_gone = nullptr;
+  request.on_withdrawn = nullptr;
   this->jobs.erase(cookie);
   if (job->failed_answer && !job->outcome.answered && !request.caller_gone) {
     // An upstream's own error answer tells the caller more than a refusal that
--- a/packages/node/src/entry_host.cc
+++ b/packages/node/src/entry_host.cc
@@ -34,7 +34,7 @@
       co_return ServeOutcome{false, target.refusal, target.retry_after};
     }
     const ServeOutcome outcome = co_await this->ServeAt(target, request, sink);
-    if (outcome.answered || request.caller_gone) {
+    if (outcome.answered || request.caller_gone || request.withdrawn) {
       co_return outcome;
     }
     request.failed_choices.push_back({target, outcome.refusal});
--- a/packages/node/src/http_message.cc
+++ b/packages/node/src/http_message.cc
@@ -56,6 +56,15 @@
   headers.erase(http::field::content_length);
 }
 
+void Withdraw(RequestMessage& request) {
+  request.withdrawn = true;
+  if (request.on_withdrawn) {
+    // The callee may replace the function while it runs.
+    const auto notify = request.on_withdrawn;
+    notify();
+  }
+}
+
 std::string_view HeaderValue(const HttpFields& headers, std::string_view name) {
   const auto found = headers.find({name.data(), name.size()});
   if (found == headers.end()) {
--- a/packages/node/src/http_message.h
+++ b/packages/node/src/http_message.h
@@ -88,12 +88,20 @@
   /// Set by the component that works on the request at the moment; called when
   /// the caller has disconnected.
   std::function<void()> on_caller_gone;
+  /// Set by the component that works on the request at the moment; called when
+  /// the caller's VM shuts down. Ends the request as not run, unless an
+  /// upstream has it.
+  std::function<void()> on_withdrawn;
+  bool withdrawn = false;  ///< It is sent to no further place.
   /// Set by the component that works on the request at the moment.
   /// @returns true once the complete answer is held in this process.
   std::function<bool()> has_whole_answer;
   bool caller_gone = false;
 };
 
+/// Takes `request` back, unless an upstream has it.
+void Withdraw(RequestMessage& request);
+
 struct AnswerHead {
   unsigned status = 0;
   std::string reason;
--- a/packages/node/src/link_exchange.cc
+++ b/packages/node/src/link_exchange.cc
@@ -43,8 +43,10 @@
     this->stream->Deliver(std::move(gone));
   };
   this->request.has_whole_answer = [this] { return this->HasWholeAnswer(); };
+  this->request.on_withdrawn = [this] { this->link->Withdraw(*this->stream); };
   const ServeOutcome result = co_await this->ReceiveAnswer();
   this->request.on_caller_gone = nullptr;
+  this->request.on_withdrawn = nullptr;
   this->request.has_whole_answer = nullptr;
   if (more) {
     co_await this->StopBody();
--- a/packages/node/src/link_server.cc
+++ b/packages/node/src/link_server.cc
@@ -116,8 +116,11 @@
       notify();
     }
   };
+  stream->on_withdrawn = [&request] { Withdraw(request); };
+  request.withdrawn = stream->withdrawn;
   const ServeOutcome outcome = co_await dispatch.Serve(request, target, sink);
   stream->on_closed = nullptr;
+  stream->on_withdrawn = nullptr;
   if (sink.is_unfinished()) {
     sink.Break();
   } else if (!outcome.answered && !stream->closed) {
--- a/packages/node/src/link_stream.cc
+++ b/packages/node/src/link_stream.cc
@@ -23,6 +23,13 @@
     this->writable.Set();
     return;
   }
+  if (event.kind == wire::LinkEventKind::kWithdrawn) {
+    this->withdrawn = true;
+    if (this->on_withdrawn) {
+      this->on_withdrawn();
+    }
+    return;
+  }
   const bool ends = EndsStream(event.kind);
   this->closed = this->closed || ends;
   this->events.push_back(std::move(event));
--- a/packages/node/src/link_stream.h
+++ b/packages/node/src/link_stream.h
@@ -39,6 +39,9 @@
   bool closed = false;
   /// Called for an event that ends the stream before its answer is complete.
   std::function<void()> on_closed;
+  /// Called when the peer takes the request back.
+  std::function<void()> on_withdrawn;
+  bool withdrawn = false;
 };
 using LinkStreamPtr = std::shared_ptr<LinkStream>;
 
--- a/packages/node/src/link_table.cc
+++ b/packages/node/src/link_table.cc
@@ -207,6 +207,9 @@
   if (!link) {
     co_return unreachable;
   }
+  if (request.withdrawn) {
+    co_return ServeOutcome{false, Refusal::kShuttingDown, Duration(0)};
+  }
   wire::Open open = this->MakeOpen(request, target);
   const size_t inlined = open.body.size();
   const LinkStreamPtr stream = link->Open(std::move(open));
--- a/packages/node/src/node.cc
+++ b/packages/node/src/node.cc
@@ -22,6 +22,10 @@
 
 constexpr std::chrono::milliseconds kDrainPoll{20};
 
+// Requests that no upstream has are taken back after this part of a shutdown.
+// What an upstream gets before then has the rest of the time to be answered.
+constexpr double kServingPart = 2.0 / 3;
+
 // Time limit for the traffic threads to answer whether they accept callers. It
 // is shorter than the time that balancers wait for a readiness answer, so that
 // the balancers get one.
@@ -417,11 +421,21 @@
     worker->Drain();
   }
   const auto limit = started + this->settings.shutdown.limit;
+  const auto withdraw_at =
+      started + std::chrono::duration_cast<MonotonicClock::duration>(
+                    kServingPart * this->settings.shutdown.limit);
+  bool has_withdrawn = false;
   // The outcomes of requests that must not run twice have to be in the log
   // before the process ends; otherwise callers that resend such a request get
   // `unknown`.
   while ((this->busy() || !this->claims_idle()) &&
          MonotonicClock::now() < limit) {
+    if (!has_withdrawn && MonotonicClock::now() >= withdraw_at) {
+      has_withdrawn = true;
+      for (const auto& worker : this->traffic) {
+        worker->Withdraw();
+      }
+    }
     timer.expires_after(kDrainPoll);
     co_await timer.async_wait(boost::asio::use_awaitable);
   }
--- a/packages/node/src/peer_link.cc
+++ b/packages/node/src/peer_link.cc
@@ -142,6 +142,12 @@
   this->Flush();
 }
 
+void PeerLink::Withdraw(const LinkStream& stream) {
+  this->mux.WithdrawStream(stream.id);
+  this->DeliverEvents();
+  this->Flush();
+}
+
 void PeerLink::Forget(const LinkStream& stream) {
   this->streams.erase(stream.id);
 }
--- a/packages/node/src/peer_link.h
+++ b/packages/node/src/peer_link.h
@@ -60,6 +60,9 @@
   /// Cancels a stream, whose answer is no longer wanted.
   void Cancel(LinkStream& stream);
 
+  /// Takes the request of a stream back, unless an upstream has it.
+  void Withdraw(const LinkStream& stream);
+
   /// Removes a stream whose coroutine has ended. Its later events are dropped.
   void Forget(const LinkStream& stream);
 
--- a/packages/node/src/worker.cc
+++ b/packages/node/src/worker.cc
@@ -230,6 +230,19 @@
   boost::asio::post(*this->context, [this] { this->BeginDrain(); });
 }
 
+// Failure: a VM shuts down while requests of its callers wait in the queues of
+// other VMs. Only what is queued here was handed back, so these requests get no
+// answer before the process ends, and their callers can't tell whether they
+// have run. The dispatcher that has them knows it.
+void Worker::Withdraw() {
+  boost::asio::post(*this->context, [this] {
+    this->is_withdrawing = true;
+    for (const auto& session : this->sessions) {
+      session->Withdraw();
+    }
+  });
+}
+
 void Worker::Stop() {
   this->context->stop();
 }
@@ -591,6 +604,9 @@
   this->TakeCounters();
   for (const auto& session : this->sessions) {
     session->Tick(now);
+    if (this->is_withdrawing) {
+      session->Withdraw();
+    }
   }
   if (this->is_draining) {
     this->links.Tick(now);
--- a/packages/node/src/worker.h
+++ b/packages/node/src/worker.h
@@ -101,6 +101,10 @@
   /// Stops accepting callers; requests in flight are completed.
   void Drain();
 
+  /// Takes back the requests of this worker's callers that no upstream has, now
+  /// and from now on: they are answered as not run. Called after `Drain`.
+  void Withdraw();
+
   /// Ends the thread without regard to requests in flight.
   void Stop();
   void Join();
@@ -174,6 +178,7 @@
   }
   bool leaving() const override { return this->is_leaving; }
   bool draining() const override { return this->is_draining; }
+  bool withdrawing() const override { return this->is_withdrawing; }
   ServiceHandle ChooseService(const RuleRow& rule) override;
   std::string NewRequestId() override;
   const std::string& via() const override { return this->via_text; }
@@ -252,6 +257,7 @@
   size_t requests_in_flight = 0;
   bool is_leaving = false;
   bool is_draining = false;
+  bool is_withdrawing = false;
   bool ticking_slowly = false;
   std::atomic<size_t> open_sessions{0};
   std::atomic<size_t> links_in_use{0};
--- a/packages/node/test/caller_harness.h
+++ b/packages/node/test/caller_harness.h
@@ -94,6 +94,7 @@
   bool buffers_unsized_bodies() const override { return true; }
   bool leaving() const override { return this->is_draining; }
   bool draining() const override { return this->is_draining; }
+  bool withdrawing() const override { return false; }
   std::string NewRequestId() override { return "none"; }
   const std::string& via() const override { return this->via_text; }
   const CallerLimits& caller_limits() const override { return this->limits; }
--- a/packages/node/test/leave_test.cc
+++ b/packages/node/test/leave_test.cc
@@ -5,10 +5,12 @@
 // upstream still runs the forwarded request: callers get 502 or truncated
 // answers.
 
+#include <algorithm>
 #include <chrono>
 #include <future>
 #include <string>
 #include <utility>
+#include <vector>
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
@@ -40,6 +42,8 @@
 namespace wire = basilsill::wire;
 
 constexpr size_t kBodyBytes = 200'000;
+// More than the slots of one upstream.
+constexpr int kSeveralRequests = 4;
 // So small that most of an answer stays in the buffer of its sender.
 constexpr int kSmallBuffer = 4096;
 constexpr int kSummaries = 20'000;
@@ -72,9 +76,9 @@
       this->has_request.set_value();
     }
     this->released.wait();
-    exchange.Write(
-        "HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(kBodyBytes) +
-        kHeadEnd + std::string(kBodyBytes, 'x'));
+    exchange.Write("HTTP/1.1 200 OK\r\nConnection: close\r\nContent-Length: " +
+                   std::to_string(kBodyBytes) + kHeadEnd +
+                   std::string(kBodyBytes, 'x'));
     exchange.WaitForClose();
   }
 
@@ -226,6 +230,40 @@
   this->EndDrain();
 }
 
+// Failure: a VM shuts down while a request of its caller waits in the queue of
+// another VM. It exits at its limit, and the caller gets a closed connection,
+// which does not say that the request has not run.
+TEST(Leave, Drain_OwnRequestsWaitAtPeer_AnsweredAsNotRun) {
+  std::vector<std::future<HttpResponse>> answers;
+  for (int i = 0; i < kSeveralRequests; ++i) {
+    answers.push_back(std::async(std::launch::async, [this] {
+      return Send(this->entry->callers(), MakeRequest("GET", "/levels/7"));
+    }));
+  }
+  this->upstream.WaitForRequest();
+  CHECK(WaitForMetric(*this->dispatcher,
+                      R"(basilsill_peer_requests{worker="0"} 4)"));
+  this->drained = std::async(std::launch::async,
+                             [this] { return this->entry->DrainAndWait(); });
+  CHECK(WaitUntil([&answers] {
+    return std::any_of(answers.begin(), answers.end(), [](const auto& answer) {
+      return answer.wait_for(std::chrono::seconds(0)) ==
+             std::future_status::ready;
+    });
+  }));
+  this->upstream.Answer();
+  int served = 0;
+  for (std::future<HttpResponse>& future : answers) {
+    const HttpResponse answer = future.get();
+    served += answer.result_int() == 200 ? 1 : 0;
+    CHECK(answer.result_int() == 200 ||
+          (answer.result_int() == 503 &&
+           answer["Basilsill-Promise"] == "not-run"));
+  }
+  CHECK(served > 0 && served < kSeveralRequests);
+  CHECK(this->drained.get());
+}
+
 // Failure: a VM exits while the last answer, which the upstream has completed,
 // is still in the buffers of a link to a peer. Bytes that the peer has sent
 // meanwhile are unread, so the exit resets the connection and drops the rest of
--- a/packages/wire/include/basilsill/wire/link_mux.h
+++ b/packages/wire/include/basilsill/wire/link_mux.h
@@ -19,7 +19,7 @@
 /// A link begins with a Hello in each direction. After that, either side of a
 /// data link opens streams, one for each request:
 ///
-///   opener    Open  Data*  End                 | Cancel
+///   opener    Open  Data*  End  Withdraw       | Cancel
 ///   acceptor        Answer  Data*  End | Refused | Reset
 ///
 /// A stream is closed when its answer has ended, or by Refused, Reset or
@@ -66,6 +66,7 @@
   kRefused,   ///< The peer refused the request (Refused); the stream is closed.
   kReset,     ///< The answer was aborted (Reset); the stream is closed.
   kCancelled,  ///< The peer cancelled the stream, which is closed.
+  kWithdrawn,  ///< The peer takes the request back, unless an upstream has it.
   kLost,       ///< The link can't continue the stream; it is closed.
   kWritable,   ///< Requested with AwaitWritable.
   kGoAway,     ///< The peer sent GoAway; the link accepts no new streams.
@@ -139,6 +140,10 @@
   /// earlier ones may not have been taken yet.
   void CancelStream(const StreamId& stream);
 
+  /// Takes the request back, unless an upstream has it. A stream that was not
+  /// sent yet is lost at once; for any other, the peer is asked.
+  void WithdrawStream(const StreamId& stream);
+
   // Streams opened by the peer.
 
   /// Queues the head of an answer. Once the end of the answer is queued, the
@@ -226,6 +231,7 @@
   Result<void> On(const Refused& refused);
   Result<void> On(const Reset& reset);
   Result<void> On(const Cancel& cancel);
+  Result<void> On(const Withdraw& withdraw);
   Result<void> On(const GoAway& go_away);
   Result<void> OnPosted(PeerMessage message, LinkRole role);
   Result<void> On(const Summary& summary);
--- a/packages/wire/include/basilsill/wire/message.h
+++ b/packages/wire/include/basilsill/wire/message.h
@@ -26,7 +26,7 @@
 namespace basilsill::wire {
 
 /// Version of the protocol. Links to peers of another version are rejected.
-inline constexpr uint32_t kProtocolVersion = 8;
+inline constexpr uint32_t kProtocolVersion = 9;
 
 /// Octets of a body. Large ones are moved, not copied, up to the socket write.
 using Bytes = std::string;
@@ -220,6 +220,15 @@
   friend bool operator==(const Cancel&, const Cancel&) = default;
 };
 
+/// The side that opened the stream takes its request back, unless an upstream
+/// has it. A request that no upstream has is answered with Refused; for any
+/// other, the stream goes on.
+struct Withdraw {
+  StreamId stream;
+
+  friend bool operator==(const Withdraw&, const Withdraw&) = default;
+};
+
 /// Load of one shard of the sender.
 struct Summary {
   ShardSummary shard;
@@ -382,7 +391,8 @@
                                  WriteAnswer,
                                  StateStamp,
                                  QuotaRequest,
-                                 QuotaAnswer>;
+                                 QuotaAnswer,
+                                 Withdraw>;
 
 }  // namespace basilsill::wire
 
--- a/packages/wire/schema/peer.capnp
+++ b/packages/wire/schema/peer.capnp
@@ -149,6 +149,10 @@
   stream @0 :StreamId;
 }
 
+struct Withdraw {
+  stream @0 :StreamId;
+}
+
 struct UpstreamNoticeReport {
   upstream @0 :UInt64;
   leaving @1 :Bool;
@@ -333,5 +337,6 @@
     stateStamp @19 :StateStamp;
     quotaRequest @20 :QuotaRequest;
     quotaAnswer @21 :QuotaAnswer;
+    withdraw @22 :Withdraw;
   }
 }
--- a/packages/wire/src/link_mux.cc
+++ b/packages/wire/src/link_mux.cc
@@ -164,6 +164,18 @@
   this->Close(*stream);
 }
 
+void LinkMux::WithdrawStream(const StreamId& id) {
+  Stream* stream = this->Find(id);
+  if (stream == nullptr || !this->IsOwn(id)) {
+    return;
+  }
+  if (stream->out.head_sent) {
+    this->queue->PushUrgent(Withdraw{id}).value();
+  } else {
+    this->LoseStream(*stream);
+  }
+}
+
 Result<void> LinkMux::SendAnswer(Answer answer) {
   Stream* stream = this->Find(answer.stream);
   if (stream == nullptr) {
--- a/packages/wire/src/link_mux_receive.cc
+++ b/packages/wire/src/link_mux_receive.cc
@@ -282,6 +282,21 @@
   return Done();
 }
 
+Result<void> LinkMux::On(const Withdraw& withdraw) {
+  if (this->IsOwn(withdraw.stream)) {
+    return Violation("withdrawal of a stream that the peer did not open");
+  }
+  const Result<Stream*> found = this->FindForPeer(withdraw.stream);
+  if (!found) {
+    return found.error();
+  }
+  Stream* stream = found.value();
+  if (stream != nullptr) {
+    this->Emit(LinkEventKind::kWithdrawn, *stream, withdraw);
+  }
+  return Done();
+}
+
 Result<void> LinkMux::On(const GoAway& go_away) {
   if (this->go_away_received) {
     return Violation("a second GoAway");
--- a/packages/wire/src/message_check.cc
+++ b/packages/wire/src/message_check.cc
@@ -196,6 +196,10 @@
   check.RequireStream(cancel.stream);
 }
 
+void Check(Checker& check, const Withdraw& withdraw) {
+  check.RequireStream(withdraw.stream);
+}
+
 void Check(Checker& check, const Heartbeat& heartbeat) {
   check.Require(heartbeat.state < VmState::kCount, "/state", "unknown state");
   check.Require(heartbeat.crashes.size() <= limits::kMaxCrashReports,
--- a/packages/wire/src/message_reader.cc
+++ b/packages/wire/src/message_reader.cc
@@ -432,6 +432,8 @@
       return ReadQuotaRequest(reader.getQuotaRequest());
     case schema::PeerMessage::QUOTA_ANSWER:
       return ReadQuotaAnswer(reader.getQuotaAnswer());
+    case schema::PeerMessage::WITHDRAW:
+      return Withdraw{UnpackStreamId(reader.getWithdraw().getStream())};
   }
   Reject("/", "unknown kind of message");
 }
--- a/packages/wire/src/message_writer.cc
+++ b/packages/wire/src/message_writer.cc
@@ -170,6 +170,10 @@
   message.initCancel().setStream(PackStreamId(cancel.stream));
 }
 
+void Write(const Withdraw& withdraw, schema::PeerMessage::Builder message) {
+  message.initWithdraw().setStream(PackStreamId(withdraw.stream));
+}
+
 void Write(const Summary& summary, schema::PeerMessage::Builder message) {
   auto builder = message.initSummary();
   builder.setShard(summary.shard.shard);
--- a/packages/wire/test/link_mux_test.cc
+++ b/packages/wire/test/link_mux_test.cc
@@ -142,6 +142,26 @@
         FailureKind::kNotFound);
 }
 
+TEST(LinkMux, Withdraw_OfAStreamNotYetSent_IsLostUnsent) {
+  const StreamId id = this->entry.mux.OpenStream(OpenWith({})).value();
+  this->entry.mux.WithdrawStream(id);
+  this->pair.DeliverAll();
+  CHECK(this->entry.Last(LinkEventKind::kLost).progress ==
+        StreamProgress::kNeverSent);
+  CHECK_EQUAL(0, this->dispatcher.Count(LinkEventKind::kOpened));
+}
+
+// The stream stays open: the request may be at an upstream already.
+TEST(LinkMux, Withdraw_OfASentStream_CanStillBeAnswered) {
+  const StreamId id = this->pair.OpenAndDeliver();
+  this->entry.mux.WithdrawStream(id);
+  this->pair.DeliverAll();
+  CHECK(this->dispatcher.Last(LinkEventKind::kWithdrawn).stream == id);
+  CHECK(this->dispatcher.mux.SendAnswer(AnswerWith(id, {})).has_value());
+  this->pair.DeliverAll();
+  CHECK(this->entry.Last(LinkEventKind::kAnswered).stream == id);
+}
+
 TEST(LinkMux, Refuse_BeforeAnAnswer_ClosesTheStreamWithItsReason) {
   const StreamId id = this->pair.OpenAndDeliver();
   const Refused refused{id, Refusal::kQueueFull, true,
@@ -439,6 +459,7 @@
       {hello, End{id, {}}},
       {hello, Credit{id, 1}},
       {hello, Cancel{id}},
+      {hello, Withdraw{id}},
       {hello, AnswerWith(own, {})},
       {hello, Refused{own, Refusal::kNoRoute}},
       {hello, Reset{own, Refusal::kNoRoute}},
@@ -453,6 +474,7 @@
       {hello, open, Reset{id, Refusal::kNoRoute}},
       {hello, open, Credit{id, 1}},
       {hello, open, Cancel{own}},
+      {hello, open, Withdraw{own}},
       {hello, GoAway{}, GoAway{}},
       {hello, GoAway{}, open},
       {hello, Heartbeat{}},
--- a/packages/wire/test/samples.cc
+++ b/packages/wire/test/samples.cc
@@ -139,6 +139,7 @@
       Refused{stream, Refusal::kQueueFull, true, microseconds(250'000), 2},
       Reset{stream, Refusal::kUpstreamDied},
       Cancel{stream},
+      Withdraw{stream},
       SampleSummary(),
       GoAway{},
       SampleHeartbeat(),
