Upstreams: answers without end are broken off at the deadline

What callers and upstreams would see: an upstream that sends a body without end holds its slot, two connections and a stream of a link for up to an hour; interim answers without end hold a request until its deadline.

Cause: the deadline of a request applies until its answer starts, and an answer that is too long to buffer starts early. Interim answers were skipped without a bound. Ruled out by tests that pass on the code before: the head, chunk extensions, trailers, a rejection's body, a health answer, bytes behind an answer.

Change: where no answers are streams, one that has not ended at the deadline is broken off; after 16 interim answers the answer is malformed. Other installations are as before.

Evidence: on the code before, BodyWithoutEnd_Request_BreaksOffAtDeadline has no outcome after 20 s with a deadline of 200 ms, and InterimAnswersWithoutEnd_Request_EndsAsMalformed ends by the deadline; now both pass. The test of kept connections after a rejection waits for a request that is really served; before, it could pass without one.

--- a/packages/node/src/upstream_answer.cc
+++ b/packages/node/src/upstream_answer.cc
@@ -8,6 +8,9 @@
 
 // Maximum number of answers to something else that are skipped.
 constexpr int kMaxStaleAnswers = 2;
+// Maximum number of interim answers (1xx) before an answer. Upstreams send one
+// or two; a faulty one may send them without end.
+constexpr int kMaxInterimAnswers = 16;
 // Maximum size of the body of an answer that is skipped.
 constexpr size_t kMaxStaleBytes = 192 * 1024;
 
@@ -16,12 +19,15 @@
 }
 
 Task<HeadStatus> ReadFinalHead(UpstreamConnection& connection, bool no_body) {
-  HeadStatus status = HeadStatus::kOk;
-  do {
-    status = co_await connection.reader.ReadHead(connection.socket, no_body);
-  } while (status == HeadStatus::kOk &&
-           IsInterim(connection.reader.message().get().result_int()));
-  co_return status;
+  for (int skipped = 0; skipped <= kMaxInterimAnswers; ++skipped) {
+    const HeadStatus status =
+        co_await connection.reader.ReadHead(connection.socket, no_body);
+    if (status != HeadStatus::kOk ||
+        !IsInterim(connection.reader.message().get().result_int())) {
+      co_return status;
+    }
+  }
+  co_return HeadStatus::kMalformed;
 }
 
 }  // namespace
--- a/packages/node/src/upstream_attempt.cc
+++ b/packages/node/src/upstream_attempt.cc
@@ -412,6 +412,26 @@
     this->Cancel();
     co_return this->Failed(AttemptEnd::kCancelled);
   }
+  // Failure: an upstream sends a body without end. The deadline of a request
+  // applies until its answer starts, so its slot and the connections would stay
+  // in use.
+  const auto ended = std::make_shared<bool>(false);
+  Timer limit(this->pool.executor(), this->request.entry.deadline);
+  if (this->pool.answers_end_at_deadline()) {
+    limit.async_wait([this, ended](const NetError& error) {
+      if (!error && !*ended) {
+        this->TimeOut();
+      }
+    });
+  }
+  const AttemptReport report = co_await this->StreamPieces(head, body_start);
+  *ended = true;
+  co_return report;
+}
+
+Task<AttemptReport> UpstreamAttempt::StreamPieces(
+    const AnswerHead& head,
+    const std::string& body_start) {
   auto& reader = this->connection->reader;
   this->has_started = true;
   // The head and the first piece are sent before trailers are known, so the end
--- a/packages/node/src/upstream_attempt.h
+++ b/packages/node/src/upstream_attempt.h
@@ -78,6 +78,8 @@
   Task<AttemptReport> ReadAnswer();
   Task<AttemptReport> ReadOrStreamAnswer();
   Task<AttemptReport> StreamAnswer(AnswerHead head, std::string body_start);
+  Task<AttemptReport> StreamPieces(const AnswerHead& head,
+                                   const std::string& body_start);
   AnswerHead MakeHead();
   AttemptReport Failed(AttemptEnd end) const;
   AttemptReport Answered(unsigned status) const;
--- a/packages/node/src/upstream_pool.h
+++ b/packages/node/src/upstream_pool.h
@@ -78,6 +78,9 @@
   HeaderNames names;
   /// Answers are buffered until they are complete, unless they are very long.
   bool hold_answers = false;
+  /// Answers are no streams: one that has not ended at the deadline of its
+  /// request is broken off.
+  bool answers_end_at_deadline = false;
 };
 
 /// Called with the result of each attempt to open a connection.
@@ -119,6 +122,9 @@
 
   const HeaderNames& names() const { return this->options.names; }
   bool buffers_answers() const { return this->options.hold_answers; }
+  bool answers_end_at_deadline() const {
+    return this->options.answers_end_at_deadline;
+  }
   size_t idle_count() const { return this->idle_connections; }
   WorkerMetrics& metrics() { return *this->counts; }
   const Executor& executor() const { return this->run_on; }
--- a/packages/node/src/worker.cc
+++ b/packages/node/src/worker.cc
@@ -46,6 +46,7 @@
   options.names = installation.headers;
   options.hold_answers =
       installation.no_streaming && installation.features.hold_answers;
+  options.answers_end_at_deadline = installation.no_streaming;
   options.connect_timeout = settings.limits.upstream_connect;
   options.idle_timeout = settings.limits.upstream_idle;
   options.reader.header_bytes = settings.limits.header_bytes;
--- a/packages/node/test/copying_upstream.cc
+++ b/packages/node/test/copying_upstream.cc
@@ -15,6 +15,8 @@
 using std::chrono::milliseconds;
 
 constexpr milliseconds kSoon{2};
+// Size of one write of bytes without end.
+constexpr size_t kRepeatedBytes = 4096;
 const std::string kBlankLine = "\r\n\r\n";
 
 std::string FieldOf(const std::string& head, const std::string& name) {
@@ -40,6 +42,7 @@
 
   Task<void> Accept();
   Task<void> Serve(Socket socket);
+  Task<void> Repeat(Socket& socket, const UpstreamReply& reply);
   Task<void> Sleep(milliseconds time);
   std::string MakeAnswer(const std::string& id,
                          bool is_health_check,
@@ -119,6 +122,10 @@
       ++this->runs[id];
     }
     co_await this->Sleep(reply.work);
+    if (!reply.repeated.empty()) {
+      co_await this->Repeat(socket, reply);
+      break;
+    }
     std::string answer = this->MakeAnswer(id, is_health_check, reply.rejects);
     const std::string copy = this->MakeAnswer(reply.copy_has_id ? id : "",
                                               is_health_check, reply.rejects);
@@ -137,6 +144,22 @@
   this->open.erase(&socket);
 }
 
+Task<void> CopyingUpstream::State::Repeat(Socket& socket,
+                                          const UpstreamReply& reply) {
+  std::string repeated;
+  while (repeated.size() < kRepeatedBytes) {
+    repeated += reply.repeated;
+  }
+  std::string next = reply.begin;
+  NetError error;
+  while (!error) {
+    const auto [failed, size] = co_await boost::asio::async_write(
+        socket, boost::asio::buffer(next), kTask);
+    error = failed;
+    next = repeated;
+  }
+}
+
 Task<void> CopyingUpstream::State::Sleep(milliseconds time) {
   if (time.count() > 0) {
     Timer timer(this->run_on, time);
@@ -173,4 +196,8 @@
   return this->state->connections;
 }
 
+size_t CopyingUpstream::open_connections() const {
+  return this->state->open.size();
+}
+
 }  // namespace basilsill::test
--- a/packages/node/test/copying_upstream.h
+++ b/packages/node/test/copying_upstream.h
@@ -14,7 +14,7 @@
 #include "http_message.h"
 #include "net.h"
 
-/// An upstream that sends some of its answers twice.
+/// An upstream that sends some of its answers twice, or bytes without end.
 
 namespace basilsill::test {
 
@@ -33,6 +33,10 @@
   AnswerCopy copy = AnswerCopy::kNone;
   bool copy_has_id = true;
   std::chrono::milliseconds work{0};
+  /// If `repeated` is not empty, the upstream sends `begin` and then `repeated`
+  /// again and again, until the connection is closed.
+  std::string begin{};
+  std::string repeated{};
 };
 
 class CopyingUpstream {
@@ -52,6 +56,9 @@
   /// @returns the number of connections that were opened.
   size_t connections() const;
 
+  /// @returns the number of connections that are open.
+  size_t open_connections() const;
+
  private:
   struct State;
   std::shared_ptr<State> state;
--- a/packages/node/test/upstream_answers_test.cc
+++ b/packages/node/test/upstream_answers_test.cc
@@ -1,7 +1,9 @@
 // Tests of the answers of upstreams on kept connections, on which an upstream
 // may send an answer a second time.
 
+#include <algorithm>
 #include <chrono>
+#include <functional>
 #include <map>
 #include <memory>
 #include <optional>
@@ -35,6 +37,7 @@
 using basilsill::LoadQueryReport;
 using basilsill::MonotonicClock;
 using basilsill::Promise;
+using basilsill::Refusal;
 using basilsill::RequestMessage;
 using basilsill::RoutingView;
 using basilsill::RoutingViewPtr;
@@ -59,6 +62,9 @@
 constexpr int kRequests = 12;
 constexpr milliseconds kTick{1};
 constexpr milliseconds kDeadline{5'000};
+constexpr milliseconds kShortDeadline{200};
+// Far longer than any wait needs.
+constexpr milliseconds kWaitLimit{20'000};
 
 HeaderNames MakeNames() {
   HeaderNames names;
@@ -94,9 +100,11 @@
   return std::make_shared<RoutingView>(std::move(view));
 }
 
-/// Keeps the answer that it gets.
+/// Keeps the answer that it gets, or the start of a long one.
 class KeepingSink final : public AnswerSink {
  public:
+  static constexpr size_t kMaxKept = 64 * 1024;
+
   Task<bool> Start(const AnswerHead& head,
                    std::span<const char> piece,
                    bool /*last*/) override {
@@ -107,12 +115,15 @@
   Task<bool> Continue(std::span<const char> piece,
                       bool /*last*/,
                       const HttpFields* /*trailers*/) override {
-    this->body.append(piece.data(), piece.size());
+    if (this->body.size() < kMaxKept) {
+      this->body.append(piece.data(), piece.size());
+    }
     co_return true;
   }
-  void Break() override { this->status = 0; }
+  void Break() override { this->is_broken = true; }
 
   unsigned status = 0;
+  bool is_broken = false;
   std::string body;
 };
 
@@ -138,11 +149,14 @@
   std::unique_ptr<DispatchHost> dispatch;
   RoutingViewPtr view = MakeView(this->upstream.endpoint());
   std::vector<std::unique_ptr<Served>> requests;
+  int next = 0;
 
   void setup() override {
     UpstreamPoolOptions options;
     options.names = this->names;
     options.hold_answers = true;
+    options.answers_end_at_deadline = true;
+    options.reader.body_bytes = UINT64_MAX;
     this->pool = std::make_unique<UpstreamPool>(this->context.get_executor(),
                                                 options, this->metrics);
     this->dispatch =
@@ -162,7 +176,7 @@
     this->context.run_for(time);
   }
 
-  void Start(const std::string& id) {
+  void Start(const std::string& id, milliseconds deadline = kDeadline) {
     this->requests.push_back(std::make_unique<Served>());
     Served& served = *this->requests.back();
     RequestMessage& request = served.request;
@@ -173,7 +187,7 @@
     request.headers.set("Host", "levels.test");
     request.entry.service = {0, 0};
     request.entry.team = {0, 0};
-    request.entry.deadline = MonotonicClock::now() + kDeadline;
+    request.entry.deadline = MonotonicClock::now() + deadline;
     request.entry.max_attempts = 2;
     request.entry.replayable = true;
     boost::asio::co_spawn(this->context, this->Serve(served),
@@ -190,11 +204,10 @@
 
   /// Runs until all requests have an outcome.
   void Finish() {
-    const auto is_open = [](const auto& served) { return !served->outcome; };
-    while (std::any_of(this->requests.begin(), this->requests.end(), is_open)) {
-      this->RunFor(kTick);
-      this->dispatch->Tick(MonotonicClock::now());
-    }
+    CHECK(this->RunUntil([this] {
+      return std::all_of(this->requests.begin(), this->requests.end(),
+                         [](const auto& served) { return served->outcome; });
+    }));
   }
 
   /// Sends a health check and waits for its end.
@@ -224,6 +237,55 @@
     return found == this->upstream.runs().end() ? 0 : found->second;
   }
 
+  /// Sends requests until one is answered. The dispatcher gives an upstream
+  /// that has rejected or failed all requests no work for a moment.
+  void ServeOne() {
+    CHECK(this->RunUntil([this] {
+      this->Start("next-" + std::to_string(this->next++));
+      this->Finish();
+      return this->requests.back()->outcome->answered;
+    }));
+    this->CheckOutcomes();
+  }
+
+  /// Lets the upstream answer one request with bytes without end, and another
+  /// one as usual.
+  /// @returns the outcome of the first.
+  ServeOutcome AnswerWithoutEnd(const std::string& begin,
+                                const std::string& repeated) {
+    UpstreamReply reply;
+    reply.begin = begin;
+    reply.repeated = repeated;
+    this->choose = [&reply](bool) { return reply; };
+    this->Start("r-1", kShortDeadline);
+    this->Finish();
+    const ServeOutcome outcome = *this->requests.front()->outcome;
+    this->CheckReleased();
+    this->requests.clear();
+    reply = {};
+    this->ServeOne();
+    this->requests.clear();
+    return outcome;
+  }
+
+  /// Checks that nothing is left of the requests and their connections.
+  void CheckReleased() {
+    CHECK_EQUAL(0, this->dispatch->active());
+    CHECK_EQUAL(0, this->pool->idle_count());
+    CHECK(this->RunUntil(
+        [this] { return this->upstream.open_connections() == 0; }));
+  }
+
+  /// @returns false if `condition` is not true within kWaitLimit.
+  bool RunUntil(const std::function<bool()>& condition) {
+    const auto limit = MonotonicClock::now() + kWaitLimit;
+    while (!condition() && MonotonicClock::now() < limit) {
+      this->RunFor(kTick);
+      this->dispatch->Tick(MonotonicClock::now());
+    }
+    return condition();
+  }
+
   /// Checks each outcome against what the upstream ran.
   void CheckOutcomes() const {
     for (const auto& served : this->requests) {
@@ -232,7 +294,7 @@
       CHECK(this->RunsOf(id) <= 1);
       if (outcome.answered) {
         CHECK_EQUAL(200, served->sink.status);
-        STRCMP_EQUAL(AnswerBodyOf(id).c_str(), served->sink.body.c_str());
+        CHECK(served->sink.body == AnswerBodyOf(id));
         CHECK_EQUAL(1, this->RunsOf(id));
       } else if (InfoOf(outcome.refusal).promise == Promise::kNotRun) {
         CHECK_EQUAL(0, this->RunsOf(id));
@@ -285,9 +347,7 @@
   this->Finish();
   const size_t opened = this->upstream.connections();
   rejects = false;
-  this->Start("r-2");
-  this->Finish();
-  this->CheckOutcomes();
+  this->ServeOne();
   CHECK_EQUAL(opened, this->upstream.connections());
 }
 
@@ -328,6 +388,77 @@
   CHECK(this->requests.front()->outcome->answered);
 }
 
+// Failure: an upstream sends interim answers without end. They are read until
+// the deadline of the request.
+TEST(UpstreamAnswers, InterimAnswersWithoutEnd_Request_EndsAsMalformed) {
+  const std::string interim = "HTTP/1.1 102 Processing\r\n\r\n";
+  const ServeOutcome outcome = this->AnswerWithoutEnd("", interim);
+  CHECK(outcome.refusal == Refusal::kUpstreamMalformed);
+}
+
+TEST(UpstreamAnswers, HeadWithoutEnd_Request_EndsAsMalformed) {
+  const ServeOutcome outcome =
+      this->AnswerWithoutEnd("HTTP/1.1 200 OK\r\n", "X-More: more\r\n");
+  CHECK(outcome.refusal == Refusal::kUpstreamMalformed);
+}
+
+// Failure: an answer without a length never ends. Once it is too long to buffer
+// it is streamed, and no deadline ends it any more: the upstream's slot and the
+// connection stay in use.
+TEST(UpstreamAnswers, BodyWithoutEnd_Request_BreaksOffAtDeadline) {
+  const std::string head =
+      "HTTP/1.1 200 OK\r\n" + this->names.request_id + ": r-1\r\n";
+  const std::string chunked = "Transfer-Encoding: chunked\r\n\r\n";
+  for (const auto& [begin, repeated] :
+       std::vector<std::pair<std::string, std::string>>{
+           {"\r\n", "more"},
+           {chunked, "4\r\nmore\r\n"},
+           {chunked + "4;", "extension"},
+           {chunked + "0\r\n", "X-More: more\r\n"}}) {
+    const ServeOutcome outcome = this->AnswerWithoutEnd(head + begin, repeated);
+    CHECK(!outcome.answered || outcome.refusal != Refusal::kNone);
+  }
+}
+
+// A rejection's body is read only to keep its connection.
+TEST(UpstreamAnswers, RejectionBodyWithoutEnd_Request_IsRefusedAsNotRun) {
+  const std::string head = "HTTP/1.1 503 Service Unavailable\r\n" +
+                           this->names.request_id + ": r-1\r\n" +
+                           this->names.not_run +
+                           ": 1\r\nContent-Length: 1000000000\r\n\r\n";
+  const ServeOutcome outcome = this->AnswerWithoutEnd(head, "more");
+  CHECK_FALSE(outcome.answered);
+  CHECK(InfoOf(outcome.refusal).promise == Promise::kNotRun);
+}
+
+TEST(UpstreamAnswers, BytesWithoutEndBehindAnswer_Connection_NotKept) {
+  const std::string body = AnswerBodyOf("r-1");
+  const std::string answer =
+      "HTTP/1.1 200 OK\r\n" + this->names.request_id +
+      ": r-1\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" +
+      body;
+  UpstreamReply reply;
+  reply.begin = answer + "more";
+  reply.repeated = "more";
+  this->choose = [&reply](bool) { return reply; };
+  this->Start("r-1");
+  this->Finish();
+  CHECK(this->requests.front()->outcome->answered);
+  STRCMP_EQUAL(body.c_str(), this->requests.front()->sink.body.c_str());
+  this->CheckReleased();
+}
+
+TEST(UpstreamAnswers, HealthAnswerWithoutEnd_Query_EndsUnanswered) {
+  for (const std::string begin : {"HTTP/1.1 200 OK\r\n", ""}) {
+    UpstreamReply reply;
+    reply.begin = begin;
+    reply.repeated = begin.empty() ? "HTTP/1.1 102 Processing\r\n\r\n" : "more";
+    this->choose = [&reply](bool) { return reply; };
+    CHECK_FALSE(this->QueryLoad().answered);
+    this->CheckReleased();
+  }
+}
+
 // Failure: some order of rejections, answers and copies of them makes one
 // request get what belongs to another, or to an earlier send.
 TEST(UpstreamAnswers, RandomCopies_EachOutcomeIsWhatTheUpstreamRan) {
