--- a/packages/node/test/link_table_test.cc
+++ b/packages/node/test/link_table_test.cc
@@ -174,7 +174,8 @@
 // until the peer is suspected.
 TEST(LinkTable, Serve_LinkSilentWithOpenRequest_OpensAnotherLink) {
   this->Serve();
-  PlainPeer silent(*this->Accept(), PeerHello(wire::LinkRole::kData, "vm-2"));
+  PlainPeer silent(*this->Accept(), PeerHello(wire::LinkRole::kData, "vm-2"),
+                   wire::LinkSide::kAcceptor);
   silent.Flush();
   std::this_thread::sleep_for(500ms);
   this->Serve();
@@ -184,7 +185,8 @@
 // A request that takes long is no sign of a silent link.
 TEST(LinkTable, Serve_PeerWorksOnALongRequest_UsesTheSameLink) {
   this->Serve();
-  PlainPeer peer(*this->Accept(), PeerHello(wire::LinkRole::kData, "vm-2"));
+  PlainPeer peer(*this->Accept(), PeerHello(wire::LinkRole::kData, "vm-2"),
+                 wire::LinkSide::kAcceptor);
   AwaitHello(peer);
   for (int i = 0; i < 5; ++i) {
     CHECK(peer.mux.Post(wire::Summary{}).has_value());
--- a/packages/node/test/plain_peer.cc
+++ b/packages/node/test/plain_peer.cc
@@ -17,19 +17,21 @@
 constexpr size_t kPieceBytes = 1024;
 constexpr std::chrono::seconds kDeadline{10};
 
-wire::LinkMuxOptions Options(wire::Hello hello) {
+wire::LinkMuxOptions Options(wire::Hello hello, wire::LinkSide side) {
   wire::LinkMuxOptions options;
-  options.side = wire::LinkSide::kConnector;
+  options.side = side;
   options.hello = std::move(hello);
   return options;
 }
 
 }  // namespace
 
-PlainPeer::PlainPeer(boost::asio::ip::tcp::socket socket, wire::Hello hello)
+PlainPeer::PlainPeer(boost::asio::ip::tcp::socket socket,
+                     wire::Hello hello,
+                     wire::LinkSide side)
     : socket(std::move(socket)),
       mux(wire::LinkMux::Create(MonotonicClock::now(),
-                                Options(std::move(hello)))
+                                Options(std::move(hello), side))
               .value()) {}
 
 void PlainPeer::Flush() {
--- a/packages/node/test/plain_peer.h
+++ b/packages/node/test/plain_peer.h
@@ -17,7 +17,10 @@
  public:
   /// @param socket Connected to the node.
   /// @param hello Hello that the peer sends.
-  PlainPeer(boost::asio::ip::tcp::socket socket, wire::Hello hello);
+  /// @param side kAcceptor if the node has opened the connection.
+  PlainPeer(boost::asio::ip::tcp::socket socket,
+            wire::Hello hello,
+            wire::LinkSide side = wire::LinkSide::kConnector);
 
   /// Writes all pending output of the mux.
   void Flush();
