Soak: what a cut path held is not counted as late at a drained data centre

The users' rule says: a request isn't counted as late at an instance if the link to it was cut or harmed in the last stability_window. The check now skips an arrival within that time after a cut, as the other checks of arrivals do. Later arrivals count as before; the new test has one of each.

--- a/soak/test/promises_test.cc
+++ b/soak/test/promises_test.cc
@@ -342,6 +342,19 @@
   CHECK(FindViolations(this->observations, this->bounds).empty());
 }
 
+// A path that was cut holds what was sent before the drain. It does so no
+// longer once the paths have been undisturbed for the stability period.
+TEST(Promises, Drained_PathsCutShortlyBefore_NotChecked) {
+  this->observations.drains.push_back({1, kStart + 10s, kStart + 20s});
+  this->AddArrival("held", 11s);
+  this->AddArrival("late", 18s);
+  this->Disturb(DisturbanceKind::kUpstream, 9s, 10500ms);
+  const auto broken = FindViolations(this->observations, this->bounds);
+  CHECK_EQUAL(1, broken.size());
+  CHECK(Promise::kDrained == broken[0].promise);
+  STRCMP_EQUAL("late", broken[0].ids[0].c_str());
+}
+
 // Failure: a node that has received no updates for long still serves a revoked
 // key.
 TEST(Promises, KeyRevoked_ServedAfterBoundDespiteFaults_Found) {
--- a/soak/upstream_promises.cc
+++ b/soak/upstream_promises.cc
@@ -24,6 +24,8 @@
   }
 }
 
+// A request can be sent before the drain and arrive late: a path to upstreams
+// that was cut delivers what it held once the cut has ended.
 void PromiseChecker::CheckDrained() {
   for (const DrainRow& drain : this->observations.drains) {
     const TimePoint bound = drain.accepted + this->bounds.drained + this->slack;
@@ -31,7 +33,9 @@
       const bool is_relevant =
           row.data_centre == drain.data_centre && row.at > bound &&
           row.at < drain.lifted &&
-          this->AreAllNodesUndisturbed(drain.accepted, row.at);
+          this->AreAllNodesUndisturbed(drain.accepted, row.at) &&
+          this->IsUndisturbed({DisturbanceKind::kUpstream}, std::nullopt,
+                              row.at, row.at);
       if (is_relevant) {
         this->Add(Promise::kDrained, {row.id}, row.at,
                   "data centre " + std::to_string(row.data_centre));
