--- a/packages/node/test/leave_test.cc
+++ b/packages/node/test/leave_test.cc
@@ -235,6 +235,7 @@
 // which does not say that the request has not run.
 TEST(Leave, Drain_OwnRequestsWaitAtPeer_AnsweredAsNotRun) {
   std::vector<std::future<HttpResponse>> answers;
+  answers.reserve(kSeveralRequests);
   for (int i = 0; i < kSeveralRequests; ++i) {
     answers.push_back(std::async(std::launch::async, [this] {
       return Send(this->entry->callers(), MakeRequest("GET", "/levels/7"));
