Reviewed again: a request id is hashed once a send, and smaller doubles

Read the whole change once more. TakeIdle hashed the request id for each idle connection that it looked at, and Add hashed it again; now it is hashed once in UpstreamAttempt::Connect. Worker::Withdraw went through the sessions although their tick, at most 20 ms later while a VM drains, does the same; it only sets the flag now. The test's chunk sizes are read by ParseNumber instead of by hand. The histories of copied answers also draw copies without a request id, which the upstream could send and no test asked for.

--- a/packages/node/src/upstream_attempt.cc
+++ b/packages/node/src/upstream_attempt.cc
@@ -142,7 +142,7 @@
   if (this->aborted != AttemptEnd::kCount) {
     co_return false;
   }
-  const std::string& id = this->request.request_id;
+  const RequestIdHash id = HashRequestId(this->request.request_id);
   this->connection = fresh ? nullptr : this->pool.TakeIdle(this->target, id);
   if (!this->connection) {
     this->connection = co_await this->pool.Open(this->target);
--- a/packages/node/src/upstream_pool.cc
+++ b/packages/node/src/upstream_pool.cc
@@ -18,19 +18,23 @@
   return std::hash<std::string>()(endpoint.address) * 31 + endpoint.port;
 }
 
-void CarriedRequests::Add(std::string_view request_id) {
-  this->hashes[this->next] = XXH3_64bits(request_id.data(), request_id.size());
+RequestIdHash HashRequestId(std::string_view id) {
+  return XXH3_64bits(id.data(), id.size());
+}
+
+void CarriedRequests::Add(RequestIdHash request) {
+  this->hashes[this->next] = request;
   this->next = (this->next + 1) % this->hashes.size();
 }
 
-bool CarriedRequests::Contains(std::string_view request_id) const {
-  const uint64_t hash = XXH3_64bits(request_id.data(), request_id.size());
-  return std::find(this->hashes.begin(), this->hashes.end(), hash) !=
+bool CarriedRequests::Contains(RequestIdHash request) const {
+  return std::find(this->hashes.begin(), this->hashes.end(), request) !=
          this->hashes.end();
 }
 
-UpstreamConnectionPtr UpstreamPool::TakeIdle(const AttemptTarget& target,
-                                             std::string_view request_id) {
+UpstreamConnectionPtr UpstreamPool::TakeIdle(
+    const AttemptTarget& target,
+    std::optional<RequestIdHash> request) {
   const auto found = this->idle.find(target);
   if (found == this->idle.end()) {
     return nullptr;
@@ -38,7 +42,7 @@
   IdleList& list = found->second;
   for (size_t place = list.size(); place > 0; --place) {
     const bool carried_it =
-        !request_id.empty() && list[place - 1]->carried.Contains(request_id);
+        request && list[place - 1]->carried.Contains(*request);
     if (carried_it) {
       continue;
     }
--- a/packages/node/src/upstream_pool.h
+++ b/packages/node/src/upstream_pool.h
@@ -6,6 +6,7 @@
 #include <cstdint>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string_view>
 #include <unordered_map>
 #include <utility>
@@ -33,19 +34,23 @@
   friend bool operator==(const AttemptTarget&, const AttemptTarget&) = default;
 };
 
+/// Hash of a request id.
+using RequestIdHash = uint64_t;
+RequestIdHash HashRequestId(std::string_view id);
+
 /// The requests that a connection carried last. An upstream may send its answer
 /// to one of them a second time, late.
 class CarriedRequests {
  public:
-  void Add(std::string_view request_id);
-  bool Contains(std::string_view request_id) const;
+  void Add(RequestIdHash request);
+  bool Contains(RequestIdHash request) const;
 
  private:
   // A late answer arrives where the next one is expected; a few more requests
   // are remembered because several answers can be late.
   static constexpr size_t kRemembered = 4;
 
-  std::array<uint64_t, kRemembered> hashes{};
+  std::array<RequestIdHash, kRemembered> hashes{};
   size_t next = 0;
 };
 
@@ -94,9 +99,9 @@
                const UpstreamPoolOptions& options,
                std::shared_ptr<WorkerMetrics> metrics);
 
-  /// @param request_id If not empty, a connection that carried an earlier send
-  /// of this request is left alone: a second copy of the answer to that send
-  /// could not be told from the answer to the next one.
+  /// @param request If present, a connection that carried an earlier send of
+  /// this request is left alone: a second copy of the answer to that send could
+  /// not be told from the answer to the next one.
   /// @returns an idle connection that is not known to be closed, or nullptr.
   /// Idle connections are kept by incarnation. Failure: an upstream dies during
   /// a network partition and restarts, or its address is reassigned. A
@@ -104,7 +109,7 @@
   /// not signalled. A request on it would have an unknown outcome although the
   /// expected upstream is healthy.
   UpstreamConnectionPtr TakeIdle(const AttemptTarget& target,
-                                 std::string_view request_id = {});
+                                 std::optional<RequestIdHash> request = {});
 
   /// Opens a new connection.
   /// @returns nullptr if the connection failed or timed out.
--- a/packages/node/src/worker.cc
+++ b/packages/node/src/worker.cc
@@ -236,12 +236,7 @@
 // answer before the process ends, and their callers can't tell whether they
 // have run. The dispatcher that has them knows it.
 void Worker::Withdraw() {
-  boost::asio::post(*this->context, [this] {
-    this->is_withdrawing = true;
-    for (const auto& session : this->sessions) {
-      session->Withdraw();
-    }
-  });
+  boost::asio::post(*this->context, [this] { this->is_withdrawing = true; });
 }
 
 void Worker::Stop() {
--- a/packages/node/test/caller_harness.cc
+++ b/packages/node/test/caller_harness.cc
@@ -1,7 +1,6 @@
 #include "caller_harness.h"
 
 #include <algorithm>
-#include <array>
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
--- a/packages/node/test/copying_upstream.h
+++ b/packages/node/test/copying_upstream.h
@@ -7,7 +7,6 @@
 #include <map>
 #include <memory>
 #include <string>
-#include <vector>
 
 #include "basilsill/base/endpoint.h"
 #include "basilsill/node/installation.h"
--- a/packages/node/test/pipelining_test.cc
+++ b/packages/node/test/pipelining_test.cc
@@ -1,7 +1,6 @@
 // Tests of the answers on one connection of a caller, which has several
 // requests in flight.
 
-#include <charconv>
 #include <chrono>
 #include <cstdint>
 #include <optional>
@@ -96,10 +95,9 @@
         this->rest = {};
         return;
       }
-      size_t size = 0;
-      const char* const last = this->rest.data() + end;
-      const auto parsed = std::from_chars(this->rest.data(), last, size, 16);
-      CHECK(parsed.ptr == last && parsed.ec == std::errc());
+      const auto parsed = ParseNumber<size_t>(this->rest.substr(0, end), 16);
+      CHECK(parsed.has_value());
+      const size_t size = *parsed;
       this->rest.remove_prefix(end + 2);
       answer.body += this->rest.substr(0, size);
       const bool has_all = this->rest.size() >= size + 2;
--- a/packages/node/test/upstream_answers_test.cc
+++ b/packages/node/test/upstream_answers_test.cc
@@ -472,6 +472,7 @@
       UpstreamReply reply;
       reply.rejects = third(random);
       reply.copy = static_cast<AnswerCopy>(copy(random));
+      reply.copy_has_id = !third(random);
       reply.work = milliseconds(third(random) ? 1 : 0);
       return reply;
     };
