Reviewed again: time limits, views and header texts of tests in one place each

Read the whole change once more; behaviour is as before.

- StreamAnswer had copied the pattern of load queries, a timer beside a shared flag for a handler that is queued already.
Both use Timeout now, and an answer without a limit has no timer.
- RunDrain had a loop with a flag for what happens once.
It waits twice.

No check is loosened.

--- a/packages/node/src/load_query.cc
+++ b/packages/node/src/load_query.cc
@@ -11,6 +11,7 @@
 
 #include "basilsill/base/text.h"
 #include "rate_limit_header.h"
+#include "timeout.h"
 #include "upstream_answer.h"
 #include "upstream_notice_header.h"
 
@@ -62,14 +63,9 @@
   if (!connection) {
     co_return report;
   }
-  const auto closed = std::make_shared<bool>(false);
-  Timer limit(pool.executor(), kLoadQueryTimeout);
   UpstreamConnection* const raw = connection.get();
-  limit.async_wait([raw, closed](const NetError& error) {
-    if (!error && !*closed) {
-      CloseWithReset(raw->socket);
-    }
-  });
+  Timeout limit(pool.executor(), MonotonicClock::now() + kLoadQueryTimeout,
+                [raw] { CloseWithReset(raw->socket); });
   const std::string head = "GET " + path +
                            " HTTP/1.1\r\nHost: " + ToString(target.endpoint) +
                            "\r\n\r\n";
@@ -105,8 +101,7 @@
     const bool whole = co_await DropBody(*connection, kMaxAnswerBytes);
     keep = keep && whole && !connection->reader.has_more();
   }
-  *closed = true;
-  limit.cancel();
+  limit.Cancel();
   if (keep) {
     pool.Release(MonotonicClock::now(), std::move(connection));
   }
--- a/packages/node/src/node.cc
+++ b/packages/node/src/node.cc
@@ -401,6 +401,17 @@
   return total;
 }
 
+// The outcomes of requests that must not run twice have to be in the log before
+// the process ends; otherwise callers that resend such a request get `unknown`.
+boost::asio::awaitable<void> Node::WaitWhileBusy(TimePoint until) {
+  boost::asio::steady_timer timer(this->context);
+  while ((this->busy() || !this->claims_idle()) &&
+         MonotonicClock::now() < until) {
+    timer.expires_after(kDrainPoll);
+    co_await timer.async_wait(boost::asio::use_awaitable);
+  }
+}
+
 boost::asio::awaitable<void> Node::RunDrain(
     std::function<void(bool is_clean)> on_stopped) {
   LogDraining(this->settings.vm.name);
@@ -421,24 +432,13 @@
     worker->Drain();
   }
   const auto limit = started + this->settings.shutdown.limit;
-  const auto withdraw_at =
+  co_await this->WaitWhileBusy(
       started + std::chrono::duration_cast<MonotonicClock::duration>(
-                    kServingPart * this->settings.shutdown.limit);
-  bool has_withdrawn = false;
-  // The outcomes of requests that must not run twice have to be in the log
-  // before the process ends; otherwise callers that resend such a request get
-  // `unknown`.
-  while ((this->busy() || !this->claims_idle()) &&
-         MonotonicClock::now() < limit) {
-    if (!has_withdrawn && MonotonicClock::now() >= withdraw_at) {
-      has_withdrawn = true;
-      for (const auto& worker : this->traffic) {
-        worker->Withdraw();
-      }
-    }
-    timer.expires_after(kDrainPoll);
-    co_await timer.async_wait(boost::asio::use_awaitable);
+                    kServingPart * this->settings.shutdown.limit));
+  for (const auto& worker : this->traffic) {
+    worker->Withdraw();
   }
+  co_await this->WaitWhileBusy(limit);
   const bool is_cut_off = this->busy();
   if (is_cut_off) {
     this->LogForcedStop();
--- a/packages/node/src/node.h
+++ b/packages/node/src/node.h
@@ -73,6 +73,8 @@
   boost::asio::awaitable<bool> QueryWorkers();
   void ReportAcceptsCallers(bool accepts);
   boost::asio::awaitable<void> MetricsLoop();
+  /// Returns once nothing is in flight, or at `until`.
+  boost::asio::awaitable<void> WaitWhileBusy(TimePoint until);
   boost::asio::awaitable<void> RunDrain(
       std::function<void(bool is_clean)> on_stopped);
   void DistributeCrashReports(size_t from, std::vector<CrashReport> crashes);
--- a/packages/node/src/upstream_attempt.cc
+++ b/packages/node/src/upstream_attempt.cc
@@ -13,6 +13,7 @@
 #include <boost/beast/http/chunk_encode.hpp>
 
 #include "rate_limit_header.h"
+#include "timeout.h"
 #include "upstream_answer.h"
 #include "upstream_notice_header.h"
 
@@ -415,17 +416,12 @@
   // Failure: an upstream sends a body without end. The deadline of a request
   // applies until its answer starts, so its slot and the connections would stay
   // in use.
-  const auto ended = std::make_shared<bool>(false);
-  Timer limit(this->pool.executor(), this->request.entry.deadline);
+  std::optional<Timeout> limit;
   if (this->pool.answers_end_at_deadline()) {
-    limit.async_wait([this, ended](const NetError& error) {
-      if (!error && !*ended) {
-        this->TimeOut();
-      }
-    });
+    limit.emplace(this->pool.executor(), this->request.entry.deadline,
+                  [this] { this->TimeOut(); });
   }
   const AttemptReport report = co_await this->StreamPieces(head, body_start);
-  *ended = true;
   co_return report;
 }
 
--- a/packages/node/test/caller_harness.cc
+++ b/packages/node/test/caller_harness.cc
@@ -1,11 +1,10 @@
 #include "caller_harness.h"
 
-#include <algorithm>
-
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/write.hpp>
 
+#include "decision_fixture.h"
 #include "plain_peer.h"
 
 namespace basilsill::test {
@@ -18,41 +17,20 @@
 constexpr milliseconds kCallerTimeout{20'000};
 constexpr size_t kReadBytes = 16 * 1024;
 
+// All upstreams are in the other data centre, so requests go over links.
 RoutingViewPtr MakeView() {
-  RoutingView view;
-  view.data_centres = {{{0, 0}, "lyulin"}, {{1, 0}, "druzhba"}};
-  for (uint32_t i = 0; i < 2; ++i) {
-    VmRow vm;
-    vm.handle = {i, 0};
-    vm.name = "vm-" + std::to_string(i);
-    vm.data_centre = {i, 0};
-    view.vms.push_back(vm);
-  }
-  view.self = {0, 0};
-  view.own_data_centre = {0, 0};
-  TeamLimits limits;
-  limits.concurrency = 1 << 20;
-  view.teams = {{{0, 0}, "rodopa", limits}};
-  ServiceRow service;
-  service.handle = {0, 0};
-  service.name = "banklevel";
-  service.team = {0, 0};
-  UpstreamRow upstream;
-  upstream.handle = {0, 0};
-  upstream.endpoint = {"127.0.0.1", 1};
-  upstream.data_centre = {1, 0};
-  service.upstreams = {upstream};
-  AssignShards(view, service);
-  view.services = {std::make_shared<const ServiceRow>(service)};
+  ViewFixture fixture;
+  fixture.view.teams[0].limits.concurrency = 1 << 20;
+  fixture.AddUpstream(1);
   RuleRow rule;
   rule.handle = {0, 0};
   rule.name = "levels";
-  rule.service = {0, 0};
+  rule.service = fixture.service.handle;
   rule.match.host = "levels.test";
   rule.max_attempts = 1;
-  view.rules = {rule};
-  view.rule_order = {rule.handle};
-  return std::make_shared<RoutingView>(std::move(view));
+  fixture.view.rules = {rule};
+  fixture.view.rule_order = {rule.handle};
+  return fixture.Build();
 }
 
 // The last request asks to close the connection after its answer.
--- a/packages/node/test/copying_upstream.cc
+++ b/packages/node/test/copying_upstream.cc
@@ -9,6 +9,8 @@
 #include <boost/asio/read_until.hpp>
 #include <boost/asio/write.hpp>
 
+#include "http_text.h"
+
 namespace basilsill::test {
 namespace {
 
@@ -19,16 +21,6 @@
 constexpr size_t kRepeatedBytes = 4096;
 const std::string kBlankLine = "\r\n\r\n";
 
-std::string FieldOf(const std::string& head, const std::string& name) {
-  const std::string start = "\r\n" + name + ": ";
-  const size_t found = head.find(start);
-  if (found == std::string::npos) {
-    return "";
-  }
-  const size_t from = found + start.size();
-  return head.substr(from, head.find("\r\n", from) - from);
-}
-
 }  // namespace
 
 struct CopyingUpstream::State : std::enable_shared_from_this<State> {
--- a/packages/node/test/pipelining_test.cc
+++ b/packages/node/test/pipelining_test.cc
@@ -14,6 +14,7 @@
 
 #include "basilsill/base/text.h"
 #include "caller_harness.h"
+#include "http_text.h"
 
 #include <CppUTest/TestHarness.h>
 
@@ -24,6 +25,7 @@
 using basilsill::test::CallerHarness;
 using basilsill::test::CallerRecord;
 using basilsill::test::CallerScript;
+using basilsill::test::FieldOf;
 using basilsill::test::RequestIdOf;
 using basilsill::test::ScriptedAnswer;
 using std::chrono::milliseconds;
@@ -45,16 +47,6 @@
   bool is_complete = false;
 };
 
-std::string FieldOf(std::string_view head, const std::string& name) {
-  const std::string start = "\r\n" + name + ": ";
-  const size_t found = head.find(start);
-  if (found == std::string_view::npos) {
-    return "";
-  }
-  const size_t from = found + start.size();
-  return std::string(head.substr(from, head.find("\r\n", from) - from));
-}
-
 /// Reads answers as a caller does, which knows nothing but the bytes.
 class AnswerParser {
  public:
--- a/packages/node/test/upstream_answers_test.cc
+++ b/packages/node/test/upstream_answers_test.cc
@@ -18,6 +18,7 @@
 #include <pcg_random.hpp>
 
 #include "copying_upstream.h"
+#include "decision_fixture.h"
 #include "dispatch_host.h"
 #include "load_query.h"
 #include "upstream_pool.h"
@@ -39,16 +40,13 @@
 using basilsill::Promise;
 using basilsill::Refusal;
 using basilsill::RequestMessage;
-using basilsill::RoutingView;
 using basilsill::RoutingViewPtr;
 using basilsill::ServeOutcome;
-using basilsill::ServiceRow;
 using basilsill::Target;
 using basilsill::Task;
 using basilsill::UpstreamPool;
 using basilsill::UpstreamPoolOptions;
 using basilsill::UpstreamRow;
-using basilsill::VmRow;
 using basilsill::WorkerMetrics;
 using basilsill::test::AnswerBodyOf;
 using basilsill::test::AnswerCopy;
@@ -75,29 +73,10 @@
 }
 
 RoutingViewPtr MakeView(const basilsill::Endpoint& upstream) {
-  RoutingView view;
-  view.data_centres = {{{0, 0}, "lyulin"}};
-  VmRow vm;
-  vm.handle = {0, 0};
-  vm.name = "vm-0";
-  vm.data_centre = {0, 0};
-  view.vms = {vm};
-  view.self = {0, 0};
-  view.own_data_centre = {0, 0};
-  view.teams = {{{0, 0}, "rodopa", {}}};
-  ServiceRow service;
-  service.handle = {0, 0};
-  service.name = "banklevel";
-  service.team = {0, 0};
-  UpstreamRow row;
-  row.handle = {0, 0};
-  row.endpoint = upstream;
-  row.data_centre = {0, 0};
-  row.slots = 8;
-  service.upstreams = {row};
-  AssignShards(view, service);
-  view.services = {std::make_shared<const ServiceRow>(service)};
-  return std::make_shared<RoutingView>(std::move(view));
+  basilsill::ViewFixture fixture;
+  fixture.AddUpstream(0, 8);
+  fixture.service.upstreams[0].endpoint = upstream;
+  return fixture.Build();
 }
 
 /// Keeps the answer that it gets, or the start of a long one.
