Promises: each one can be traced to its proof

A refusal that promises not-run could not be traced: a failed attempt was logged with status 0, and nothing named its connection or what showed that the request had not run; the direct path logged no attempts.

210 and 211 now have the status of the upstream's answer, what proves that the request did not run there, the connection's serial number, how many sends it had carried and how many late answers were skipped. The direct path logs its attempts too. 200 says who refused (entry VM, dispatcher, upstream), how often the request had been sent before, and whether it may repeat. Decisions are unchanged; the two functions that write a sample for each value of an enum share one template.

No figures: the cost of the further fields was not measured.

--- a/packages/base/include/basilsill/base/reason.h
+++ b/packages/base/include/basilsill/base/reason.h
@@ -104,6 +104,20 @@
 }
 std::string_view NameOf(Promise promise);
 
+/// Who refused a request.
+enum class RefusalSource : uint8_t {
+  kEntry,       ///< The VM that took it from its caller.
+  kDispatcher,  ///< The VM that dispatches for the upstreams.
+  kUpstream,    ///< The upstream that it was sent to last.
+  kCount
+};
+
+/// @returns the name of `source` in logs and metric labels.
+std::string_view NameOf(RefusalSource source);
+
+/// @returns who gave a refusal that a dispatcher reports.
+RefusalSource SourceAtDispatcher(Refusal refusal);
+
 }  // namespace basilsill
 
 #endif  // BASILSILL_BASE_REASON_H_
--- a/packages/base/src/reason.cc
+++ b/packages/base/src/reason.cc
@@ -74,6 +74,10 @@
         "denied-overload",
 };
 
+constexpr std::array<std::string_view,
+                     static_cast<size_t>(RefusalSource::kCount)>
+    kSourceNames = {"entry", "dispatcher", "upstream"};
+
 }  // namespace
 
 const RefusalInfo& InfoOf(Refusal reason) {
@@ -88,4 +92,13 @@
   return promise == Promise::kNotRun ? "not-run" : "unknown";
 }
 
+std::string_view NameOf(RefusalSource source) {
+  return kSourceNames.at(static_cast<size_t>(source));
+}
+
+RefusalSource SourceAtDispatcher(Refusal refusal) {
+  return refusal == Refusal::kUpstreamShed ? RefusalSource::kUpstream
+                                           : RefusalSource::kDispatcher;
+}
+
 }  // namespace basilsill
--- a/packages/ctl/src/explain.cc
+++ b/packages/ctl/src/explain.cc
@@ -43,12 +43,24 @@
          Value(line, "slowness_age_ms") + " ms earlier";
 }
 
+// On which connection it was sent, and what shows that it did not run.
+std::string DescribeProof(const LogLine& line) {
+  if (line.Field("connection").empty()) {
+    return "";
+  }
+  const std::string_view proof = line.Field("proof");
+  return ", on connection " + Value(line, "connection") + " after " +
+         Value(line, "carried") + " sends and " + Value(line, "skipped") +
+         " late answers" +
+         (proof == "none" ? "" : ", not run: " + std::string(proof));
+}
+
 std::string DescribeAttempt(const LogLine& line) {
   return "sent to upstream " + Value(line, "upstream") + " (" +
          DescribeRetryReason(line) + ") after waiting " +
          Value(line, "waited_ms") + " ms, " + DescribeUpstreamSpeed(line) +
          ": " + Value(line, "end") + ", status " + Value(line, "status") +
-         ", after " + Value(line, "took_ms") + " ms";
+         ", after " + Value(line, "took_ms") + " ms" + DescribeProof(line);
 }
 
 std::string DescribeRefusal(const LogLine& line) {
--- a/packages/node/src/attempt_log.h
+++ b/packages/node/src/attempt_log.h
@@ -5,6 +5,7 @@
 
 #include "basilsill/base/endpoint.h"
 #include "basilsill/decision/dispatch.h"
+#include "upstream_attempt.h"
 
 /// Log lines about attempts at upstreams and about state changes of upstreams.
 
@@ -16,6 +17,7 @@
   const std::string& upstream;  ///< Its instance id, or its endpoint.
   const DispatchAction& action;
   const AttemptReport& report;
+  const AttemptTrace& trace;
   Duration waited;  ///< From arrival at the dispatcher to the attempt's start.
   Duration took;    ///< Time at the upstream.
 };
--- a/packages/node/src/caller_exchange.cc
+++ b/packages/node/src/caller_exchange.cc
@@ -291,7 +291,7 @@
     outcome = this->MapExpiredOutcome(outcome);
   }
   this->AbortUnfinishedAnswer();
-  this->ReportEnd(outcome.answered ? Refusal::kNone : outcome.refusal);
+  this->ReportEnd(outcome);
   if (!this->has_started && !this->abandoned) {
     co_await this->Refuse(outcome);
   }
@@ -323,11 +323,14 @@
   return outcome;
 }
 
-void CallerExchange::ReportEnd(Refusal refusal) {
+void CallerExchange::ReportEnd(const ServeOutcome& outcome) {
   this->request.caller_gone = this->abandoned;
-  this->host.OnRequestDone(
-      this->request,
-      {refusal, this->answer_aborted, MonotonicClock::now() - this->began});
+  RequestEnd end;
+  end.refusal = outcome.answered ? Refusal::kNone : outcome.refusal;
+  end.source = outcome.source;
+  end.broken = this->answer_aborted;
+  end.elapsed = MonotonicClock::now() - this->began;
+  this->host.OnRequestDone(this->request, end);
 }
 
 CreditClaim CallerExchange::MakeCreditClaim() const {
--- a/packages/node/src/caller_exchange.h
+++ b/packages/node/src/caller_exchange.h
@@ -105,7 +105,7 @@
                    std::span<const char> piece,
                    bool last);
   bool FitsDeclaredLength(size_t size, bool last);
-  void ReportEnd(Refusal refusal);
+  void ReportEnd(const ServeOutcome& outcome);
   Task<NetError> WriteLastChunk(const HttpFields* trailers);
   void CancelWork();
 
--- a/packages/node/src/caller_host.h
+++ b/packages/node/src/caller_host.h
@@ -21,7 +21,8 @@
 /// How a request of a caller ended.
 struct RequestEnd {
   Refusal refusal = Refusal::kNone;  ///< kNone if an answer was sent.
-  bool broken = false;               ///< The answer broke off before its end.
+  RefusalSource source = RefusalSource::kEntry;
+  bool broken = false;  ///< The answer broke off before its end.
   Duration elapsed{0};
 };
 
--- a/packages/node/src/dispatch_host.cc
+++ b/packages/node/src/dispatch_host.cc
@@ -28,6 +28,12 @@
       std::max<Duration>(left, ShortMillis(1)));
 }
 
+// @returns the name of an upstream in logs.
+std::string NameOf(const AttemptTarget& target) {
+  const std::string& id = target.incarnation.id;
+  return id.empty() ? ToString(target.endpoint) : id;
+}
+
 // Writes a buffered answer of `request` to `sink`, piece by piece.
 Task<bool> Deliver(const BufferedAnswer& answer,
                    RequestMessage& request,
@@ -75,6 +81,7 @@
     if (!this->settled) {
       this->settled = true;
       this->outcome = result;
+      this->outcome.source = SourceAtDispatcher(result.refusal);
     }
     this->WakeIfIdle();
   }
@@ -173,6 +180,7 @@
   }
   const RoutingViewPtr pinned_view = this->view;  // Keeps `found` valid.
   AttemptTarget where = found.target();
+  const std::string name = NameOf(where);
   AttemptHooks hooks;
   hooks.on_notice = this->NoticeHook(request.entry.service, upstream);
   hooks.on_answer = [] { return true; };
@@ -185,7 +193,15 @@
   WorkerMetrics& metrics = this->pool.metrics();
   metrics.attempts.Add();
   metrics.attempts_in_flight.Add(1);
+  const TimePoint started = MonotonicClock::now();
   const AttemptReport report = co_await attempt.Run();
+  LogAttempt({request.request_id,
+              name,
+              {},
+              report,
+              attempt.trace(),
+              Duration(0),
+              MonotonicClock::now() - started});
   metrics.attempts_in_flight.Add(-1);
   request.on_caller_gone = nullptr;
   this->direct_attempts.erase(place);
@@ -209,6 +225,7 @@
   outcome.answered = answered;
   outcome.refusal = RefusalOf(report.end);
   outcome.sends = report.end == AttemptEnd::kConnectFailed ? 0 : 1;
+  outcome.source = SourceAtDispatcher(outcome.refusal);
   outcome.rate_limit = report.rate_limit;
   co_return outcome;
 }
@@ -369,8 +386,7 @@
     return this->dispatcher->MaySendAgain(MonotonicClock::now(), attempt);
   };
   AttemptTarget target = found.target();
-  const std::string& id = target.incarnation.id;
-  std::string name = id.empty() ? ToString(target.endpoint) : id;
+  std::string name = NameOf(target);
   auto running = std::make_unique<UpstreamAttempt>(
       this->pool, std::move(target), job->request, job->sink, std::move(hooks));
   UpstreamAttempt* const raw = running.get();
@@ -400,7 +416,8 @@
   const TimePoint started = MonotonicClock::now();
   const AttemptReport report = co_await running->Run();
   LogAttempt({job->request.request_id, upstream, action, report,
-              started - job->offered, MonotonicClock::now() - started});
+              running->trace(), started - job->offered,
+              MonotonicClock::now() - started});
   WorkerMetrics& metrics = this->pool.metrics();
   metrics.attempts_in_flight.Add(-1);
   if (report.end == AttemptEnd::kAnswered) {
--- a/packages/node/src/entry_host.cc
+++ b/packages/node/src/entry_host.cc
@@ -37,11 +37,13 @@
     if (outcome.answered || request.caller_gone || request.withdrawn) {
       co_return outcome;
     }
-    request.failed_choices.push_back({target, outcome.refusal});
+    request.failed_choices.push_back({target, outcome.refusal, outcome.sends});
     const RetryDecision decision = this->router->OnRefused(
         MonotonicClock::now(), entry, outcome.refusal, outcome.sends);
     if (!decision.retry) {
-      co_return ServeOutcome{false, decision.refusal, outcome.retry_after};
+      ServeOutcome refused = outcome;
+      refused.refusal = decision.refusal;
+      co_return refused;
     }
   }
 }
--- a/packages/node/src/http_message.h
+++ b/packages/node/src/http_message.h
@@ -64,6 +64,7 @@
 struct FailedChoice {
   Target target;
   Refusal refusal = Refusal::kNone;
+  uint8_t sends = 0;  ///< Times it was sent to upstreams there, if reported.
 };
 
 /// A request that is passed on. Belongs to the coroutine that serves it.
@@ -137,6 +138,7 @@
   Refusal refusal = Refusal::kNone;
   Duration retry_after{0};
   uint8_t sends = 0;  ///< Times it was sent to upstreams, if reported.
+  RefusalSource source = RefusalSource::kEntry;
   // Reported by the upstream, if the request was sent to it directly, without a
   // dispatcher.
   AdvertisedRateLimit rate_limit{};
--- a/packages/node/src/link_exchange.cc
+++ b/packages/node/src/link_exchange.cc
@@ -196,6 +196,7 @@
   this->outcome.refusal = refused.refusal;
   this->outcome.retry_after = refused.retry_after;
   this->outcome.sends = refused.sends;
+  this->outcome.source = SourceAtDispatcher(refused.refusal);
 }
 
 void LinkExchange::OnLost(wire::StreamProgress progress) {
--- a/packages/node/src/load_query.cc
+++ b/packages/node/src/load_query.cc
@@ -64,6 +64,7 @@
     co_return report;
   }
   UpstreamConnection* const raw = connection.get();
+  ++raw->sends;
   Timeout limit(pool.executor(), MonotonicClock::now() + kLoadQueryTimeout,
                 [raw] { CloseWithReset(raw->socket); });
   const std::string head = "GET " + path +
--- a/packages/node/src/metrics.h
+++ b/packages/node/src/metrics.h
@@ -99,6 +99,8 @@
   // Callers.
   PerEnum<PerEnum<Counter, Outcome>, TrafficClass> requests;
   PerEnum<Counter, Refusal> refusals;
+  /// Refusals that promise that a request, which must not repeat, has not run.
+  PerEnum<Counter, RefusalSource> not_run_promises;
   PerEnum<Counter, Retry> retries;
   Counter caller_connections_opened;
   Gauge caller_connections;
@@ -161,6 +163,9 @@
   void CountRefusal(Refusal reason) {
     this->refusals[static_cast<size_t>(reason)].Add();
   }
+  void CountNotRunPromise(RefusalSource source) {
+    this->not_run_promises[static_cast<size_t>(source)].Add();
+  }
   void CountRetry(Retry reason) {
     this->retries[static_cast<size_t>(reason)].Add();
   }
--- a/packages/node/src/metrics_table.cc
+++ b/packages/node/src/metrics_table.cc
@@ -91,15 +91,28 @@
   });
 }
 
-void Sheds(const MetricsPage& page, MetricsWriter& writer) {
-  ForEachValue<ShedCase>([&](ShedCase shed_case) {
-    const auto pick = [shed_case](const WorkerMetrics& worker) -> auto& {
-      return worker.sheds[static_cast<size_t>(shed_case)];
+// Writes one sample for each value of `Enum`.
+template <typename Enum, auto Member>
+void SampleEach(const MetricsPage& page,
+                MetricsWriter& writer,
+                std::string_view label) {
+  ForEachValue<Enum>([&](Enum value) {
+    const auto pick = [value](const WorkerMetrics& worker) -> auto& {
+      return (worker.*Member)[static_cast<size_t>(value)];
     };
-    writer.Sample({{"case", NameOf(shed_case)}}, SumOver(page, pick));
+    writer.Sample({{label, NameOf(value)}}, SumOver(page, pick));
   });
 }
 
+void Sheds(const MetricsPage& page, MetricsWriter& writer) {
+  SampleEach<ShedCase, &WorkerMetrics::sheds>(page, writer, "case");
+}
+
+void NotRunPromises(const MetricsPage& page, MetricsWriter& writer) {
+  SampleEach<RefusalSource, &WorkerMetrics::not_run_promises>(page, writer,
+                                                              "source");
+}
+
 void Requests(const MetricsPage& page, MetricsWriter& writer) {
   ForEachValue<TrafficClass>([&](TrafficClass traffic_class) {
     ForEachValue<Outcome>([&](Outcome outcome) {
@@ -258,6 +271,11 @@
                "reason",
                "Requests that the system answered itself.",
                WorkerReasons<Refusal, &Worker::refusals>),
+    CounterRow("basilsill_not_run_promises_total",
+               "source",
+               "Requests that must not repeat and were refused as not run, by "
+               "who refused them.",
+               NotRunPromises),
     CounterRow("basilsill_retries_total",
                "reason",
                "Attempts made again, or denied although possible.",
--- a/packages/node/src/request_log.cc
+++ b/packages/node/src/request_log.cc
@@ -27,6 +27,14 @@
   return text;
 }
 
+uint32_t CountSends(const RequestMessage& request) {
+  uint32_t sends = 0;
+  for (const FailedChoice& choice : request.failed_choices) {
+    sends += choice.sends;
+  }
+  return sends;
+}
+
 }  // namespace
 
 void LogRequestEnd(Event event,
@@ -38,6 +46,9 @@
       std::chrono::duration_cast<std::chrono::milliseconds>(end.elapsed);
   Log(event, {{"request", request.request_id},
               {"reason", end.refusal},
+              {"source", NameOf(end.source)},
+              {"repeatable", request.entry.idempotent},
+              {"sends", CountSends(request)},
               {"class", NameOf(request.entry.traffic_class)},
               {"team", team},
               {"elapsed_ms", elapsed.count()},
--- a/packages/node/src/upstream_answer.cc
+++ b/packages/node/src/upstream_answer.cc
@@ -41,6 +41,7 @@
         is_expected(connection.reader.message().get())) {
       co_return status;
     }
+    ++connection.skipped_answers;
     const bool dropped = co_await DropBody(connection, kMaxStaleBytes);
     if (!dropped) {
       co_return HeadStatus::kBroken;
--- a/packages/node/src/upstream_attempt.cc
+++ b/packages/node/src/upstream_attempt.cc
@@ -52,8 +52,15 @@
   return true;
 }
 
+constexpr std::array<std::string_view, static_cast<size_t>(NotRunProof::kCount)>
+    kProofNames = {"none", "not-sent", "header", "misdirected"};
+
 }  // namespace
 
+std::string_view NameOf(NotRunProof proof) {
+  return kProofNames.at(static_cast<size_t>(proof));
+}
+
 UpstreamLoad ParseLoad(std::string_view text) {
   UpstreamLoad load;
   uint32_t percent = 0;
@@ -114,6 +121,7 @@
 Task<AttemptReport> UpstreamAttempt::Run() {
   const bool connected = co_await this->Connect(false);
   if (!connected) {
+    this->traced.proof = NotRunProof::kNotSent;
     co_return this->Failed(AttemptEnd::kConnectFailed);
   }
   const bool reused = this->connection->reused;
@@ -154,7 +162,14 @@
   co_return this->connection != nullptr&& this->aborted == AttemptEnd::kCount;
 }
 
+void UpstreamAttempt::BeginTrace() {
+  this->traced = AttemptTrace();
+  this->traced.connection = this->connection->serial;
+  this->traced.carried = this->connection->sends++;
+}
+
 Task<AttemptReport> UpstreamAttempt::Exchange() {
+  this->BeginTrace();
   // A failed send does not end the attempt: the upstream may have answered
   // before it closed, for example to shed the request.
   const bool sent = co_await this->SendHead();
@@ -181,6 +196,9 @@
       ReadRateLimit(this->connection->reader.message().get(),
                     this->pool.names().rate_limit, this->target.endpoint);
   const AttemptEnd end = this->Classify();
+  this->traced.status = static_cast<uint16_t>(
+      this->connection->reader.message().get().result_int());
+  this->traced.proof = this->ProofOf(end);
   this->NoteNotice(end);
   if (end == AttemptEnd::kShed || end == AttemptEnd::kMisdirected) {
     // The connection can carry another request.
@@ -214,9 +232,12 @@
 // earlier requests, since no connection carries a request twice.
 Task<HeadStatus> UpstreamAttempt::ReadOwnHead() {
   const bool no_body = this->request.method == "HEAD";
+  const uint32_t skipped_before = this->connection->skipped_answers;
   const HeadStatus status = co_await ReadExpectedHead(
       *this->connection, no_body,
       [this](const HttpFields& headers) { return this->IsOwn(headers); });
+  this->traced.skipped_answers =
+      this->connection->skipped_answers - skipped_before;
   co_return status;
 }
 
@@ -352,6 +373,15 @@
   return AttemptEnd::kAnswered;
 }
 
+NotRunProof UpstreamAttempt::ProofOf(AttemptEnd end) const {
+  if (end != AttemptEnd::kShed && end != AttemptEnd::kMisdirected) {
+    return NotRunProof::kNone;
+  }
+  return this->AnswerHeader(this->pool.names().not_run).empty()
+             ? NotRunProof::kMisdirected
+             : NotRunProof::kHeader;
+}
+
 AnswerHead UpstreamAttempt::MakeHead() {
   auto& reader = this->connection->reader;
   const auto& answer = reader.message().get();
--- a/packages/node/src/upstream_attempt.h
+++ b/packages/node/src/upstream_attempt.h
@@ -34,6 +34,27 @@
   std::function<bool()> may_resend;
 };
 
+/// What showed that an attempt did not run its request.
+enum class NotRunProof : uint8_t {
+  kNone,
+  kNotSent,      ///< No byte of the request was sent.
+  kHeader,       ///< The answer has the header that says so.
+  kMisdirected,  ///< Another instance answered that it is not the expected one.
+  kCount
+};
+
+/// @returns the name of `proof` in logs.
+std::string_view NameOf(NotRunProof proof);
+
+/// The connection and the answer of an attempt, for the log.
+struct AttemptTrace {
+  uint64_t connection = 0;       ///< Serial number; 0: none was opened.
+  uint32_t carried = 0;          ///< Sends on the connection before this one.
+  uint32_t skipped_answers = 0;  ///< Late answers that arrived before its own.
+  uint16_t status = 0;           ///< Of its answer; 0 if no head arrived.
+  NotRunProof proof = NotRunProof::kNone;
+};
+
 /// A complete answer that was not passed on yet.
 struct BufferedAnswer {
   AnswerHead head;
@@ -61,6 +82,8 @@
   /// @returns true once part of an answer was passed on.
   bool answer_started() const { return this->has_started; }
 
+  const AttemptTrace& trace() const { return this->traced; }
+
   /// After `Run`: the answer, if it was buffered.
   std::optional<BufferedAnswer>& buffered() { return this->buffered_answer; }
 
@@ -75,6 +98,8 @@
   Task<HeadStatus> ReadOwnHead();
   bool IsOwn(const HttpFields& headers) const;
   Task<AttemptReport> Exchange();
+  void BeginTrace();
+  NotRunProof ProofOf(AttemptEnd end) const;
   Task<AttemptReport> ReadAnswer();
   Task<AttemptReport> ReadOrStreamAnswer();
   Task<AttemptReport> StreamAnswer(AnswerHead head, std::string body_start);
@@ -98,6 +123,7 @@
   UpstreamLoad load;
   AdvertisedRateLimit rate_limit;
   UpstreamNotice notice;
+  AttemptTrace traced;
   AttemptEnd aborted = AttemptEnd::kCount;
   bool has_started = false;
   bool body_started = false;  ///< `body_sent` will be set.
--- a/packages/node/src/upstream_pool.cc
+++ b/packages/node/src/upstream_pool.cc
@@ -71,6 +71,7 @@
   auto connection = std::make_unique<UpstreamConnection>(
       std::move(socket).value(), this->options.reader, this->counts);
   connection->target = target;
+  connection->serial = ++this->last_serial;
   SetUserTimeout(connection->socket, limits::kUpstreamUserTimeout);
   co_return connection;
 }
--- a/packages/node/src/upstream_pool.h
+++ b/packages/node/src/upstream_pool.h
@@ -71,6 +71,9 @@
   std::shared_ptr<WorkerMetrics> metrics;
   AttemptTarget target;
   CarriedRequests carried;
+  uint64_t serial = 0;  ///< Of the worker's connections, from 1.
+  uint32_t sends = 0;   ///< Requests and health checks that it has carried.
+  uint32_t skipped_answers = 0;  ///< Late answers to earlier sends.
   TimePoint idle_since;
   bool reused = false;  ///< It has carried an earlier request.
 };
@@ -147,6 +150,7 @@
   OnConnect on_connect;
   std::unordered_map<AttemptTarget, IdleList, TargetHash> idle;
   size_t idle_connections = 0;
+  uint64_t last_serial = 0;
 };
 
 }  // namespace basilsill
--- a/packages/node/src/worker.cc
+++ b/packages/node/src/worker.cc
@@ -720,6 +720,10 @@
   } else {
     this->counts->CountOutcome(traffic_class, Outcome::kRefused);
     this->counts->CountRefusal(end.refusal);
+    if (!request.entry.idempotent &&
+        InfoOf(end.refusal).promise == Promise::kNotRun) {
+      this->counts->CountNotRunPromise(end.source);
+    }
     this->LogRefusal(request, end);
   }
 }
