--- a/packages/node/include/basilsill/node/installation.h
+++ b/packages/node/include/basilsill/node/installation.h
@@ -57,6 +57,9 @@
   /// Upstreams repeat the request id in each answer to a request. An answer
   /// without it then belongs to no request.
   bool request_id_is_echoed = false;
+  /// Callers take the statuses 408, 421, 429 and 503 for the promise that their
+  /// request has not run, whoever gave them.
+  bool promise_by_status = false;
   bool via = true;  ///< Adds `Via` to requests.
   /// Allows `Retry-After` to have a fraction.
   bool fractional_retry_after = false;
--- a/packages/node/test/caller_harness.cc
+++ b/packages/node/test/caller_harness.cc
@@ -228,11 +228,12 @@
   if (script.end == AnswerEnd::kNoAnswer) {
     co_return;
   }
-  if (script.end == AnswerEnd::kRefused) {
+  if (script.end == AnswerEnd::kRefused ||
+      script.end == AnswerEnd::kRefusedUnproven) {
     wire::Refused refused;
     refused.stream = stream->id;
     refused.refusal = Refusal::kQueueFull;
-    refused.not_run = true;
+    refused.not_run = script.end == AnswerEnd::kRefused;
     link->TrySend(
         [&refused](wire::LinkMux& mux) { return mux.Refuse(refused); });
     co_return;
--- a/packages/node/test/caller_harness.h
+++ b/packages/node/test/caller_harness.h
@@ -25,10 +25,11 @@
 /// How the scripted dispatcher ends an answer.
 enum class AnswerEnd : uint8_t {
   kComplete,
-  kReset,     ///< Reset halfway.
-  kLinkLost,  ///< The link closes halfway.
-  kShort,     ///< Ends halfway, as if it were complete.
-  kRefused,   ///< The request is refused instead of answered.
+  kReset,            ///< Reset halfway.
+  kLinkLost,         ///< The link closes halfway.
+  kShort,            ///< Ends halfway, as if it were complete.
+  kRefused,          ///< The request is refused instead of answered.
+  kRefusedUnproven,  ///< As before, but the message does not say not-run.
   kNoAnswer,
   kCount
 };
--- a/packages/node/test/copying_upstream.h
+++ b/packages/node/test/copying_upstream.h
@@ -24,11 +24,24 @@
   kSoon,        ///< Some milliseconds later.
   kBeforeNext,  ///< When the next answer on the connection is due.
   kBehindNext,  ///< With the next answer on the connection, after it.
+  kBeforeSame,  ///< When the same request comes again on the connection.
+  kCount
+};
+
+/// What becomes of a request whose answer is not sent.
+enum class LostAnswer : uint8_t {
+  kNone,       ///< It is sent.
+  kReset,      ///< The connection is reset after the request has run.
+  kClosed,     ///< The connection is closed after the request has run.
+  kNeverSent,  ///< The request runs, and the connection stays open.
   kCount
 };
 
 struct UpstreamReply {
-  bool rejects = false;  ///< The request does not run.
+  bool rejects = false;      ///< The request does not run.
+  unsigned status = 0;       ///< Of the answer; 0: 503 if it rejects, else 200.
+  bool says_not_run = true;  ///< A rejection has the header that says so.
+  LostAnswer lost = LostAnswer::kNone;
   AnswerCopy copy = AnswerCopy::kNone;
   bool copy_has_id = true;
   std::chrono::milliseconds work{0};
@@ -42,9 +55,11 @@
  public:
   /// @param choose Called for each request, also for health checks, whose
   /// answer says that the upstream is not healthy if it `rejects`.
+  /// @param instance Its instance id, in answers to health checks.
   CopyingUpstream(IoContext& context,
                   HeaderNames names,
-                  std::function<UpstreamReply(bool is_health_check)> choose);
+                  std::function<UpstreamReply(bool is_health_check)> choose,
+                  std::string instance = "i-1");
   ~CopyingUpstream();
 
   Endpoint endpoint() const;
@@ -52,6 +67,9 @@
   /// @returns how many times each request has run.
   const std::map<std::string, size_t>& runs() const;
 
+  /// @returns the number of requests that run now.
+  size_t running() const;
+
   /// @returns the number of connections that were opened.
   size_t connections() const;
 
--- a/packages/node/test/pipelining_test.cc
+++ b/packages/node/test/pipelining_test.cc
@@ -228,6 +228,19 @@
   CHECK(answers[2].is_complete);
 }
 
+// Failure: a VM refuses a request without saying that it has not run, and the
+// caller gets the promise that its reason usually makes.
+TEST(Pipelining, RefusedByPeer_NotSaidToBeNotRun_PromisesNothing) {
+  CallerScript script;
+  script.answers = {EndingWith(AnswerEnd::kRefused),
+                    EndingWith(AnswerEnd::kRefusedUnproven)};
+  script.deadlines = {kLongDeadline, kLongDeadline};
+  const std::vector<ParsedAnswer> answers = this->Play(script);
+  CHECK_EQUAL(2, answers.size());
+  CHECK_EQUAL(503, answers[0].status);
+  CHECK_EQUAL(502, answers[1].status);
+}
+
 // Failure: an answer ends before its declared length, and the next answer is
 // read as the rest of its body.
 TEST(Pipelining, Answer_ShorterThanDeclared_ClosesConnection) {
--- a/packages/node/test/upstream_answers_test.cc
+++ b/packages/node/test/upstream_answers_test.cc
@@ -2,6 +2,7 @@
 // may send an answer a second time.
 
 #include <algorithm>
+#include <array>
 #include <chrono>
 #include <functional>
 #include <map>
@@ -51,6 +52,7 @@
 using basilsill::test::AnswerBodyOf;
 using basilsill::test::AnswerCopy;
 using basilsill::test::CopyingUpstream;
+using basilsill::test::LostAnswer;
 using basilsill::test::UpstreamReply;
 using std::chrono::milliseconds;
 
@@ -58,6 +60,11 @@
 
 constexpr int kHistories = 500;
 constexpr int kRequests = 12;
+constexpr unsigned kTooManyRequests = 429;
+constexpr std::array<unsigned, 4> kPromisingStatuses = {408, 421,
+                                                        kTooManyRequests, 503};
+// More than the requests that arrive while one waits.
+constexpr int kManyOthers = 40;
 constexpr milliseconds kTick{1};
 constexpr milliseconds kDeadline{5'000};
 constexpr milliseconds kShortDeadline{200};
@@ -69,6 +76,7 @@
   names.served_by = "X-Instance";
   names.load = "X-Load";
   names.request_id_is_echoed = true;
+  names.promise_by_status = true;
   return names;
 }
 
@@ -155,7 +163,8 @@
     this->context.run_for(time);
   }
 
-  void Start(const std::string& id, milliseconds deadline = kDeadline) {
+  void Start(const std::string& id, milliseconds deadline = kDeadline,
+             bool is_idempotent = false, uint8_t max_attempts = 2) {
     this->requests.push_back(std::make_unique<Served>());
     Served& served = *this->requests.back();
     RequestMessage& request = served.request;
@@ -167,7 +176,8 @@
     request.entry.service = {0, 0};
     request.entry.team = {0, 0};
     request.entry.deadline = MonotonicClock::now() + deadline;
-    request.entry.max_attempts = 2;
+    request.entry.max_attempts = max_attempts;
+    request.entry.idempotent = is_idempotent;
     request.entry.replayable = true;
     boost::asio::co_spawn(this->context, this->Serve(served),
                           boost::asio::detached);
@@ -282,6 +292,83 @@
   }
 };
 
+// Failure: an upstream runs a request and answers with a status that callers
+// take for the promise that it has not run. The answer is passed on, and a
+// caller sends a request that must not repeat once more.
+TEST(UpstreamAnswers, PromisingStatusWithoutHeader_Runs_EndsAsUnknown) {
+  for (const unsigned status : kPromisingStatuses) {
+    this->choose = [status](bool) {
+      UpstreamReply reply;
+      reply.status = status;
+      return reply;
+    };
+    this->Start("r-" + std::to_string(status));
+    this->Finish();
+    const Served& served = *this->requests.back();
+    CHECK_EQUAL(1, this->RunsOf(served.request.request_id));
+    CHECK_FALSE(served.outcome->answered);
+    CHECK(InfoOf(served.outcome->refusal).promise == Promise::kUnknown);
+  }
+}
+
+// A request that may repeat gets the upstream's own answer.
+TEST(UpstreamAnswers, PromisingStatusWithoutHeader_MayRepeat_PassedOn) {
+  this->choose = [](bool) {
+    UpstreamReply reply;
+    reply.status = kTooManyRequests;
+    return reply;
+  };
+  this->Start("r-1", kDeadline, true);
+  this->Finish();
+  CHECK(this->requests.back()->outcome->answered);
+  CHECK_EQUAL(kTooManyRequests, this->requests.back()->sink.status);
+}
+
+// Failure: a request is rejected, and other requests use the connection while
+// it waits. Its second send on the connection meets the late copy of the
+// rejection, and the caller is told that the request has not run.
+TEST(UpstreamAnswers, RejectionCopiedAfterManyOthers_SecondSendRuns_IsItsOwn) {
+  bool is_first = true;
+  this->choose = [&is_first](bool) {
+    UpstreamReply reply;
+    reply.rejects = std::exchange(is_first, false);
+    reply.copy = reply.rejects ? AnswerCopy::kBeforeSame : AnswerCopy::kNone;
+    return reply;
+  };
+  this->Start("r-1", kDeadline, false, 1);
+  this->Finish();
+  CHECK(this->requests.front()->outcome->refusal == Refusal::kUpstreamShed);
+  const size_t opened = this->upstream.connections();
+  for (int i = 0; i < kManyOthers; ++i) {
+    this->ServeOne();
+  }
+  CHECK_EQUAL(opened, this->upstream.connections());
+  this->requests.clear();
+  this->Start("r-1");
+  this->Finish();
+  this->CheckOutcomes();
+  CHECK(this->requests.front()->outcome->answered);
+}
+
+// Failure: an upstream runs a request and closes the kept connection, and
+// rejects the send that replaces it on a new one. The caller is told that the
+// request has not run.
+TEST(UpstreamAnswers, ResentOnNewConnection_Rejected_PromisesNothing) {
+  this->choose = [](bool) { return UpstreamReply{}; };
+  this->ServeOne();
+  int sends = 0;
+  this->choose = [&sends](bool) {
+    UpstreamReply reply;
+    reply.lost = sends == 0 ? LostAnswer::kClosed : LostAnswer::kNone;
+    reply.rejects = sends++ > 0;
+    return reply;
+  };
+  this->Start("r-1", kDeadline, true, 1);
+  this->Finish();
+  CHECK_EQUAL(2, sends);
+  this->CheckOutcomes();
+}
+
 // Failure: an upstream rejects a request and runs its second send, on the same
 // connection, behind a late copy of the rejection. The copy is taken for the
 // answer: the caller is told that the request has not run.
@@ -453,6 +540,11 @@
       reply.copy = static_cast<AnswerCopy>(copy(random));
       reply.copy_has_id = !third(random);
       reply.work = milliseconds(third(random) ? 1 : 0);
+      const bool is_promise = third(random) && third(random);
+      reply.status =
+          is_promise
+              ? kPromisingStatuses.at(random() % kPromisingStatuses.size())
+              : 0;
       return reply;
     };
     this->requests.clear();
