Upstreams: a connection never carries again what failed on it

What callers saw: a request that must not repeat is refused as not run, or answered, and runs twice or behind a false promise. An upstream rejects it; while it waits for its next send, others use the connection; the next send goes over the same connection, and the late copy of the rejection, which has the same request id, is taken for its answer.

Cause: the promise rested on the number of sends (a connection remembered four), not on whether an answer may still be owed. Ruled out: copies of answers to other requests, whose ids differ.

A connection now remembers each request that failed on it (a rejection or another failure after which it may be sent again) until that request's deadline, after which it is never sent. With 16 such requests it is closed instead of kept. Closing after each rejection was weighed: a new connection for each one.

Before: RejectionCopiedAfterManyOthers_SecondSendRuns_IsItsOwn failed (the request ran twice).

--- a/packages/base/include/basilsill/base/limits.h
+++ b/packages/base/include/basilsill/base/limits.h
@@ -54,6 +54,9 @@
 /// A connection ends if data sent on it is not acknowledged for this long. Two
 /// retransmissions fit into it.
 inline constexpr milliseconds kUpstreamUserTimeout = milliseconds(700);
+/// Failed requests that a connection remembers until their deadlines; one that
+/// would have to remember more is closed.
+inline constexpr size_t kFailedSendsPerConnection = 16;
 
 // Links between nodes.
 inline constexpr size_t kMaxFrameBytes = 256 * 1024;
--- a/packages/node/src/upstream_attempt.cc
+++ b/packages/node/src/upstream_attempt.cc
@@ -140,25 +140,41 @@
       report = co_await this->Exchange();
     }
   }
-  if (this->reusable && !this->sending_body && this->connection) {
-    this->pool.Release(MonotonicClock::now(), std::move(this->connection));
-  }
-  this->connection = nullptr;
+  this->ReleaseConnection();
   co_return report;
 }
 
+// Failure: a request is rejected, and its next send goes over the same
+// connection. A late copy of the rejection, which has the same request id, is
+// taken for the answer, and the caller is told that the request has not run.
+void UpstreamAttempt::ReleaseConnection() {
+  UpstreamConnectionPtr owned = std::move(this->connection);
+  if (!this->reusable || this->sending_body || !owned) {
+    return;
+  }
+  const TimePoint now = MonotonicClock::now();
+  const bool may_be_sent_again = !IsSuccess(this->traced.status);
+  const bool can_keep =
+      !may_be_sent_again ||
+      owned->failed.Add(now, HashRequestId(this->request.request_id),
+                        this->request.entry.deadline);
+  if (can_keep) {
+    this->pool.Release(now, std::move(owned));
+  }
+}
+
 Task<bool> UpstreamAttempt::Connect(bool fresh) {
   if (this->aborted != AttemptEnd::kCount) {
     co_return false;
   }
-  const RequestIdHash id = HashRequestId(this->request.request_id);
-  this->connection = fresh ? nullptr : this->pool.TakeIdle(this->target, id);
+  this->connection = nullptr;
+  if (!fresh) {
+    this->connection = this->pool.TakeIdle(
+        this->target, HashRequestId(this->request.request_id));
+  }
   if (!this->connection) {
     this->connection = co_await this->pool.Open(this->target);
   }
-  if (this->connection) {
-    this->connection->carried.Add(id);
-  }
   co_return this->connection != nullptr&& this->aborted == AttemptEnd::kCount;
 }
 
@@ -229,7 +245,8 @@
 }
 
 // The request id that the upstream echoes tells the answer from late ones to
-// earlier requests, since no connection carries a request twice.
+// earlier requests, since no connection carries a request again that failed on
+// it.
 Task<HeadStatus> UpstreamAttempt::ReadOwnHead() {
   const bool no_body = this->request.method == "HEAD";
   const uint32_t skipped_before = this->connection->skipped_answers;
--- a/packages/node/src/upstream_attempt.h
+++ b/packages/node/src/upstream_attempt.h
@@ -99,6 +99,7 @@
   bool IsOwn(const HttpFields& headers) const;
   Task<AttemptReport> Exchange();
   void BeginTrace();
+  void ReleaseConnection();
   NotRunProof ProofOf(AttemptEnd end) const;
   Task<AttemptReport> ReadAnswer();
   Task<AttemptReport> ReadOrStreamAnswer();
--- a/packages/node/src/upstream_pool.cc
+++ b/packages/node/src/upstream_pool.cc
@@ -22,14 +22,22 @@
   return XXH3_64bits(id.data(), id.size());
 }
 
-void CarriedRequests::Add(RequestIdHash request) {
-  this->hashes[this->next] = request;
-  this->next = (this->next + 1) % this->hashes.size();
+bool FailedSends::Add(TimePoint now,
+                      RequestIdHash request,
+                      TimePoint deadline) {
+  std::erase_if(this->rows,
+                [now](const Row& row) { return row.deadline < now; });
+  if (this->rows.size() == limits::kFailedSendsPerConnection) {
+    return false;
+  }
+  this->rows.push_back({request, deadline});
+  return true;
 }
 
-bool CarriedRequests::Contains(RequestIdHash request) const {
-  return std::find(this->hashes.begin(), this->hashes.end(), request) !=
-         this->hashes.end();
+bool FailedSends::Contains(RequestIdHash request) const {
+  return std::any_of(
+      this->rows.begin(), this->rows.end(),
+      [request](const Row& row) { return row.request == request; });
 }
 
 UpstreamConnectionPtr UpstreamPool::TakeIdle(
@@ -41,9 +49,9 @@
   }
   IdleList& list = found->second;
   for (size_t place = list.size(); place > 0; --place) {
-    const bool carried_it =
-        request && list[place - 1]->carried.Contains(*request);
-    if (carried_it) {
+    const bool failed_here =
+        request && list[place - 1]->failed.Contains(*request);
+    if (failed_here) {
       continue;
     }
     UpstreamConnectionPtr connection = std::move(list[place - 1]);
--- a/packages/node/src/upstream_pool.h
+++ b/packages/node/src/upstream_pool.h
@@ -1,7 +1,6 @@
 #ifndef BASILSILL_NODE_UPSTREAM_POOL_H_
 #define BASILSILL_NODE_UPSTREAM_POOL_H_
 
-#include <array>
 #include <chrono>
 #include <cstdint>
 #include <functional>
@@ -38,20 +37,23 @@
 using RequestIdHash = uint64_t;
 RequestIdHash HashRequestId(std::string_view id);
 
-/// The requests that a connection carried last. An upstream may send its answer
-/// to one of them a second time, late.
-class CarriedRequests {
+/// The requests that failed on a connection and may be sent again. An upstream
+/// may send such an answer a second time, however late.
+class FailedSends {
  public:
-  void Add(RequestIdHash request);
+  /// @param deadline The request is not sent after it.
+  /// @returns false if no more requests can be remembered.
+  bool Add(TimePoint now, RequestIdHash request, TimePoint deadline);
+
   bool Contains(RequestIdHash request) const;
 
  private:
-  // A late answer arrives where the next one is expected; a few more requests
-  // are remembered because several answers can be late.
-  static constexpr size_t kRemembered = 4;
+  struct Row {
+    RequestIdHash request = 0;
+    TimePoint deadline{};
+  };
 
-  std::array<RequestIdHash, kRemembered> hashes{};
-  size_t next = 0;
+  std::vector<Row> rows;
 };
 
 struct UpstreamConnection {
@@ -70,7 +72,7 @@
   AnswerReader reader;
   std::shared_ptr<WorkerMetrics> metrics;
   AttemptTarget target;
-  CarriedRequests carried;
+  FailedSends failed;
   uint64_t serial = 0;  ///< Of the worker's connections, from 1.
   uint32_t sends = 0;   ///< Requests and health checks that it has carried.
   uint32_t skipped_answers = 0;  ///< Late answers to earlier sends.
@@ -102,9 +104,9 @@
                const UpstreamPoolOptions& options,
                std::shared_ptr<WorkerMetrics> metrics);
 
-  /// @param request If present, a connection that carried an earlier send of
-  /// this request is left alone: a second copy of the answer to that send could
-  /// not be told from the answer to the next one.
+  /// @param request If present, a connection on which an earlier send of this
+  /// request failed is left alone: a second copy of the answer to that send
+  /// could not be told from the answer to the next one.
   /// @returns an idle connection that is not known to be closed, or nullptr.
   /// Idle connections are kept by incarnation. Failure: an upstream dies during
   /// a network partition and restarts, or its address is reassigned. A
