Upstreams: a status that promises without proof is told as unknown

What callers saw: an upstream runs a request that must not repeat and answers 408, 421, 429 or 503. The answer was passed on, callers of some installations read these statuses as the promise that the request has not run, and send it once more.

Cause: only the not-run header, or 421 from an instance that was not expected, proves that an upstream did not run a request, but any status went through.

Where the installation says that callers take these statuses for promises, such an answer to a request that must not repeat ends the attempt as malformed (502, unknown). Requests that may repeat get the upstream's answer as before. The signature covers the status, so it is not rewritten.

--- a/packages/node/src/upstream_attempt.cc
+++ b/packages/node/src/upstream_attempt.cc
@@ -1,5 +1,6 @@
 #include "upstream_attempt.h"
 
+#include <algorithm>
 #include <array>
 #include <charconv>
 #include <memory>
@@ -34,6 +35,10 @@
 // sizes are known).
 constexpr size_t kBufferedAnswerBytes = 192 * 1024;
 
+constexpr std::array kPromisingStatuses = {
+    http::status::request_timeout, http::status::misdirected_request,
+    http::status::too_many_requests, http::status::service_unavailable};
+
 bool IsSuccess(unsigned status) {
   return status / 100 == 2;
 }
@@ -380,6 +385,9 @@
   if (!IsSuccess(status) && !this->AnswerHeader(names.not_run).empty()) {
     return AttemptEnd::kShed;
   }
+  if (this->IsUnprovenPromise(status)) {
+    return AttemptEnd::kMalformed;
+  }
   const bool sealed =
       names.seal.empty() || !this->AnswerHeader(names.seal).empty();
   const bool encoded =
@@ -390,6 +398,17 @@
   return AttemptEnd::kAnswered;
 }
 
+// Failure: an upstream runs a request that must not repeat and answers with a
+// status that callers take for the promise that it has not run. A caller that
+// gets this answer sends the request once more.
+bool UpstreamAttempt::IsUnprovenPromise(unsigned status) const {
+  return this->pool.names().promise_by_status &&
+         !this->request.entry.idempotent &&
+         std::find(kPromisingStatuses.begin(), kPromisingStatuses.end(),
+                   static_cast<http::status>(status)) !=
+             kPromisingStatuses.end();
+}
+
 NotRunProof UpstreamAttempt::ProofOf(AttemptEnd end) const {
   if (end != AttemptEnd::kShed && end != AttemptEnd::kMisdirected) {
     return NotRunProof::kNone;
--- a/packages/node/src/upstream_attempt.h
+++ b/packages/node/src/upstream_attempt.h
@@ -110,6 +110,7 @@
   AttemptReport Failed(AttemptEnd end) const;
   AttemptReport Answered(unsigned status) const;
   AttemptEnd Classify() const;
+  bool IsUnprovenPromise(unsigned status) const;
   void NoteNotice(AttemptEnd end);
   std::string_view AnswerHeader(const std::string& name) const;
   UpstreamLoad ReadLoad() const;
