Refusals: a promise needs the record that no send may have run

What callers could see: 503 not-run for a request that ran. Two paths were found. A request that may repeat is resent on a new connection after a kept one closed, and the rejection of the second send was told for both. A refusal over a link that does not say not-run was told as a promise, since only its reason was looked at. A third, by reading: a withdrawn request whose earlier attempt may have run kept the promise of the later one.

Class: who may promise. Each of a dozen places remembered by itself whether something was sent.

A request now counts its sends that may have run it, from before the first byte until the proof for that very send. The outcome of each place that was asked is checked against it, and the whole request's before it is told. A promise without proof becomes upstream-died, is counted and logged (205): a fault of the program, which the next such path shows as itself. The dispatcher is told if an earlier send of an attempt may have run, and the entry side names the uncertain refusal also where it does not retry because of a shutdown.

--- a/packages/base/include/basilsill/base/event.h
+++ b/packages/base/include/basilsill/base/event.h
@@ -36,6 +36,7 @@
   kRequestMalformed = 202,
   kAnswerBroken = 203,
   kCallerGone = 204,
+  kPromiseWithheld = 205,
   kAttemptAnswered = 210,
   kAttemptFailed = 211,
   // 300: upstreams
--- a/packages/base/src/event.cc
+++ b/packages/base/src/event.cc
@@ -32,6 +32,7 @@
     EventInfo{Event::kRequestMalformed, kInfo, "request-malformed"},
     EventInfo{Event::kAnswerBroken, kWarning, "answer-broken"},
     EventInfo{Event::kCallerGone, kInfo, "caller-gone"},
+    EventInfo{Event::kPromiseWithheld, kError, "promise-withheld"},
     EventInfo{Event::kAttemptAnswered, kInfo, "attempt-answered"},
     EventInfo{Event::kAttemptFailed, kWarning, "attempt-failed"},
     EventInfo{Event::kUpstreamConnectFailed, kWarning,
--- a/packages/decision/include/basilsill/decision/dispatch.h
+++ b/packages/decision/include/basilsill/decision/dispatch.h
@@ -129,7 +129,10 @@
 struct AttemptReport {
   AttemptEnd end = AttemptEnd::kCount;
   uint16_t status = 0;
-  bool answer_started = false;       ///< Part of an answer reached the caller.
+  bool answer_started = false;  ///< Part of an answer reached the caller.
+  /// Another send of the same attempt, before the one that ended so, may have
+  /// run the request.
+  bool may_have_run_before = false;
   UpstreamLoad load{};               ///< As reported with the answer.
   AdvertisedRateLimit rate_limit{};  ///< As reported with the answer.
   /// As reported with the answer, and passed to OnNotice when its head came.
--- a/packages/decision/src/dispatch/dispatcher_end.cc
+++ b/packages/decision/src/dispatch/dispatcher_end.cc
@@ -124,6 +124,7 @@
                                          const AttemptRow& attempt,
                                          const AttemptReport& report) {
   RequestRow& request = this->Request(row);
+  request.maybe_ran |= report.may_have_run_before;
   const bool other_runs =
       IsValid(request.running[0]) || IsValid(request.running[1]);
   const bool timed_out = report.end == AttemptEnd::kTimedOut;
--- a/packages/decision/src/entry/entry_router.cc
+++ b/packages/decision/src/entry/entry_router.cc
@@ -341,12 +341,12 @@
   this->EndAttempt(now, *entry, refusal);
   decision.reason = this->DecideRetry(now, *entry, refusal, is_direct);
   decision.retry = IsGranted(decision.reason);
+  const bool may_have_run = entry->uncertain_refusal != Refusal::kNone;
+  decision.refusal = may_have_run ? entry->uncertain_refusal : refusal;
   if (decision.reason != Retry::kNone) {
     ++this->counts.retries[static_cast<size_t>(decision.reason)];
   }
   if (!decision.retry) {
-    const bool may_have_run = entry->uncertain_refusal != Refusal::kNone;
-    decision.refusal = may_have_run ? entry->uncertain_refusal : refusal;
     ++this->counts.refusals[static_cast<size_t>(decision.refusal)];
   }
   return decision;
--- a/packages/node/src/caller_exchange.cc
+++ b/packages/node/src/caller_exchange.cc
@@ -289,6 +289,8 @@
     }
     outcome = co_await this->ServeWithinQuota();
     outcome = this->MapExpiredOutcome(outcome);
+    outcome =
+        WithoutFalsePromise(this->request, 0, outcome, this->host.counters());
   }
   this->AbortUnfinishedAnswer();
   this->ReportEnd(outcome);
--- a/packages/node/src/dispatch_host.h
+++ b/packages/node/src/dispatch_host.h
@@ -75,6 +75,9 @@
     return this->dispatcher->counters();
   }
 
+  /// @returns the counters of the worker.
+  WorkerMetrics& metrics() { return this->pool.metrics(); }
+
   size_t CountRateLimited() const {
     return this->dispatcher->CountRateLimited();
   }
--- a/packages/node/src/entry_host.cc
+++ b/packages/node/src/entry_host.cc
@@ -2,6 +2,8 @@
 
 #include <utility>
 
+#include "refusal_answer.h"
+
 namespace basilsill {
 
 EntryHost::EntryHost(std::unique_ptr<EntryRouter> router,
@@ -33,14 +35,17 @@
     if (target.kind == TargetKind::kRefuse) {
       co_return ServeOutcome{false, target.refusal, target.retry_after};
     }
-    const ServeOutcome outcome = co_await this->ServeAt(target, request, sink);
-    if (outcome.answered || request.caller_gone || request.withdrawn) {
+    const uint32_t unsettled = request.sends.unsettled();
+    const ServeOutcome reported = co_await this->ServeAt(target, request, sink);
+    const ServeOutcome outcome = WithoutFalsePromise(
+        request, unsettled, reported, this->dispatch.metrics());
+    if (outcome.answered || request.caller_gone) {
       co_return outcome;
     }
     request.failed_choices.push_back({target, outcome.refusal, outcome.sends});
     const RetryDecision decision = this->router->OnRefused(
         MonotonicClock::now(), entry, outcome.refusal, outcome.sends);
-    if (!decision.retry) {
+    if (!decision.retry || request.withdrawn) {
       ServeOutcome refused = outcome;
       refused.refusal = decision.refusal;
       co_return refused;
--- a/packages/node/src/http_message.h
+++ b/packages/node/src/http_message.h
@@ -14,6 +14,7 @@
 #include "basilsill/base/reason.h"
 #include "basilsill/decision/entry.h"
 #include "net.h"
+#include "send_record.h"
 
 /// Requests and answers that pass through a node, independent of the connection
 /// that they arrived on or leave by. Bodies are streamed from a source to a
@@ -85,6 +86,7 @@
   TimePoint good_until = kNever;
 
   std::vector<FailedChoice> failed_choices;  ///< In order, at the entry VM.
+  SendRecord sends;
 
   /// Set by the component that works on the request at the moment; called when
   /// the caller has disconnected.
--- a/packages/node/src/link_exchange.cc
+++ b/packages/node/src/link_exchange.cc
@@ -44,6 +44,7 @@
   };
   this->request.has_whole_answer = [this] { return this->HasWholeAnswer(); };
   this->request.on_withdrawn = [this] { this->link->Withdraw(*this->stream); };
+  this->request.sends.Begin();
   const ServeOutcome result = co_await this->ReceiveAnswer();
   this->request.on_caller_gone = nullptr;
   this->request.on_withdrawn = nullptr;
@@ -197,6 +198,9 @@
   this->outcome.retry_after = refused.retry_after;
   this->outcome.sends = refused.sends;
   this->outcome.source = SourceAtDispatcher(refused.refusal);
+  if (refused.not_run) {
+    this->request.sends.EndAsNotRun();
+  }
 }
 
 void LinkExchange::OnLost(wire::StreamProgress progress) {
@@ -206,6 +210,9 @@
     this->outcome.refusal = Refusal::kPeerLost;
     return;
   }
+  if (progress == wire::StreamProgress::kNeverSent) {
+    this->request.sends.EndAsNotRun();
+  }
   this->outcome.refusal = kRefusalByProgress.at(static_cast<size_t>(progress));
 }
 
--- a/packages/node/src/link_server.cc
+++ b/packages/node/src/link_server.cc
@@ -4,6 +4,8 @@
 #include <chrono>
 #include <utility>
 
+#include "refusal_answer.h"
+
 namespace basilsill {
 namespace {
 
@@ -118,7 +120,9 @@
   };
   stream->on_withdrawn = [&request] { Withdraw(request); };
   request.withdrawn = stream->withdrawn;
-  const ServeOutcome outcome = co_await dispatch.Serve(request, target, sink);
+  const ServeOutcome reported = co_await dispatch.Serve(request, target, sink);
+  const ServeOutcome outcome =
+      WithoutFalsePromise(request, 0, reported, dispatch.metrics());
   stream->on_closed = nullptr;
   stream->on_withdrawn = nullptr;
   if (sink.is_unfinished()) {
--- a/packages/node/src/metrics.h
+++ b/packages/node/src/metrics.h
@@ -101,6 +101,7 @@
   PerEnum<Counter, Refusal> refusals;
   /// Refusals that promise that a request, which must not repeat, has not run.
   PerEnum<Counter, RefusalSource> not_run_promises;
+  Counter withheld_promises;  ///< Refusals whose promise was without proof.
   PerEnum<Counter, Retry> retries;
   Counter caller_connections_opened;
   Gauge caller_connections;
--- a/packages/node/src/metrics_table.cc
+++ b/packages/node/src/metrics_table.cc
@@ -276,6 +276,11 @@
                "Requests that must not repeat and were refused as not run, by "
                "who refused them.",
                NotRunPromises),
+    CounterRow("basilsill_withheld_promises_total",
+               "",
+               "Refusals that promised not-run without proof; their callers "
+               "were told that the outcome is unknown.",
+               WorkerCounter<&Worker::withheld_promises>),
     CounterRow("basilsill_retries_total",
                "reason",
                "Attempts made again, or denied although possible.",
--- a/packages/node/src/refusal_answer.cc
+++ b/packages/node/src/refusal_answer.cc
@@ -6,6 +6,8 @@
 #include <boost/json/object.hpp>
 #include <boost/json/serialize.hpp>
 
+#include "basilsill/node/log.h"
+
 namespace basilsill {
 namespace {
 
@@ -50,6 +52,23 @@
 
 }  // namespace
 
+ServeOutcome WithoutFalsePromise(const RequestMessage& request,
+                                 uint32_t unsettled_before,
+                                 const ServeOutcome& outcome,
+                                 WorkerMetrics& counts) {
+  const Promise promise = InfoOf(outcome.refusal).promise;
+  if (outcome.answered || promise != Promise::kNotRun ||
+      request.sends.unsettled() <= unsettled_before) {
+    return outcome;
+  }
+  Log(Event::kPromiseWithheld,
+      {{"request", request.request_id}, {"reason", outcome.refusal}});
+  counts.withheld_promises.Add();
+  ServeOutcome unknown = outcome;
+  unknown.refusal = Refusal::kUpstreamDied;
+  return unknown;
+}
+
 RefusalAnswer MakeRefusalAnswer(const RequestMessage& request,
                                 const ServeOutcome& outcome,
                                 const HeaderNames& names) {
--- a/packages/node/src/upstream_attempt.cc
+++ b/packages/node/src/upstream_attempt.cc
@@ -85,7 +85,7 @@
 
 UpstreamAttempt::UpstreamAttempt(UpstreamPool& pool,
                                  AttemptTarget target,
-                                 const RequestMessage& request,
+                                 RequestMessage& request,
                                  AnswerSink& sink,
                                  AttemptHooks hooks)
     : pool(pool),
@@ -143,6 +143,7 @@
     if (connected_again) {
       this->pool.metrics().CountRetry(Retry::kStaleConnection);
       report = co_await this->Exchange();
+      report.may_have_run_before = true;
     }
   }
   this->ReleaseConnection();
@@ -183,14 +184,15 @@
   co_return this->connection != nullptr&& this->aborted == AttemptEnd::kCount;
 }
 
-void UpstreamAttempt::BeginTrace() {
+void UpstreamAttempt::BeginSend() {
+  this->request.sends.Begin();
   this->traced = AttemptTrace();
   this->traced.connection = this->connection->serial;
   this->traced.carried = this->connection->sends++;
 }
 
 Task<AttemptReport> UpstreamAttempt::Exchange() {
-  this->BeginTrace();
+  this->BeginSend();
   // A failed send does not end the attempt: the upstream may have answered
   // before it closed, for example to shed the request.
   const bool sent = co_await this->SendHead();
@@ -220,6 +222,9 @@
   this->traced.status = static_cast<uint16_t>(
       this->connection->reader.message().get().result_int());
   this->traced.proof = this->ProofOf(end);
+  if (this->traced.proof != NotRunProof::kNone) {
+    this->request.sends.EndAsNotRun();
+  }
   this->NoteNotice(end);
   if (end == AttemptEnd::kShed || end == AttemptEnd::kMisdirected) {
     // The connection can carry another request.
--- a/packages/node/src/upstream_attempt.h
+++ b/packages/node/src/upstream_attempt.h
@@ -65,7 +65,7 @@
  public:
   UpstreamAttempt(UpstreamPool& pool,
                   AttemptTarget target,
-                  const RequestMessage& request,
+                  RequestMessage& request,
                   AnswerSink& sink,
                   AttemptHooks hooks);
 
@@ -98,7 +98,7 @@
   Task<HeadStatus> ReadOwnHead();
   bool IsOwn(const HttpFields& headers) const;
   Task<AttemptReport> Exchange();
-  void BeginTrace();
+  void BeginSend();
   void ReleaseConnection();
   NotRunProof ProofOf(AttemptEnd end) const;
   Task<AttemptReport> ReadAnswer();
@@ -117,7 +117,7 @@
 
   UpstreamPool& pool;
   AttemptTarget target;
-  const RequestMessage& request;
+  RequestMessage& request;
   AnswerSink& sink;
   AttemptHooks hooks;
   UpstreamConnectionPtr connection;
