Links: a request whose caller left while its link opened is not sent

A request waits while the link to its dispatcher is opened. Found by reading the ways between choice and send.

Serve_CallerLeavesWhileLinkOpens_NotSent is new with the fix; it was not run without it.

--- a/packages/node/src/link_table.cc
+++ b/packages/node/src/link_table.cc
@@ -207,6 +207,10 @@
   if (!link) {
     co_return unreachable;
   }
+  // Nothing would cancel a request whose caller left during the wait.
+  if (request.caller_gone) {
+    co_return ServeOutcome{false, Refusal::kCallerGone, Duration(0)};
+  }
   if (request.withdrawn) {
     co_return ServeOutcome{false, Refusal::kShuttingDown, Duration(0)};
   }
--- a/packages/node/test/link_table_test.cc
+++ b/packages/node/test/link_table_test.cc
@@ -5,6 +5,7 @@
 
 #include <atomic>
 #include <chrono>
+#include <exception>
 #include <memory>
 #include <optional>
 #include <thread>
@@ -33,6 +34,7 @@
 using basilsill::PeerLinkPtr;
 using basilsill::RequestMessage;
 using basilsill::RoutingView;
+using basilsill::ServeOutcome;
 using basilsill::ShardKey;
 using basilsill::Target;
 using basilsill::Task;
@@ -83,6 +85,7 @@
   NullSink sink;
   RequestMessage request;
   std::atomic<size_t> quiet = 0;
+  std::atomic<size_t> ended = 0;
   std::jthread thread;
 
   void setup() override {
@@ -128,7 +131,7 @@
     boost::asio::post(this->context, [this, target] {
       boost::asio::co_spawn(
           this->context, this->links->Serve(this->request, target, this->sink),
-          boost::asio::detached);
+          [this](const std::exception_ptr&, ServeOutcome) { ++this->ended; });
     });
   }
 
@@ -182,6 +185,18 @@
   CHECK(this->Accept().has_value());
 }
 
+// Failure: a caller leaves while the link for its request is being opened. The
+// request is sent all the same, and nothing ends it before its deadline.
+TEST(LinkTable, Serve_CallerLeavesWhileLinkOpens_NotSent) {
+  this->request.caller_gone = true;
+  this->Serve();
+  PlainPeer peer(*this->Accept(), PeerHello(wire::LinkRole::kData, "vm-2"),
+                 wire::LinkSide::kAcceptor);
+  AwaitHello(peer);
+  CHECK(WaitUntil([this] { return this->ended.load() == 1; }));
+  CHECK_EQUAL(0, peer.mux.stream_count());
+}
+
 // A request that takes long is no sign of a silent link.
 TEST(LinkTable, Serve_PeerWorksOnALongRequest_UsesTheSameLink) {
   this->Serve();
