--- a/soak/main.cc
+++ b/soak/main.cc
@@ -41,6 +41,7 @@
   bool loose = false;
   bool without_cuts = false;
   bool restores = false;
+  bool faulty_answers = false;
 };
 
 Arguments ReadArguments(int argc, char** argv) {
@@ -73,6 +74,9 @@
       line);
   TCLAP::SwitchArg restores(
       "r", "restores", "Restore the store from copies several times", line);
+  TCLAP::SwitchArg faulty_answers(
+      "a", "faulty-answers",
+      "Upstreams reject, copy answers and fail health checks at random", line);
   line.parse(argc, argv);
   return {program.getValue(),
           directory.getValue(),
@@ -85,7 +89,8 @@
           keep.getValue(),
           loose.getValue(),
           without_cuts.getValue(),
-          restores.getValue()};
+          restores.getValue(),
+          faulty_answers.getValue()};
 }
 
 double SecondsSince(basilsill::TimePoint start, basilsill::TimePoint at) {
@@ -185,6 +190,7 @@
   options.directory = directory.string();
   options.callers = arguments.callers;
   options.restores = arguments.restores;
+  options.faulty_answers = arguments.faulty_answers;
   if (arguments.loose) {
     LoosenBounds(options.bounds);
   }
--- a/soak/node_promises.cc
+++ b/soak/node_promises.cc
@@ -39,7 +39,10 @@
       continue;
     }
     const bool ran = !this->RunsOf(row.id).empty();
-    if (ran && IsOutcomeUnknown(row)) {
+    const bool is_upstream_answer_withheld =
+        row.outcome == RequestOutcome::kAnswer &&
+        this->observations.unproven.contains(row.id);
+    if (ran && IsOutcomeUnknown(row) && !is_upstream_answer_withheld) {
       this->Add(Promise::kShutdown, {row.id}, row.ended, "an upstream had it");
     } else if (end.node == row.node && this->IsClosedLate(row)) {
       this->Add(Promise::kShutdown, {row.id}, row.ended, "closed late");
--- a/soak/observations.h
+++ b/soak/observations.h
@@ -4,6 +4,7 @@
 #include <chrono>
 #include <cstdint>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -175,6 +176,10 @@
 
   std::vector<RequestRow> requests;
   std::vector<RunRow> runs;
+  /// Executed requests that their upstreams answered with a status that
+  /// promises the contrary, without proof: nodes answer that the outcome is
+  /// unknown.
+  std::set<std::string> unproven;
   std::vector<ArrivalRow> arrivals;
   std::vector<ArrivalRow> health_checks;  ///< Without ids.
   std::vector<LeavingRow> leaving;
--- a/soak/rig.cc
+++ b/soak/rig.cc
@@ -55,12 +55,23 @@
 constexpr milliseconds kMaxRestoreTime{1500};
 constexpr milliseconds kMaxRewriteDelay{400};
 
+// Upstreams whose answers are faulty: the shares of their requests, answers and
+// health checks. Most requests are served all the same.
+constexpr double kRejectingShare = 0.1;
+constexpr double kUnprovenShare = 0.01;
+constexpr double kCopyingShare = 0.1;
+constexpr double kIllShare = 0.2;
+
 class Rig {
  public:
   Rig(const Plan& plan, const RigOptions& options)
       : plan(plan),
         options(options),
-        upstreams(this->io, this->store, this->observations, plan.seed),
+        upstreams(this->io,
+                  this->store,
+                  this->observations,
+                  plan.seed,
+                  MakeBehaviour(options)),
         fleet(this->io, this->MakeFleetOptions(), this->observations),
         callers(this->io,
                 this->fleet,
@@ -88,6 +99,18 @@
   }
 
  private:
+  static adapter::test::FakeUpstreamBehaviour MakeBehaviour(
+      const RigOptions& options) {
+    adapter::test::FakeUpstreamBehaviour usual;
+    if (options.faulty_answers) {
+      usual.rejecting = kRejectingShare;
+      usual.unproven = kUnprovenShare;
+      usual.copying = kCopyingShare;
+      usual.ill = kIllShare;
+    }
+    return usual;
+  }
+
   FleetOptions MakeFleetOptions() const {
     FleetOptions fleet;
     fleet.program = this->options.program;
--- a/soak/rig.h
+++ b/soak/rig.h
@@ -19,6 +19,9 @@
   size_t callers = 16;
   /// Restores the store from copies that are up to five seconds old.
   bool restores = false;
+  /// Upstreams reject requests, send answers a second time, fail health checks,
+  /// and answer executed requests with a status that promises not-run.
+  bool faulty_answers = false;
   Bounds bounds;  ///< Written to the settings of the nodes.
 };
 
--- a/soak/test/promises_test.cc
+++ b/soak/test/promises_test.cc
@@ -169,6 +169,18 @@
   CHECK(this->IsBroken(Promise::kShutdown));
 }
 
+// An upstream's 503 without proof may be replaced, a connection not closed.
+TEST(Promises, Shutdown_UnprovenAnswerReplaced_Allowed) {
+  this->Disturb(DisturbanceKind::kShutdown, 5s, 8s);
+  RequestRow& row = this->AddUnsafe("a", 6s);
+  row.status = 502;
+  CHECK(this->IsBroken(Promise::kShutdown));
+  this->observations.unproven.insert("a");
+  CHECK_FALSE(this->IsBroken(Promise::kShutdown));
+  this->observations.requests.back().outcome = RequestOutcome::kBroken;
+  CHECK(this->IsBroken(Promise::kShutdown));
+}
+
 TEST(Promises, Shutdown_ForwardedPipelinedRequestCutOff_Found) {
   this->Disturb(DisturbanceKind::kShutdown, 5s, 8s);
   RequestRow& row = this->AddServed("a", 6s);
--- a/soak/upstreams.cc
+++ b/soak/upstreams.cc
@@ -50,8 +50,13 @@
 Upstreams::Upstreams(boost::asio::io_context& io,
                      adapter::test::FakeStore& store,
                      Observations& observations,
-                     uint64_t seed)
-    : io(io), store(store), observations(observations), seed(seed) {
+                     uint64_t seed,
+                     const adapter::test::FakeUpstreamBehaviour& usual)
+    : io(io),
+      store(store),
+      observations(observations),
+      seed(seed),
+      usual(usual) {
   for (size_t service = 0; service < ServiceNames().size(); ++service) {
     for (size_t i = 0; i < kInstancesPerService; ++i) {
       this->hosts.push_back(std::make_unique<Host>());
@@ -107,9 +112,13 @@
     this->observations.health_checks.push_back(
         {"", number, data_centre, MonotonicClock::now()});
   };
+  hooks.on_unproven = [this](const std::string& id) {
+    this->observations.unproven.insert(id);
+  };
   host.instance = std::make_unique<adapter::test::FakeUpstream>(
       this->io, "i-" + std::to_string(number), this->seed + number,
       std::move(hooks));
+  host.instance->behaviour() = this->usual;
   host.proxy->SetTarget(host.instance->endpoint());
   this->PublishEntry(host, "ready");
 }
@@ -288,7 +297,7 @@
 
 boost::asio::awaitable<void> Upstreams::InjectResponseFault(Host& host,
                                                             const Step& step) {
-  adapter::test::FakeUpstreamBehaviour faulty;
+  adapter::test::FakeUpstreamBehaviour faulty = this->usual;
   switch (step.fault) {
     case Fault::kUpstreamSlow:
       faulty.work = kSlowWork;
@@ -306,7 +315,7 @@
   host.instance->behaviour() = faulty;
   co_await Sleep(step.duration);
   if (!this->stopped) {
-    host.instance->behaviour() = {};
+    host.instance->behaviour() = this->usual;
   }
 }
 
--- a/soak/upstreams.h
+++ b/soak/upstreams.h
@@ -29,10 +29,12 @@
 
 class Upstreams {
  public:
+  /// @param usual Behaviour of instances without a fault.
   Upstreams(boost::asio::io_context& io,
             adapter::test::FakeStore& store,
             Observations& observations,
-            uint64_t seed);
+            uint64_t seed,
+            const adapter::test::FakeUpstreamBehaviour& usual);
 
   /// Injects a fault into an upstream or its proxy. Does nothing if the target
   /// already has a fault.
@@ -85,6 +87,7 @@
   adapter::test::FakeStore& store;
   Observations& observations;
   uint64_t seed;
+  adapter::test::FakeUpstreamBehaviour usual;
   size_t started = 0;
   std::vector<std::unique_ptr<Host>> hosts;
   bool stopped = false;
