--- a/packages/ctl/test/explain_test.cc
+++ b/packages/ctl/test/explain_test.cc
@@ -75,6 +75,16 @@
   CHECK_FALSE(Has(output, "r2"));
 }
 
+TEST(Explain, Attempt_ProvenNotToHaveRun_ShowsProofAndConnection) {
+  const NodeLog log = LogOf(
+      "2026-01-31T10:00:06.400Z WARN 211 attempt-failed request=r3 "
+      "upstream=i-7 reason=none end=shed status=503 proof=header connection=9 "
+      "carried=4 skipped=1 waited_ms=35 took_ms=4\n");
+  const auto output = Explain("r3", {log});
+  CHECK(output[0].find("on connection 9 after 4 sends and 1 late answers, not "
+                       "run: header") != std::string::npos);
+}
+
 TEST(Explain, Request_WhileStoreUnavailable_ShowsStoreEvent) {
   const auto output = Explain("r1", {this->entry, this->dispatcher});
   CHECK(Has(output, "log-unavailable store=a:1"));
