--- a/packages/node/src/http_message.h
+++ b/packages/node/src/http_message.h
@@ -140,7 +140,7 @@
   Refusal refusal = Refusal::kNone;
   Duration retry_after{0};
   uint8_t sends = 0;  ///< Times it was sent to upstreams, if reported.
-  RefusalSource source = RefusalSource::kEntry;
+  RefusalSource source = RefusalSource::kEntry;  ///< Of `refusal`.
   // Reported by the upstream, if the request was sent to it directly, without a
   // dispatcher.
   AdvertisedRateLimit rate_limit{};
--- a/packages/node/src/upstream_pool.h
+++ b/packages/node/src/upstream_pool.h
@@ -38,7 +38,7 @@
 RequestIdHash HashRequestId(std::string_view id);
 
 /// The requests that failed on a connection and may be sent again. An upstream
-/// may send such an answer a second time, however late.
+/// may send its answer to one of them a second time, however late.
 class FailedSends {
  public:
   /// @param deadline The request is not sent after it.
