Tests: the dispatcher with one upstream is a harness of its own

Tests of broken answers need the same dispatcher, upstream and sink as the tests of copied answers, which had them in their own file. They are now a base class of test groups. The upstream can also send given bytes and keep, close or reset the connection, and leave the body of a request unread.

--- a/packages/node/test/copying_upstream.cc
+++ b/packages/node/test/copying_upstream.cc
@@ -43,6 +43,7 @@
   Task<void> Accept();
   Task<void> Serve(Socket socket);
   Task<void> Repeat(Socket& socket, const UpstreamReply& reply);
+  Task<bool> WriteBytes(Socket& socket, const UpstreamReply& reply);
   Task<void> Sleep(milliseconds time);
   Task<bool> ReadBody(Socket& socket,
                       const std::string& head,
@@ -124,13 +125,15 @@
     }
     const std::string head = received.substr(0, size);
     received.erase(0, size);
-    const bool has_body = co_await this->ReadBody(socket, head, received);
-    if (!has_body) {
-      break;
-    }
     const std::string id = FieldOf(head, this->names.request_id);
     const bool is_health_check = head.starts_with("GET /health ");
     const UpstreamReply reply = this->choose(is_health_check);
+    if (!reply.leaves_body_unread) {
+      const bool has_body = co_await this->ReadBody(socket, head, received);
+      if (!has_body) {
+        break;
+      }
+    }
     if (!before_next.empty()) {
       const std::string copy = std::exchange(before_next, "");
       co_await boost::asio::async_write(socket, boost::asio::buffer(copy),
@@ -161,6 +164,13 @@
       co_await this->Repeat(socket, reply);
       break;
     }
+    if (!reply.begin.empty()) {
+      const bool keeps = co_await this->WriteBytes(socket, reply);
+      if (!keeps) {
+        break;
+      }
+      continue;
+    }
     std::string answer = this->MakeAnswer(id, is_health_check, reply);
     const std::string copy =
         this->MakeAnswer(reply.copy_has_id ? id : "", is_health_check, reply);
@@ -219,6 +229,17 @@
   }
 }
 
+// @returns true if the connection stays open.
+Task<bool> CopyingUpstream::State::WriteBytes(Socket& socket,
+                                              const UpstreamReply& reply) {
+  const auto [error, size] = co_await boost::asio::async_write(
+      socket, boost::asio::buffer(reply.begin), kTask);
+  if (reply.after == AfterBytes::kResets) {
+    CloseWithReset(socket);
+  }
+  co_return !error && reply.after == AfterBytes::kKeeps;
+}
+
 Task<void> CopyingUpstream::State::Sleep(milliseconds time) {
   if (time.count() > 0) {
     Timer timer(this->run_on, time);
--- a/packages/node/test/copying_upstream.h
+++ b/packages/node/test/copying_upstream.h
@@ -37,6 +37,9 @@
   kCount
 };
 
+/// What the upstream does with a connection after bytes of its own.
+enum class AfterBytes : uint8_t { kKeeps, kCloses, kResets, kCount };
+
 struct UpstreamReply {
   bool rejects = false;      ///< The request does not run.
   unsigned status = 0;       ///< Of the answer; 0: 503 if it rejects, else 200.
@@ -45,10 +48,14 @@
   AnswerCopy copy = AnswerCopy::kNone;
   bool copy_has_id = true;
   std::chrono::milliseconds work{0};
-  /// If `repeated` is not empty, the upstream sends `begin` and then `repeated`
-  /// again and again, until the connection is closed.
+  /// If not empty, the upstream sends these bytes instead of an answer.
   std::string begin{};
+  /// If not empty, the upstream sends `begin` and then this again and again,
+  /// until the connection is closed.
   std::string repeated{};
+  /// Otherwise what the upstream does after `begin`.
+  AfterBytes after = AfterBytes::kKeeps;
+  bool leaves_body_unread = false;  ///< Of the request.
 };
 
 class CopyingUpstream {
--- a/packages/node/test/upstream_answers_test.cc
+++ b/packages/node/test/upstream_answers_test.cc
@@ -1,58 +1,30 @@
 // Tests of the answers of upstreams on kept connections, on which an upstream
 // may send an answer a second time.
 
-#include <algorithm>
 #include <array>
 #include <chrono>
-#include <functional>
-#include <map>
-#include <memory>
-#include <optional>
 #include <string>
 #include <utility>
 #include <vector>
 
-#include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 #include <boost/random/bernoulli_distribution.hpp>
 #include <boost/random/uniform_int_distribution.hpp>
 #include <pcg_random.hpp>
 
-#include "copying_upstream.h"
-#include "decision_fixture.h"
-#include "dispatch_host.h"
-#include "load_query.h"
-#include "upstream_pool.h"
+#include "dispatch_harness.h"
 
 #include <CppUTest/TestHarness.h>
 
-using namespace std::chrono_literals;
-using basilsill::AnswerHead;
-using basilsill::AnswerSink;
-using basilsill::AttemptTarget;
-using basilsill::Dispatcher;
-using basilsill::DispatchHost;
-using basilsill::HeaderNames;
-using basilsill::HttpFields;
 using basilsill::InfoOf;
-using basilsill::IoContext;
 using basilsill::LoadQueryReport;
-using basilsill::MonotonicClock;
 using basilsill::Promise;
 using basilsill::Refusal;
-using basilsill::RequestMessage;
-using basilsill::RoutingViewPtr;
 using basilsill::ServeOutcome;
-using basilsill::Target;
-using basilsill::Task;
-using basilsill::UpstreamPool;
-using basilsill::UpstreamPoolOptions;
-using basilsill::UpstreamRow;
-using basilsill::WorkerMetrics;
 using basilsill::test::AnswerBodyOf;
 using basilsill::test::AnswerCopy;
-using basilsill::test::CopyingUpstream;
+using basilsill::test::DispatchHarness;
 using basilsill::test::LostAnswer;
+using basilsill::test::Served;
 using basilsill::test::UpstreamReply;
 using std::chrono::milliseconds;
 
@@ -65,232 +37,32 @@
                                                         kTooManyRequests, 503};
 // More than the requests that arrive while one waits.
 constexpr int kManyOthers = 40;
-constexpr milliseconds kTick{1};
-constexpr milliseconds kDeadline{5'000};
 constexpr milliseconds kShortDeadline{200};
-// Far longer than any wait needs.
-constexpr milliseconds kWaitLimit{20'000};
-
-HeaderNames MakeNames() {
-  HeaderNames names;
-  names.served_by = "X-Instance";
-  names.load = "X-Load";
-  names.request_id_is_echoed = true;
-  names.promise_by_status = true;
-  return names;
-}
-
-RoutingViewPtr MakeView(const basilsill::Endpoint& upstream) {
-  basilsill::ViewFixture fixture;
-  fixture.AddUpstream(0, 8);
-  fixture.service.upstreams[0].endpoint = upstream;
-  return fixture.Build();
-}
-
-/// Keeps the answer that it gets, or the start of a long one.
-class KeepingSink final : public AnswerSink {
- public:
-  static constexpr size_t kMaxKept = 64 * 1024;
-
-  Task<bool> Start(const AnswerHead& head,
-                   std::span<const char> piece,
-                   bool /*last*/) override {
-    this->status = head.status;
-    this->body.assign(piece.data(), piece.size());
-    co_return true;
-  }
-  Task<bool> Continue(std::span<const char> piece,
-                      bool /*last*/,
-                      const HttpFields* /*trailers*/) override {
-    if (this->body.size() < kMaxKept) {
-      this->body.append(piece.data(), piece.size());
-    }
-    co_return true;
-  }
-  void Break() override { this->is_broken = true; }
-
-  unsigned status = 0;
-  bool is_broken = false;
-  std::string body;
-};
-
-/// A request that must not run twice, and its outcome.
-struct Served {
-  RequestMessage request;
-  KeepingSink sink;
-  std::optional<ServeOutcome> outcome;
-};
 
 }  // namespace
 
-// A dispatcher with one upstream.
-TEST_GROUP(UpstreamAnswers) {
-  IoContext context{1};
-  HeaderNames names = MakeNames();
-  std::function<UpstreamReply(bool)> choose;
-  CopyingUpstream upstream{
-      this->context, this->names,
-      [this](bool is_health_check) { return this->choose(is_health_check); }};
-  std::shared_ptr<WorkerMetrics> metrics = std::make_shared<WorkerMetrics>();
-  std::unique_ptr<UpstreamPool> pool;
-  std::unique_ptr<DispatchHost> dispatch;
-  RoutingViewPtr view = MakeView(this->upstream.endpoint());
-  std::vector<std::unique_ptr<Served>> requests;
-  int next = 0;
-
-  void setup() override {
-    UpstreamPoolOptions options;
-    options.names = this->names;
-    options.hold_answers = true;
-    options.answers_end_at_deadline = true;
-    options.reader.body_bytes = UINT64_MAX;
-    this->pool = std::make_unique<UpstreamPool>(this->context.get_executor(),
-                                                options, this->metrics);
-    this->dispatch =
-        std::make_unique<DispatchHost>(Dispatcher::Create({}), *this->pool);
-    this->dispatch->ApplyView(MonotonicClock::now(), this->view);
-  }
-
-  // Ends the coroutines before the objects to which they refer.
-  void teardown() override {
-    this->RunFor(20ms);
-    this->dispatch.reset();
-    this->pool.reset();
-  }
-
-  void RunFor(milliseconds time) {
-    this->context.restart();
-    this->context.run_for(time);
-  }
-
-  void Start(const std::string& id, milliseconds deadline = kDeadline,
-             bool is_idempotent = false, uint8_t max_attempts = 2) {
-    this->requests.push_back(std::make_unique<Served>());
-    Served& served = *this->requests.back();
-    RequestMessage& request = served.request;
-    request.method = "POST";
-    request.target = "/confirm";
-    request.request_id = id;
-    request.headers.set(this->names.request_id, id);
-    request.headers.set("Host", "levels.test");
-    request.entry.service = {0, 0};
-    request.entry.team = {0, 0};
-    request.entry.deadline = MonotonicClock::now() + deadline;
-    request.entry.max_attempts = max_attempts;
-    request.entry.idempotent = is_idempotent;
-    request.entry.replayable = true;
-    boost::asio::co_spawn(this->context, this->Serve(served),
-                          boost::asio::detached);
-  }
-
-  Task<void> Serve(Served & served) {
-    Target target;
-    target.shard = this->view->services[0]->shards.at(0).key;
-    const ServeOutcome outcome =
-        co_await this->dispatch->Serve(served.request, target, served.sink);
-    served.outcome = outcome;
-  }
-
-  /// Runs until all requests have an outcome.
-  void Finish() {
-    CHECK(this->RunUntil([this] {
-      return std::all_of(this->requests.begin(), this->requests.end(),
-                         [](const auto& served) { return served->outcome; });
-    }));
-  }
-
-  /// Sends a health check and waits for its end.
-  LoadQueryReport QueryLoad() {
-    std::optional<LoadQueryReport> report;
-    boost::asio::co_spawn(this->context, this->RunQuery(report),
-                          boost::asio::detached);
-    while (!report) {
-      this->RunFor(kTick);
-    }
-    return *report;
-  }
-
-  Task<void> RunQuery(std::optional<LoadQueryReport> & report) {
-    AttemptTarget target;
-    const UpstreamRow& row = this->view->services[0]->upstreams[0];
-    target.endpoint = row.endpoint;
-    target.upstream = row.handle;
-    target.data_centre = row.data_centre;
-    const LoadQueryReport done =
-        co_await QueryUpstreamLoad(*this->pool, target, "/health");
-    report = done;
-  }
-
-  size_t RunsOf(const std::string& id) const {
-    const auto found = this->upstream.runs().find(id);
-    return found == this->upstream.runs().end() ? 0 : found->second;
-  }
-
-  /// Sends requests until one is answered. The dispatcher gives an upstream
-  /// that has rejected or failed all requests no work for a moment.
-  void ServeOne() {
-    CHECK(this->RunUntil([this] {
-      this->Start("next-" + std::to_string(this->next++));
-      this->Finish();
-      return this->requests.back()->outcome->answered;
-    }));
-    this->CheckOutcomes();
-  }
-
-  /// Lets the upstream answer one request with bytes without end, and another
-  /// one as usual.
-  /// @returns the outcome of the first.
-  ServeOutcome AnswerWithoutEnd(const std::string& begin,
-                                const std::string& repeated) {
-    UpstreamReply reply;
-    reply.begin = begin;
-    reply.repeated = repeated;
-    this->choose = [&reply](bool) { return reply; };
-    this->Start("r-1", kShortDeadline);
-    this->Finish();
-    const ServeOutcome outcome = *this->requests.front()->outcome;
-    this->CheckReleased();
-    this->requests.clear();
-    reply = {};
-    this->ServeOne();
-    this->requests.clear();
-    return outcome;
-  }
-
-  /// Checks that nothing is left of the requests and their connections.
-  void CheckReleased() {
-    CHECK_EQUAL(0, this->dispatch->active());
-    CHECK_EQUAL(0, this->pool->idle_count());
-    CHECK(this->RunUntil(
-        [this] { return this->upstream.open_connections() == 0; }));
-  }
-
-  /// @returns false if `condition` is not true within kWaitLimit.
-  bool RunUntil(const std::function<bool()>& condition) {
-    const auto limit = MonotonicClock::now() + kWaitLimit;
-    while (!condition() && MonotonicClock::now() < limit) {
-      this->RunFor(kTick);
-      this->dispatch->Tick(MonotonicClock::now());
-    }
-    return condition();
-  }
-
-  /// Checks each outcome against what the upstream ran.
-  void CheckOutcomes() const {
-    for (const auto& served : this->requests) {
-      const std::string& id = served->request.request_id;
-      const ServeOutcome& outcome = *served->outcome;
-      CHECK(this->RunsOf(id) <= 1);
-      if (outcome.answered) {
-        CHECK_EQUAL(200, served->sink.status);
-        CHECK(served->sink.body == AnswerBodyOf(id));
-        CHECK_EQUAL(1, this->RunsOf(id));
-      } else if (InfoOf(outcome.refusal).promise == Promise::kNotRun) {
-        CHECK_EQUAL(0, this->RunsOf(id));
-      }
-    }
-  }
-};
+TEST_GROUP_BASE(UpstreamAnswers, DispatchHarness){
+    /// Lets the upstream answer one request with bytes without end, and another
+    /// one as usual.
+    /// @returns the outcome of the first.
+    ServeOutcome AnswerWithoutEnd(const std::string& begin,
+                                  const std::string& repeated){
+        UpstreamReply reply;
+reply.begin = begin;
+reply.repeated = repeated;
+this->choose = [&reply](bool) { return reply; };
+this->Start("r-1", kShortDeadline);
+this->Finish();
+const ServeOutcome outcome = *this->requests.front()->outcome;
+this->CheckReleased();
+this->requests.clear();
+reply = {};
+this->ServeOne();
+this->requests.clear();
+return outcome;
+}
+}
+;
 
 // Failure: an upstream runs a request and answers with a status that callers
 // take for the promise that it has not run. The answer is passed on, and a
