Answers: a status that HTTP does not have is malformed

Seen: an upstream in trouble answers "HTTP/1.1 000 OK", and the caller gets "HTTP/1.1 0 OK" as an answer. 001, 099, 600 and 999 are passed on as well, also behind a 100. 101 is skipped as an interim answer, and the caller waits until its deadline.

Cause: the parser takes any three digits for a status, and no place of ours said which statuses are answers.

The reader of heads takes 100 to 599 without 101, which no request asks for; everything else is malformed. That covers answers to requests, late answers that are skipped, and load queries. The same cause elsewhere: the HTTP client of the platform took 000, and 100, for the answer to its call, so that a write counted as rejected without effect, and the true answer behind a 100 was left for the next call; messages between VMs allowed statuses up to 999; the load generator counted them as responses.

--- a/packages/ctl/src/load_check.cc
+++ b/packages/ctl/src/load_check.cc
@@ -5,6 +5,7 @@
 
 #include <boost/json.hpp>
 
+#include "basilsill/base/http_status.h"
 #include "basilsill/base/text.h"
 #include "upstream_request.h"
 
@@ -53,7 +54,9 @@
 LoadAttemptResult LoadResponseCheck::Finish(
     const LoadResponseHead& head) const {
   LoadAttemptResult result;
-  if (head.status >= kFirstErrorStatus) {
+  if (!IsFinalStatus(head.status)) {
+    result.verdict = LoadVerdict::kMalformed;
+  } else if (head.status >= kFirstErrorStatus) {
     result = this->ClassifyErrorResponse(head);
   } else {
     result.verdict = this->CheckUpstreamResponse(head);
--- a/packages/ctl/test/load_check_test.cc
+++ b/packages/ctl/test/load_check_test.cc
@@ -86,6 +86,15 @@
   this->CheckVerdict(LoadVerdict::kRight);
 }
 
+// Failure: a node passes on a status that HTTP does not have, and a load run
+// counts it as a response.
+TEST(LoadResponseCheck, Finish_StatusOutsideHttp_IsMalformed) {
+  for (const unsigned status : {0, 101, 600, 999}) {
+    this->head.status = status;
+    this->CheckVerdict(LoadVerdict::kMalformed);
+  }
+}
+
 TEST(LoadResponseCheck, Finish_RefusalWithPromise_ReturnsReasonAndDelay) {
   this->head.status = 503;
   this->head.promise = "not-run";
--- a/packages/node/src/http_reader.cc
+++ b/packages/node/src/http_reader.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 
+#include "basilsill/base/http_status.h"
 #include "basilsill/base/text.h"
 
 namespace basilsill {
@@ -68,6 +69,15 @@
   bool IsClear() const { return this->lengths + this->codings <= 1; }
 };
 
+bool HasKnownStatus(const http::request_header<>& /*request*/) {
+  return true;
+}
+
+bool HasKnownStatus(const http::response_header<>& answer) {
+  const unsigned status = answer.result_int();
+  return IsInterimStatus(status) || IsFinalStatus(status);
+}
+
 }  // namespace
 
 bool IsStrictHead(std::string_view head) {
@@ -154,7 +164,8 @@
       this->parser->put(boost::asio::buffer(data.data(), head_size), error);
   this->buffer.consume(used);
   this->parser->eager(true);
-  return !error && this->parser->is_header_done();
+  return !error && this->parser->is_header_done() &&
+         HasKnownStatus(this->parser->get());
 }
 
 template <bool is_request>
--- a/packages/node/src/http_reader.h
+++ b/packages/node/src/http_reader.h
@@ -25,8 +25,8 @@
   kClosed,     ///< The connection closed before the first byte.
   kBroken,     ///< It closed or failed within the head.
   kTooLarge,   ///< The head exceeds its size limit.
-  kMalformed,  ///< Not HTTP, or ambiguous in a way that allows request
-               ///< smuggling.
+  kMalformed,  ///< Not HTTP, with a status that HTTP does not have, or
+               ///< ambiguous in a way that allows request smuggling.
   kCount
 };
 
--- a/packages/node/src/upstream_answer.cc
+++ b/packages/node/src/upstream_answer.cc
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <vector>
 
+#include "basilsill/base/http_status.h"
+
 namespace basilsill {
 namespace {
 
@@ -14,16 +16,12 @@
 // Maximum size of the body of an answer that is skipped.
 constexpr size_t kMaxStaleBytes = 192 * 1024;
 
-bool IsInterim(unsigned status) {
-  return status / 100 == 1;
-}
-
 Task<HeadStatus> ReadFinalHead(UpstreamConnection& connection, bool no_body) {
   for (int skipped = 0; skipped <= kMaxInterimAnswers; ++skipped) {
     const HeadStatus status =
         co_await connection.reader.ReadHead(connection.socket, no_body);
     if (status != HeadStatus::kOk ||
-        !IsInterim(connection.reader.message().get().result_int())) {
+        !IsInterimStatus(connection.reader.message().get().result_int())) {
       co_return status;
     }
   }
--- a/packages/platform/src/http_client.cc
+++ b/packages/platform/src/http_client.cc
@@ -14,6 +14,8 @@
 #include <boost/beast/core/tcp_stream.hpp>
 #include <boost/beast/http.hpp>
 
+#include "basilsill/base/http_status.h"
+
 namespace basilsill {
 namespace {
 
@@ -254,6 +256,12 @@
   if (head_error) {
     co_return MakeFailure(endpoint, head_error, kind);
   }
+  // Failure: a server in trouble answers with a status that HTTP does not have,
+  // which is neither a success nor a refusal without effect.
+  if (!IsFinalStatus(parser.get().result_int())) {
+    co_return MakeFailure(endpoint,
+                          http::make_error_code(http::error::bad_status), kind);
+  }
   ExpireAt(connection->stream, end.whole);
   const auto [read_error, received] = co_await http::async_read(
       connection->stream, connection->buffer, parser, kNoThrow);
--- a/packages/platform/test/misbehaving_server_test.cc
+++ b/packages/platform/test/misbehaving_server_test.cc
@@ -77,6 +77,9 @@
        FailureKind::kOversizedFrame},
       {head + "X: " + std::string(limits::kMaxHeaderBytes, 'x') + "\r\n\r\n",
        FailureKind::kOversizedFrame},
+      {"HTTP/1.1 000 OK\r\nContent-Length: 2\r\n\r\n{}", FailureKind::kSyntax},
+      {"HTTP/1.1 100 Continue\r\n\r\n", FailureKind::kSyntax},
+      {"HTTP/1.1 600 OK\r\nContent-Length: 2\r\n\r\n{}", FailureKind::kSyntax},
       {"HTTP/1.1 500 Broken\r\nContent-Length: 0\r\n\r\n",
        FailureKind::kPlatformRejected},
   };
--- a/packages/wire/src/message_check.cc
+++ b/packages/wire/src/message_check.cc
@@ -5,13 +5,12 @@
 #include <string_view>
 #include <type_traits>
 
+#include "basilsill/base/http_status.h"
 #include "stream_id.h"
 
 namespace basilsill::wire {
 namespace {
 
-constexpr uint16_t kLowestFinalStatus = 200;
-constexpr uint16_t kHighestStatus = 999;
 constexpr size_t kMaxAddressLength = 64;
 constexpr size_t kMaxMethodLength = 64;
 constexpr size_t kMaxPhraseLength = 256;
@@ -152,9 +151,8 @@
 
 void Check(Checker& check, const Answer& answer) {
   check.RequireStream(answer.stream);
-  check.Require(
-      answer.status >= kLowestFinalStatus && answer.status <= kHighestStatus,
-      "/status", "not the status of a final answer");
+  check.Require(IsFinalStatus(answer.status), "/status",
+                "not the status of a final answer");
   check.Require(
       IsOneLine(answer.phrase) && answer.phrase.size() <= kMaxPhraseLength,
       "/phrase", "malformed reason phrase");
--- a/packages/wire/test/frame_test.cc
+++ b/packages/wire/test/frame_test.cc
@@ -183,6 +183,16 @@
   }
 }
 
+// Failure: the answer of another VM has a status that HTTP does not have, and
+// the caller gets it as an answer.
+TEST(Frame, Encode_StatusOfNoFinalAnswer_Fails) {
+  for (const uint16_t status : {0, 99, 100, 101, 199, 600, 999, 1000}) {
+    Answer answer = SampleAnswer();
+    answer.status = status;
+    CHECK(EncodeFailure(answer) == FailureKind::kOutOfRange);
+  }
+}
+
 TEST(Frame, Encode_TimesOutOfRange_AreClamped) {
   Open open = SampleOpen();
   open.deadline = std::chrono::microseconds(-1);
