Answers: a reset that a write gets ends no answer

Seen: a caller uploads slowly and does not read. The upstream answers at once with a 200 that has no length, sends a part of its body and resets the connection. The caller gets the part as a complete answer.

Cause: an answer without a length is complete when the read ends with an ordinary end. The system reports a reset once, to the operation that comes first. If that is the write of the upload, the reads after it get the bytes that had arrived and then an ordinary end (seen in a trace of the system calls: sendmsg fails, recvfrom 49, recvfrom 0). The write's failure was not looked at: an upstream may answer before it closes, to shed for example. It comes first when the caller holds reading back, and when the reactor finds both operations ready, since it performs writes first.

Change: a connection remembers that a write on it has failed. The end of the connection ends an answer only if none has, whether it is buffered or streamed, and after the results of writes that ended before the read have been taken. An end without a failed operation proves that the upstream has closed in order, so an upload that still waits changes nothing. Answers with a length or chunks stay complete by their own framing. A connection with a failed write is not kept; the failure of an upload's last chunk was ignored before.

Before: BrokenAnswers PartWithoutLengthThenReset_CallerReadsLate_BreaksOff, ShortPartWithoutLengthThenReset_Upload_EndsAsUnknown and ShortPartWithoutLengthThenReset_WholeBody_EndsAsUnknown fail: the first answer streams on, the others are buffered, in the third the write of the head gets the reset. After: all pass.

Held before, now with tests: a reset that the read gets, over links and for callers of HTTP/1.0 too (Stream), and a platform's answer without length (MisbehavingServer).

Conclusion: such an answer is told as broken: 502 unknown while it is buffered, a reset when it is streamed. An upstream that closes in order while an upload still flows may be told as broken as well, if the upload meets the close first.

--- a/packages/node/src/http_reader.h
+++ b/packages/node/src/http_reader.h
@@ -66,6 +66,11 @@
   /// @returns how the body is delimited according to the last head.
   BodyFraming framing() const;
 
+  /// @returns true if nothing but the end of the connection ends the body.
+  bool ends_with_connection() const {
+    return this->parser && this->parser->need_eof();
+  }
+
   /// @returns true if the complete message was read.
   bool done() const { return this->parser && this->parser->is_done(); }
 
--- a/packages/node/src/upstream_attempt.cc
+++ b/packages/node/src/upstream_attempt.cc
@@ -10,6 +10,7 @@
 
 #include <boost/asio/buffer.hpp>
 #include <boost/asio/co_spawn.hpp>
+#include <boost/asio/post.hpp>
 #include <boost/asio/write.hpp>
 #include <boost/beast/http/chunk_encode.hpp>
 
@@ -155,7 +156,7 @@
 // taken for the answer, and the caller is told that the request has not run.
 void UpstreamAttempt::ReleaseConnection() {
   UpstreamConnectionPtr owned = std::move(this->connection);
-  if (!this->reusable || this->sending_body || !owned) {
+  if (!this->reusable || this->sending_body || !owned || owned->write_failed) {
     return;
   }
   const TimePoint now = MonotonicClock::now();
@@ -291,7 +292,7 @@
   const auto [error, size] = co_await boost::asio::async_write(
       this->connection->socket, buffers, kTask);
   this->pool.metrics().upstream_bytes_sent.Add(size);
-  co_return !error;
+  co_return this->NoteWrite(error);
 }
 
 // The body is sent while the answer is read. Otherwise, an upstream that
@@ -343,11 +344,15 @@
   Socket& socket = this->connection->socket;
   const HttpFields* trailers = this->request.source->trailers();
   if (trailers == nullptr) {
-    co_await boost::asio::async_write(socket, http::make_chunk_last(), kTask);
+    const auto [error, size] = co_await boost::asio::async_write(
+        socket, http::make_chunk_last(), kTask);
+    this->NoteWrite(error);
     co_return;
   }
   const auto last = http::make_chunk_last(*trailers);
-  co_await boost::asio::async_write(socket, last, kTask);
+  const auto [error, size] =
+      co_await boost::asio::async_write(socket, last, kTask);
+  this->NoteWrite(error);
 }
 
 Task<bool> UpstreamAttempt::SendPiece(std::span<const char> piece) {
@@ -363,7 +368,12 @@
   if (!error) {
     this->pool.metrics().upstream_bytes_sent.Add(piece.size());
   }
-  co_return !error;
+  co_return this->NoteWrite(error);
+}
+
+bool UpstreamAttempt::NoteWrite(const NetError& error) {
+  this->connection->write_failed = this->connection->write_failed || error;
+  return !error;
 }
 
 std::string_view UpstreamAttempt::AnswerHeader(const std::string& name) const {
@@ -441,6 +451,22 @@
   return head;
 }
 
+// Failure: an upstream resets the connection while the body of the request is
+// still being written. If a write gets the reset, the read after it gets the
+// bytes that had arrived and then an ordinary end. So the end of the connection
+// ends an answer only if no operation on the connection has failed.
+Task<BodyPiece> UpstreamAttempt::ReadBody(std::span<char> buffer) {
+  UpstreamConnection& from = *this->connection;
+  const BodyPiece piece = co_await from.reader.ReadBody(from.socket, buffer);
+  if (!piece.ok || !piece.last || !from.reader.ends_with_connection()) {
+    co_return piece;
+  }
+  // The result of a write that ended before the read may still be queued.
+  co_await boost::asio::post(this->pool.executor(),
+                             boost::asio::use_awaitable_t<Executor>());
+  co_return from.write_failed ? BodyPiece{false, true, 0} : piece;
+}
+
 // Reads the answer until it is complete or too long to buffer; streams the
 // latter.
 Task<AttemptReport> UpstreamAttempt::ReadOrStreamAnswer() {
@@ -455,7 +481,7 @@
   std::vector<char> buffer(limits::kBodyChunkBytes);
   BodyPiece piece;
   do {
-    piece = co_await reader.ReadBody(this->connection->socket, buffer);
+    piece = co_await this->ReadBody(buffer);
     if (!piece.ok) {
       co_return this->Failed(AttemptEnd::kDied);
     }
@@ -499,7 +525,6 @@
 Task<AttemptReport> UpstreamAttempt::StreamPieces(
     const AnswerHead& head,
     const std::string& body_start) {
-  auto& reader = this->connection->reader;
   this->has_started = true;
   // The head and the first piece are sent before trailers are known, so the end
   // of the answer is always sent separately.
@@ -508,10 +533,11 @@
   BodyPiece piece;
   piece.last = false;
   while (piece.ok && !piece.last && receiver_there) {
-    piece = co_await reader.ReadBody(this->connection->socket, buffer);
+    piece = co_await this->ReadBody(buffer);
     if (piece.ok) {
       receiver_there = co_await this->sink.Continue(
-          std::span(buffer.data(), piece.size), piece.last, reader.trailers());
+          std::span(buffer.data(), piece.size), piece.last,
+          this->connection->reader.trailers());
     }
   }
   if (!piece.ok) {
--- a/packages/node/src/upstream_attempt.h
+++ b/packages/node/src/upstream_attempt.h
@@ -93,6 +93,7 @@
   Task<void> SendStreamedBody();
   Task<void> SendLastChunk();
   Task<bool> SendPiece(std::span<const char> piece);
+  bool NoteWrite(const NetError& error);
   void StartStreamedBody();
   Task<void> StopStreamedBody();
   Task<HeadStatus> ReadOwnHead();
@@ -102,6 +103,7 @@
   void ReleaseConnection();
   NotRunProof ProofOf(AttemptEnd end) const;
   Task<AttemptReport> ReadAnswer();
+  Task<BodyPiece> ReadBody(std::span<char> buffer);
   Task<AttemptReport> ReadOrStreamAnswer();
   Task<AttemptReport> StreamAnswer(AnswerHead head, std::string body_start);
   Task<AttemptReport> StreamPieces(const AnswerHead& head,
--- a/packages/node/src/upstream_pool.h
+++ b/packages/node/src/upstream_pool.h
@@ -77,7 +77,8 @@
   uint32_t sends = 0;   ///< Requests and health checks that it has carried.
   uint32_t skipped_answers = 0;  ///< Late answers to earlier sends.
   TimePoint idle_since;
-  bool reused = false;  ///< It has carried an earlier request.
+  bool reused = false;        ///< It has carried an earlier request.
+  bool write_failed = false;  ///< A write on it has failed.
 };
 using UpstreamConnectionPtr = std::unique_ptr<UpstreamConnection>;
 
--- a/packages/node/test/broken_answers_test.cc
+++ b/packages/node/test/broken_answers_test.cc
@@ -1,5 +1,8 @@
 // Tests of upstreams that send something else than a whole answer.
 
+#include <algorithm>
+#include <chrono>
+#include <functional>
 #include <string>
 #include <vector>
 
@@ -7,38 +10,117 @@
 
 #include <CppUTest/TestHarness.h>
 
+using basilsill::BodyKind;
+using basilsill::BodyPiece;
+using basilsill::BodySource;
+using basilsill::Executor;
+using basilsill::InfoOf;
+using basilsill::kTask;
+using basilsill::Promise;
 using basilsill::Refusal;
+using basilsill::Task;
+using basilsill::Timer;
 using basilsill::test::AfterBytes;
 using basilsill::test::DispatchHarness;
 using basilsill::test::Served;
 using basilsill::test::UpstreamReply;
+using std::chrono::milliseconds;
 
-TEST_GROUP_BASE(BrokenAnswers, DispatchHarness){
-    /// Lets the upstream answer everything with `bytes`.
-    void AnswerWith(const std::string& bytes,
-                    AfterBytes after = AfterBytes::kKeeps){
-        this->choose = [bytes, after](bool) {
-          UpstreamReply reply;
-          reply.begin = bytes;
-          reply.after = after;
-          return reply;
-        };
-}
+namespace {
 
-/// @returns a head without its blank line, as an answer to request r-1.
-std::string HeadOf(const std::string& status_line) const {
-  return status_line + "\r\n" + this->names.request_id + ": r-1\r\n";
-}
+// Longer than an answer that is buffered until it is complete.
+constexpr size_t kLongBody = 256 * 1024;
+// Longer than what the buffers of a connection hold.
+constexpr size_t kLongUpload = 32 * 1024 * 1024;
+constexpr milliseconds kPoll{1};
+// Until an upload has filled the buffers of its connection.
+constexpr milliseconds kFillTime{100};
 
-/// Sends request r-1 and waits for its end.
-const Served& ServeRequest() {
-  this->requests.clear();
-  this->Start("r-1");
-  this->Finish();
-  return *this->requests.back();
-}
-}
-;
+/// An upload without end, which can be held back.
+class Upload final : public BodySource {
+ public:
+  explicit Upload(const Executor& executor) : executor(executor) {}
+
+  Task<BodyPiece> Read(std::span<char> buffer) override {
+    while (this->is_held && !this->is_stopped) {
+      co_await this->Sleep(kPoll);
+    }
+    if (this->is_stopped) {
+      co_return BodyPiece{false, true, 0};
+    }
+    std::fill(buffer.begin(), buffer.end(), 'u');
+    ++this->pieces;
+    co_return BodyPiece{true, false, buffer.size()};
+  }
+  void Stop() override { this->is_stopped = true; }
+
+  Task<void> Sleep(milliseconds time) {
+    Timer timer(this->executor, time);
+    co_await timer.async_wait(kTask);
+  }
+
+  bool is_held = false;
+  bool is_stopped = false;
+  size_t pieces = 0;
+
+ private:
+  Executor executor;
+};
+
+class BrokenAnswersGroup : public DispatchHarness {
+ public:
+  /// Lets the upstream answer everything with `bytes`.
+  void AnswerWith(const std::string& bytes,
+                  AfterBytes after = AfterBytes::kKeeps) {
+    this->choose = [bytes, after](bool) {
+      UpstreamReply reply;
+      reply.begin = bytes;
+      reply.after = after;
+      return reply;
+    };
+  }
+
+  /// Lets the upstream answer before it has read the body of the request.
+  void AnswerEarlyWith(const std::string& bytes,
+                       AfterBytes after,
+                       milliseconds work = {},
+                       std::function<bool()> may_end = {}) {
+    this->choose = [bytes, after, work, may_end](bool) {
+      UpstreamReply reply;
+      reply.may_end = may_end;
+      reply.begin = bytes;
+      reply.after = after;
+      reply.work = work;
+      reply.leaves_body_unread = true;
+      return reply;
+    };
+  }
+
+  /// @returns a head without its blank line, as an answer to request r-1.
+  std::string HeadOf(const std::string& status_line = "HTTP/1.1 200 OK") const {
+    return status_line + "\r\n" + this->names.request_id + ": r-1\r\n";
+  }
+
+  /// Sends request r-1 and waits for its end.
+  const Served& ServeRequest() {
+    this->requests.clear();
+    this->Start("r-1");
+    this->Finish();
+    return *this->requests.back();
+  }
+
+  /// Sends `served` with `upload` and waits for its end.
+  void ServeUpload(Served& served, Upload& upload) {
+    served.request.framing = {BodyKind::kChunked, 0};
+    served.request.source = &upload;
+    this->Send(served);
+    this->Finish();
+  }
+};
+
+}  // namespace
+
+TEST_GROUP_BASE(BrokenAnswers, BrokenAnswersGroup){};
 
 // Failure: an upstream in trouble answers with a status that HTTP does not
 // have, and the caller gets it as an answer.
@@ -72,3 +154,97 @@
                    ": 1,0,2\r\nContent-Length: 0\r\n\r\n");
   CHECK_FALSE(this->QueryLoad().answered);
 }
+
+// Failure: an upstream answers a long upload at once, without a length, and
+// resets the connection before it has sent all of the answer. The upload's
+// write gets the reset, so that the read after it finds an ordinary end, and
+// the caller gets a part as a complete answer.
+TEST(BrokenAnswers, PartWithoutLengthThenReset_CallerReadsLate_BreaksOff) {
+  Upload upload(this->context.get_executor());
+  upload.is_held = true;
+  Served& served = this->Add("r-1");
+  bool is_holding = false;
+  served.sink.hold = [this, &upload, &is_holding]() -> Task<void> {
+    is_holding = true;
+    while (this->upstream.open_connections() > 0) {
+      co_await upload.Sleep(kPoll);
+    }
+    upload.is_held = false;
+    while (upload.pieces == 0) {
+      co_await upload.Sleep(kPoll);
+    }
+    co_await upload.Sleep(kPoll);
+  };
+  this->AnswerEarlyWith(this->HeadOf() + "\r\n" + std::string(kLongBody, 'x'),
+                        AfterBytes::kResets, {},
+                        [&is_holding] { return is_holding; });
+  this->ServeUpload(served, upload);
+  CHECK(served.sink.is_broken);
+  CHECK_FALSE(served.sink.has_ended);
+}
+
+// Failure: as above, but the answer is still buffered.
+TEST(BrokenAnswers, ShortPartWithoutLengthThenReset_Upload_EndsAsUnknown) {
+  Upload upload(this->context.get_executor());
+  this->AnswerEarlyWith(this->HeadOf() + "\r\nonly a part", AfterBytes::kResets,
+                        kFillTime);
+  Served& served = this->Add("r-1");
+  this->ServeUpload(served, upload);
+  CHECK_FALSE(served.outcome->answered);
+  CHECK(InfoOf(served.outcome->refusal).promise == Promise::kUnknown);
+}
+
+// Failure: as above, but the write of the head and a whole body gets the reset.
+TEST(BrokenAnswers, ShortPartWithoutLengthThenReset_WholeBody_EndsAsUnknown) {
+  this->AnswerEarlyWith(this->HeadOf() + "\r\nonly a part", AfterBytes::kResets,
+                        kFillTime);
+  Served& served = this->Add("r-1");
+  served.request.framing = {BodyKind::kLength, kLongUpload};
+  served.request.whole_body = std::string(kLongUpload, 'u');
+  this->Send(served);
+  this->Finish();
+  CHECK_FALSE(served.outcome->answered);
+  CHECK(InfoOf(served.outcome->refusal).promise == Promise::kUnknown);
+}
+
+// Failure: a part without a length ends with a reset that the read gets.
+TEST(BrokenAnswers, PartWithoutLengthThenReset_NoUpload_EndsAsUnknown) {
+  this->AnswerWith(this->HeadOf() + "\r\nonly a part", AfterBytes::kResets);
+  const Served& served = this->ServeRequest();
+  CHECK_FALSE(served.outcome->answered);
+  CHECK(InfoOf(served.outcome->refusal).promise == Promise::kUnknown);
+}
+
+// An answer whose head or chunks say where it ends is whole, whatever becomes
+// of the upload.
+TEST(BrokenAnswers, WholeAnswerThenReset_Upload_PassedOn) {
+  for (const std::string framed :
+       {"Content-Length: 5\r\n\r\nwhole",
+        "Transfer-Encoding: chunked\r\n\r\n5\r\nwhole\r\n0\r\n\r\n"}) {
+    this->requests.clear();
+    Upload upload(this->context.get_executor());
+    this->AnswerEarlyWith(this->HeadOf() + framed, AfterBytes::kResets,
+                          kFillTime);
+    Served& served = this->Add("r-1");
+    this->ServeUpload(served, upload);
+    CHECK(served.outcome->answered);
+    STRCMP_EQUAL("whole", served.sink.body.c_str());
+    CHECK(served.sink.has_ended);
+  }
+}
+
+// An upstream may answer before the upload has ended and close in order.
+TEST(BrokenAnswers, WholeAnswerWithoutLength_UploadWaits_PassedOn) {
+  for (const size_t size : {size_t{5}, kLongBody}) {
+    this->requests.clear();
+    Upload upload(this->context.get_executor());
+    upload.is_held = true;
+    this->AnswerEarlyWith(this->HeadOf() + "\r\n" + std::string(size, 'x'),
+                          AfterBytes::kCloses);
+    Served& served = this->Add("r-1");
+    this->ServeUpload(served, upload);
+    CHECK(served.outcome->answered);
+    CHECK(served.sink.has_ended);
+    CHECK_FALSE(served.sink.is_broken);
+  }
+}
--- a/packages/node/test/copying_upstream.cc
+++ b/packages/node/test/copying_upstream.cc
@@ -1,5 +1,6 @@
 #include "copying_upstream.h"
 
+#include <algorithm>
 #include <set>
 #include <utility>
 
@@ -22,8 +23,10 @@
 constexpr unsigned kOk = 200;
 constexpr unsigned kUnavailable = 503;
 constexpr milliseconds kSoon{2};
+constexpr milliseconds kPoll{1};
 // Size of one write of bytes without end.
 constexpr size_t kRepeatedBytes = 4096;
+constexpr size_t kLastBytes = 256;
 const std::string kBlankLine = "\r\n\r\n";
 const std::string kLastChunk = "0\r\n\r\n";
 
@@ -232,12 +235,21 @@
 // @returns true if the connection stays open.
 Task<bool> CopyingUpstream::State::WriteBytes(Socket& socket,
                                               const UpstreamReply& reply) {
-  const auto [error, size] = co_await boost::asio::async_write(
-      socket, boost::asio::buffer(reply.begin), kTask);
+  // The last bytes and the reset go out together, so that the receiver finds
+  // both at once.
+  const size_t last = std::min(reply.begin.size(), kLastBytes);
+  const std::string start = reply.begin.substr(0, reply.begin.size() - last);
+  const std::string rest = reply.begin.substr(start.size());
+  co_await boost::asio::async_write(socket, boost::asio::buffer(start), kTask);
+  while (reply.may_end && !reply.may_end()) {
+    co_await this->Sleep(kPoll);
+  }
+  NetError ignored;
+  boost::asio::write(socket, boost::asio::buffer(rest), ignored);
   if (reply.after == AfterBytes::kResets) {
     CloseWithReset(socket);
   }
-  co_return !error && reply.after == AfterBytes::kKeeps;
+  co_return reply.after == AfterBytes::kKeeps;
 }
 
 Task<void> CopyingUpstream::State::Sleep(milliseconds time) {
--- a/packages/node/test/copying_upstream.h
+++ b/packages/node/test/copying_upstream.h
@@ -55,6 +55,8 @@
   std::string repeated{};
   /// Otherwise what the upstream does after `begin`.
   AfterBytes after = AfterBytes::kKeeps;
+  /// If set, the upstream waits for it before the last of these bytes.
+  std::function<bool()> may_end{};
   bool leaves_body_unread = false;  ///< Of the request.
 };
 
--- a/packages/node/test/raw_upstream.cc
+++ b/packages/node/test/raw_upstream.cc
@@ -30,6 +30,12 @@
   return !ignored;
 }
 
+void RawUpstream::Exchange::Reset() {
+  NetError ignored;
+  this->socket.set_option(boost::asio::socket_base::linger(true, 0), ignored);
+  this->socket.close(ignored);
+}
+
 void RawUpstream::Exchange::WaitForClose() {
   std::array<char, 1024> dropped{};
   NetError error;
--- a/packages/node/test/raw_upstream.h
+++ b/packages/node/test/raw_upstream.h
@@ -30,6 +30,8 @@
     std::string ReadUntil(const std::string& end);
     /// @returns false if the peer has closed.
     bool Write(const std::string& bytes);
+    /// Resets the connection.
+    void Reset();
     /// Blocks until the peer closes.
     void WaitForClose();
     /// Reads `size` bytes, or fewer if the peer closes before.
--- a/packages/node/test/stream_test.cc
+++ b/packages/node/test/stream_test.cc
@@ -35,6 +35,9 @@
 const std::string kBodyEnd = "\r\n0\r\n\r\n";
 const std::string kShortRequest =
     "GET /levels/7 HTTP/1.1\r\nHost: levels.test\r\nConnection: close\r\n\r\n";
+// Its caller knows no chunks, so that the close ends an answer without length.
+const std::string kOldRequest =
+    "GET /levels/7 HTTP/1.0\r\nHost: levels.test\r\n\r\n";
 const std::string kChunkedRequest =
     "POST /report HTTP/1.1\r\nHost: levels.test\r\nConnection: close\r\n"
     "Transfer-Encoding: chunked\r\n\r\n5\r\nhello\r\n0\r\nX-Sum: 5\r\n\r\n";
@@ -80,10 +83,11 @@
 
 /// Retries until the request is served: for a short time after an upstream has
 /// died, no requests are sent to it and callers are told to retry.
-RawAnswer RetryUntilServed(const RunningNode& node) {
+RawAnswer RetryUntilServed(const RunningNode& node,
+                           const std::string& request = kShortRequest) {
   RawAnswer answer;
   basilsill::test::WaitUntil([&] {
-    answer = SendAndRead(node.callers(), kShortRequest);
+    answer = SendAndRead(node.callers(), request);
     return answer.bytes.find("no-upstream") == std::string::npos;
   });
   return answer;
@@ -230,6 +234,29 @@
   }
 }
 
+// Failure: as above, but only the end of the connection ends the answer, at the
+// upstream, at the caller or at both.
+TEST(Stream, Upstream_ResetsDuringAnswerWithoutLength_CallerSeesReset) {
+  const std::string open_ended = "HTTP/1.1 200 OK\r\n\r\nhello";
+  std::string half;
+  this->Start([&half](RawUpstream::Exchange& exchange) {
+    exchange.ReadUntil(kHeadEnd);
+    exchange.Write(half);
+    exchange.Reset();
+  });
+  for (size_t i = 0; i < kNodes; ++i) {
+    for (const std::string& request : {kShortRequest, kOldRequest}) {
+      for (const std::string& bytes :
+           {open_ended, kChunkedHead + kFirstChunk}) {
+        half = bytes;
+        const RawAnswer answer = RetryUntilServed(this->node(i), request);
+        CHECK_TEXT(answer.was_reset, (request + bytes).c_str());
+        CHECK_FALSE(answer.bytes.ends_with(kBodyEnd));
+      }
+    }
+  }
+}
+
 // Failure: as above, but the VM with the connection to the upstream is killed
 // instead of the upstream.
 TEST(Stream, DispatcherNode_KilledDuringAnswer_AnswerNotComplete) {
--- a/packages/node/test/upstream_answers_test.cc
+++ b/packages/node/test/upstream_answers_test.cc
@@ -39,30 +39,32 @@
 constexpr int kManyOthers = 40;
 constexpr milliseconds kShortDeadline{200};
 
+class UpstreamAnswersGroup : public DispatchHarness {
+ public:
+  /// Lets the upstream answer one request with bytes without end, and another
+  /// one as usual.
+  /// @returns the outcome of the first.
+  ServeOutcome AnswerWithoutEnd(const std::string& begin,
+                                const std::string& repeated) {
+    UpstreamReply reply;
+    reply.begin = begin;
+    reply.repeated = repeated;
+    this->choose = [&reply](bool) { return reply; };
+    this->Start("r-1", kShortDeadline);
+    this->Finish();
+    const ServeOutcome outcome = *this->requests.front()->outcome;
+    this->CheckReleased();
+    this->requests.clear();
+    reply = {};
+    this->ServeOne();
+    this->requests.clear();
+    return outcome;
+  }
+};
+
 }  // namespace
 
-TEST_GROUP_BASE(UpstreamAnswers, DispatchHarness){
-    /// Lets the upstream answer one request with bytes without end, and another
-    /// one as usual.
-    /// @returns the outcome of the first.
-    ServeOutcome AnswerWithoutEnd(const std::string& begin,
-                                  const std::string& repeated){
-        UpstreamReply reply;
-reply.begin = begin;
-reply.repeated = repeated;
-this->choose = [&reply](bool) { return reply; };
-this->Start("r-1", kShortDeadline);
-this->Finish();
-const ServeOutcome outcome = *this->requests.front()->outcome;
-this->CheckReleased();
-this->requests.clear();
-reply = {};
-this->ServeOne();
-this->requests.clear();
-return outcome;
-}
-}
-;
+TEST_GROUP_BASE(UpstreamAnswers, UpstreamAnswersGroup){};
 
 // Failure: an upstream runs a request and answers with a status that callers
 // take for the promise that it has not run. The answer is passed on, and a
--- a/packages/platform/test/misbehaving_server_test.cc
+++ b/packages/platform/test/misbehaving_server_test.cc
@@ -28,10 +28,11 @@
 /// Answers any request with fixed bytes and then closes the connection.
 class RawServer {
  public:
-  RawServer(boost::asio::io_context& io, std::string reply)
+  /// @param resets Resets each connection instead of closing it.
+  RawServer(boost::asio::io_context& io, std::string reply, bool resets = false)
       : acceptor(io,
                  tcp::endpoint(boost::asio::ip::address_v4::loopback(), 0)) {
-    boost::asio::co_spawn(io, Serve(this->acceptor, std::move(reply)),
+    boost::asio::co_spawn(io, Serve(this->acceptor, std::move(reply), resets),
                           boost::asio::detached);
   }
 
@@ -41,7 +42,8 @@
 
  private:
   static boost::asio::awaitable<void> Serve(tcp::acceptor& acceptor,
-                                            std::string reply) {
+                                            std::string reply,
+                                            bool resets) {
     for (;;) {
       tcp::socket socket(acceptor.get_executor());
       const auto [error] = co_await acceptor.async_accept(socket, kNoThrow);
@@ -52,6 +54,10 @@
       co_await socket.async_read_some(boost::asio::buffer(request), kNoThrow);
       co_await boost::asio::async_write(socket, boost::asio::buffer(reply),
                                         kNoThrow);
+      if (resets) {
+        socket.set_option(tcp::socket::linger(true, 0));
+        socket.close();
+      }
     }
   }
 
@@ -132,6 +138,18 @@
   }
 }
 
+// Failure: the platform resets the connection within an answer without length,
+// and the client takes the part for the answer.
+TEST(MisbehavingServer, AnswerWithoutLengthReset_CallFails) {
+  RawServer server(io, "HTTP/1.1 200 OK\r\n\r\n{}", true);
+  HttpClient client(io.get_executor());
+  for (int i = 0; i < 20; ++i) {
+    const HttpResult result =
+        RunAwaitable(io, client.Call(server.endpoint(), {}));
+    CHECK_FALSE(result.has_value());
+  }
+}
+
 TEST(MisbehavingServer, RefusalWithoutEffect_AppendRejected) {
   RawServer server(io, "HTTP/1.1 400 Bad\r\nContent-Length: 0\r\n\r\n");
   LogClient client = Connect({server.endpoint()});
