Callers: an answer that only the close ends is reset if the process ends

Seen, by a test: a VM is killed while it sends an answer without a length to a caller of HTTP/1.0. The caller gets the part with an ordinary end, that is as a complete answer. The same holds for answers that are cut at the end of a shutdown.

Cause: the system closes the connections of a process that ends in order, and only the close ends such an answer.

Change: while such an answer is written, the connection is set to be reset by any close; after its last byte it closes in order again.

Before: Stream EntryNode_KilledDuringAnswerWithoutLength_CallerSeesReset fails. After: it passes, with Answer_WithoutLength_EndsInOrder beside it.

--- a/packages/node/src/caller_exchange.cc
+++ b/packages/node/src/caller_exchange.cc
@@ -455,9 +455,14 @@
     sent.framing.kind =
         this->chunked_answer ? BodyKind::kChunked : BodyKind::kUntilClose;
   }
-  const bool ends_with_close = open_ended && !this->chunked_answer;
+  this->ends_with_close = open_ended && !this->chunked_answer;
+  if (this->ends_with_close) {
+    // Failure: the process ends within the answer, the system closes the
+    // connection in order, and the caller takes the part for the whole.
+    this->writer.SetResetOnClose(true);
+  }
   const bool close =
-      this->writer.DecideClose(this->must_close || ends_with_close);
+      this->writer.DecideClose(this->must_close || this->ends_with_close);
   this->out.clear();
   AppendAnswerHead(this->out, sent, close);
   co_return co_await this->Continue(piece, last, nullptr);
@@ -500,6 +505,9 @@
     this->request.caller_gone = true;
   }
   this->has_ended = last && !error;
+  if (this->has_ended && this->ends_with_close) {
+    this->writer.SetResetOnClose(false);
+  }
   co_return !error;
 }
 
--- a/packages/node/src/caller_exchange.h
+++ b/packages/node/src/caller_exchange.h
@@ -35,6 +35,9 @@
   /// Resets the connection, so that the caller sees that the answer is
   /// incomplete.
   virtual void AbortConnection() = 0;
+
+  /// While set, the connection is reset when the process ends.
+  virtual void SetResetOnClose(bool resets) = 0;
 };
 
 class CallerExchange : public std::enable_shared_from_this<CallerExchange>,
@@ -134,6 +137,7 @@
   bool http_1_0 = false;
   bool must_close = false;
   bool chunked_answer = false;
+  bool ends_with_close = false;  ///< Only the close ends the answer.
   bool has_turn = false;
   bool has_started = false;
   bool has_ended = false;  ///< The answer was written up to its end.
--- a/packages/node/src/caller_session.cc
+++ b/packages/node/src/caller_session.cc
@@ -290,6 +290,10 @@
   CloseWithReset(this->socket);
 }
 
+void CallerSession::SetResetOnClose(bool resets) {
+  basilsill::SetResetOnClose(this->socket, resets);
+}
+
 void CallerSession::Abandon() {
   const std::deque<ExchangePtr> open = this->exchanges;
   for (const ExchangePtr& exchange : open) {
--- a/packages/node/src/caller_session.h
+++ b/packages/node/src/caller_session.h
@@ -62,6 +62,7 @@
   Task<NetError> Write(
       std::span<const boost::asio::const_buffer> buffers) override;
   void AbortConnection() override;
+  void SetResetOnClose(bool resets) override;
 
   void FilterTrailers(bool at_end);
 
--- a/packages/node/src/net.cc
+++ b/packages/node/src/net.cc
@@ -119,6 +119,14 @@
   socket.close(ignored);
 }
 
+// Asio closes in order in the destructor of a socket whose option was set
+// through it.
+void SetResetOnClose(Socket& socket, bool resets) {
+  const linger option{resets ? 1 : 0, 0};
+  ::setsockopt(socket.native_handle(), SOL_SOCKET, SO_LINGER, &option,
+               sizeof option);
+}
+
 bool IsStale(Socket& socket) {
   return Peek(socket) != Peeked::kNothing;
 }
--- a/packages/node/src/net.h
+++ b/packages/node/src/net.h
@@ -68,6 +68,10 @@
 /// Closes the connection with a reset, never with a clean end.
 void CloseWithReset(Socket& socket);
 
+/// Makes every close of the connection reset it, also the one by the system
+/// when the process ends.
+void SetResetOnClose(Socket& socket, bool resets);
+
 /// @returns true if the peer of an idle connection has closed it or sent
 /// unexpected data.
 bool IsStale(Socket& socket);
--- a/packages/node/test/stream_test.cc
+++ b/packages/node/test/stream_test.cc
@@ -313,6 +313,29 @@
   CHECK_FALSE(bytes.ends_with(kBodyEnd));
 }
 
+TEST(Stream, Answer_WithoutLength_EndsInOrder) {
+  this->Start([](RawUpstream::Exchange& exchange) {
+    exchange.ReadUntil(kHeadEnd);
+    exchange.Write("HTTP/1.1 200 OK\r\n\r\nhello");
+  });
+  for (size_t i = 0; i < kNodes; ++i) {
+    const RawAnswer answer = RetryUntilServed(this->node(i), kOldRequest);
+    CHECK(answer.bytes.ends_with("\r\n\r\nhello"));
+    CHECK_FALSE(answer.was_reset);
+  }
+}
+
+// Failure: a VM ends while it sends an answer without a length to a caller that
+// knows no chunks. The system closes the connection in order, and the caller
+// takes the part for a complete answer.
+TEST(Stream, EntryNode_KilledDuringAnswerWithoutLength_CallerSeesReset) {
+  this->Start(&SendPartialAnswer);
+  const RawAnswer answer = SendAndRead(this->node(1).callers(), kOldRequest,
+                                       [this] { this->node(1).Kill(); });
+  CHECK(answer.bytes.find("hello") != std::string::npos);
+  CHECK(answer.was_reset);
+}
+
 TEST(Stream, EntryNode_KilledDuringAnswer_AnswerNotComplete) {
   this->Start(&SendPartialAnswer);
   const RawAnswer answer = SendAndRead(this->node(1).callers(), kShortRequest,
