Tests: field names with blanks or control bytes reach no caller

Other operators saw answers in whose head a field name held a blank or a control byte passed on, or read as another framing. Here the reader of heads refuses them: held, nothing is changed. Messages between VMs have a check and a test already (Frame Encode_HeadWithLineBreak_Fails).

The harness evaluated a condition once more after it had become true, so that a test which sends in its condition sent twice; it keeps the result now.

--- a/packages/node/test/broken_answers_test.cc
+++ b/packages/node/test/broken_answers_test.cc
@@ -36,6 +36,17 @@
 // Until an upload has filled the buffers of its connection.
 constexpr milliseconds kFillTime{100};
 
+// Blanks, control bytes and bytes that no token has.
+const std::vector<char> kNoTokenBytes = {' ',    '\t',   '\0',   '\x01',
+                                         '\x0b', '\x0c', '\x7f', '\x80',
+                                         '(',    ',',    '"',    '='};
+
+/// @returns `name` with `byte` within, before and behind it.
+std::vector<std::string> NamesWith(char byte, const std::string& name) {
+  const std::string text(1, byte);
+  return {name.substr(0, 3) + text + name.substr(3), text + name, name + text};
+}
+
 /// An upload without end, which can be held back.
 class Upload final : public BodySource {
  public:
@@ -101,14 +112,33 @@
     return status_line + "\r\n" + this->names.request_id + ": r-1\r\n";
   }
 
-  /// Sends request r-1 and waits for its end.
+  /// Sends request r-1 until it has reached the upstream, and waits for its
+  /// end.
   const Served& ServeRequest() {
-    this->requests.clear();
-    this->Start("r-1");
-    this->Finish();
+    const size_t runs_before = this->RunsOf("r-1");
+    CHECK(this->RunUntil([this, runs_before] {
+      this->requests.clear();
+      this->Start("r-1");
+      this->Finish();
+      return this->RunsOf("r-1") > runs_before;
+    }));
     return *this->requests.back();
   }
 
+  /// Checks that no answer with the field `name` in its head reaches a caller.
+  void CheckRefused(const std::string& name) {
+    const std::string field = name + ": 5\r\n";
+    const std::string others = this->names.load + ": 1,0,2\r\n";
+    for (const std::string& fields : {field + others, others + field}) {
+      this->AnswerWith(this->HeadOf() + fields +
+                       "Content-Length: 5\r\n\r\nwhole");
+      const Served& served = this->ServeRequest();
+      CHECK_TEXT(!served.outcome->answered, name.c_str());
+      CHECK_TEXT(served.outcome->refusal == Refusal::kUpstreamMalformed,
+                 name.c_str());
+    }
+  }
+
   /// Sends `served` with `upload` and waits for its end.
   void ServeUpload(Served& served, Upload& upload) {
     served.request.framing = {BodyKind::kChunked, 0};
@@ -248,3 +278,30 @@
     CHECK_FALSE(served.sink.is_broken);
   }
 }
+
+// Failure: the name of a field in an upstream's answer holds a blank or a
+// control byte. The line is passed on, or is read as another field that ends
+// the body elsewhere.
+TEST(BrokenAnswers, NameWithBlankOrControlByte_Request_EndsAsMalformed) {
+  for (const char byte : kNoTokenBytes) {
+    for (const std::string name :
+         {"X-Note", "Content-Length", "Transfer-Encoding"}) {
+      for (const std::string& broken : NamesWith(byte, name)) {
+        this->CheckRefused(broken);
+      }
+    }
+  }
+}
+
+// Failure: as above, in the trailers of an answer.
+TEST(BrokenAnswers, TrailerNameWithBlankOrControlByte_Request_NotAnswered) {
+  for (const char byte : kNoTokenBytes) {
+    for (const std::string& broken : NamesWith(byte, "X-Note")) {
+      this->AnswerWith(this->HeadOf() +
+                       "Transfer-Encoding: chunked\r\n\r\n5\r\nwhole\r\n0\r\n" +
+                       broken + ": 5\r\n\r\n");
+      const Served& served = this->ServeRequest();
+      CHECK_TEXT(!served.outcome->answered, broken.c_str());
+    }
+  }
+}
--- a/packages/node/test/dispatch_harness.cc
+++ b/packages/node/test/dispatch_harness.cc
@@ -91,11 +91,13 @@
 
 bool DispatchHarness::RunUntil(const std::function<bool()>& condition) {
   const auto limit = MonotonicClock::now() + kWaitLimit;
-  while (!condition() && MonotonicClock::now() < limit) {
+  bool is_met = condition();
+  while (!is_met && MonotonicClock::now() < limit) {
     this->RunFor(kTick);
     this->dispatch->Tick(MonotonicClock::now());
+    is_met = condition();
   }
-  return condition();
+  return is_met;
 }
 
 Served& DispatchHarness::Add(const std::string& id, milliseconds deadline) {
