Control traffic: lines without end are bounded

Other operators saw a faulty instance send bytes that were no answer, without end; the machine kept them all and ran out of memory. Answers of upstreams are bounded here. Answers of the platform and requests to the admin port were not: a server that sends the size line of a chunk without end is read until the call times out, or as fast as memory allows.

Cause: the parser bounds heads and bodies, but not the lines between chunks. It waits for their end, and the buffer of the connection grew without a limit.

Change: buffers of control traffic hold 64 KB at most. Bytes beyond that fail as too large (platform), or are answered with 400 (admin port). The load generator and the watching operator's tool have the same bound.

Held before, now with tests: a chunk size, a line and plain garbage without end from an upstream (UpstreamAnswers).

--- a/packages/base/include/basilsill/base/limits.h
+++ b/packages/base/include/basilsill/base/limits.h
@@ -179,6 +179,10 @@
 inline constexpr size_t kMaxReadBytes = 1024 * 1024;
 /// JSON encodes one octet of a record as up to six.
 inline constexpr size_t kMaxPlatformAnswerBytes = 8 * 1024 * 1024;
+/// Octets of control traffic that are received and not yet parsed. The parser
+/// waits for the end of a line or of a head; it bounds heads, but not the lines
+/// between chunks.
+inline constexpr size_t kMaxUnparsedBytes = 64 * 1024;
 inline constexpr size_t kMaxIdlePlatformLinks = 8;
 inline constexpr milliseconds kPlatformConnectTimeout = milliseconds(500);
 inline constexpr milliseconds kPlatformCallTimeout = seconds(5);
--- a/packages/ctl/src/load_connection.cc
+++ b/packages/ctl/src/load_connection.cc
@@ -97,7 +97,7 @@
   Request request;
   std::optional<Parser> parser;
   LoadResponseCheck check;
-  boost::beast::flat_buffer buffer;
+  boost::beast::flat_buffer buffer{limits::kMaxUnparsedBytes};
   std::vector<char> chunk = std::vector<char>(limits::kBodyChunkBytes);
   bool active = false;
 };
--- a/packages/ctl/src/resource_stream.cc
+++ b/packages/ctl/src/resource_stream.cc
@@ -91,7 +91,7 @@
   if (request_error) {
     co_return ConnectionFailure(endpoint, request_error);
   }
-  beast::flat_buffer buffer;
+  beast::flat_buffer buffer{limits::kMaxUnparsedBytes};
   http::response_parser<http::buffer_body> parser;
   parser.body_limit(boost::none);
   std::array<char, limits::kBodyChunkBytes> chunk{};
--- a/packages/node/src/admin_connection.cc
+++ b/packages/node/src/admin_connection.cc
@@ -17,6 +17,7 @@
 #include <boost/beast/http.hpp>
 
 #include "admin_responses.h"
+#include "basilsill/base/limits.h"
 
 namespace basilsill {
 namespace {
@@ -53,7 +54,7 @@
   }
 
   beast::tcp_stream stream;
-  beast::flat_buffer buffer;
+  beast::flat_buffer buffer{limits::kMaxUnparsedBytes};
   asio::steady_timer stopped;  ///< Never expires; Stop cancels it.
 };
 
--- a/packages/node/test/admin_server_test.cc
+++ b/packages/node/test/admin_server_test.cc
@@ -295,6 +295,15 @@
   }
 }
 
+// Failure: a client sends a line between chunks without end, and the server
+// keeps all of it.
+TEST(AdminServer, Input_ChunkLineWithoutEnd_IsRejected) {
+  const std::string head =
+      "POST /echo HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n";
+  const std::string line(basilsill::limits::kMaxUnparsedBytes, '0');
+  CHECK(HasStatus(this->admin->Exchange(head + line), 400));
+}
+
 TEST(AdminServer, Input_RandomlyCorrupted_ServerKeepsServing) {
   std::mt19937 random(kSeed);
   const std::string whole =
--- a/packages/node/test/upstream_answers_test.cc
+++ b/packages/node/test/upstream_answers_test.cc
@@ -237,9 +237,15 @@
 }
 
 TEST(UpstreamAnswers, HeadWithoutEnd_Request_EndsAsMalformed) {
-  const ServeOutcome outcome =
-      this->AnswerWithoutEnd("HTTP/1.1 200 OK\r\n", "X-More: more\r\n");
-  CHECK(outcome.refusal == Refusal::kUpstreamMalformed);
+  const std::string line = "HTTP/1.1 200 OK\r\n";
+  for (const auto& [begin, repeated] :
+       std::vector<std::pair<std::string, std::string>>{
+           {"", "no HTTP"},
+           {line + "X-More: ", "more"},
+           {line, "X-More: more\r\n"}}) {
+    const ServeOutcome outcome = this->AnswerWithoutEnd(begin, repeated);
+    CHECK(outcome.refusal == Refusal::kUpstreamMalformed);
+  }
 }
 
 // Failure: an answer without a length never ends. Once it is too long to buffer
@@ -253,6 +259,7 @@
        std::vector<std::pair<std::string, std::string>>{
            {"\r\n", "more"},
            {chunked, "4\r\nmore\r\n"},
+           {chunked, "0"},
            {chunked + "4;", "extension"},
            {chunked + "0\r\n", "X-More: more\r\n"}}) {
     const ServeOutcome outcome = this->AnswerWithoutEnd(head + begin, repeated);
--- a/packages/platform/src/http_client.cc
+++ b/packages/platform/src/http_client.cc
@@ -41,7 +41,7 @@
 
   Endpoint endpoint;
   beast::tcp_stream stream;
-  beast::flat_buffer buffer;
+  beast::flat_buffer buffer{limits::kMaxUnparsedBytes};
   TimePoint idle_since;
 };
 
@@ -65,7 +65,8 @@
                         beast::error_code error,
                         CallConnection connection) {
   FailureKind kind = FailureKind::kNetwork;
-  if (error == http::error::body_limit || error == http::error::header_limit) {
+  if (error == http::error::body_limit || error == http::error::header_limit ||
+      error == http::error::buffer_overflow) {
     kind = FailureKind::kOversizedFrame;
   } else if (error.category() ==
                  http::make_error_code(http::error::bad_version).category() &&
--- a/packages/platform/test/misbehaving_server_test.cc
+++ b/packages/platform/test/misbehaving_server_test.cc
@@ -64,6 +64,74 @@
   tcp::acceptor acceptor;
 };
 
+/// Answers any request with `begin` and then `repeated` again and again, until
+/// the client closes.
+class EndlessServer {
+ public:
+  EndlessServer(boost::asio::io_context& io,
+                std::string begin,
+                const std::string& repeated)
+      : acceptor(io, tcp::endpoint(boost::asio::ip::address_v4::loopback(), 0)),
+        begin(std::move(begin)) {
+    while (this->repeated.size() < kWriteBytes) {
+      this->repeated += repeated;
+    }
+    boost::asio::co_spawn(io, this->Serve(), boost::asio::detached);
+  }
+
+  Endpoint endpoint() const {
+    return {"127.0.0.1", this->acceptor.local_endpoint().port()};
+  }
+
+  size_t sent = 0;  ///< Bytes.
+
+ private:
+  static constexpr size_t kWriteBytes = 64 * 1024;
+
+  boost::asio::awaitable<void> Serve() {
+    tcp::socket socket(this->acceptor.get_executor());
+    co_await this->acceptor.async_accept(socket, kNoThrow);
+    std::array<char, 4096> request;
+    co_await socket.async_read_some(boost::asio::buffer(request), kNoThrow);
+    std::string next = this->begin;
+    boost::system::error_code error;
+    while (!error) {
+      const auto [failed, size] = co_await boost::asio::async_write(
+          socket, boost::asio::buffer(next), kNoThrow);
+      error = failed;
+      this->sent += size;
+      next = this->repeated;
+    }
+  }
+
+  tcp::acceptor acceptor;
+  std::string begin;
+  std::string repeated;
+};
+
+struct EndlessReply {
+  const char* name;
+  std::string begin;
+  std::string repeated;
+};
+
+std::vector<EndlessReply> EndlessReplies() {
+  const std::string head = "HTTP/1.1 200 OK\r\n";
+  const std::string chunked = head + "Transfer-Encoding: chunked\r\n\r\n";
+  return {
+      {"no HTTP", "", "more"},
+      {"line", head + "X-Note: ", "more"},
+      {"fields", head, "X-Note: more\r\n"},
+      {"interim answers", "", "HTTP/1.1 102 Processing\r\n\r\n"},
+      {"body", head + "\r\n", "more"},
+      {"chunks", chunked, "4\r\nmore\r\n"},
+      {"chunk size", chunked, "0"},
+      {"chunk extension", chunked + "4;", "more"},
+      {"trailer", chunked + "0\r\nX-Note: ", "more"},
+      {"trailers", chunked + "0\r\n", "X-Note: more\r\n"},
+  };
+}
+
 struct BrokenReply {
   std::string reply;
   FailureKind of_read;
@@ -154,6 +222,26 @@
   }
 }
 
+// Failure: a faulty server sends bytes without end. The client keeps them all
+// until the call times out, and the process runs out of memory.
+TEST(MisbehavingServer, ReplyWithoutEnd_CallFailsBeforeItsTimeout) {
+  constexpr size_t answer_bytes = 64 * 1024;
+  constexpr size_t socket_buffers = 16 * 1024 * 1024;
+  for (const EndlessReply& reply : EndlessReplies()) {
+    boost::asio::io_context own_io;
+    EndlessServer server(own_io, reply.begin, reply.repeated);
+    HttpClient client(own_io.get_executor());
+    HttpCall call;
+    call.timeout = milliseconds(1'000);
+    call.max_answer_bytes = answer_bytes;
+    const HttpResult result =
+        RunAwaitable(own_io, client.Call(server.endpoint(), std::move(call)));
+    CHECK_TEXT(!result.has_value(), reply.name);
+    CHECK_TEXT(result.error().kind != FailureKind::kNetwork, reply.name);
+    CHECK_TEXT(server.sent < answer_bytes + socket_buffers, reply.name);
+  }
+}
+
 TEST(MisbehavingServer, RefusalWithoutEffect_AppendRejected) {
   RawServer server(io, "HTTP/1.1 400 Bad\r\nContent-Length: 0\r\n\r\n");
   LogClient client = Connect({server.endpoint()});
