Shutdown: what could not be answered before the end is not passed on

Seen by other operators, and here: in a planned stop, in calm, a request whose last bytes arrive late in the grace is passed on, its upstream works longer than the VM still lives, and at the limit it is cut without an answer. Requests that must not repeat are among them.

Cause: between the drain and two thirds of the limit every request that had been read was passed on, whatever was left. The last third was all that an upstream got for its work.

Change: an entry VM remembers, for each rule, the shortest and the longest time from passing a request on to its answer, over one to two minutes. While callers still come, it refuses as not run what no request of the rule was fast enough for; in the drain, what the longest time and a quarter does not fit; of rules without a known time, what may last beyond the end by its own deadline. That holds for requests that arrive, that wait at a dispatcher of this or another VM, for a quota's credit or a claim, and for further sends: a withdrawn request gets no hedge and no resend on a new connection any more (it got no retry before). Nothing is refused whose deadline passes before the end. The bound of two thirds stays.

By reading, without tests of their own: the check after a wait for a quota's credit or a claim. Left: an upload whose head an upstream got early, and requests of peers that this VM dispatches, see docs/design/shutdown.md.

--- a/packages/decision/src/dispatch/dispatcher.cc
+++ b/packages/decision/src/dispatch/dispatcher.cc
@@ -152,6 +152,8 @@
   RequestRow& request = this->Request(handle.index);
   request.is_withdrawn = true;
   if (request.state == RequestState::kRunning) {
+    request.hedge_at = kNever;
+    this->SetTimer(handle.index);
     return;
   }
   const uint32_t shard = request.shard;
--- a/packages/decision/src/dispatch/dispatcher_end.cc
+++ b/packages/decision/src/dispatch/dispatcher_end.cc
@@ -180,6 +180,9 @@
   if (attempt == nullptr) {
     return false;
   }
+  if (this->Request(attempt->request.index).is_withdrawn) {
+    return false;
+  }
   ShardState& shard = this->shards.at(attempt->shard);
   const uint32_t place = attempt->upstream;
   if (!WantsWork(now, shard.upstreams[place]) || !HasQuota(now, shard, place) ||
--- a/packages/decision/src/dispatch/dispatcher_tick.cc
+++ b/packages/decision/src/dispatch/dispatcher_tick.cc
@@ -123,7 +123,7 @@
   const bool alone = IsValid(request.running[0]) != IsValid(request.running[1]);
   if (!this->options.features.hedge || !request.spec.hedge ||
       !request.spec.idempotent || !request.spec.replayable || !stats.known() ||
-      !alone || request.answer_started) {
+      !alone || request.answer_started || request.is_withdrawn) {
     return kNever;
   }
   return now + stats.p95();
--- a/packages/decision/test/dispatch_failures_test.cc
+++ b/packages/decision/test/dispatch_failures_test.cc
@@ -384,6 +384,21 @@
   CHECK_EQUAL(1, this->harness.dispatcher->counters().hedges_won);
 }
 
+// Failure: a VM shuts down, and a request of its caller that it has taken back
+// is sent to another upstream, beyond the end of the VM.
+TEST(DispatchFailures, Hedge_Withdrawn_Never) {
+  this->harness.WarmUp(200);
+  const uint64_t cookie = this->harness.Offer(this->Hedged());
+  const auto first = this->harness.RunOf(cookie);
+  this->harness.dispatcher->Withdraw(this->harness.now,
+                                     this->harness.HandleOf(cookie));
+  this->harness.Advance(50ms);
+  CHECK(this->harness.RunOf(cookie).attempt == first.attempt);
+  CHECK_FALSE(
+      this->harness.dispatcher->MaySendAgain(this->harness.now, first.attempt));
+  CHECK_FALSE(this->harness.End(cookie, AttemptEnd::kAnswered));
+}
+
 TEST(DispatchFailures, Hedge_OneOfTwoDies_OtherContinues) {
   this->harness.WarmUp(200);
   const uint64_t cookie = this->harness.Offer(this->Hedged());
--- a/packages/node/src/caller_exchange.cc
+++ b/packages/node/src/caller_exchange.cc
@@ -279,9 +279,9 @@
   }
   if (this->abandoned) {
     outcome.refusal = Refusal::kCallerGone;
-  } else if (this->fault == Refusal::kNone && this->host.withdrawing()) {
+  } else if (this->fault == Refusal::kNone &&
+             (this->request.withdrawn || !this->host.Admits(this->request))) {
     outcome.refusal = Refusal::kShuttingDown;
-    outcome.retry_after = kShuttingDownRetryAfter;
   } else if (this->fault == Refusal::kNone) {
     const RuleRow* rule = FindRule(*this->host.view(), this->request.rule);
     if (rule != nullptr) {
@@ -292,6 +292,10 @@
     outcome =
         WithoutFalsePromise(this->request, 0, outcome, this->host.counters());
   }
+  if (outcome.refusal == Refusal::kShuttingDown) {
+    outcome.retry_after =
+        std::max<Duration>(outcome.retry_after, kShuttingDownRetryAfter);
+  }
   this->AbortUnfinishedAnswer();
   this->ReportEnd(outcome);
   if (!this->has_started && !this->abandoned) {
@@ -374,15 +378,11 @@
   ServeOutcome outcome;
   outcome.refusal = Refusal::kCallerGone;
   bool ran = false;
-  const TimePoint granted_at = MonotonicClock::now();
   if (!this->abandoned && !this->expired) {
     outcome = co_await this->ServeByRule();
     ran =
         outcome.answered || InfoOf(outcome.refusal).promise != Promise::kNotRun;
   }
-  if (outcome.answered) {
-    this->host.OnQuotaServed(rule, MonotonicClock::now() - granted_at);
-  }
   if (!ran) {
     this->host.ReturnQuota(key, decision.credit);
   }
@@ -390,6 +390,16 @@
 }
 
 Task<ServeOutcome> CallerExchange::ServeByRule() {
+  const TimePoint passed_on_at = MonotonicClock::now();
+  const ServeOutcome outcome = co_await this->PassOn();
+  if (outcome.answered) {
+    this->host.OnServed(this->request.rule,
+                        MonotonicClock::now() - passed_on_at);
+  }
+  co_return outcome;
+}
+
+Task<ServeOutcome> CallerExchange::PassOn() {
   AnswerSink& sink = *this;
   EntryHost& entry = this->host.entry();
   if (!this->request.once) {
@@ -557,9 +567,10 @@
   }
 }
 
-void CallerExchange::Withdraw() {
-  if (!this->has_started && !this->request.withdrawn) {
-    basilsill::Withdraw(this->request);
+void CallerExchange::WithdrawIfLate() {
+  if (!this->has_started && !this->request.withdrawn &&
+      !this->host.Admits(this->request)) {
+    Withdraw(this->request);
   }
 }
 
--- a/packages/node/src/caller_exchange.h
+++ b/packages/node/src/caller_exchange.h
@@ -74,9 +74,9 @@
   /// repeat.
   void Abandon();
 
-  /// Takes the request back for a VM that shuts down. It is answered as not
-  /// run, unless an upstream has it.
-  void Withdraw();
+  /// Takes the request back if this VM ends before it could be answered. It is
+  /// answered as not run, unless an upstream has it.
+  void WithdrawIfLate();
 
   /// Cancels a request that is past its deadline, whichever component works on
   /// it, unless its complete answer only waits for its turn.
@@ -100,6 +100,7 @@
   Task<ServeOutcome> ServeWithinQuota();
   CreditClaim MakeCreditClaim() const;
   Task<ServeOutcome> ServeByRule();
+  Task<ServeOutcome> PassOn();
   Task<void> Refuse(const ServeOutcome& outcome);
   ServeOutcome MapExpiredOutcome(ServeOutcome outcome) const;
   void AbortUnfinishedAnswer();
--- a/packages/node/src/caller_host.h
+++ b/packages/node/src/caller_host.h
@@ -46,9 +46,9 @@
   /// the external balancer has had time to stop sending to it.
   virtual bool draining() const = 0;
 
-  /// @returns true once the end of this node is so near that requests which no
-  /// upstream has are refused.
-  virtual bool withdrawing() const = 0;
+  /// @returns false if this node ends before `request` could be answered. It is
+  /// then refused, unless an upstream has it.
+  virtual bool Admits(const RequestMessage& request) const = 0;
 
   virtual std::string NewRequestId() = 0;
   virtual const std::string& via() const = 0;
@@ -83,8 +83,8 @@
                                         RuleHandle rule,
                                         CreditClaim claim) = 0;
 
-  /// A request of `rule` was answered `time` after it got its credit.
-  virtual void OnQuotaServed(RuleHandle rule, Duration time) = 0;
+  /// A request of `rule` was answered `time` after it was passed on.
+  virtual void OnServed(RuleHandle rule, Duration time) = 0;
 
   /// Returns `credit`, because its request ended without having run.
   virtual void ReturnQuota(TeamKey team, const QuotaCredit& credit) = 0;
--- a/packages/node/src/caller_session.cc
+++ b/packages/node/src/caller_session.cc
@@ -338,10 +338,10 @@
   }
 }
 
-void CallerSession::Withdraw() {
+void CallerSession::WithdrawLate() {
   const std::deque<ExchangePtr> open = this->exchanges;
   for (const ExchangePtr& exchange : open) {
-    exchange->Withdraw();
+    exchange->WithdrawIfLate();
   }
 }
 
--- a/packages/node/src/caller_session.h
+++ b/packages/node/src/caller_session.h
@@ -29,8 +29,9 @@
   /// Closes the connection if no request is in flight on it.
   void Drain();
 
-  /// Takes back the requests that no upstream has.
-  void Withdraw();
+  /// Takes back the requests that this node can't answer before it ends and
+  /// that no upstream has.
+  void WithdrawLate();
 
   /// Called periodically by the worker: closes connections that have been idle
   /// for too long, and ends requests that stall or exceed their time limit.
--- a/packages/node/src/entry_host.cc
+++ b/packages/node/src/entry_host.cc
@@ -31,6 +31,10 @@
                                             RequestMessage& request,
                                             AnswerSink& sink) {
   for (;;) {
+    // It may have been withdrawn while it waited for a quota or for a claim.
+    if (request.withdrawn) {
+      co_return ServeOutcome{false, Refusal::kShuttingDown, Duration(0)};
+    }
     const Target target = this->router->Choose(MonotonicClock::now(), entry);
     if (target.kind == TargetKind::kRefuse) {
       co_return ServeOutcome{false, target.refusal, target.retry_after};
--- a/packages/node/src/node.cc
+++ b/packages/node/src/node.cc
@@ -22,8 +22,9 @@
 
 constexpr std::chrono::milliseconds kDrainPoll{20};
 
-// Requests that no upstream has are taken back after this part of a shutdown.
-// What an upstream gets before then has the rest of the time to be answered.
+// Requests that no upstream has are taken back after this part of a shutdown at
+// the latest. What an upstream gets before then has the rest of the time to be
+// answered.
 constexpr double kServingPart = 2.0 / 3;
 
 // Time limit for the traffic threads to answer whether they accept callers. It
@@ -415,14 +416,15 @@
 boost::asio::awaitable<void> Node::RunDrain(
     std::function<void(bool is_clean)> on_stopped) {
   LogDraining(this->settings.vm.name);
+  const auto started = MonotonicClock::now();
+  const auto limit = started + this->settings.shutdown.limit;
   // From now on, each answer asks its caller to use another connection.
   for (const auto& worker : this->traffic) {
-    worker->AnnounceLeave();
+    worker->AnnounceLeave(limit);
   }
   // Peers stop forwarding requests here at once. Callers keep coming until the
   // platform's balancer has seen readiness fail.
   this->control_side->Leave();
-  const auto started = MonotonicClock::now();
   boost::asio::steady_timer timer(this->context,
                                   this->settings.shutdown.ready_delay);
   // The platform's balancer needs this delay to see readiness fail; new callers
@@ -431,7 +433,6 @@
   for (const auto& worker : this->traffic) {
     worker->Drain();
   }
-  const auto limit = started + this->settings.shutdown.limit;
   co_await this->WaitWhileBusy(
       started + std::chrono::duration_cast<MonotonicClock::duration>(
                     kServingPart * this->settings.shutdown.limit));
--- a/packages/node/src/worker.cc
+++ b/packages/node/src/worker.cc
@@ -236,7 +236,7 @@
 // answer before the process ends, and their callers can't tell whether they
 // have run. The dispatcher that has them knows it.
 void Worker::Withdraw() {
-  boost::asio::post(*this->context, [this] { this->is_withdrawing = true; });
+  boost::asio::post(*this->context, [this] { this->shutdown.Close(); });
 }
 
 void Worker::Stop() {
@@ -316,8 +316,9 @@
   return MakeCreditNeed(claim, estimate, this->caller_age.WorkOf(rule));
 }
 
-void Worker::OnQuotaServed(RuleHandle rule, Duration time) {
+void Worker::OnServed(RuleHandle rule, Duration time) {
   this->caller_age.LearnWork(rule, time);
+  this->shutdown.OnAnswered(MonotonicClock::now(), rule, time);
 }
 
 Task<QuotaDecision> Worker::TakeQuota(TeamKey team,
@@ -366,8 +367,16 @@
   this->counts->SetQuotaCounts(this->borrower.counts());
 }
 
-void Worker::AnnounceLeave() {
-  boost::asio::post(*this->context, [this] { this->is_leaving = true; });
+void Worker::AnnounceLeave(TimePoint end) {
+  boost::asio::post(*this->context, [this, end] {
+    this->is_leaving = true;
+    this->shutdown.Begin(end);
+  });
+}
+
+bool Worker::Admits(const RequestMessage& request) const {
+  return this->shutdown.Admits(MonotonicClock::now(), request.rule,
+                               request.entry.deadline);
 }
 
 ServiceHandle Worker::ChooseService(const RuleRow& rule) {
@@ -377,6 +386,7 @@
 void Worker::BeginDrain() {
   this->is_leaving = true;
   this->is_draining = true;
+  this->shutdown.BeginDrain();
   NetError ignored;
   this->acceptor.close(ignored);
   this->links.Drain();
@@ -600,8 +610,8 @@
   this->TakeCounters();
   for (const auto& session : this->sessions) {
     session->Tick(now);
-    if (this->is_withdrawing) {
-      session->Withdraw();
+    if (this->is_leaving) {
+      session->WithdrawLate();
     }
   }
   if (this->is_draining) {
--- a/packages/node/src/worker.h
+++ b/packages/node/src/worker.h
@@ -13,6 +13,7 @@
 #include "async_event.h"
 #include "basilsill/decision/caller_age.h"
 #include "basilsill/decision/quota_borrower.h"
+#include "basilsill/decision/shutdown_admission.h"
 #include "basilsill/decision/split_chooser.h"
 #include "basilsill/node/installation.h"
 #include "basilsill/node/settings.h"
@@ -96,7 +97,8 @@
   void QueryAcceptsCallers(std::function<void(bool accepts)> answer);
 
   /// From now on, answers ask callers to use another connection.
-  void AnnounceLeave();
+  /// @param end When the process ends at the latest.
+  void AnnounceLeave(TimePoint end);
 
   /// Stops accepting callers; requests in flight are completed.
   void Drain();
@@ -178,7 +180,7 @@
   }
   bool leaving() const override { return this->is_leaving; }
   bool draining() const override { return this->is_draining; }
-  bool withdrawing() const override { return this->is_withdrawing; }
+  bool Admits(const RequestMessage& request) const override;
   ServiceHandle ChooseService(const RuleRow& rule) override;
   std::string NewRequestId() override;
   const std::string& via() const override { return this->via_text; }
@@ -200,7 +202,7 @@
   Task<QuotaDecision> TakeQuota(TeamKey team,
                                 RuleHandle rule,
                                 CreditClaim claim) override;
-  void OnQuotaServed(RuleHandle rule, Duration time) override;
+  void OnServed(RuleHandle rule, Duration time) override;
   CreditNeed EstimateNeed(LeaseTime now,
                           RuleHandle rule,
                           const CreditClaim& claim);
@@ -243,6 +245,7 @@
   LeaseTime configuration_as_of = LeaseTime::min();
   QuotaBorrower borrower;
   CallerAge caller_age;
+  ShutdownAdmission shutdown;
   LeaseTime declared_time_reported{};          ///< Last event about one.
   std::map<uint64_t, QuotaWait*> quota_waits;  ///< By ticket.
   bool uses_quotas = false;
@@ -257,7 +260,6 @@
   size_t requests_in_flight = 0;
   bool is_leaving = false;
   bool is_draining = false;
-  bool is_withdrawing = false;
   bool ticking_slowly = false;
   std::atomic<size_t> open_sessions{0};
   std::atomic<size_t> links_in_use{0};
--- a/packages/node/test/caller_harness.cc
+++ b/packages/node/test/caller_harness.cc
@@ -277,7 +277,7 @@
   co_return QuotaDecision{};
 }
 
-void CallerHarness::OnQuotaServed(RuleHandle /*rule*/, Duration /*time*/) {}
+void CallerHarness::OnServed(RuleHandle /*rule*/, Duration /*time*/) {}
 
 void CallerHarness::ReturnQuota(TeamKey /*team*/,
                                 const QuotaCredit& /*credit*/) {}
--- a/packages/node/test/caller_harness.h
+++ b/packages/node/test/caller_harness.h
@@ -95,7 +95,7 @@
   bool buffers_unsized_bodies() const override { return true; }
   bool leaving() const override { return this->is_draining; }
   bool draining() const override { return this->is_draining; }
-  bool withdrawing() const override { return false; }
+  bool Admits(const RequestMessage& /*request*/) const override { return true; }
   std::string NewRequestId() override { return "none"; }
   const std::string& via() const override { return this->via_text; }
   const CallerLimits& caller_limits() const override { return this->limits; }
@@ -113,7 +113,7 @@
   Task<QuotaDecision> TakeQuota(TeamKey team,
                                 RuleHandle rule,
                                 CreditClaim claim) override;
-  void OnQuotaServed(RuleHandle rule, Duration time) override;
+  void OnServed(RuleHandle rule, Duration time) override;
   void ReturnQuota(TeamKey team, const QuotaCredit& credit) override;
   void OnRequestStarted() override {}
   void OnRequestDone(const RequestMessage& request,
