Adapter: an entry whose address is no other host's is ignored

Found by a test: an entry with port 0, with the address 0.0.0.0, a group's or a reserved one, or with this VM's own listener was taken for an upstream. Requests to it fail, or, at 0.0.0.0 and at the own listener, come back to the VM until their deadlines.

Cause: an address was accepted if it could be parsed.

Before: Records Upstream_AddressOfNoUpstream_IsAFailure fails at port 0, StoreSourceReads Store_OddEntries_OthersFollowed counts three of four odd entries. After: both pass, with all tests of adapter_test.

--- a/packages/base/include/basilsill/base/endpoint.h
+++ b/packages/base/include/basilsill/base/endpoint.h
@@ -22,6 +22,11 @@
 /// @returns `endpoint` as "127.0.0.1:80" or "[::1]:80".
 std::string ToString(const Endpoint& endpoint);
 
+/// @returns true if a connection to `endpoint` can reach one other host: its
+/// address is neither unspecified (which reaches this host) nor of a group or
+/// reserved, and its port is not 0.
+bool IsUnicast(const Endpoint& endpoint);
+
 /// Parses the format of ToString.
 /// @param path Location of `text`, for the failure.
 /// @returns the endpoint, or kOutOfRange if `text` is not one. The port may be
--- a/packages/base/src/endpoint.cc
+++ b/packages/base/src/endpoint.cc
@@ -14,6 +14,21 @@
   return inet_pton(family, text.c_str(), &parsed) == 1;
 }
 
+// The first octet of an IPv4 address tells its use (RFC 6890).
+bool IsUnicastV4(uint8_t first_octet) {
+  constexpr uint8_t this_network = 0;
+  constexpr uint8_t first_of_groups = 224;
+  return first_octet != this_network && first_octet < first_of_groups;
+}
+
+bool IsUnicastV6(const in6_addr& address) {
+  constexpr size_t mapped_octet = 12;
+  if (IN6_IS_ADDR_V4MAPPED(&address)) {
+    return IsUnicastV4(address.s6_addr[mapped_octet]);
+  }
+  return !IN6_IS_ADDR_UNSPECIFIED(&address) && !IN6_IS_ADDR_MULTICAST(&address);
+}
+
 }  // namespace
 
 std::string ToString(const Endpoint& endpoint) {
@@ -23,6 +38,18 @@
   return host + ":" + std::to_string(endpoint.port);
 }
 
+bool IsUnicast(const Endpoint& endpoint) {
+  if (endpoint.port == 0) {
+    return false;
+  }
+  in6_addr address{};
+  if (inet_pton(AF_INET6, endpoint.address.c_str(), &address) == 1) {
+    return IsUnicastV6(address);
+  }
+  return inet_pton(AF_INET, endpoint.address.c_str(), &address) == 1 &&
+         IsUnicastV4(address.s6_addr[0]);
+}
+
 Result<Endpoint> ParseEndpoint(std::string_view text, std::string_view path) {
   const Failure malformed{
       FailureKind::kOutOfRange, std::string(path),
