Links: an answer that can't be sent to another VM is refused at once

Found by a test: an upstream answers with a reason phrase of more than 256 bytes, or with more than 256 fields. A caller at the VM that dispatches gets the answer; a caller at another VM waits until its deadline, 30 s here, and gets 504.

Cause: the head exceeds the limits of messages between VMs. The sink took the failed send for a receiver that has left, so the request counted as answered, and the other VM was told nothing.

Change: if nothing of an answer was sent and the stream is open, the other VM gets a refusal, as after a malformed answer (502, unknown).

--- a/packages/node/src/link_server.cc
+++ b/packages/node/src/link_server.cc
@@ -70,6 +70,15 @@
   link.TrySend([&refused](wire::LinkMux& mux) { return mux.Refuse(refused); });
 }
 
+// Failure: the head of an answer exceeds the limits of messages between VMs. It
+// can't be sent, and the caller at the other VM waits until its deadline.
+ServeOutcome WithoutAnswer(ServeOutcome outcome) {
+  if (outcome.answered) {
+    outcome.refusal = Refusal::kUpstreamMalformed;
+  }
+  return outcome;
+}
+
 }  // namespace
 
 void RefuseLinkStream(PeerLink& link, LinkStream& stream, Refusal refusal) {
@@ -127,8 +136,8 @@
   stream->on_withdrawn = nullptr;
   if (sink.is_unfinished()) {
     sink.Break();
-  } else if (!outcome.answered && !stream->closed) {
-    Refuse(*link, *stream, outcome);
+  } else if (!sink.has_started() && !stream->closed) {
+    Refuse(*link, *stream, WithoutAnswer(outcome));
   }
   PostSummary(*link, dispatch, target.shard);
   link->Forget(*stream);
--- a/packages/node/src/link_stream.h
+++ b/packages/node/src/link_stream.h
@@ -104,6 +104,9 @@
                       const HttpFields* trailers) override;
   void Break() override;
 
+  /// @returns true if the head of the answer was sent.
+  bool has_started() const { return this->started; }
+
   /// @returns true if the answer was started and its end was not sent.
   bool is_unfinished() const { return this->started && !this->ended; }
 
--- a/packages/node/test/stream_test.cc
+++ b/packages/node/test/stream_test.cc
@@ -325,6 +325,29 @@
   }
 }
 
+// Failure: the answer of an upstream does not fit into a message between VMs,
+// and the caller at the other VM waits until its deadline.
+TEST(Stream, Answer_LongReasonOrManyFields_CallerIsToldAtOnce) {
+  std::string many;
+  for (int i = 0; i < 400; ++i) {
+    many += "X-" + std::to_string(i) + ": a\r\n";
+  }
+  std::string head;
+  this->Start([&head](RawUpstream::Exchange& exchange) {
+    exchange.ReadUntil(kHeadEnd);
+    exchange.Write("HTTP/1.1 200 " + head + "Content-Length: 5\r\n\r\nwhole");
+  });
+  for (size_t i = 0; i < kNodes; ++i) {
+    for (const std::string& odd :
+         {std::string(1'000, 'r') + "\r\n", "OK\r\n" + many}) {
+      head = odd;
+      const RawAnswer answer = RetryUntilServed(this->node(i));
+      const std::string expected = i == 0 ? "HTTP/1.1 200 " : "HTTP/1.1 502 ";
+      CHECK_TEXT(answer.bytes.starts_with(expected), answer.bytes.c_str());
+    }
+  }
+}
+
 // Failure: a VM ends while it sends an answer without a length to a caller that
 // knows no chunks. The system closes the connection in order, and the caller
 // takes the part for a complete answer.
