--- a/packages/decision/include/basilsill/decision/shutdown_admission.h
+++ b/packages/decision/include/basilsill/decision/shutdown_admission.h
@@ -1,7 +1,6 @@
 #ifndef BASILSILL_DECISION_SHUTDOWN_ADMISSION_H_
 #define BASILSILL_DECISION_SHUTDOWN_ADMISSION_H_
 
-#include <array>
 #include <optional>
 #include <vector>
 
@@ -31,8 +30,6 @@
   /// Nothing is passed on any more.
   void Close() { this->phase = Phase::kClosed; }
 
-  bool is_closed() const { return this->phase == Phase::kClosed; }
-
   /// @param deadline When the request ends at the latest.
   /// @returns false if a request that no upstream has is to be refused.
   bool Admits(TimePoint now, RuleHandle rule, TimePoint deadline) const;
--- a/packages/node/test/stream_test.cc
+++ b/packages/node/test/stream_test.cc
@@ -325,6 +325,19 @@
   }
 }
 
+// Failure: an upstream answers with a status that HTTP does not have, and the
+// caller gets it as an answer.
+TEST(Stream, Upstream_AnswersWithStatusOutsideHttp_CallerGets502) {
+  this->Start([](RawUpstream::Exchange& exchange) {
+    exchange.ReadUntil(kHeadEnd);
+    exchange.Write("HTTP/1.1 000 OK\r\nContent-Length: 5\r\n\r\nwhole");
+  });
+  for (size_t i = 0; i < kNodes; ++i) {
+    const RawAnswer answer = RetryUntilServed(this->node(i));
+    CHECK_TEXT(answer.bytes.starts_with("HTTP/1.1 502 "), answer.bytes.c_str());
+  }
+}
+
 // Failure: the answer of an upstream does not fit into a message between VMs,
 // and the caller at the other VM waits until its deadline.
 TEST(Stream, Answer_LongReasonOrManyFields_CallerIsToldAtOnce) {
