Tests: lint of the new tests

clang-tidy found an unused name, a copy of a function and a string that is put together in a loop. With it the files that the fixes changed are clean.

--- a/packages/decision/test/shutdown_admission_test.cc
+++ b/packages/decision/test/shutdown_admission_test.cc
@@ -5,7 +5,6 @@
 #include <CppUTest/TestHarness.h>
 
 using basilsill::Duration;
-using basilsill::kNever;
 using basilsill::RuleHandle;
 using basilsill::ShutdownAdmission;
 using basilsill::TimePoint;
--- a/packages/node/test/broken_answers_test.cc
+++ b/packages/node/test/broken_answers_test.cc
@@ -95,7 +95,7 @@
   void AnswerEarlyWith(const std::string& bytes,
                        AfterBytes after,
                        milliseconds work = {},
-                       std::function<bool()> may_end = {}) {
+                       const std::function<bool()>& may_end = {}) {
     this->choose = [bytes, after, work, may_end](bool) {
       UpstreamReply reply;
       reply.may_end = may_end;
@@ -157,9 +157,10 @@
 TEST(BrokenAnswers, StatusOutsideHttp_Request_EndsAsMalformed) {
   for (const std::string status :
        {"000", "001", "099", "101", "600", "999", "0", "20", "2000", "-20"}) {
-    for (const std::string before : {"", "HTTP/1.1 100 Continue\r\n\r\n"}) {
-      this->AnswerWith(before + this->HeadOf("HTTP/1.1 " + status + " OK") +
-                       "Content-Length: 0\r\n\r\n");
+    for (std::string bytes : {"", "HTTP/1.1 100 Continue\r\n\r\n"}) {
+      bytes += this->HeadOf("HTTP/1.1 " + status + " OK");
+      bytes += "Content-Length: 0\r\n\r\n";
+      this->AnswerWith(bytes);
       const Served& served = this->ServeRequest();
       CHECK_TEXT(!served.outcome->answered, status.c_str());
       CHECK_TEXT(served.outcome->refusal == Refusal::kUpstreamMalformed,
